Foundations: ids, timer, schema, settings, replicated state and the synced log

Cause: the repository was empty. Change: newtypes, the timer service, caller/endpoint/operator messages, checked INI settings, the replicated state (changes, resends, claims, members, audit) and the log store. Conclusion: ground for the whole path; nothing serves requests yet.

--- /dev/null
+++ b/crates/config/src/view.rs
@@ -0,0 +1,181 @@
+//! The half of the state that every daemon holds.
+
+use std::collections::BTreeMap;
+
+use oriolepass_schema::operator::{KeyHash, ObjectKind, ObjectList, ObjectSpec, ObjectView};
+use oriolepass_units::{AccountId, InstanceId, LogIndex, ModelId, ObjectRevision, TeamId};
+use serde::{Deserialize, Serialize};
+use subtle::ConstantTimeEq;
+
+use crate::members::{MemberRecord, MemberTable};
+
+/// An object as it is stored.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoredObject {
+    /// The owner.
+    pub team: TeamId,
+    /// Its revision.
+    pub revision: ObjectRevision,
+    /// Its content.
+    pub spec: ObjectSpec,
+}
+
+/// What a key gives access to.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct KeyOwner {
+    /// The kind of the object that holds the key.
+    pub kind: ObjectKind,
+    /// Its name.
+    pub name: String,
+}
+
+/// One change of the view.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ViewChange {
+    /// An object was written, or removed where the content is absent.
+    Object {
+        /// Its kind.
+        kind: ObjectKind,
+        /// Its name.
+        name: String,
+        /// Its content after the change.
+        object: Option<StoredObject>,
+    },
+    /// A member came or changed.
+    Member(MemberRecord),
+    /// A member went.
+    MemberGone(InstanceId),
+}
+
+/// A change of the view with its place in the log.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ViewDelta {
+    /// The log entry that made it.
+    pub index: LogIndex,
+    /// The configuration's revision after it.
+    pub config_revision: ObjectRevision,
+    /// What changed.
+    pub change: ViewChange,
+}
+
+/// Configuration objects and members as of one log index.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigView {
+    pub(crate) index: LogIndex,
+    pub(crate) config_revision: ObjectRevision,
+    pub(crate) objects: BTreeMap<(ObjectKind, String), StoredObject>,
+    pub(crate) members: MemberTable,
+    key_owners: BTreeMap<KeyHash, (ObjectKind, String)>,
+}
+
+impl ConfigView {
+    /// Returns the log index of the last change.
+    pub fn index(&self) -> LogIndex {
+        self.index
+    }
+
+    /// Returns the configuration's revision: the number of changes accepted so far.
+    pub fn config_revision(&self) -> ObjectRevision {
+        self.config_revision
+    }
+
+    /// Returns the members.
+    pub fn members(&self) -> &MemberTable {
+        &self.members
+    }
+
+    /// Returns an object.
+    pub fn object(&self, kind: ObjectKind, name: &str) -> Option<&StoredObject> {
+        self.objects.get(&(kind, name.to_owned()))
+    }
+
+    /// Returns the share of an account among the others, or none where it does not exist.
+    pub fn account_share(&self, account: &AccountId) -> Option<u32> {
+        match &self.object(ObjectKind::Account, account.as_str())?.spec {
+            ObjectSpec::Account(spec) => Some(spec.share),
+            _ => None,
+        }
+    }
+
+    /// Returns the longest prompt of a model, or none where it is not configured.
+    pub fn model_limit(&self, model: &ModelId) -> Option<oriolepass_units::TokenCount> {
+        match &self.object(ObjectKind::Model, model.as_str())?.spec {
+            ObjectSpec::Model(spec) => Some(spec.max_prompt),
+            _ => None,
+        }
+    }
+
+    /// Lists the objects of one kind, or of all.
+    pub fn list(&self, kind: Option<ObjectKind>) -> ObjectList {
+        let view = |((kind, name), object): (&(ObjectKind, String), &StoredObject)| ObjectView {
+            kind: *kind,
+            name: name.clone(),
+            team: object.team.clone(),
+            revision: object.revision,
+            spec: object.spec.clone(),
+        };
+        let wanted = |key: &ObjectKind| kind.is_none_or(|kind| kind == *key);
+        ObjectList {
+            config_revision: self.config_revision,
+            objects: self.objects.iter().filter(|((k, _), _)| wanted(k)).map(view).collect(),
+        }
+    }
+
+    /// Returns what a key gives access to.
+    ///
+    /// The lookup is by the key's hash, whose bytes an attacker cannot choose; the final
+    /// comparison takes the same time whatever differs.
+    pub fn key_owner(&self, key: &str) -> Option<KeyOwner> {
+        let hash = KeyHash::of(key);
+        let (stored, (kind, name)) = self.key_owners.get_key_value(&hash)?;
+        let same: bool = stored.0.as_bytes().ct_eq(hash.0.as_bytes()).into();
+        same.then(|| KeyOwner { kind: *kind, name: name.clone() })
+    }
+
+    pub(crate) fn holder_of(&self, hash: &KeyHash) -> Option<&(ObjectKind, String)> {
+        self.key_owners.get(hash)
+    }
+
+    /// Applies a change that a voter or relay passed on.
+    ///
+    /// Returns whether it was new. Older ones are left alone, so that a view never goes back,
+    /// whichever source the daemon turns to.
+    pub fn apply_delta(&mut self, delta: ViewDelta) -> bool {
+        if delta.index <= self.index {
+            return false;
+        }
+        self.index = delta.index;
+        self.config_revision = delta.config_revision;
+        match delta.change {
+            ViewChange::Object { kind, name, object } => self.put_object(kind, name, object),
+            ViewChange::Member(record) => {
+                self.members.last_epoch = self.members.last_epoch.max(record.epoch);
+                self.members.members.insert(record.instance.clone(), record);
+            }
+            ViewChange::MemberGone(instance) => {
+                self.members.members.remove(&instance);
+            }
+        }
+        true
+    }
+
+    pub(crate) fn put_object(
+        &mut self,
+        kind: ObjectKind,
+        name: String,
+        object: Option<StoredObject>,
+    ) {
+        let key = (kind, name);
+        if let Some(before) = self.objects.remove(&key) {
+            before.spec.keys().iter().for_each(|hash| {
+                self.key_owners.remove(hash);
+            });
+        }
+        if let Some(object) = object {
+            object.spec.keys().iter().for_each(|hash| {
+                self.key_owners.insert(hash.clone(), key.clone());
+            });
+            self.objects.insert(key, object);
+        }
+    }
+}
