The replicated log, the home's scheduler and the life of a request as state machines

Cause: accepted state must survive races, isolation and lost disks; the whole path needs its decisions before its wiring. Before the harness crashed nodes in the middle of a sync it met 0 torn frames, and its own coverage check failed for that.

--- /dev/null
+++ b/crates/consensus/tests/harness/mod.rs
@@ -0,0 +1,318 @@
+//! The harness of the randomised run: nodes, disks, a network and the invariants between them.
+
+mod checks;
+mod node;
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::time::Duration;
+
+use oriolepass_consensus::{Envelope, NodeRole};
+use oriolepass_units::InstanceId;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+use checks::GlobalChecks;
+use node::TestNode;
+
+const STEP: Duration = Duration::from_millis(5);
+const STORM_STEPS: u64 = 1_600;
+const CALM_STEPS: u64 = 3_000;
+
+/// What a seed's run does.
+pub struct RunPlan {
+    voters: usize,
+    lossy: f64,
+    lose_disks: bool,
+    power_cut: bool,
+}
+
+impl RunPlan {
+    pub fn for_seed(seed: u64) -> Self {
+        let mut random = StdRng::seed_from_u64(seed ^ 0x5eed);
+        let voters = [1, 3, 3, 5, 5, 5][random.random_range(0..6)];
+        Self {
+            voters,
+            lossy: [0.0, 0.02, 0.2][random.random_range(0..3)],
+            lose_disks: voters == 5 && random.random_bool(0.5),
+            power_cut: random.random_bool(0.3),
+        }
+    }
+}
+
+macro_rules! coverage {
+    ($($name:ident),*) => {
+        /// How often each thing that the run is meant to meet was met.
+        #[derive(Debug, Default)]
+        pub struct Coverage { $(pub $name: u64),* }
+
+        impl Coverage {
+            /// Fails when something that the run is meant to meet never happened: a run that
+            /// does not meet a failure proves nothing about it.
+            pub fn assert_all_met(&self) {
+                $(assert!(self.$name > 0, "{} was never met", stringify!($name));)*
+            }
+        }
+
+        impl fmt::Display for Coverage {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                $(write!(f, "{} {}  ", stringify!($name), self.$name)?;)*
+                Ok(())
+            }
+        }
+    };
+}
+
+coverage!(
+    seeds,
+    leaders,
+    accepted,
+    lost_proposals,
+    lease_reads,
+    crashes,
+    power_cuts,
+    partitions,
+    one_way_cuts,
+    disks_lost,
+    replaced_disks,
+    snapshots_taken,
+    snapshots_installed,
+    dropped,
+    duplicated,
+    hand_overs,
+    torn_frames
+);
+
+struct Delivery {
+    due: u64,
+    envelope: Envelope,
+}
+
+/// One run.
+struct World {
+    random: StdRng,
+    plan: RunPlan,
+    step: u64,
+    nodes: Vec<TestNode>,
+    network: Vec<Delivery>,
+    /// Pairs (from, to) that do not reach each other until the step.
+    cuts: BTreeMap<(usize, usize), u64>,
+    checks: GlobalChecks,
+    next_command: u64,
+    trace: bool,
+    disks_lost: usize,
+}
+
+/// Runs one seed; panics when an invariant is violated.
+pub fn run_seed(seed: u64, plan: &RunPlan, trace: bool, coverage: &mut Coverage) {
+    let plan = RunPlan { ..*plan };
+    let mut world = World::new(seed, plan, trace);
+    while world.step < STORM_STEPS {
+        world.storm(coverage);
+        world.advance(coverage);
+    }
+    world.cuts.clear();
+    world.plan.lossy = 0.0;
+    for node in 0..world.nodes.len() {
+        world.start(node, coverage);
+    }
+    let calm_until = world.step + CALM_STEPS;
+    while world.step < calm_until && !world.settled() {
+        if world.step % 40 == 0 {
+            world.propose(coverage);
+        }
+        world.advance(coverage);
+    }
+    assert!(world.settled(), "seed {seed}: did not settle: {}", world.describe());
+    world.checks.check_complete(&world.nodes);
+    coverage.seeds += 1;
+}
+
+impl World {
+    fn new(seed: u64, plan: RunPlan, trace: bool) -> Self {
+        let mut random = StdRng::seed_from_u64(seed);
+        let names: Vec<InstanceId> =
+            (0..plan.voters).map(|n| format!("v{n}").parse().expect("a name")).collect();
+        let nodes =
+            names.iter().map(|name| TestNode::new(name.clone(), &names, &mut random)).collect();
+        let mut world = Self {
+            random,
+            plan,
+            step: 0,
+            nodes,
+            network: Vec::new(),
+            cuts: BTreeMap::new(),
+            checks: GlobalChecks::default(),
+            next_command: 1,
+            trace,
+            disks_lost: 0,
+        };
+        let mut ignored = Coverage::default();
+        (0..world.nodes.len()).for_each(|node| world.start(node, &mut ignored));
+        world
+    }
+
+    fn note(&self, text: impl FnOnce() -> String) {
+        if self.trace {
+            println!("{:>6} {}", self.step, text());
+        }
+    }
+
+    fn start(&mut self, index: usize, coverage: &mut Coverage) {
+        let now = STEP * u32::try_from(self.step).expect("a short run");
+        let fresh = self.random.random();
+        if !self.nodes[index].is_up() {
+            coverage.torn_frames += u64::from(self.nodes[index].start(now, fresh));
+            self.note(|| format!("start {}", self.nodes[index].name));
+        }
+    }
+
+    fn crash(&mut self, index: usize, coverage: &mut Coverage) {
+        if self.nodes[index].is_up() {
+            self.note(|| format!("crash {}", self.nodes[index].name));
+            self.nodes[index].crash(&mut self.random);
+            coverage.crashes += 1;
+        }
+    }
+
+    /// Lets something go wrong, or not.
+    fn storm(&mut self, coverage: &mut Coverage) {
+        let count = self.nodes.len();
+        let victim = self.random.random_range(0..count);
+        match self.random.random_range(0..1000) {
+            0..=5 => self.crash(victim, coverage),
+            6..=30 => self.start(victim, coverage),
+            31..=36 if count > 1 => self.cut(victim, coverage),
+            37..=38 if self.plan.lose_disks => self.lose_disk(victim, coverage),
+            39 if self.plan.power_cut => {
+                (0..count).for_each(|node| self.crash(node, coverage));
+                coverage.power_cuts += 1;
+            }
+            40..=41 => {
+                let now = self.now(victim);
+                if self.nodes[victim].hand_over(now) {
+                    coverage.hand_overs += 1;
+                }
+            }
+            42..=200 => self.propose(coverage),
+            201..=215 => self.read(),
+            216..=225 => coverage.snapshots_taken += u64::from(self.nodes[victim].snapshot()),
+            _ => {}
+        }
+    }
+
+    fn cut(&mut self, victim: usize, coverage: &mut Coverage) {
+        let until = self.step + self.random.random_range(10..400);
+        let one_way = self.random.random_bool(0.4);
+        self.note(|| format!("cut {} one_way {one_way} until {until}", self.nodes[victim].name));
+        for other in (0..self.nodes.len()).filter(|other| *other != victim) {
+            self.cuts.insert((victim, other), until);
+            if !one_way {
+                self.cuts.insert((other, victim), until);
+            }
+        }
+        coverage.partitions += 1;
+        coverage.one_way_cuts += u64::from(one_way);
+    }
+
+    /// Replaces a disk by an empty one, but at most two in a run, the second perhaps while the
+    /// first is still being repaired: that much five voters must bear.
+    fn lose_disk(&mut self, victim: usize, coverage: &mut Coverage) {
+        let everyone_knows = self.nodes.iter().all(|node| node.knows_voters());
+        if self.disks_lost >= 2 || !everyone_knows {
+            return;
+        }
+        self.crash(victim, coverage);
+        self.note(|| format!("disk of {} lost", self.nodes[victim].name));
+        self.nodes[victim].lose_disk();
+        self.disks_lost += 1;
+        coverage.disks_lost += 1;
+    }
+
+    fn now(&self, index: usize) -> oriolepass_units::MonotonicTime {
+        self.nodes[index].local_time(STEP * u32::try_from(self.step).expect("a short run"))
+    }
+
+    fn leader(&self) -> Option<usize> {
+        let leads = |node: &TestNode| node.role() == Some(NodeRole::Leader);
+        self.nodes.iter().rposition(leads)
+    }
+
+    fn propose(&mut self, coverage: &mut Coverage) {
+        // Also to one that only believes that it leads.
+        let leaders: Vec<usize> = (0..self.nodes.len())
+            .filter(|index| self.nodes[*index].role() == Some(NodeRole::Leader))
+            .collect();
+        let Some(leader) = leaders.get(self.next_command as usize % leaders.len().max(1)) else {
+            return;
+        };
+        let command = self.next_command;
+        self.next_command += 1;
+        let lost = self.nodes[*leader].propose(command);
+        coverage.lost_proposals += lost;
+    }
+
+    fn read(&mut self) {
+        let Some(leader) = self.leader() else { return };
+        let now = self.now(leader);
+        let floor = self.checks.acknowledged();
+        self.nodes[leader].read(now, floor);
+    }
+
+    /// Lets one step of time pass everywhere.
+    fn advance(&mut self, coverage: &mut Coverage) {
+        self.step += 1;
+        let step = self.step;
+        self.cuts.retain(|_, until| *until > step);
+        let due: Vec<Delivery> = self.network.extract_if(.., |d| d.due <= step).collect();
+        for delivery in due {
+            let to = self.nodes.iter().position(|node| node.name == delivery.envelope.to);
+            let to = to.expect("every instance has a node");
+            let now = self.now(to);
+            self.nodes[to].receive(now, delivery.envelope);
+        }
+        for index in 0..self.nodes.len() {
+            let now = self.now(index);
+            let sync = self.random.random_bool(0.7);
+            let sent = self.nodes[index].advance(now, sync, &mut self.checks, coverage);
+            for envelope in sent {
+                self.post(index, envelope, coverage);
+            }
+        }
+        let holders: Vec<usize> = (0..self.nodes.len())
+            .filter(|index| self.nodes[*index].holds_lease(self.now(*index)))
+            .collect();
+        assert!(holders.len() <= 1, "two leaders hold a lease at once: {}", self.describe());
+        self.checks.check_leaders(&self.nodes, coverage);
+    }
+
+    fn post(&mut self, from: usize, envelope: Envelope, coverage: &mut Coverage) {
+        let to = self.nodes.iter().position(|node| node.name == envelope.to).expect("a node");
+        let lost = self.random.random_bool(self.plan.lossy);
+        if self.cuts.contains_key(&(from, to)) || lost {
+            coverage.dropped += 1;
+            return;
+        }
+        let copies = if self.random.random_bool(self.plan.lossy / 4.0) { 2 } else { 1 };
+        coverage.duplicated += copies - 1;
+        for _ in 0..copies {
+            let slow = self.plan.lossy > 0.0 && self.random.random_bool(0.02);
+            let delay = if slow { self.random.random_range(5..120) } else { 1 };
+            self.network.push(Delivery { due: self.step + delay, envelope: envelope.clone() });
+        }
+    }
+
+    /// Returns whether all nodes agree, with a full set of voters.
+    fn settled(&self) -> bool {
+        let Some(leader) = self.leader() else { return false };
+        let applied = self.nodes[leader].applied();
+        let full = |node: &TestNode| node.voter_count() == (self.nodes.len(), 0);
+        self.nodes.iter().all(|node| node.is_up() && node.applied() == applied && full(node))
+            && self.nodes[leader].holds_lease(self.now(leader))
+    }
+
+    fn describe(&self) -> String {
+        let lines: Vec<String> = self.nodes.iter().map(TestNode::describe).collect();
+        lines.join("; ")
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/endpoint.rs
@@ -0,0 +1,161 @@
+//! One endpoint in the eyes of its home.
+
+use std::collections::{BTreeMap, HashSet};
+use std::net::SocketAddr;
+
+use oriolepass_schema::endpoint::{CacheChange, EndpointAnnouncement, EndpointKind};
+use oriolepass_schema::operator::{EndpointState, PoolRole};
+use oriolepass_units::{
+    AttemptId, Incarnation, ModelId, MonotonicTime, PrefixHash, ServiceName, TokenCount,
+};
+
+use crate::ask::WorkTarget;
+use crate::config::LengthClass;
+use crate::prefix::PREFIX_BLOCK_TOKENS;
+
+/// The most cached prefixes remembered of one endpoint.
+const MAX_CACHED: usize = 4_096;
+
+/// Something that holds memory on an endpoint.
+#[derive(Debug, Clone)]
+pub(crate) struct MemoryHold {
+    pub(crate) reserved: TokenCount,
+    pub(crate) state: HoldState,
+}
+
+/// Why memory is held.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum HoldState {
+    /// By a grant.
+    Granted,
+    /// Found on the endpoint by a new home; the entry has until then to renew it.
+    Adopted(MonotonicTime),
+    /// Cancelled; held until the endpoint no longer lists it.
+    Cancelling(MonotonicTime),
+}
+
+/// An endpoint with its part of the ledger.
+#[derive(Debug)]
+pub(crate) struct EndpointEntry {
+    pub(crate) address: SocketAddr,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) models: Vec<ModelId>,
+    pub(crate) service: Option<ServiceName>,
+    pub(crate) memory: TokenCount,
+    pub(crate) prefill_rate: u64,
+    pub(crate) role: PoolRole,
+    pub(crate) state: EndpointState,
+    pub(crate) last_heartbeat: MonotonicTime,
+    pub(crate) inspect_due: MonotonicTime,
+    pub(crate) holds: BTreeMap<AttemptId, MemoryHold>,
+    pub(crate) held: TokenCount,
+    /// Prompt tokens granted and not yet processed, by priority.
+    pub(crate) backlog: [u64; 4],
+    /// Prompts above the short class that run here.
+    pub(crate) long_running: u32,
+    /// Streams listed without explanation, with the time at which they were first seen.
+    pub(crate) unexplained: BTreeMap<AttemptId, (TokenCount, MonotonicTime)>,
+    cached: HashSet<PrefixHash>,
+    next_cache_sequence: Option<u64>,
+    pub(crate) cache_gaps: u64,
+}
+
+impl EndpointEntry {
+    pub(crate) fn new(
+        announcement: &EndpointAnnouncement,
+        role: PoolRole,
+        now: MonotonicTime,
+    ) -> Self {
+        let (models, service, memory, prefill_rate) = match &announcement.kind {
+            EndpointKind::Engine { models, memory, prefill_rate } => {
+                (models.clone(), None, *memory, prefill_rate.0.max(1))
+            }
+            EndpointKind::Service { service, concurrency } => {
+                (Vec::new(), Some(service.clone()), TokenCount(u64::from(*concurrency)), u64::MAX)
+            }
+        };
+        Self {
+            address: announcement.address,
+            incarnation: announcement.incarnation,
+            models,
+            service,
+            memory,
+            prefill_rate,
+            role,
+            state: EndpointState::Joining,
+            last_heartbeat: now,
+            inspect_due: now,
+            holds: BTreeMap::new(),
+            held: TokenCount::ZERO,
+            backlog: [0; 4],
+            long_running: 0,
+            unexplained: BTreeMap::new(),
+            cached: HashSet::new(),
+            next_cache_sequence: None,
+            cache_gaps: 0,
+        }
+    }
+
+    pub(crate) fn serves(&self, target: &WorkTarget) -> bool {
+        match target {
+            WorkTarget::Model(model) => self.models.contains(model),
+            WorkTarget::Service(service) => self.service.as_ref() == Some(service),
+        }
+    }
+
+    pub(crate) fn free(&self) -> TokenCount {
+        TokenCount(self.memory.0.saturating_sub(self.held.0))
+    }
+
+    /// Returns the memory that a prompt of the class may still take.
+    pub(crate) fn room(&self, class: LengthClass, guard_percent: u64) -> TokenCount {
+        if class == LengthClass::Short || self.service.is_some() {
+            return self.free();
+        }
+        if self.role == PoolRole::Short {
+            return TokenCount::ZERO;
+        }
+        let guarded = self.memory.0 * guard_percent / 100;
+        TokenCount(self.free().0.saturating_sub(guarded))
+    }
+
+    /// Returns the most that one prompt of the class can ever take here.
+    pub(crate) fn capacity(&self, class: LengthClass, guard_percent: u64) -> TokenCount {
+        if class == LengthClass::Short || self.service.is_some() {
+            return self.memory;
+        }
+        if self.role == PoolRole::Short {
+            return TokenCount::ZERO;
+        }
+        TokenCount(self.memory.0 - self.memory.0 * guard_percent / 100)
+    }
+
+    /// Returns how many tokens of a prompt's beginning are probably cached here.
+    pub(crate) fn cached_tokens(&self, prefix: &[PrefixHash]) -> u64 {
+        if self.cached.is_empty() {
+            return 0;
+        }
+        let blocks = prefix.iter().take_while(|hash| self.cached.contains(hash)).count();
+        (blocks * PREFIX_BLOCK_TOKENS) as u64
+    }
+
+    /// Takes in cache events. After a gap nothing is known: what was cached may be gone.
+    pub(crate) fn cache_events(&mut self, first_sequence: u64, changes: &[CacheChange]) {
+        if self.next_cache_sequence.is_some_and(|expected| expected != first_sequence) {
+            self.cache_gaps += 1;
+            self.cached.clear();
+        }
+        self.next_cache_sequence = Some(first_sequence + changes.len() as u64);
+        for change in changes {
+            match change {
+                CacheChange::Stored(hash) if self.cached.len() < MAX_CACHED => {
+                    self.cached.insert(*hash);
+                }
+                CacheChange::Stored(_) => {}
+                CacheChange::Evicted(hash) => {
+                    self.cached.remove(hash);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/ledger.rs
@@ -0,0 +1,144 @@
+//! The ledger: what holds memory, and the comparison with what endpoints say they hold.
+
+use std::collections::BTreeSet;
+
+use oriolepass_schema::endpoint::HeldStream;
+use oriolepass_schema::operator::EndpointState;
+use oriolepass_units::{AttemptId, EndpointId, MonotonicTime, TokenCount};
+
+use crate::ask::HomeCommand;
+use crate::endpoint::{HoldState, MemoryHold};
+use crate::home::HomeScheduler;
+
+impl HomeScheduler {
+    /// Takes in what an endpoint holds, as it answered an [`HomeCommand::Inspect`] that was
+    /// sent at `asked`.
+    pub fn held_streams(
+        &mut self,
+        now: MonotonicTime,
+        asked: MonotonicTime,
+        endpoint: &EndpointId,
+        streams: &[HeldStream],
+    ) {
+        let lease = self.config.grant_lease;
+        let grace = self.config.unexplained_grace;
+        let Some(entry) = self.endpoints.get_mut(endpoint) else { return };
+        let joining = entry.state == EndpointState::Joining;
+        let listed: BTreeSet<&AttemptId> = streams.iter().map(|s| &s.attempt).collect();
+        for stream in streams {
+            if entry.holds.contains_key(&stream.attempt) {
+                continue;
+            }
+            if joining {
+                // Found by a new home. The entry that runs it renews it within a lease, or it
+                // is an orphan.
+                let state = HoldState::Adopted(now + lease);
+                entry.holds.insert(
+                    stream.attempt.clone(),
+                    MemoryHold { reserved: stream.reserved, state },
+                );
+                entry.held += stream.reserved;
+            } else {
+                entry.unexplained.entry(stream.attempt.clone()).or_insert((stream.reserved, now));
+            }
+        }
+        entry.unexplained.retain(|attempt, _| listed.contains(attempt));
+        let cancelled: Vec<AttemptId> = entry
+            .unexplained
+            .iter()
+            .filter(|(_, (_, since))| now.since(*since) >= grace)
+            .map(|(attempt, _)| attempt.clone())
+            .collect();
+        // A cancelled stream is free once a list that was asked for after the cancellation no
+        // longer shows it.
+        let gone: Vec<AttemptId> = entry
+            .holds
+            .iter()
+            .filter(|(attempt, hold)| {
+                let HoldState::Cancelling(since) = hold.state else { return false };
+                asked >= since && !listed.contains(attempt)
+            })
+            .map(|(attempt, _)| attempt.clone())
+            .collect();
+        if joining {
+            entry.state = EndpointState::Live;
+        }
+        let address = entry.address;
+        self.counters.cancelled_unexplained += cancelled.len() as u64;
+        for attempt in cancelled {
+            let endpoint = endpoint.clone();
+            self.commands.push(HomeCommand::Cancel { endpoint, address, attempt });
+        }
+        gone.iter().for_each(|attempt| self.free(endpoint, attempt));
+        self.dispatch_all(now);
+    }
+
+    /// Sets memory aside.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the endpoint has less memory than that: a ledger that gives the same memory
+    /// out twice makes an engine drop somebody's work.
+    pub(crate) fn hold(&mut self, endpoint: &EndpointId, attempt: &AttemptId, need: TokenCount) {
+        let entry = self.endpoints.get_mut(endpoint).expect("a placed prompt's endpoint");
+        assert!(need <= entry.free(), "{endpoint} has {} free, not {need}", entry.free());
+        let hold = MemoryHold { reserved: need, state: HoldState::Granted };
+        let before = entry.holds.insert(attempt.clone(), hold);
+        assert!(before.is_none(), "attempt {attempt} holds memory on {endpoint} twice");
+        entry.held += need;
+    }
+
+    /// Frees what an attempt holds on an endpoint.
+    pub(crate) fn free(&mut self, endpoint: &EndpointId, attempt: &AttemptId) {
+        let Some(entry) = self.endpoints.get_mut(endpoint) else { return };
+        if let Some(hold) = entry.holds.remove(attempt) {
+            entry.held -= hold.reserved;
+        }
+    }
+
+    /// Cancels what an attempt may still hold on an endpoint; it counts as held until the
+    /// endpoint no longer lists it.
+    pub(crate) fn cancel_hold(
+        &mut self,
+        now: MonotonicTime,
+        endpoint: &EndpointId,
+        attempt: &AttemptId,
+    ) {
+        let Some(entry) = self.endpoints.get_mut(endpoint) else { return };
+        let Some(hold) = entry.holds.get_mut(attempt) else { return };
+        if !matches!(hold.state, HoldState::Cancelling(_)) {
+            hold.state = HoldState::Cancelling(now);
+        }
+        entry.inspect_due = entry.inspect_due.min(now + self.config.unexplained_grace / 4);
+        self.commands.push(HomeCommand::Cancel {
+            endpoint: endpoint.clone(),
+            address: entry.address,
+            attempt: attempt.clone(),
+        });
+    }
+
+    /// Cancels adopted streams that nobody renewed, and sends again what was not confirmed.
+    pub(crate) fn expire_holds(&mut self, now: MonotonicTime) {
+        let grace = self.config.unexplained_grace;
+        let due: Vec<(EndpointId, AttemptId)> = self
+            .endpoints
+            .iter()
+            .flat_map(|(endpoint, entry)| {
+                entry.holds.iter().filter_map(move |(attempt, hold)| {
+                    let due = match hold.state {
+                        HoldState::Granted => false,
+                        HoldState::Adopted(until) => now >= until,
+                        HoldState::Cancelling(since) => now.since(since) >= grace,
+                    };
+                    due.then(|| (endpoint.clone(), attempt.clone()))
+                })
+            })
+            .collect();
+        for (endpoint, attempt) in due {
+            self.cancel_hold(now, &endpoint, &attempt);
+            let entry = self.endpoints.get_mut(&endpoint).expect("listed above");
+            // The next repetition is a grace away.
+            entry.holds.get_mut(&attempt).expect("listed above").state = HoldState::Cancelling(now);
+        }
+    }
+}
--- a/crates/schema/src/endpoint.rs
+++ b/crates/schema/src/endpoint.rs
@@ -130,6 +130,8 @@
     pub priority: u8,
     /// Tokens of the answer that the caller already has; the engine goes on after them.
     pub resume_from: u64,
+    /// Their text. The digest at the end covers it as well.
+    pub resume_text: String,
     /// The other engines that hold a part of the prompt, by their addresses.
     pub helpers: Vec<SocketAddr>,
 }
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -179,9 +179,9 @@
 
     /// Takes over the known keys and notes the unknown and doubled ones.
     fn collect(&mut self, ini: &Ini) {
-        for (section, properties) in ini.iter() {
+        for (section, properties) in ini {
             let section = section.unwrap_or_default();
-            for (key, value) in properties.iter() {
+            for (key, value) in properties {
                 self.collect_one(section, key, value);
             }
         }
@@ -366,7 +366,7 @@
                 remedy.to_owned(),
             );
         }
-        if settings.voters.len() % 2 == 0 {
+        if settings.voters.len().is_multiple_of(2) {
             let remedy = "name an odd number of voters (1, 3 or 5): one more adds no safety";
             let read = format!("{} voters", settings.voters.len());
             self.problem("cluster", "voters", read, remedy.to_owned());
