--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -28,7 +28,7 @@
     ApplyOutcome, ChangeCommand, ClaimCommand, ClaimVerdict, MemberCommand, ReplicatedCommand,
     SettleCommand, StampedCommand,
 };
-pub use members::{MemberAddresses, MemberRecord, MemberTable};
+pub use members::{MemberAddresses, MemberRecord, MemberTable, shard_of};
 pub use resend::RESENDS_RETAINED;
 pub use state::{ReplicatedState, SnapshotError};
 pub use view::{ConfigView, KeyOwner, StoredObject, ViewChange, ViewDelta};
--- a/crates/config/src/members.rs
+++ b/crates/config/src/members.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use oriolepass_units::{DataCentreId, InstanceId, LeaseEpoch, ShardId};
+use oriolepass_units::{DataCentreId, EndpointId, InstanceId, LeaseEpoch, ShardId};
 use serde::{Deserialize, Serialize};
 
 /// Where a daemon listens.
@@ -70,10 +70,10 @@
 
     /// Takes a member in. One that is known by the same start keeps its lease.
     pub(crate) fn join(&mut self, record: &MemberRecord) -> LeaseEpoch {
-        if let Some(present) = self.members.get(&record.instance) {
-            if present.boot == record.boot && present.addresses == record.addresses {
-                return present.epoch;
-            }
+        let present = self.members.get(&record.instance);
+        let same = |m: &&MemberRecord| m.boot == record.boot && m.addresses == record.addresses;
+        if let Some(present) = present.filter(same) {
+            return present.epoch;
         }
         self.last_epoch = self.last_epoch.next();
         let record = MemberRecord { epoch: self.last_epoch, draining: false, ..record.clone() };
@@ -82,6 +82,23 @@
     }
 }
 
+/// Returns the shard of an endpoint: one of `shards` in its data centre.
+///
+/// # Panics
+///
+/// Panics when `shards` is 0.
+pub fn shard_of(data_centre: &DataCentreId, endpoint: &EndpointId, shards: u32) -> ShardId {
+    use sha2::{Digest, Sha256};
+
+    assert!(shards > 0, "a data centre has at least one shard");
+    let digest = Sha256::digest(endpoint.as_str());
+    let number = u32::from_le_bytes(digest[..4].try_into().expect("4 of 32 bytes"));
+    format!("{data_centre}:{}", number % shards).parse().unwrap_or_else(|_| {
+        // A data centre's name of the greatest length leaves no room for the number.
+        data_centre.as_str().parse().expect("an id is an id")
+    })
+}
+
 /// Weighs an instance for a shard; the same on every build and machine.
 fn rendezvous_weight(instance: &InstanceId, shard: &ShardId) -> [u8; 16] {
     use sha2::{Digest, Sha256};
--- a/crates/config/src/rights.rs
+++ b/crates/config/src/rights.rs
@@ -46,11 +46,6 @@
     }
 }
 
-fn is_admin(view: &ConfigView, team: &TeamId) -> bool {
-    view.object(ObjectKind::Team, team.as_str())
-        .is_some_and(|object| matches!(&object.spec, ObjectSpec::Team(spec) if spec.admin))
-}
-
 fn check_owner(
     view: &ConfigView,
     team: &TeamId,
@@ -78,11 +73,11 @@
 fn check_team_change(view: &ConfigView, team: &TeamId, call: &ChangeCall) -> Result<(), ApiError> {
     let own = call.name == team.as_str();
     match &call.action {
-        _ if is_admin(view, team) && !own => Ok(()),
+        _ if view.is_admin(team) && !own => Ok(()),
         // A team rotates its own keys. It neither promotes nor removes itself: an admin team
         // that dropped its own rights by mistake could lock everybody out.
         ChangeAction::Put(ObjectSpec::Team(spec)) if own => {
-            if spec.admin != is_admin(view, team) {
+            if spec.admin != view.is_admin(team) {
                 return Err(forbidden("a team cannot change its own admin right"));
             }
             if spec.keys.is_empty() {
--- a/crates/config/src/view.rs
+++ b/crates/config/src/view.rs
@@ -89,6 +89,12 @@
         self.objects.get(&(kind, name.to_owned()))
     }
 
+    /// Returns whether a team may create and change teams and let daemons leave.
+    pub fn is_admin(&self, team: &TeamId) -> bool {
+        self.object(ObjectKind::Team, team.as_str())
+            .is_some_and(|object| matches!(&object.spec, ObjectSpec::Team(spec) if spec.admin))
+    }
+
     /// Returns the share of an account among the others, or none where it does not exist.
     pub fn account_share(&self, account: &AccountId) -> Option<u32> {
         match &self.object(ObjectKind::Account, account.as_str())?.spec {
--- a/crates/consensus/tests/harness/mod.rs
+++ b/crates/consensus/tests/harness/mod.rs
@@ -118,7 +118,7 @@
     }
     let calm_until = world.step + CALM_STEPS;
     while world.step < calm_until && !world.settled() {
-        if world.step % 40 == 0 {
+        if world.step.is_multiple_of(40) {
             world.propose(coverage);
         }
         world.advance(coverage);
@@ -218,7 +218,7 @@
     /// Replaces a disk by an empty one, but at most two in a run, the second perhaps while the
     /// first is still being repaired: that much five voters must bear.
     fn lose_disk(&mut self, victim: usize, coverage: &mut Coverage) {
-        let everyone_knows = self.nodes.iter().all(|node| node.knows_voters());
+        let everyone_knows = self.nodes.iter().all(TestNode::knows_voters);
         if self.disks_lost >= 2 || !everyone_knows {
             return;
         }
@@ -276,7 +276,7 @@
             let sync = self.random.random_bool(0.7);
             let sent = self.nodes[index].advance(now, sync, &mut self.checks, coverage);
             for envelope in sent {
-                self.post(index, envelope, coverage);
+                self.post(index, &envelope, coverage);
             }
         }
         let holders: Vec<usize> = (0..self.nodes.len())
@@ -286,7 +286,7 @@
         self.checks.check_leaders(&self.nodes, coverage);
     }
 
-    fn post(&mut self, from: usize, envelope: Envelope, coverage: &mut Coverage) {
+    fn post(&mut self, from: usize, envelope: &Envelope, coverage: &mut Coverage) {
         let to = self.nodes.iter().position(|node| node.name == envelope.to).expect("a node");
         let lost = self.random.random_bool(self.plan.lossy);
         if self.cuts.contains_key(&(from, to)) || lost {
--- /dev/null
+++ b/crates/daemon/src/daemon.rs
@@ -0,0 +1,381 @@
+//! Starts and ends the duties.
+
+use std::io;
+use std::net::{SocketAddr, TcpListener as StdListener};
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use oriolepass_config::MemberAddresses;
+use oriolepass_consensus::{ConsensusConfig, ConsensusNode, DiskId};
+use oriolepass_schema::operator::KeyHash;
+use oriolepass_settings::{DaemonSettings, ListenSettings};
+use oriolepass_storage::{DEFAULT_SEGMENT_BYTES, DiskFolder, LogStore, StorageError};
+use oriolepass_timer::{ClockSource, TimerService};
+use oriolepass_units::InstanceId;
+use thiserror::Error;
+use tokio::net::TcpListener;
+use tokio::runtime::{Builder, Runtime};
+use tokio::task::LocalSet;
+
+use crate::address_book::AddressBook;
+use crate::home::{HomeHandle, run_chores, start_home};
+use crate::log::{LogHandle, LogParts, start_log};
+use crate::peers::{ClusterKey, PeerFaults, PeerHandle, run_clients, run_server};
+use crate::shared::{DaemonShared, SharedParts};
+use crate::{drain, http, member};
+
+/// Between two ticks of the log.
+const LOG_TICK: Duration = Duration::from_millis(10);
+
+/// Between two ticks of the home.
+const HOME_TICK: Duration = Duration::from_millis(50);
+
+/// Bytes of entries, or of a snapshot, in one consensus message.
+const MESSAGE_BYTES: usize = 256 * 1024;
+
+/// Chores of the home that may wait.
+const CHORE_RING: usize = 4_096;
+
+/// Connections of operators and of endpoints, each.
+const CONTROL_CONNECTIONS: usize = 4_096;
+
+/// The reason that a daemon did not start.
+#[derive(Debug, Error)]
+pub enum DaemonError {
+    /// An address cannot be listened on.
+    #[error("cannot listen on {address}: {source}; free it or change it under [listen]")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// The operating system's error.
+        source: io::Error,
+    },
+    /// The data folder cannot be used.
+    #[error(transparent)]
+    Storage(#[from] StorageError),
+    /// A thread cannot be started.
+    #[error("cannot start a thread: {0}; raise the limit of processes")]
+    Thread(#[from] io::Error),
+}
+
+/// The sockets that a daemon listens on.
+///
+/// They are bound before the daemon starts, so that tests can let the system choose the ports.
+#[derive(Debug)]
+pub struct DaemonListeners {
+    /// For callers.
+    pub callers: StdListener,
+    /// For operators.
+    pub operators: StdListener,
+    /// For endpoints.
+    pub endpoints: StdListener,
+    /// For other daemons.
+    pub peers: StdListener,
+}
+
+impl DaemonListeners {
+    /// Binds the addresses of the settings.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first address that cannot be had.
+    pub fn bind(listen: &ListenSettings) -> Result<Self, DaemonError> {
+        let bind = |address: SocketAddr| {
+            StdListener::bind(address).map_err(|source| DaemonError::Listen { address, source })
+        };
+        Ok(Self {
+            callers: bind(listen.callers)?,
+            operators: bind(listen.operators)?,
+            endpoints: bind(listen.endpoints)?,
+            peers: bind(listen.peers)?,
+        })
+    }
+
+    fn addresses(&self) -> io::Result<MemberAddresses> {
+        Ok(MemberAddresses {
+            callers: self.callers.local_addr()?,
+            operators: self.operators.local_addr()?,
+            endpoints: self.endpoints.local_addr()?,
+            peers: self.peers.local_addr()?,
+        })
+    }
+}
+
+/// A running daemon.
+pub struct Daemon {
+    shared: Arc<DaemonShared>,
+    callers: Option<Runtime>,
+    threads: Vec<JoinHandle<()>>,
+    faults: PeerFaults,
+}
+
+impl Daemon {
+    /// Starts all duties.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the data folder cannot be used or a thread cannot be started.
+    pub fn start(
+        settings: DaemonSettings,
+        listeners: DaemonListeners,
+    ) -> Result<Self, DaemonError> {
+        let (timer, timer_thread) = TimerService::start(ClockSource::system())?;
+        let book = AddressBook::new(&settings.voters);
+        let (peers, peer_commands) = PeerHandle::new(book.clone());
+        let (home, home_inputs) = HomeHandle::new();
+        let log = settings.is_voter().then(LogHandle::new);
+        let key = ClusterKey::new(&settings.cluster_key);
+        let replica = match &settings.instance.data_folder {
+            Some(folder) if settings.is_voter() => {
+                let folder = DiskFolder::open(folder)?;
+                Some(LogStore::open(folder, DEFAULT_SEGMENT_BYTES)?)
+            }
+            _ => None,
+        };
+        let parts = SharedParts {
+            addresses: listeners.addresses()?,
+            boot: rand::random::<u64>() >> 16,
+            timer: timer.clone(),
+            book,
+            peers: peers.clone(),
+            log: log.as_ref().map(|(handle, _)| handle.clone()),
+            home,
+            settings,
+        };
+        let shared = Arc::new(DaemonShared::new(parts));
+        let faults = PeerFaults::default();
+        let mut threads = vec![timer_thread];
+        if let (Some((store, recovered)), Some((handle, inputs))) = (replica, log) {
+            let node = ConsensusNode::new(
+                consensus_config(&shared),
+                shared.id().clone(),
+                DiskId(rand::random()),
+                recovered,
+                timer.now(),
+            );
+            threads.extend(start_log(LogParts {
+                shared: Arc::downgrade(&shared),
+                inputs,
+                node,
+                store,
+                peers,
+                member_lease: shared.settings.timing.member_lease,
+                root_key: shared.settings.root_key_sha256.clone().map(KeyHash),
+            })?);
+            timer.subscribe_every(LOG_TICK, move || handle.tick());
+        }
+        let (chores, chore_inputs) = tokio::sync::mpsc::channel(CHORE_RING);
+        threads.push(start_home(&shared, home_inputs, chores)?);
+        let home = shared.home.clone();
+        timer.subscribe_every(HOME_TICK, move || home.tick());
+        threads.push(start_peers(&shared, listeners.peers, peer_commands, key, faults.clone())?);
+        threads.push(start_member(&shared)?);
+        threads.push(start_control(
+            &shared,
+            listeners.operators,
+            listeners.endpoints,
+            chore_inputs,
+        )?);
+        let callers = start_callers(&shared, listeners.callers)?;
+        Ok(Self { shared, callers: Some(callers), threads, faults })
+    }
+
+    /// Returns the addresses that it listens on: callers, operators, endpoints, peers.
+    pub fn addresses(&self) -> &MemberAddresses {
+        &self.shared.addresses
+    }
+
+    /// Returns its name.
+    pub fn instance(&self) -> &InstanceId {
+        self.shared.id()
+    }
+
+    /// Returns the hook that cuts it off from other daemons.
+    pub fn peer_faults(&self) -> &PeerFaults {
+        &self.faults
+    }
+
+    /// Returns whether it serves requests with a current configuration.
+    pub fn is_ready(&self) -> bool {
+        self.shared.is_ready()
+    }
+
+    /// Returns whether an operator has asked it to leave.
+    pub fn is_asked_to_drain(&self) -> bool {
+        let view = self.shared.view.read();
+        let member = view.members().get(self.shared.id());
+        member.is_some_and(|m| m.draining && m.boot == self.shared.boot)
+    }
+
+    /// Returns the handle that cuts a graceful shutdown short.
+    pub fn drain_hurry(&self) -> DrainHurry {
+        DrainHurry(Arc::clone(&self.shared))
+    }
+
+    /// Leaves gracefully and stops; returns the number of requests that had to be given up.
+    ///
+    /// # Panics
+    ///
+    /// Panics when called from within an async task.
+    pub fn drain(mut self) -> u64 {
+        let callers = self.callers.take().expect("a daemon is ended once");
+        let given_up = callers.block_on(drain::leave(&self.shared));
+        self.end(callers);
+        given_up
+    }
+
+    /// Ends what runs with the truth to each caller, and stops without waiting for more.
+    ///
+    /// # Panics
+    ///
+    /// Panics when called from within an async task.
+    pub fn stop(mut self) -> u64 {
+        let callers = self.callers.take().expect("a daemon is ended once");
+        let given_up = callers.block_on(drain::abandon(&self.shared));
+        self.end(callers);
+        given_up
+    }
+
+    /// Ends at once, as a killed process does: nothing is told to anyone.
+    pub fn kill(mut self) {
+        if let Some(callers) = self.callers.take() {
+            self.end(callers);
+        }
+    }
+
+    fn end(&mut self, callers: Runtime) {
+        callers.shutdown_background();
+        self.shared.stopping.store(true, Ordering::SeqCst);
+        self.shared.timer.stop();
+        self.shared.home.stop();
+        if let Some(log) = &self.shared.log {
+            log.stop();
+        }
+        for thread in self.threads.drain(..) {
+            let _ = thread.join();
+        }
+    }
+}
+
+/// Cuts a graceful shutdown short: what still runs is ended, with the truth to each caller.
+pub struct DrainHurry(Arc<DaemonShared>);
+
+impl DrainHurry {
+    /// Does not wait any longer.
+    pub fn now(&self) {
+        self.0.hurry.send_replace(true);
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        if let Some(callers) = self.callers.take() {
+            self.end(callers);
+        }
+    }
+}
+
+fn consensus_config(shared: &DaemonShared) -> ConsensusConfig {
+    let timing = &shared.settings.timing;
+    ConsensusConfig {
+        election: timing.election,
+        heartbeat: timing.heartbeat,
+        drift_percent: timing.drift_percent,
+        message_bytes: MESSAGE_BYTES,
+        first_voters: shared.settings.voters.iter().map(|v| v.instance.clone()).collect(),
+        seed: rand::random(),
+    }
+}
+
+/// Runs a future on a thread of its own until the daemon stops.
+fn spawn_duty<F, Fut>(name: &str, shared: &Arc<DaemonShared>, duty: F) -> io::Result<JoinHandle<()>>
+where
+    F: FnOnce(Arc<DaemonShared>) -> Fut + Send + 'static,
+    Fut: Future<Output = ()>,
+{
+    let runtime = Builder::new_current_thread().enable_all().build()?;
+    let shared = Arc::clone(shared);
+    std::thread::Builder::new().name(name.into()).spawn(move || {
+        let local = LocalSet::new();
+        let stop = until_stopping(Arc::clone(&shared));
+        local.block_on(&runtime, async move {
+            tokio::select! {
+                () = duty(shared) => {}
+                () = stop => {}
+            }
+        });
+        drop(local);
+        runtime.shutdown_background();
+    })
+}
+
+async fn until_stopping(shared: Arc<DaemonShared>) {
+    while !shared.stopping.load(Ordering::SeqCst) {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+fn start_peers(
+    shared: &Arc<DaemonShared>,
+    listener: StdListener,
+    commands: tokio::sync::mpsc::Receiver<crate::peers::PeerCommand>,
+    key: ClusterKey,
+    faults: PeerFaults,
+) -> io::Result<JoinHandle<()>> {
+    listener.set_nonblocking(true)?;
+    spawn_duty("peers", shared, move |shared| async move {
+        let Ok(listener) = TcpListener::from_std(listener) else { return };
+        let instance = shared.id().to_string();
+        let clients = run_clients(commands, key.clone(), instance, faults.clone());
+        let server = run_server(listener, shared, key, faults);
+        tokio::join!(clients, server);
+    })
+}
+
+fn start_member(shared: &Arc<DaemonShared>) -> io::Result<JoinHandle<()>> {
+    spawn_duty("member", shared, member::run)
+}
+
+fn start_control(
+    shared: &Arc<DaemonShared>,
+    operators: StdListener,
+    endpoints: StdListener,
+    chores: tokio::sync::mpsc::Receiver<crate::home::HomeChore>,
+) -> io::Result<JoinHandle<()>> {
+    operators.set_nonblocking(true)?;
+    endpoints.set_nonblocking(true)?;
+    spawn_duty("control", shared, move |shared| async move {
+        let (Ok(operators), Ok(endpoints)) =
+            (TcpListener::from_std(operators), TcpListener::from_std(endpoints))
+        else {
+            return;
+        };
+        let operator_router = http::operator_router(&shared);
+        let endpoint_router = http::endpoint_router(&shared);
+        tokio::join!(
+            http::serve(operators, operator_router, CONTROL_CONNECTIONS),
+            http::serve(endpoints, endpoint_router, CONTROL_CONNECTIONS),
+            run_chores(shared, chores),
+        );
+    })
+}
+
+fn start_callers(shared: &Arc<DaemonShared>, listener: StdListener) -> io::Result<Runtime> {
+    listener.set_nonblocking(true)?;
+    let runtime = Builder::new_multi_thread()
+        .worker_threads(shared.settings.limits.worker_threads)
+        .thread_name("callers")
+        .enable_all()
+        .build()?;
+    let guard = runtime.enter();
+    let listener = TcpListener::from_std(listener)?;
+    drop(guard);
+    let router = http::caller_router(shared);
+    // Each request has a connection; some more are open between requests.
+    let limit = shared.settings.limits.max_requests.saturating_mul(2);
+    let connections = usize::try_from(limit).unwrap_or(usize::MAX).min(1 << 20);
+    runtime.spawn(http::serve(listener, router, connections));
+    Ok(runtime)
+}
--- /dev/null
+++ b/crates/daemon/src/entry/driver.rs
@@ -0,0 +1,532 @@
+//! Runs one request: carries out the commands of its state machine and feeds it what happens.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use futures::future::BoxFuture;
+use oriolepass_config::{
+    ApplyOutcome, ClaimAnswer, ClaimCommand, KeptAnswer, ReplicatedCommand, SettleCommand,
+};
+use oriolepass_request::{
+    AttemptRefusal, RequestCommand, RequestLife, RequestOutcome, RequestPlan, SendFailure,
+};
+use oriolepass_scheduler::{
+    GrantAsk, GrantRefusal, LengthClass, PromptGrant, ReleaseReason, WorkTarget, prefix_hashes,
+    rank_homes,
+};
+use oriolepass_schema::caller::{PromptBody, RequestPriority};
+use oriolepass_schema::endpoint::{AttemptCall, PartCall};
+use oriolepass_units::{
+    AccountId, AttemptId, CallerKey, DataCentreId, EndpointId, InstanceId, MonotonicTime,
+    TokenCount,
+};
+use tokio::sync::{mpsc, oneshot};
+
+use super::client::ServiceCall;
+use super::lines::LineStream;
+use super::outcomes;
+use crate::member::LeaderClient;
+use crate::peers::{PeerAnswer, PeerQuestion};
+use crate::shared::DaemonShared;
+
+/// Pieces of an answer that may wait for a slow caller.
+const PIECES_AHEAD: usize = 64;
+
+/// How long the commit of a claim may take.
+const CLAIM_PATIENCE: Duration = Duration::from_secs(5);
+
+/// Homes asked one after the other before their refusals are passed on.
+const MAX_HOMES_ASKED: usize = 3;
+
+/// How long an endpoint may take to drop a cancelled attempt.
+const CANCEL_PATIENCE: Duration = Duration::from_secs(2);
+
+/// What a request is about.
+pub(crate) enum WorkBody {
+    /// A prompt for a model.
+    Prompt(Arc<PromptBody>),
+    /// A call to a plain service.
+    Service(ServiceCall),
+}
+
+/// What makes a request run at most once.
+pub(crate) struct ClaimSpec {
+    pub(crate) key: CallerKey,
+    pub(crate) body_digest: String,
+}
+
+/// An admitted request.
+pub(crate) struct EntryRequest {
+    pub(crate) account: AccountId,
+    pub(crate) target: WorkTarget,
+    pub(crate) body: WorkBody,
+    pub(crate) prompt_tokens: TokenCount,
+    pub(crate) answer_tokens: TokenCount,
+    pub(crate) priority: RequestPriority,
+    pub(crate) arrived: MonotonicTime,
+    pub(crate) deadline: MonotonicTime,
+    /// Present where the request must not be repeated.
+    pub(crate) claim: Option<ClaimSpec>,
+}
+
+/// What the caller's side is told.
+pub(crate) enum CallerEvent {
+    /// The next piece of the answer.
+    Piece(String),
+    /// A plain service's answer, ahead of its only piece.
+    ServiceHead(KeptAnswer),
+    /// The end.
+    Finished(RequestOutcome),
+}
+
+/// Something that the request waited for.
+enum DriverEvent {
+    Claimed(Option<ClaimAnswer>),
+    Granted(Result<(InstanceId, PromptGrant), (AttemptId, AttemptRefusal)>),
+    Sent(Result<LineStream, SendFailure>),
+    Answered(Result<(AttemptId, KeptAnswer, String), SendFailure>),
+}
+
+/// Starts a request; its events come out of the receiver, the end last.
+pub(crate) fn start_request(
+    shared: &Arc<DaemonShared>,
+    request: EntryRequest,
+) -> mpsc::Receiver<CallerEvent> {
+    let (events, receiver) = mpsc::channel(PIECES_AHEAD);
+    let running = RunningGuard::enter(shared);
+    let driver = RequestDriver::new(Arc::clone(shared), request, events);
+    tokio::spawn(async move {
+        driver.run().await;
+        drop(running);
+    });
+    receiver
+}
+
+/// Counts a request for as long as it runs, also if its task panics.
+struct RunningGuard(Arc<DaemonShared>);
+
+impl RunningGuard {
+    fn enter(shared: &Arc<DaemonShared>) -> Self {
+        shared.running.fetch_add(1, Ordering::SeqCst);
+        shared.metrics.running.inc();
+        Self(Arc::clone(shared))
+    }
+}
+
+impl Drop for RunningGuard {
+    fn drop(&mut self) {
+        self.0.running.fetch_sub(1, Ordering::SeqCst);
+        self.0.metrics.running.dec();
+    }
+}
+
+struct RequestDriver {
+    shared: Arc<DaemonShared>,
+    request: Arc<EntryRequest>,
+    life: RequestLife,
+    events: mpsc::Sender<CallerEvent>,
+    pending: Option<BoxFuture<'static, DriverEvent>>,
+    lines: Option<LineStream>,
+    /// The home that the present attempt was asked of.
+    home: Option<InstanceId>,
+    claim_nonce: AttemptId,
+    seen_token: bool,
+}
+
+impl RequestDriver {
+    fn new(
+        shared: Arc<DaemonShared>,
+        request: EntryRequest,
+        events: mpsc::Sender<CallerEvent>,
+    ) -> Self {
+        let plan = RequestPlan { repeatable: request.claim.is_none(), deadline: request.deadline };
+        let life = RequestLife::new(plan, shared.fresh_attempt());
+        Self {
+            claim_nonce: shared.fresh_attempt(),
+            shared,
+            request: Arc::new(request),
+            life,
+            events,
+            pending: None,
+            lines: None,
+            home: None,
+            seen_token: false,
+        }
+    }
+
+    async fn run(mut self) {
+        let (due, mut deadline) = oneshot::channel::<()>();
+        let ticket = self.shared.timer.subscribe(self.request.deadline, move || {
+            let _ = due.send(());
+        });
+        loop {
+            for command in self.life.take_commands() {
+                if let RequestCommand::Finish(outcome) = command {
+                    self.shared.timer.cancel(ticket);
+                    self.finish(outcome).await;
+                    return;
+                }
+                self.carry_out(command, &mut deadline).await;
+            }
+            self.wait(&mut deadline).await;
+        }
+    }
+
+    /// Waits for the next thing to happen and tells the state machine.
+    async fn wait(&mut self, deadline: &mut oneshot::Receiver<()>) {
+        let events = self.events.clone();
+        let mut abandon = self.shared.abandon.subscribe();
+        tokio::select! {
+            biased;
+            _ = deadline => self.life.deadline_passed(),
+            () = events.closed(), if !self.runs_on_alone() => self.life.caller_gone(),
+            _ = abandon.wait_for(|abandon| *abandon) => self.life.abandon(),
+            event = next_event(&mut self.pending) => {
+                self.pending = None;
+                self.happened(event);
+            }
+            line = next_line(&mut self.lines) => self.on_line(line),
+        }
+    }
+
+    /// A non-repeatable request goes on when its caller has gone: the caller will ask again
+    /// with the same key, and there should be an answer then.
+    fn runs_on_alone(&self) -> bool {
+        self.request.claim.is_some()
+    }
+
+    fn happened(&mut self, event: DriverEvent) {
+        let next = self.shared.fresh_attempt();
+        match event {
+            DriverEvent::Claimed(Some(answer)) => self.life.claim_answered(answer, next),
+            DriverEvent::Claimed(None) => self.life.claim_failed(),
+            DriverEvent::Granted(Ok((home, grant))) => {
+                self.home = Some(home);
+                self.shared.grants.add(&grant);
+                self.life.granted(self.shared.now(), grant);
+            }
+            DriverEvent::Granted(Err((attempt, refusal))) => {
+                self.life.refused(&attempt, &refusal, next);
+            }
+            DriverEvent::Sent(Ok(lines)) => self.lines = Some(lines),
+            DriverEvent::Sent(Err(failure)) | DriverEvent::Answered(Err(failure)) => {
+                self.broke(failure, next);
+            }
+            DriverEvent::Answered(Ok((attempt, kept, body))) => {
+                let own = self.life.attempt() == Some(&attempt);
+                if own {
+                    let _ = self.events.try_send(CallerEvent::ServiceHead(kept.clone()));
+                }
+                self.life.service_answered(&attempt, &kept, &body);
+                if !own {
+                    // The answer is somebody else's. Ours may never come, and the call may
+                    // have run.
+                    self.broke(SendFailure::Broken, next);
+                }
+            }
+        }
+    }
+
+    fn broke(&mut self, failure: SendFailure, next: AttemptId) {
+        let (shared, data_centre) = (Arc::clone(&self.shared), self.own_data_centre());
+        self.life.broke(failure, || shared.may_retry(&data_centre), next);
+    }
+
+    fn own_data_centre(&self) -> DataCentreId {
+        self.shared.data_centre().clone()
+    }
+
+    fn on_line(&mut self, line: Option<oriolepass_schema::endpoint::StreamLine>) {
+        let next = self.shared.fresh_attempt();
+        let Some(line) = line else {
+            self.lines = None;
+            self.broke(SendFailure::Broken, next);
+            return;
+        };
+        let (shared, data_centre) = (Arc::clone(&self.shared), self.own_data_centre());
+        let before = self.life.strays();
+        self.life.line(line, || shared.may_retry(&data_centre), next);
+        self.shared.metrics.stray_pieces.inc_by(self.life.strays() - before);
+    }
+
+    async fn carry_out(&mut self, command: RequestCommand, deadline: &mut oneshot::Receiver<()>) {
+        match command {
+            RequestCommand::Claim => self.pending = Some(self.claim()),
+            RequestCommand::AskGrant { after, exclude } => {
+                self.lines = None;
+                self.pending = Some(self.ask_grant(after, exclude));
+            }
+            RequestCommand::Send { grant, resume_from, resume_text } => {
+                self.pending = Some(self.send(grant, resume_from, resume_text));
+            }
+            RequestCommand::Deliver(text) => self.deliver(text, deadline).await,
+            RequestCommand::NoteStarted(attempt) => {
+                if let Some(home) = self.home.clone() {
+                    outcomes::note_started(&self.shared, home, attempt);
+                }
+            }
+            RequestCommand::Release(attempt, reason) => self.release(attempt, reason),
+            RequestCommand::Cancel(attempt, members) => {
+                self.lines = None;
+                for member in members {
+                    self.cancel(member.address, attempt.clone());
+                }
+            }
+            RequestCommand::Settle(verdict) => {
+                let claim = self.request.claim.as_ref().expect("only claims are settled");
+                outcomes::settle(
+                    &self.shared,
+                    SettleCommand {
+                        account: self.request.account.clone(),
+                        key: claim.key.clone(),
+                        nonce: self.claim_nonce.clone(),
+                        verdict,
+                    },
+                );
+            }
+            RequestCommand::Finish(_) => unreachable!("handled by the loop"),
+        }
+    }
+
+    fn release(&mut self, attempt: AttemptId, reason: ReleaseReason) {
+        self.pending = None;
+        let places = self.shared.grants.remove(&attempt);
+        // The home may have changed since it granted; its successor holds the ledger now.
+        let present = places
+            .and_then(|places| places.into_iter().next())
+            .and_then(|(data_centre, endpoint)| self.shared.home_of(&data_centre, &endpoint))
+            .map(|member| member.instance);
+        let asked = self.home.take();
+        if let Some(home) = present.clone() {
+            outcomes::release(&self.shared, home, attempt.clone(), reason);
+        }
+        if let Some(home) = asked.filter(|home| present.as_ref() != Some(home)) {
+            outcomes::release(&self.shared, home, attempt, reason);
+        }
+    }
+
+    fn cancel(&self, address: SocketAddr, attempt: AttemptId) {
+        let shared = Arc::clone(&self.shared);
+        tokio::spawn(async move {
+            shared.endpoints.cancel(address, &attempt, CANCEL_PATIENCE).await;
+        });
+    }
+
+    /// Passes a piece on. A caller that does not read is cut off after a while.
+    async fn deliver(&mut self, text: String, deadline: &mut oneshot::Receiver<()>) {
+        if !std::mem::replace(&mut self.seen_token, true) {
+            let taken = self.shared.now().since(self.request.arrived).as_secs_f64();
+            let class = LengthClass::of(self.request.prompt_tokens);
+            self.shared.metrics.observe_first_token(class, &self.request.account, taken);
+        }
+        let piece = CallerEvent::Piece(text);
+        let piece = match self.events.try_send(piece) {
+            Ok(()) => return,
+            Err(mpsc::error::TrySendError::Closed(_)) if self.runs_on_alone() => return,
+            Err(mpsc::error::TrySendError::Closed(_)) => return self.life.caller_gone(),
+            Err(mpsc::error::TrySendError::Full(piece)) => piece,
+        };
+        let patience = self.shared.settings.limits.reader_timeout;
+        tokio::select! {
+            sent = self.events.send_timeout(piece, patience) => {
+                if sent.is_err() && !self.runs_on_alone() {
+                    self.life.caller_gone();
+                }
+            }
+            _ = deadline => self.life.deadline_passed(),
+        }
+    }
+
+    async fn finish(&mut self, outcome: RequestOutcome) {
+        self.shared.metrics.requests.with_label_values(&[outcome.label()]).inc();
+        let patience = self.shared.settings.limits.reader_timeout;
+        let _ = self.events.send_timeout(CallerEvent::Finished(outcome), patience).await;
+    }
+
+    fn claim(&self) -> BoxFuture<'static, DriverEvent> {
+        let (shared, request) = (Arc::clone(&self.shared), Arc::clone(&self.request));
+        let nonce = self.claim_nonce.clone();
+        Box::pin(async move {
+            let claim = request.claim.as_ref().expect("only non-repeatable requests claim");
+            let left = request.deadline.since(shared.now());
+            let command = ClaimCommand {
+                account: request.account.clone(),
+                key: claim.key.clone(),
+                body_digest: claim.body_digest.clone(),
+                nonce,
+                entry: shared.id().clone(),
+                epoch: shared.lease_epoch(),
+                allowed_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
+            };
+            let question = PeerQuestion::Propose(ReplicatedCommand::Claim(command));
+            let patience = left.min(CLAIM_PATIENCE);
+            let answer = LeaderClient::default().ask(&shared, &question, patience).await;
+            DriverEvent::Claimed(match answer {
+                Ok(PeerAnswer::Proposed(Ok(ApplyOutcome::Claimed(answer)))) => Some(answer),
+                _ => None,
+            })
+        })
+    }
+
+    fn ask_grant(
+        &mut self,
+        after: Duration,
+        exclude: Vec<EndpointId>,
+    ) -> BoxFuture<'static, DriverEvent> {
+        let request = &self.request;
+        if self.life.attempts() == 0 {
+            self.shared.earn_retry(self.shared.data_centre());
+        }
+        let ask = GrantAsk {
+            attempt: self.life.attempt().expect("it waits for a grant").clone(),
+            entry: self.shared.id().clone(),
+            account: request.account.clone(),
+            target: request.target.clone(),
+            prompt: request.prompt_tokens,
+            answer: request.answer_tokens,
+            priority: request.priority,
+            patience: request.deadline.since(self.shared.now()),
+            prefix: match &request.body {
+                WorkBody::Prompt(prompt) => prefix_hashes(prompt),
+                WorkBody::Service(_) => Vec::new(),
+            },
+            exclude,
+        };
+        let shared = Arc::clone(&self.shared);
+        Box::pin(async move {
+            if !after.is_zero() {
+                tokio::time::sleep(jittered(after)).await;
+            }
+            DriverEvent::Granted(ask_homes(&shared, ask).await)
+        })
+    }
+
+    fn send(
+        &self,
+        grant: PromptGrant,
+        resume_from: u64,
+        resume_text: String,
+    ) -> BoxFuture<'static, DriverEvent> {
+        let (shared, request) = (Arc::clone(&self.shared), Arc::clone(&self.request));
+        Box::pin(async move {
+            match &request.body {
+                WorkBody::Service(call) => {
+                    let address = grant.members[0].address;
+                    let sent = shared.endpoints.call_service(address, &grant.attempt, call);
+                    DriverEvent::Answered(sent.await)
+                }
+                WorkBody::Prompt(prompt) => {
+                    let prompt = (**prompt).clone();
+                    let sent =
+                        send_prompt(&shared, &request, prompt, &grant, resume_from, resume_text);
+                    DriverEvent::Sent(sent.await)
+                }
+            }
+        })
+    }
+}
+
+/// Sends a prompt to its engines: the parts first, so that the leading engine can count on them.
+async fn send_prompt(
+    shared: &DaemonShared,
+    request: &EntryRequest,
+    prompt: PromptBody,
+    grant: &PromptGrant,
+    resume_from: u64,
+    resume_text: String,
+) -> Result<LineStream, SendFailure> {
+    let WorkTarget::Model(model) = &request.target else { return Err(SendFailure::RefusedUnrun) };
+    let (lead, parts) = grant.members.split_first().expect("a grant has a member");
+    let holds = parts.iter().map(|part| {
+        let call = PartCall { attempt: grant.attempt.clone(), reserved: part.reserved };
+        async move { shared.endpoints.hold_part(part.address, &call).await }
+    });
+    for held in futures::future::join_all(holds).await {
+        held.map_err(|_| SendFailure::PartRefused)?;
+    }
+    let call = AttemptCall {
+        attempt: grant.attempt.clone(),
+        model: model.clone(),
+        prompt,
+        max_tokens: request.answer_tokens.0,
+        reserved: lead.reserved,
+        priority: grant.priority,
+        resume_from,
+        resume_text,
+        helpers: parts.iter().map(|part| part.address).collect(),
+    };
+    shared.endpoints.start_attempt(lead.address, &call, request.claim.is_none()).await
+}
+
+/// Asks the homes that serve the target, the best first.
+async fn ask_homes(
+    shared: &DaemonShared,
+    ask: GrantAsk,
+) -> Result<(InstanceId, PromptGrant), (AttemptId, AttemptRefusal)> {
+    let digests = shared.digests.fresh(shared.now());
+    let homes = rank_homes(&ask, shared.data_centre(), digests.iter().map(AsRef::as_ref));
+    let mut refusal = match digests.is_empty() {
+        // No home has been heard of yet, so this daemon cannot tell.
+        true => AttemptRefusal::HomeLost,
+        false => AttemptRefusal::NoHome,
+    };
+    for home in homes.into_iter().take(MAX_HOMES_ASKED) {
+        match ask_home(shared, &home, &ask).await {
+            Ok(grant) => return Ok((home, grant)),
+            Err(refused) => refusal = more_helpful(refusal, refused),
+        }
+    }
+    Err((ask.attempt, refusal))
+}
+
+async fn ask_home(
+    shared: &DaemonShared,
+    home: &InstanceId,
+    ask: &GrantAsk,
+) -> Result<PromptGrant, AttemptRefusal> {
+    if home == shared.id() {
+        return shared.home.ask(ask.clone()).await.map_err(AttemptRefusal::Home);
+    }
+    let question = PeerQuestion::Grant(ask.clone());
+    match shared.peers.ask_instance(home, &question, ask.patience).await {
+        Ok(PeerAnswer::Granted(answer)) => answer.map_err(AttemptRefusal::Home),
+        _ => Err(AttemptRefusal::HomeLost),
+    }
+}
+
+/// Chooses which of two refusals tells the caller more.
+fn more_helpful(left: AttemptRefusal, right: AttemptRefusal) -> AttemptRefusal {
+    let rank = |refusal: &AttemptRefusal| match refusal {
+        AttemptRefusal::NoHome => 0,
+        AttemptRefusal::Home(GrantRefusal::NotServed) => 1,
+        AttemptRefusal::Home(GrantRefusal::TooBig { .. }) => 2,
+        AttemptRefusal::HomeLost => 3,
+        AttemptRefusal::Home(GrantRefusal::NotHome) => 4,
+        AttemptRefusal::Home(GrantRefusal::AccountBusy { .. }) => 5,
+        AttemptRefusal::Home(GrantRefusal::Busy { .. }) => 6,
+    };
+    if rank(&right) >= rank(&left) { right } else { left }
+}
+
+/// Spreads retries, so that those of one failure do not all come back at once.
+fn jittered(span: Duration) -> Duration {
+    span.mul_f64(rand::random_range(0.5..1.5))
+}
+
+async fn next_event(pending: &mut Option<BoxFuture<'static, DriverEvent>>) -> DriverEvent {
+    match pending {
+        Some(future) => future.await,
+        None => std::future::pending().await,
+    }
+}
+
+async fn next_line(
+    lines: &mut Option<LineStream>,
+) -> Option<oriolepass_schema::endpoint::StreamLine> {
+    match lines {
+        Some(lines) => lines.next().await,
+        None => std::future::pending().await,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry/mod.rs
@@ -0,0 +1,11 @@
+//! The entry's duty: requests of callers, from admission to their end.
+
+mod client;
+mod driver;
+mod grants;
+mod lines;
+mod outcomes;
+
+pub(crate) use client::{EndpointClient, ServiceCall};
+pub(crate) use driver::{CallerEvent, ClaimSpec, EntryRequest, WorkBody, start_request};
+pub(crate) use grants::GrantKeeper;
--- /dev/null
+++ b/crates/daemon/src/home/duty.rs
@@ -0,0 +1,221 @@
+//! The home's thread.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Weak};
+use std::thread::JoinHandle;
+
+use crossbeam_channel::Receiver;
+use oriolepass_scheduler::{
+    GrantRefusal, HomeCommand, HomeScheduler, PromptGrant, ReleaseReason, SchedulerConfig,
+};
+use oriolepass_schema::operator::{EndpointState, EndpointView, ObjectKind, ObjectSpec};
+use oriolepass_units::{AccountId, AttemptId, LogIndex, MonotonicTime};
+use tokio::sync::mpsc;
+
+use super::{GrantReply, HomeChore, HomeInput};
+use crate::shared::DaemonShared;
+
+/// Ticks between two digests.
+const DIGEST_EVERY: u64 = 4;
+
+/// Starts the home's thread.
+///
+/// # Errors
+///
+/// Returns the operating system's error when the thread cannot be started.
+pub(crate) fn start_home(
+    shared: &Arc<DaemonShared>,
+    inputs: Receiver<HomeInput>,
+    chores: mpsc::Sender<HomeChore>,
+) -> std::io::Result<JoinHandle<()>> {
+    let timing = &shared.settings.timing;
+    let config = SchedulerConfig {
+        grant_lease: timing.grant_lease,
+        endpoint_suspect: timing.endpoint_suspect,
+        endpoint_gone: timing.endpoint_gone,
+        ..SchedulerConfig::default()
+    };
+    let duty = HomeDuty {
+        scheduler: HomeScheduler::new(config),
+        replies: HashMap::new(),
+        chores,
+        view_seen: LogIndex::ZERO,
+        ticks: 0,
+        shared: Arc::downgrade(shared),
+    };
+    std::thread::Builder::new().name("home".into()).spawn(move || duty.run(&inputs))
+}
+
+struct HomeDuty {
+    scheduler: HomeScheduler,
+    replies: HashMap<AttemptId, GrantReply>,
+    chores: mpsc::Sender<HomeChore>,
+    view_seen: LogIndex,
+    ticks: u64,
+    shared: Weak<DaemonShared>,
+}
+
+impl HomeDuty {
+    fn run(mut self, inputs: &Receiver<HomeInput>) {
+        while let Ok(input) = inputs.recv() {
+            let Some(shared) = self.shared.upgrade() else { return };
+            if matches!(input, HomeInput::Stop) {
+                return;
+            }
+            self.handle(&shared, input);
+            self.carry_out(&shared);
+        }
+    }
+
+    fn handle(&mut self, shared: &DaemonShared, input: HomeInput) {
+        let now = shared.now();
+        match input {
+            HomeInput::Tick => self.tick(shared, now),
+            HomeInput::Ask(ask, reply) => {
+                self.replies.insert(ask.attempt.clone(), reply);
+                self.scheduler.ask(now, *ask);
+            }
+            HomeInput::Started(attempt) => self.scheduler.started(now, &attempt),
+            HomeInput::Renew(entry, attempts, reply) => {
+                let _ = reply.send(self.scheduler.renew(now, &entry, &attempts));
+            }
+            HomeInput::Release(attempt, reason) => {
+                self.replies.remove(&attempt);
+                self.scheduler.release(now, &attempt, reason);
+            }
+            HomeInput::Announce(announcement, role) => {
+                self.scheduler.announce(now, &announcement, role);
+            }
+            HomeInput::Heartbeat(heartbeat, reply) => {
+                let known = self.scheduler.heartbeat(now, &heartbeat).is_ok();
+                let _ = reply.send(known);
+            }
+            HomeInput::CacheEvents(events) => {
+                let _ = self.scheduler.cache_events(&events);
+            }
+            HomeInput::Leave(leave, reply) => {
+                let known = self.scheduler.leave(&leave.endpoint, leave.incarnation).is_ok();
+                let _ = reply.send(known);
+            }
+            HomeInput::LetGo(endpoint, reply) => {
+                let _ = reply.send(self.scheduler.let_go(&endpoint));
+            }
+            HomeInput::Held { asked, endpoint, streams } => {
+                self.scheduler.held_streams(now, asked, &endpoint, &streams);
+            }
+            HomeInput::Views(reply) => {
+                let _ = reply.send(self.scheduler.endpoint_views());
+            }
+            HomeInput::Stop => {}
+        }
+    }
+
+    fn tick(&mut self, shared: &DaemonShared, now: MonotonicTime) {
+        let mark = shared.view.mark();
+        if mark.index != self.view_seen {
+            self.view_seen = mark.index;
+            self.take_over_view(shared);
+        }
+        self.scheduler.tick(now);
+        self.ticks += 1;
+        if self.ticks.is_multiple_of(DIGEST_EVERY) {
+            let digest = self.scheduler.digest(shared.id(), shared.data_centre());
+            let _ = self.chores.try_send(HomeChore::Publish(digest));
+            self.report(shared);
+        }
+    }
+
+    /// Takes over the accounts' shares, and lets go of endpoints whose home is elsewhere.
+    fn take_over_view(&mut self, shared: &DaemonShared) {
+        let accounts: Vec<_> = {
+            let view = shared.view.read();
+            let list = view.list(Some(ObjectKind::Account)).objects;
+            list.into_iter()
+                .filter_map(|object| {
+                    let account: AccountId = object.name.parse().ok()?;
+                    let ObjectSpec::Account(spec) = object.spec else { return None };
+                    Some((account, spec.share, spec.max_held))
+                })
+                .collect()
+        };
+        for (account, share, max_held) in accounts {
+            self.scheduler.set_share(&account, share, max_held);
+        }
+        let own = shared.id();
+        self.scheduler.retain_endpoints(|endpoint, data_centre| {
+            shared.home_of(data_centre, endpoint).is_none_or(|home| home.instance == *own)
+        });
+    }
+
+    fn report(&self, shared: &DaemonShared) {
+        let metrics = &shared.metrics;
+        let views = self.scheduler.endpoint_views();
+        let sum = |size: fn(&EndpointView) -> u64| {
+            i64::try_from(views.iter().map(size).sum::<u64>()).unwrap_or(i64::MAX)
+        };
+        metrics.engine_held.set(sum(|view| view.held.0));
+        metrics.engine_unexplained.set(sum(|view| view.unexplained.0));
+        metrics.waiting.set(i64::try_from(self.scheduler.waiting_count()).unwrap_or(i64::MAX));
+        let states = [
+            ("joining", EndpointState::Joining),
+            ("live", EndpointState::Live),
+            ("suspect", EndpointState::Suspect),
+            ("leaving", EndpointState::Leaving),
+        ];
+        for (name, state) in states {
+            let count = views.iter().filter(|view| view.state == state).count();
+            let gauge = metrics.endpoints.with_label_values(&[name]);
+            gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
+        }
+        let depth = i64::try_from(shared.home.depth()).unwrap_or(i64::MAX);
+        metrics.ring_depth.with_label_values(&["home"]).set(depth);
+    }
+
+    /// Carries out commands until there are none: giving back a grant that nobody waits for any
+    /// more may make room for another.
+    fn carry_out(&mut self, shared: &DaemonShared) {
+        loop {
+            let commands = self.scheduler.take_commands();
+            if commands.is_empty() {
+                return;
+            }
+            commands.into_iter().for_each(|command| self.carry_out_one(shared, command));
+        }
+    }
+
+    fn carry_out_one(&mut self, shared: &DaemonShared, command: HomeCommand) {
+        match command {
+            HomeCommand::Grant(grant) => self.grant(shared, grant),
+            HomeCommand::Refuse { attempt, refusal } => self.refuse(&attempt, refusal),
+            HomeCommand::Cancel { address, attempt, .. } => {
+                self.chore(shared, HomeChore::Cancel { address, attempt });
+            }
+            HomeCommand::Inspect { endpoint, address } => {
+                self.chore(shared, HomeChore::Inspect { endpoint, address });
+            }
+        }
+    }
+
+    /// A chore that does not fit is left: the scheduler repeats what is not confirmed.
+    fn chore(&self, shared: &DaemonShared, chore: HomeChore) {
+        if self.chores.try_send(chore).is_err() {
+            shared.metrics.ring_refused("chores");
+        }
+    }
+
+    fn grant(&mut self, shared: &DaemonShared, grant: PromptGrant) {
+        let attempt = grant.attempt.clone();
+        let taken =
+            self.replies.remove(&attempt).is_some_and(|reply| reply.send(Ok(grant)).is_ok());
+        if !taken {
+            // Whoever asked has gone, so nothing was or will be sent.
+            self.scheduler.release(shared.now(), &attempt, ReleaseReason::NeverSent);
+        }
+    }
+
+    fn refuse(&mut self, attempt: &AttemptId, refusal: GrantRefusal) {
+        if let Some(reply) = self.replies.remove(attempt) {
+            let _ = reply.send(Err(refusal));
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/http/body.rs
@@ -0,0 +1,122 @@
+//! Reads bodies within bounds of size, time and memory.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use bytes::{Bytes, BytesMut};
+use gotham::helpers::http::Body;
+use gotham::hyper::HeaderMap;
+use gotham::state::{FromState, State};
+use http_body_util::BodyExt;
+use oriolepass_schema::error::{ApiError, ErrorCode};
+use serde::de::DeserializeOwned;
+use std::time::Duration;
+
+use crate::shared::DaemonShared;
+
+/// The longest body of an operators' or endpoints' call, in bytes.
+const MAX_CONTROL_BODY: u64 = 4 << 20;
+
+/// Counts a body's bytes for as long as it is in memory.
+pub(super) struct BufferedBody {
+    pub(super) bytes: Bytes,
+    shared: Arc<DaemonShared>,
+    counted: u64,
+}
+
+impl BufferedBody {
+    fn grow(&mut self, bytes: u64) -> Result<(), ApiError> {
+        let limit = self.shared.settings.limits.max_buffered_bytes;
+        let before = self.shared.buffered.fetch_add(bytes, Ordering::SeqCst);
+        self.counted += bytes;
+        self.gauge();
+        if before + bytes > limit {
+            let detail = "the daemon holds as many request bodies as it may";
+            let error = ApiError::not_run(ErrorCode::Overloaded, detail);
+            return Err(error.retry_after(Duration::from_secs(1)));
+        }
+        Ok(())
+    }
+
+    fn gauge(&self) {
+        let total = self.shared.buffered.load(Ordering::SeqCst);
+        self.shared.metrics.buffered_bytes.set(i64::try_from(total).unwrap_or(i64::MAX));
+    }
+}
+
+impl Drop for BufferedBody {
+    fn drop(&mut self) {
+        self.shared.buffered.fetch_sub(self.counted, Ordering::SeqCst);
+        self.gauge();
+    }
+}
+
+fn too_large(limit: u64) -> ApiError {
+    ApiError::not_run(ErrorCode::TooLarge, format!("the body has more than {limit} bytes"))
+}
+
+/// Reads a caller's body.
+pub(super) async fn read_caller_body(
+    shared: &Arc<DaemonShared>,
+    state: &mut State,
+) -> Result<BufferedBody, ApiError> {
+    let limits = &shared.settings.limits;
+    let mut buffered = BufferedBody { bytes: Bytes::new(), shared: Arc::clone(shared), counted: 0 };
+    let announced = announced_length(state);
+    if announced.is_some_and(|length| length > limits.max_body_bytes) {
+        return Err(too_large(limits.max_body_bytes));
+    }
+    let mut body = Body::take_from(state);
+    let read = async {
+        let mut bytes = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|_| {
+                ApiError::not_run(ErrorCode::Malformed, "the body broke off before its end")
+            })?;
+            let Ok(data) = frame.into_data() else { continue };
+            if (bytes.len() + data.len()) as u64 > limits.max_body_bytes {
+                return Err(too_large(limits.max_body_bytes));
+            }
+            buffered.grow(data.len() as u64)?;
+            bytes.extend_from_slice(&data);
+        }
+        buffered.bytes = bytes.freeze();
+        Ok(())
+    };
+    match tokio::time::timeout(limits.body_timeout, read).await {
+        Ok(result) => result.map(|()| buffered),
+        Err(_) => {
+            let detail = format!("the body took more than {} ms", limits.body_timeout.as_millis());
+            Err(ApiError::not_run(ErrorCode::SlowRequest, detail))
+        }
+    }
+}
+
+fn announced_length(state: &State) -> Option<u64> {
+    let header = state.borrow::<HeaderMap>().get("content-length")?;
+    header.to_str().ok()?.parse().ok()
+}
+
+/// Parses JSON, naming the place of a mistake.
+pub(super) fn parse<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, ApiError> {
+    serde_json::from_slice(bytes).map_err(|error| {
+        ApiError::not_run(ErrorCode::Malformed, format!("the body is not as expected: {error}"))
+    })
+}
+
+/// Reads and parses the body of an operators' or endpoints' call.
+pub(super) async fn read_control_json<T: DeserializeOwned>(
+    shared: &DaemonShared,
+    state: &mut State,
+) -> Result<T, ApiError> {
+    let body = http_body_util::Limited::new(
+        Body::take_from(state),
+        usize::try_from(MAX_CONTROL_BODY).unwrap_or(usize::MAX),
+    );
+    let patience = shared.settings.limits.body_timeout;
+    let collected = tokio::time::timeout(patience, body.collect()).await.map_err(|_| {
+        ApiError::not_run(ErrorCode::SlowRequest, "the body did not arrive in time")
+    })?;
+    let bytes = collected.map_err(|_| too_large(MAX_CONTROL_BODY))?.to_bytes();
+    parse(&bytes)
+}
--- /dev/null
+++ b/crates/daemon/src/http/operators.rs
@@ -0,0 +1,327 @@
+//! The operators' calls: queries first, then commands.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use gotham::hyper::Uri;
+use gotham::router::Router;
+use gotham::router::builder::{DefineSingleRoute, DrawRoutes, build_simple_router};
+use gotham::state::State;
+use oriolepass_config::{ApplyOutcome, ChangeCommand, MemberCommand, ReplicatedCommand};
+use oriolepass_schema::OPENAPI_JSON;
+use oriolepass_schema::error::{ApiError, ErrorCode, RanState};
+use oriolepass_schema::operator::{
+    ChangeCall, DrainCall, InForceAnswer, MemberView, ObjectKind, ObjectView, StatusAnswer,
+    VotersCall,
+};
+use oriolepass_units::{InstanceId, ObjectRevision, TeamId};
+
+use super::answer::{self, ROUTE_ERRORS, RouteError};
+use super::body::read_control_json;
+use super::{HttpResponse, auth, handler};
+use crate::member::{LeaderClient, LeaderError};
+use crate::peers::{PeerAnswer, PeerQuestion};
+use crate::shared::DaemonShared;
+
+/// How long the leader may take to commit a change.
+const COMMIT_PATIENCE: Duration = Duration::from_secs(8);
+
+/// How long the leader may take to answer a query.
+const QUERY_PATIENCE: Duration = Duration::from_secs(3);
+
+/// Audit records in one answer at most.
+const MAX_AUDIT_PAGE: u32 = 1_000;
+
+pub(crate) fn operator_router(shared: &Arc<DaemonShared>) -> Router {
+    build_simple_router(|route| {
+        for (status, code) in ROUTE_ERRORS {
+            route.add_response_extender(status, RouteError(code));
+        }
+        route.get("/health/live").to_new_handler(handler(shared, live));
+        route.get("/health/ready").to_new_handler(handler(shared, ready));
+        route.get("/metrics").to_new_handler(handler(shared, metrics));
+        route.get("/v1/schema").to_new_handler(handler(shared, schema));
+        route.get("/v1/objects").to_new_handler(handler(shared, objects));
+        route.get("/v1/objects/*").to_new_handler(handler(shared, object));
+        route.get("/v1/status").to_new_handler(handler(shared, status));
+        route.get("/v1/in-force").to_new_handler(handler(shared, in_force));
+        route.get("/v1/audit").to_new_handler(handler(shared, audit));
+        route.post("/v1/changes").to_new_handler(handler(shared, change));
+        route.post("/v1/drain").to_new_handler(handler(shared, drain));
+        route.post("/v1/voters").to_new_handler(handler(shared, voters));
+    })
+}
+
+/// Checks the key and answers with what `work` makes of the call.
+async fn as_team<F, Fut>(
+    shared: Arc<DaemonShared>,
+    mut state: State,
+    work: F,
+) -> (State, HttpResponse)
+where
+    F: FnOnce(Arc<DaemonShared>, TeamId, CallParts) -> Fut,
+    Fut: Future<Output = Result<HttpResponse, ApiError>>,
+{
+    let result = async {
+        let name = auth::owner(&shared, &state, ObjectKind::Team)?;
+        let team = name.parse().map_err(|e| ApiError::not_run(ErrorCode::Internal, e))?;
+        let parts = CallParts::read(&shared, &mut state).await?;
+        work(shared, team, parts).await
+    };
+    let response = result.await.unwrap_or_else(|error| answer::error(&error));
+    (state, response)
+}
+
+/// A call's path, its query and its body, if it has one.
+struct CallParts {
+    path: String,
+    query: HashMap<String, String>,
+    body: Option<serde_json::Value>,
+}
+
+impl CallParts {
+    async fn read(shared: &DaemonShared, state: &mut State) -> Result<Self, ApiError> {
+        let uri = state.borrow::<Uri>().clone();
+        let post = state.borrow::<gotham::hyper::Method>() == gotham::hyper::Method::POST;
+        let body = if post { Some(read_control_json(shared, state).await?) } else { None };
+        let pairs = uri.query().unwrap_or_default().split('&');
+        let query = pairs
+            .filter_map(|pair| pair.split_once('='))
+            .map(|(key, value)| (key.to_owned(), value.to_owned()))
+            .collect();
+        Ok(Self { path: uri.path().to_owned(), query, body })
+    }
+
+    fn json<T: serde::de::DeserializeOwned>(&mut self) -> Result<T, ApiError> {
+        let body = self.body.take().unwrap_or_default();
+        serde_json::from_value(body).map_err(|error| {
+            let detail = format!("the body is not as expected: {error}");
+            ApiError::not_run(ErrorCode::Malformed, detail)
+        })
+    }
+
+    fn parsed<T: std::str::FromStr>(&self, key: &str) -> Result<Option<T>, ApiError> {
+        let Some(text) = self.query.get(key) else { return Ok(None) };
+        text.parse().map(Some).map_err(|_| {
+            ApiError::not_run(ErrorCode::Malformed, format!("{key}={text} cannot be read"))
+        })
+    }
+}
+
+// Queries.
+
+async fn live(_: Arc<DaemonShared>, state: State) -> (State, HttpResponse) {
+    (state, answer::raw(200, "text/plain", "live\n"))
+}
+
+/// Ready means: asks may be sent here. A daemon that is draining or may hold an old
+/// configuration is live, but not ready.
+async fn ready(shared: Arc<DaemonShared>, state: State) -> (State, HttpResponse) {
+    let response = if shared.is_ready() {
+        answer::raw(200, "text/plain", "ready\n")
+    } else {
+        answer::raw(503, "text/plain", "not ready\n")
+    };
+    (state, response)
+}
+
+async fn metrics(shared: Arc<DaemonShared>, state: State) -> (State, HttpResponse) {
+    let mark = shared.view.mark();
+    let revision = i64::try_from(mark.config_revision.0).unwrap_or(i64::MAX);
+    shared.metrics.config_revision.set(revision);
+    if let Some(log) = &shared.log {
+        let depth = i64::try_from(log.depth()).unwrap_or(i64::MAX);
+        shared.metrics.ring_depth.with_label_values(&["log"]).set(depth);
+    }
+    (state, answer::raw(200, "text/plain; version=0.0.4", shared.metrics.render()))
+}
+
+async fn schema(_: Arc<DaemonShared>, state: State) -> (State, HttpResponse) {
+    (state, answer::raw(200, "application/json", OPENAPI_JSON))
+}
+
+async fn objects(shared: Arc<DaemonShared>, state: State) -> (State, HttpResponse) {
+    as_team(shared, state, |shared, _, parts| async move {
+        let kind: Option<ObjectKind> = parts.parsed("kind")?;
+        Ok(answer::json(&shared.view.read().list(kind)))
+    })
+    .await
+}
+
+async fn object(shared: Arc<DaemonShared>, state: State) -> (State, HttpResponse) {
+    as_team(shared, state, |shared, _, parts| async move {
+        let rest = parts.path.strip_prefix("/v1/objects/").unwrap_or_default();
+        let missing = || ApiError::not_run(ErrorCode::NotFound, format!("there is no {rest}"));
+        let (kind, name) = rest.split_once('/').ok_or_else(missing)?;
+        let kind: ObjectKind = kind.parse().map_err(|_| missing())?;
+        let view = shared.view.read();
+        let object = view.object(kind, name).ok_or_else(missing)?;
+        Ok(answer::json(&ObjectView {
+            kind,
+            name: name.to_owned(),
+            team: object.team.clone(),
+            revision: object.revision,
+            spec: object.spec.clone(),
+        }))
+    })
+    .await
+}
+
+async fn status(shared: Arc<DaemonShared>, state: State) -> (State, HttpResponse) {
+    as_team(shared, state, |shared, _, _| async move {
+        let mut leader = LeaderClient::default();
+        let applied = applied_revisions(&shared, &mut leader).await.unwrap_or_default();
+        let mark = shared.view.mark();
+        let members = member_views(&shared, &applied);
+        Ok(answer::json(&StatusAnswer {
+            instance: shared.id().clone(),
+            leader: leader.last_leader().cloned(),
+            applied_index: mark.index,
+            config_revision: mark.config_revision,
+            members,
+            endpoints: shared.home.views().await,
+            running: shared.running.load(Ordering::SeqCst),
+        }))
+    })
+    .await
+}
+
+fn member_views(
+    shared: &DaemonShared,
+    applied: &HashMap<InstanceId, ObjectRevision>,
+) -> Vec<MemberView> {
+    let view = shared.view.read();
+    let members = view.members().iter().map(|member| MemberView {
+        instance: member.instance.clone(),
+        data_centre: member.data_centre.clone(),
+        draining: member.draining,
+        operators: member.addresses.operators,
+        applied: applied.get(&member.instance).copied(),
+    });
+    members.collect()
+}
+
+async fn applied_revisions(
+    shared: &DaemonShared,
+    leader: &mut LeaderClient,
+) -> Result<HashMap<InstanceId, ObjectRevision>, ApiError> {
+    let answer = leader.ask(shared, &PeerQuestion::AppliedRevisions, QUERY_PATIENCE).await;
+    match answer {
+        Ok(PeerAnswer::AppliedRevisions(Ok(applied))) => Ok(applied.into_iter().collect()),
+        _ => Err(no_leader()),
+    }
+}
+
+fn no_leader() -> ApiError {
+    ApiError::not_run(ErrorCode::NoQuorum, "no leader of the log could be asked")
+        .retry_after(Duration::from_secs(2))
+}
+
+/// `GET /v1/in-force`: whether every member has a revision in force.
+async fn in_force(shared: Arc<DaemonShared>, state: State) -> (State, HttpResponse) {
+    as_team(shared, state, |shared, _, parts| async move {
+        let mark = shared.view.mark();
+        let revision = parts.parsed("revision")?.unwrap_or(mark.config_revision);
+        let applied = applied_revisions(&shared, &mut LeaderClient::default()).await?;
+        let view = shared.view.read();
+        let lags = |instance: &InstanceId| applied.get(instance).is_none_or(|a| *a < revision);
+        let lagging: Vec<InstanceId> =
+            view.members().iter().map(|member| member.instance.clone()).filter(lags).collect();
+        let everywhere = lagging.is_empty();
+        Ok(answer::json(&InForceAnswer { config_revision: revision, everywhere, lagging }))
+    })
+    .await
+}
+
+async fn audit(shared: Arc<DaemonShared>, state: State) -> (State, HttpResponse) {
+    as_team(shared, state, |shared, _, parts| async move {
+        let after = parts.parsed("after")?.unwrap_or(0);
+        let limit = parts.parsed("limit")?.unwrap_or(MAX_AUDIT_PAGE).min(MAX_AUDIT_PAGE);
+        let question = PeerQuestion::Audit { after, limit };
+        match LeaderClient::default().ask(&shared, &question, QUERY_PATIENCE).await {
+            Ok(PeerAnswer::Audit(Ok(trail))) => Ok(answer::json(&trail)),
+            _ => Err(no_leader()),
+        }
+    })
+    .await
+}
+
+// Commands.
+
+/// `POST /v1/changes`. Asking again after a lost leader is safe: the change id makes the log
+/// answer a resend with the first answer.
+async fn change(shared: Arc<DaemonShared>, state: State) -> (State, HttpResponse) {
+    as_team(shared, state, |shared, team, mut parts| async move {
+        let call: ChangeCall = parts.json()?;
+        match propose(&shared, ReplicatedCommand::Change(ChangeCommand { team, call })).await? {
+            ApplyOutcome::Changed(changed) => Ok(answer::json(&changed)),
+            ApplyOutcome::Refused(error) => Err(error),
+            _ => Err(unexpected()),
+        }
+    })
+    .await
+}
+
+async fn propose(
+    shared: &DaemonShared,
+    command: ReplicatedCommand,
+) -> Result<ApplyOutcome, ApiError> {
+    let question = PeerQuestion::Propose(command);
+    match LeaderClient::default().ask(shared, &question, COMMIT_PATIENCE).await {
+        Ok(PeerAnswer::Proposed(Ok(outcome))) => Ok(outcome),
+        Ok(_) => Err(unexpected()),
+        Err(error @ (LeaderError::NoLeader | LeaderError::Lost)) => {
+            // An earlier try may have been committed although its answer was lost.
+            let error = ApiError::new(ErrorCode::NoQuorum, RanState::Unknown, error);
+            Err(error.retry_after(Duration::from_secs(2)))
+        }
+    }
+}
+
+fn unexpected() -> ApiError {
+    ApiError::new(ErrorCode::Internal, RanState::Unknown, "the log answered something else")
+}
+
+/// `POST /v1/drain`: any team may let a daemon leave; it comes back by starting again.
+async fn drain(shared: Arc<DaemonShared>, state: State) -> (State, HttpResponse) {
+    as_team(shared, state, |shared, team, mut parts| async move {
+        let call: DrainCall = parts.json()?;
+        check_admin(&shared, &team)?;
+        if shared.view.read().members().get(&call.instance).is_none() {
+            let detail = format!("there is no member {}", call.instance);
+            return Err(ApiError::not_run(ErrorCode::NotFound, detail));
+        }
+        let command = MemberCommand::Drain(call.instance.clone());
+        propose(&shared, ReplicatedCommand::Member(command)).await?;
+        Ok(answer::json(&call))
+    })
+    .await
+}
+
+/// `POST /v1/voters`: which instances should hold the log.
+async fn voters(shared: Arc<DaemonShared>, state: State) -> (State, HttpResponse) {
+    as_team(shared, state, |shared, team, mut parts| async move {
+        let call: VotersCall = parts.json()?;
+        check_admin(&shared, &team)?;
+        if call.wanted.len().is_multiple_of(2) {
+            let detail = "an even number of voters is no safer than one fewer; name 1, 3 or 5";
+            return Err(ApiError::not_run(ErrorCode::Malformed, detail));
+        }
+        let question = PeerQuestion::WantVoters(call.wanted.clone());
+        match LeaderClient::default().ask(&shared, &question, QUERY_PATIENCE).await {
+            Ok(PeerAnswer::VotersWanted(Ok(()))) => Ok(answer::json(&call)),
+            _ => Err(no_leader()),
+        }
+    })
+    .await
+}
+
+fn check_admin(shared: &DaemonShared, team: &TeamId) -> Result<(), ApiError> {
+    if shared.view.read().is_admin(team) {
+        return Ok(());
+    }
+    let detail = format!("team {team} is not an admin team");
+    Err(ApiError::not_run(ErrorCode::Forbidden, detail))
+}
--- /dev/null
+++ b/crates/daemon/src/http/services.rs
@@ -0,0 +1,118 @@
+//! Calls to plain services.
+
+use std::sync::Arc;
+
+use gotham::hyper::{HeaderMap, Uri};
+use gotham::state::State;
+use oriolepass_config::KeptAnswer;
+use oriolepass_request::RequestOutcome;
+use oriolepass_scheduler::WorkTarget;
+use oriolepass_schema::caller::RequestPriority;
+use oriolepass_schema::digest::sha256_hex;
+use oriolepass_schema::error::{ApiError, ErrorCode, RanState};
+use oriolepass_units::{CallerKey, ServiceName, TokenCount};
+
+use super::body::read_caller_body;
+use super::callers::{admit, deadline};
+use super::{HttpResponse, answer};
+use crate::entry::{CallerEvent, ClaimSpec, EntryRequest, ServiceCall, WorkBody, start_request};
+use crate::shared::DaemonShared;
+
+/// Whether the call may be repeated: `yes` or `no`; without it, `no`.
+const REPEATABLE_HEADER: &str = "x-oriolepass-repeatable";
+
+/// The caller's name for a call that must not be repeated.
+const KEY_HEADER: &str = "x-oriolepass-caller-key";
+
+/// The time that the call may take, in milliseconds.
+const DEADLINE_HEADER: &str = "x-oriolepass-deadline-ms";
+
+/// `POST /v1/services/{name}/{path}`.
+pub(super) async fn call(shared: Arc<DaemonShared>, mut state: State) -> (State, HttpResponse) {
+    let response = match serve(&shared, &mut state).await {
+        Ok(response) => response,
+        Err(error) => answer::error(&error),
+    };
+    (state, response)
+}
+
+fn malformed(detail: impl std::fmt::Display) -> ApiError {
+    ApiError::not_run(ErrorCode::Malformed, detail)
+}
+
+async fn serve(shared: &Arc<DaemonShared>, state: &mut State) -> Result<HttpResponse, ApiError> {
+    let admission = admit(shared, state)?;
+    let uri = state.borrow::<Uri>().path().to_owned();
+    let rest = uri.strip_prefix("/v1/services/").unwrap_or_default();
+    let (name, path) = rest.split_once('/').unwrap_or((rest, ""));
+    let service: ServiceName = name.parse().map_err(malformed)?;
+    let headers = state.borrow::<HeaderMap>().clone();
+    let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
+    // Without a word on it, a call is taken for one that must not be repeated: the caller who
+    // forgets the header loses a retry, not money.
+    let repeatable = match text(REPEATABLE_HEADER) {
+        Some("yes") => true,
+        None | Some("no") => false,
+        Some(_) => return Err(malformed(format!("{REPEATABLE_HEADER} is neither yes nor no"))),
+    };
+    let key = text(KEY_HEADER).map(str::parse::<CallerKey>).transpose().map_err(malformed)?;
+    let asked_ms = text(DEADLINE_HEADER)
+        .map(|value| value.parse().map_err(|_| malformed(format!("{DEADLINE_HEADER}: {value:?}"))))
+        .transpose()?;
+    let content_type = text("content-type").unwrap_or("application/octet-stream").to_owned();
+    let body = read_caller_body(shared, state).await?;
+    let claim = match (repeatable, key) {
+        (true, _) => None,
+        (false, Some(key)) => {
+            let mut content = format!("{service}/{path}\n").into_bytes();
+            content.extend_from_slice(&body.bytes);
+            Some(ClaimSpec { key, body_digest: sha256_hex(&content) })
+        }
+        (false, None) => {
+            let detail = format!(
+                "a call that must not be repeated needs {KEY_HEADER}; for one that may, send \
+                 {REPEATABLE_HEADER}: yes"
+            );
+            return Err(malformed(detail));
+        }
+    };
+    let request = EntryRequest {
+        account: admission.account.clone(),
+        target: WorkTarget::Service(service),
+        body: WorkBody::Service(ServiceCall {
+            path: path.to_owned(),
+            content_type,
+            body: body.bytes.clone(),
+            repeatable,
+        }),
+        prompt_tokens: TokenCount(1),
+        answer_tokens: TokenCount::ZERO,
+        priority: RequestPriority::Normal,
+        arrived: admission.arrived,
+        deadline: deadline(shared, admission.arrived, asked_ms)?,
+        claim,
+    };
+    let mut events = start_request(shared, request);
+    let mut head: Option<KeptAnswer> = None;
+    let mut text = String::new();
+    while let Some(event) = events.recv().await {
+        match event {
+            CallerEvent::ServiceHead(kept) => head = Some(kept),
+            CallerEvent::Piece(piece) => text.push_str(&piece),
+            CallerEvent::Finished(RequestOutcome::Failed(error)) => return Err(error),
+            CallerEvent::Finished(RequestOutcome::Kept(kept)) => {
+                let body = kept.body.unwrap_or_default();
+                return Ok(answer::raw(kept.status, &kept.content_type, body));
+            }
+            CallerEvent::Finished(RequestOutcome::Done { .. }) => {
+                let head = head.ok_or_else(lost)?;
+                return Ok(answer::raw(head.status, &head.content_type, text));
+            }
+        }
+    }
+    Err(lost())
+}
+
+fn lost() -> ApiError {
+    ApiError::new(ErrorCode::Internal, RanState::Unknown, "the call's task has ended")
+}
--- /dev/null
+++ b/crates/daemon/src/metrics.rs
@@ -0,0 +1,128 @@
+//! Counters and gauges.
+
+use oriolepass_scheduler::LengthClass;
+use oriolepass_units::AccountId;
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
+};
+
+/// Bounds of the time to first token, in seconds.
+const FIRST_TOKEN_BOUNDS: &[f64] =
+    &[0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.34, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0, 60.0, 300.0];
+
+/// Everything that the daemon counts.
+pub(crate) struct DaemonMetrics {
+    registry: Registry,
+    pub(crate) requests: IntCounterVec,
+    pub(crate) first_token: HistogramVec,
+    pub(crate) first_token_account: HistogramVec,
+    pub(crate) running: IntGauge,
+    pub(crate) buffered_bytes: IntGauge,
+    pub(crate) stray_pieces: IntCounter,
+    pub(crate) retries: IntCounter,
+    pub(crate) ring_depth: IntGaugeVec,
+    pub(crate) ring_full: IntCounterVec,
+    pub(crate) engine_held: IntGauge,
+    pub(crate) engine_unexplained: IntGauge,
+    pub(crate) endpoints: IntGaugeVec,
+    pub(crate) waiting: IntGauge,
+    pub(crate) config_revision: IntGauge,
+    pub(crate) is_leader: IntGauge,
+    pub(crate) log_syncs: IntCounter,
+    pub(crate) log_entries: IntCounter,
+    pub(crate) unsettled_claims: IntGauge,
+}
+
+impl DaemonMetrics {
+    /// Registers everything.
+    ///
+    /// # Panics
+    ///
+    /// Panics when two metrics have one name, which is a mistake in this file.
+    pub(crate) fn new() -> Self {
+        let registry = Registry::new();
+        let counter = |name: &str, help: &str| {
+            let metric = IntCounter::new(name, help).expect("a valid name");
+            registry.register(Box::new(metric.clone())).expect("a fresh name");
+            metric
+        };
+        let gauge = |name: &str, help: &str| {
+            let metric = IntGauge::new(name, help).expect("a valid name");
+            registry.register(Box::new(metric.clone())).expect("a fresh name");
+            metric
+        };
+        let counters = |name: &str, help: &str, label: &str| {
+            let metric = IntCounterVec::new(Opts::new(name, help), &[label]).expect("valid");
+            registry.register(Box::new(metric.clone())).expect("a fresh name");
+            metric
+        };
+        let gauges = |name: &str, help: &str, label: &str| {
+            let metric = IntGaugeVec::new(Opts::new(name, help), &[label]).expect("valid");
+            registry.register(Box::new(metric.clone())).expect("a fresh name");
+            metric
+        };
+        let histograms = |name: &str, help: &str, label: &str| {
+            let options = HistogramOpts::new(name, help).buckets(FIRST_TOKEN_BOUNDS.to_vec());
+            let metric = HistogramVec::new(options, &[label]).expect("valid");
+            registry.register(Box::new(metric.clone())).expect("a fresh name");
+            metric
+        };
+        Self {
+            requests: counters("oriolepass_requests_total", "Requests by outcome", "outcome"),
+            first_token: histograms(
+                "oriolepass_first_token_seconds",
+                "Time to first token by length class",
+                "class",
+            ),
+            first_token_account: histograms(
+                "oriolepass_account_first_token_seconds",
+                "Time to first token by account",
+                "account",
+            ),
+            running: gauge("oriolepass_running", "Requests admitted and not ended"),
+            buffered_bytes: gauge("oriolepass_buffered_bytes", "Request bodies in memory"),
+            stray_pieces: counter("oriolepass_stray_pieces_total", "Pieces dropped as not own"),
+            retries: counter("oriolepass_retries_total", "Attempts after the first"),
+            ring_depth: gauges("oriolepass_ring_depth", "Messages that wait in a ring", "ring"),
+            ring_full: counters("oriolepass_ring_full_total", "Messages refused by a ring", "ring"),
+            engine_held: gauge("oriolepass_engine_held_tokens", "Memory in the ledger"),
+            engine_unexplained: gauge(
+                "oriolepass_engine_unexplained_tokens",
+                "Memory that endpoints report and no lease explains",
+            ),
+            endpoints: gauges("oriolepass_endpoints", "Endpoints of this home by state", "state"),
+            waiting: gauge("oriolepass_waiting", "Asks that wait at this home"),
+            config_revision: gauge("oriolepass_config_revision", "Revision in force here"),
+            is_leader: gauge("oriolepass_is_leader", "Whether this daemon leads the log"),
+            log_syncs: counter("oriolepass_log_syncs_total", "Syncs of the log"),
+            log_entries: counter("oriolepass_log_entries_total", "Entries applied"),
+            unsettled_claims: gauge(
+                "oriolepass_unsettled_claims",
+                "Ended non-repeatable requests whose claim is not settled yet",
+            ),
+            registry,
+        }
+    }
+
+    pub(crate) fn observe_first_token(
+        &self,
+        class: LengthClass,
+        account: &AccountId,
+        seconds: f64,
+    ) {
+        self.first_token.with_label_values(&[class.name()]).observe(seconds);
+        self.first_token_account.with_label_values(&[account.as_str()]).observe(seconds);
+    }
+
+    pub(crate) fn ring_refused(&self, ring: &str) {
+        self.ring_full.with_label_values(&[ring]).inc();
+    }
+
+    /// Writes everything in the text format.
+    pub(crate) fn render(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut text).expect("memory takes all");
+        text
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/peers/client.rs
@@ -0,0 +1,186 @@
+//! The calling side of the connections.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use capnp_rpc::{RpcSystem, twoparty};
+use futures::AsyncReadExt;
+use futures::io::{BufReader, BufWriter};
+use oriolepass_schema::wire_capnp::{gate, session};
+use rand::RngCore;
+use tokio::net::TcpStream;
+use tokio::sync::{OnceCell, mpsc};
+use tokio::task::spawn_local;
+use tokio_util::compat::TokioAsyncReadCompatExt;
+
+use super::auth::{ClusterKey, NONCE_BYTES, ProofSide};
+use super::{PeerCommand, PeerError, PeerFaults};
+
+/// How long a connection may take to come about.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Consensus messages under way to one peer; more are dropped.
+const MAX_CONSENSUS_IN_FLIGHT: u32 = 512;
+
+/// One connection, or the attempt to make one.
+#[derive(Default)]
+struct PeerLink {
+    session: OnceCell<session::Client>,
+    consensus_in_flight: RefCell<u32>,
+}
+
+struct PeerClients {
+    key: ClusterKey,
+    instance: String,
+    faults: PeerFaults,
+    links: RefCell<HashMap<SocketAddr, Rc<PeerLink>>>,
+}
+
+/// Serves the ring until its other end is gone. Runs on the peers' thread.
+pub(crate) async fn run_clients(
+    mut commands: mpsc::Receiver<PeerCommand>,
+    key: ClusterKey,
+    instance: String,
+    faults: PeerFaults,
+) {
+    let clients = Rc::new(PeerClients { key, instance, faults, links: RefCell::default() });
+    while let Some(command) = commands.recv().await {
+        if clients.faults.is_isolated() {
+            // Neither an answer nor an error: the asker's patience runs out, as in a real cut.
+            spawn_local(hold_in_silence(command));
+            continue;
+        }
+        let clients = Rc::clone(&clients);
+        match command {
+            PeerCommand::Ask { address, question, reply } => {
+                spawn_local(async move {
+                    let answer = clients.ask(address, &question).await;
+                    let _ = reply.send(answer);
+                });
+            }
+            PeerCommand::Consensus { address, message } => {
+                let link = clients.link(address);
+                if *link.consensus_in_flight.borrow() < MAX_CONSENSUS_IN_FLIGHT {
+                    *link.consensus_in_flight.borrow_mut() += 1;
+                    spawn_local(async move {
+                        clients.send_consensus(address, &link, &message).await;
+                        *link.consensus_in_flight.borrow_mut() -= 1;
+                    });
+                }
+            }
+        }
+    }
+}
+
+async fn hold_in_silence(command: PeerCommand) {
+    tokio::time::sleep(Duration::from_secs(30)).await;
+    drop(command);
+}
+
+impl PeerClients {
+    fn link(&self, address: SocketAddr) -> Rc<PeerLink> {
+        Rc::clone(self.links.borrow_mut().entry(address).or_default())
+    }
+
+    /// Forgets a connection that broke, unless it was replaced meanwhile.
+    fn forget(&self, address: SocketAddr, link: &Rc<PeerLink>) {
+        let mut links = self.links.borrow_mut();
+        if links.get(&address).is_some_and(|present| Rc::ptr_eq(present, link)) {
+            links.remove(&address);
+        }
+    }
+
+    async fn session(
+        &self,
+        address: SocketAddr,
+        link: &Rc<PeerLink>,
+    ) -> Result<session::Client, PeerError> {
+        let connected = link.session.get_or_try_init(|| async {
+            let attempt = connect(address, &self.key, &self.instance);
+            tokio::time::timeout(CONNECT_TIMEOUT, attempt).await.unwrap_or(Err(PeerError::Timeout))
+        });
+        let result = connected.await.cloned();
+        if result.is_err() {
+            self.forget(address, link);
+        }
+        result
+    }
+
+    async fn ask(&self, address: SocketAddr, question: &[u8]) -> Result<Vec<u8>, PeerError> {
+        let link = self.link(address);
+        let session = self.session(address, &link).await?;
+        let mut request = session.ask_request();
+        request.get().set_question(question);
+        let answer = async {
+            let response = request.send().promise.await?;
+            Ok::<_, capnp::Error>(response.get()?.get_answer()?.to_vec())
+        };
+        answer.await.map_err(|_| {
+            self.forget(address, &link);
+            PeerError::Broken
+        })
+    }
+
+    async fn send_consensus(&self, address: SocketAddr, link: &Rc<PeerLink>, message: &[u8]) {
+        let Ok(session) = self.session(address, link).await else { return };
+        let mut request = session.consensus_request();
+        request.get().set_message(message);
+        if request.send().promise.await.is_err() {
+            self.forget(address, link);
+        }
+    }
+}
+
+/// Connects and goes through the mutual proof.
+async fn connect(
+    address: SocketAddr,
+    key: &ClusterKey,
+    instance: &str,
+) -> Result<session::Client, PeerError> {
+    let stream = TcpStream::connect(address).await.map_err(|error| match error.kind() {
+        ErrorKind::ConnectionRefused => PeerError::Refused,
+        _ => PeerError::Broken,
+    })?;
+    let _ = stream.set_nodelay(true);
+    let (reader, writer) = stream.compat().split();
+    let network = twoparty::VatNetwork::new(
+        BufReader::new(reader),
+        BufWriter::new(writer),
+        Side::Client,
+        super::server::reader_options(),
+    );
+    let mut system = RpcSystem::new(Box::new(network), None);
+    let gate: gate::Client = system.bootstrap(Side::Server);
+    spawn_local(async move {
+        let _ = system.await;
+    });
+    prove(&gate, key, instance).await.map_err(|_| PeerError::Broken)
+}
+
+async fn prove(
+    gate: &gate::Client,
+    key: &ClusterKey,
+    instance: &str,
+) -> Result<session::Client, capnp::Error> {
+    let challenge = gate.challenge_request().send().promise.await?;
+    let nonce = challenge.get()?.get_nonce()?.to_vec();
+    let mut own_nonce = [0; NONCE_BYTES];
+    rand::rng().fill_bytes(&mut own_nonce);
+    let mut request = gate.prove_request();
+    request.get().set_instance(instance);
+    // The answer carries this side's own challenge behind the proof.
+    let mut answer = key.prove(ProofSide::Client, &nonce, instance);
+    answer.extend_from_slice(&own_nonce);
+    request.get().set_answer(&answer);
+    let response = request.send().promise.await?;
+    let proof = response.get()?.get_counter_proof()?;
+    if !key.verify(ProofSide::Server, &own_nonce, instance, proof) {
+        return Err(capnp::Error::failed("the other side does not know the cluster key".into()));
+    }
+    response.get()?.get_session()
+}
--- /dev/null
+++ b/crates/daemon/src/peers/mod.rs
@@ -0,0 +1,133 @@
+//! Connections between daemons.
+//!
+//! One thread runs them all over `capnp-rpc`. Each side proves that it knows the cluster key
+//! before any message is read ([`auth`]). Payloads are postcard encodings of the types in
+//! [`message`].
+
+mod auth;
+mod client;
+mod message;
+mod server;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use oriolepass_consensus::Envelope;
+use oriolepass_units::InstanceId;
+use tokio::sync::{mpsc, oneshot};
+
+use crate::address_book::AddressBook;
+
+pub(crate) use auth::ClusterKey;
+pub(crate) use client::run_clients;
+pub(crate) use message::{
+    LeaderAnswer, LogFailure, MemberBeat, MemberLease, PeerAnswer, PeerQuestion,
+};
+pub(crate) use server::run_server;
+
+/// Questions and messages that wait for the peers' thread.
+const RING_CAPACITY: usize = 8_192;
+
+/// A hook for tests that cuts this daemon off from its peers.
+#[derive(Debug, Clone, Default)]
+pub struct PeerFaults {
+    isolated: Arc<AtomicBool>,
+}
+
+impl PeerFaults {
+    /// Drops everything from and to other daemons, or stops doing so. Nothing tells either
+    /// side, as in a silent partition.
+    pub fn set_isolated(&self, isolated: bool) {
+        self.isolated.store(isolated, Ordering::SeqCst);
+    }
+
+    pub(crate) fn is_isolated(&self) -> bool {
+        self.isolated.load(Ordering::SeqCst)
+    }
+}
+
+/// Why a peer gave no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub(crate) enum PeerError {
+    /// The ring to the peers' thread is full.
+    #[error("too many messages to other daemons wait; try again")]
+    RingFull,
+    /// No answer came in time.
+    #[error("the other daemon did not answer in time; check that it runs")]
+    Timeout,
+    /// The host is there, and nothing listens: the daemon is not running.
+    #[error("the other daemon is not running; start it")]
+    Refused,
+    /// The connection could not be made or broke.
+    #[error("the connection to the other daemon broke; check the network")]
+    Broken,
+}
+
+/// Work for the peers' thread.
+pub(crate) enum PeerCommand {
+    Ask {
+        address: SocketAddr,
+        question: Vec<u8>,
+        reply: oneshot::Sender<Result<Vec<u8>, PeerError>>,
+    },
+    Consensus {
+        address: SocketAddr,
+        message: Vec<u8>,
+    },
+}
+
+/// Sends to other daemons.
+#[derive(Clone)]
+pub(crate) struct PeerHandle {
+    ring: mpsc::Sender<PeerCommand>,
+    book: AddressBook,
+}
+
+impl PeerHandle {
+    /// Creates the handle and the ring's other end.
+    pub(crate) fn new(book: AddressBook) -> (Self, mpsc::Receiver<PeerCommand>) {
+        let (ring, commands) = mpsc::channel(RING_CAPACITY);
+        (Self { ring, book }, commands)
+    }
+
+    /// Asks another daemon.
+    pub(crate) async fn ask(
+        &self,
+        address: SocketAddr,
+        question: &PeerQuestion,
+        patience: Duration,
+    ) -> Result<PeerAnswer, PeerError> {
+        let question = postcard::to_stdvec(question).expect("a question always serialises");
+        let (reply, answer) = oneshot::channel();
+        self.ring
+            .try_send(PeerCommand::Ask { address, question, reply })
+            .map_err(|_| PeerError::RingFull)?;
+        let answer = tokio::time::timeout(patience, answer)
+            .await
+            .map_err(|_| PeerError::Timeout)?
+            .map_err(|_| PeerError::Broken)??;
+        postcard::from_bytes(&answer).map_err(|_| PeerError::Broken)
+    }
+
+    /// Asks another daemon by its name.
+    pub(crate) async fn ask_instance(
+        &self,
+        instance: &InstanceId,
+        question: &PeerQuestion,
+        patience: Duration,
+    ) -> Result<PeerAnswer, PeerError> {
+        let address = self.book.get(instance).ok_or(PeerError::Broken)?;
+        self.ask(address, question, patience).await
+    }
+
+    /// Sends consensus messages. One that does not fit is dropped: the protocol sends again.
+    pub(crate) fn send_consensus(&self, envelopes: Vec<Envelope>) {
+        for envelope in envelopes {
+            let Some(address) = self.book.get(&envelope.to) else { continue };
+            let message = postcard::to_stdvec(&envelope).expect("a message always serialises");
+            let _ = self.ring.try_send(PeerCommand::Consensus { address, message });
+        }
+    }
+}
--- a/crates/request/src/life.rs
+++ b/crates/request/src/life.rs
@@ -4,6 +4,7 @@
 
 use oriolepass_config::{ClaimAnswer, ClaimVerdict, KeptAnswer};
 use oriolepass_scheduler::{GrantRefusal, GrantedEndpoint, PromptGrant, ReleaseReason};
+use oriolepass_schema::caller::KeptCompletion;
 use oriolepass_schema::digest::AnswerDigest;
 use oriolepass_schema::endpoint::StreamLine;
 use oriolepass_schema::error::{ErrorCode, RanState};
@@ -50,6 +51,9 @@
     NotConnected,
     /// The endpoint said that it refused the call without acting on it.
     RefusedUnrun,
+    /// An engine refused its part of a group, so the leading one was sent nothing; the other
+    /// parts may hold memory.
+    PartRefused,
     /// The connection broke after something may have been sent.
     Broken,
 }
@@ -109,7 +113,8 @@
     /// Whether an endpoint may have acted on the request.
     maybe_ran: bool,
     delivered: u64,
-    /// The text delivered so far; kept only where another endpoint may have to go on from it.
+    /// The text delivered so far, from which another endpoint may have to go on, or which is
+    /// kept for resends.
     delivered_text: String,
     digest: AnswerDigest,
     commands: Vec<RequestCommand>,
@@ -161,6 +166,11 @@
         }
     }
 
+    /// Returns how often it was sent so far.
+    pub fn attempts(&self) -> u32 {
+        self.attempts
+    }
+
     /// Returns how many pieces were dropped because they were not its own or not the next.
     pub fn strays(&self) -> u64 {
         self.strays
@@ -255,7 +265,7 @@
     }
 
     /// Takes in a refusal of a grant; `next` names the attempt that may follow.
-    pub fn refused(&mut self, attempt: &AttemptId, refusal: AttemptRefusal, next: AttemptId) {
+    pub fn refused(&mut self, attempt: &AttemptId, refusal: &AttemptRefusal, next: AttemptId) {
         if !matches!(&self.state, LifeState::Waiting { attempt: own } if own == attempt) {
             return;
         }
@@ -285,12 +295,12 @@
                 None,
             ),
             AttemptRefusal::Home(GrantRefusal::Busy { retry_after }) => {
-                ("the engines are busy".to_owned(), ErrorCode::Overloaded, Some(retry_after))
+                ("the engines are busy".to_owned(), ErrorCode::Overloaded, Some(*retry_after))
             }
             AttemptRefusal::Home(GrantRefusal::AccountBusy { retry_after }) => (
                 "the account has too much work waiting".to_owned(),
                 ErrorCode::AccountLimited,
-                Some(retry_after),
+                Some(*retry_after),
             ),
         };
         let (detail, code, retry_after) = outcome;
@@ -322,9 +332,7 @@
                 self.maybe_ran = true;
                 self.delivered += 1;
                 self.digest.update(text.as_bytes());
-                if self.plan.repeatable {
-                    self.delivered_text.push_str(&text);
-                }
+                self.delivered_text.push_str(&text);
                 self.commands.push(RequestCommand::Deliver(text));
             }
             StreamLine::End { tokens, digest, finish_reason, .. } => {
@@ -371,6 +379,17 @@
     }
 
     fn end_whole(&mut self, tokens: u64, digest: String, finish_reason: String) {
+        if self.claimed {
+            let completion = KeptCompletion {
+                text: std::mem::take(&mut self.delivered_text),
+                tokens: TokenCount(tokens),
+                digest: digest.clone(),
+                finish_reason: finish_reason.clone(),
+            };
+            let body = completion.to_json();
+            let kept = KeptAnswer::new(200, "application/json".to_owned(), body.as_bytes());
+            self.settle(ClaimVerdict::Done(kept));
+        }
         self.give_back(ReleaseReason::Ended { tokens: TokenCount(tokens) });
         self.finish(RequestOutcome::Done {
             tokens,
@@ -389,6 +408,10 @@
                 self.give_back(ReleaseReason::NeverSent);
                 self.retry_unrun(retry, next);
             }
+            SendFailure::PartRefused => {
+                self.give_back(ReleaseReason::Abandoned);
+                self.retry_unrun(retry, next);
+            }
             SendFailure::Broken => {
                 self.maybe_ran = true;
                 self.give_back(ReleaseReason::Abandoned);
@@ -507,12 +530,10 @@
                 self.settle(ClaimVerdict::NotRun);
             }
             RequestOutcome::Failed(_) => self.settle(ClaimVerdict::Unknown),
-            // A streamed model answer is not kept; a resend is told that it ran.
-            RequestOutcome::Done { .. } => {
-                let kept = KeptAnswer { status: 200, content_type: String::new(), body: None };
-                self.settle(ClaimVerdict::Done(kept));
+            // Whoever ended it with an answer has settled the claim with that answer.
+            RequestOutcome::Done { .. } | RequestOutcome::Kept(_) => {
+                assert!(!self.claimed, "a claim is settled with its answer");
             }
-            RequestOutcome::Kept(_) => {}
         }
         self.state = LifeState::Ended;
         self.commands.push(RequestCommand::Finish(outcome));
--- a/crates/scheduler/src/ask.rs
+++ b/crates/scheduler/src/ask.rs
@@ -5,7 +5,8 @@
 
 use oriolepass_schema::caller::RequestPriority;
 use oriolepass_units::{
-    AccountId, AttemptId, EndpointId, InstanceId, ModelId, PrefixHash, ServiceName, TokenCount,
+    AccountId, AttemptId, DataCentreId, EndpointId, InstanceId, ModelId, PrefixHash, ServiceName,
+    TokenCount,
 };
 use serde::{Deserialize, Serialize};
 
@@ -55,6 +56,8 @@
 pub struct GrantedEndpoint {
     /// The endpoint.
     pub endpoint: EndpointId,
+    /// Its data centre, which together with its id tells its shard.
+    pub data_centre: DataCentreId,
     /// Where it takes work.
     pub address: SocketAddr,
     /// Memory set aside there.
--- a/crates/scheduler/src/dispatch.rs
+++ b/crates/scheduler/src/dispatch.rs
@@ -44,6 +44,7 @@
 impl HomeScheduler {
     /// Takes in an ask: grants it, lets it wait, or refuses it at once.
     pub fn ask(&mut self, now: MonotonicTime, ask: GrantAsk) {
+        self.now = now;
         if let Some(refusal) = self.refusal(&ask) {
             self.counters.refused += 1;
             self.commands.push(HomeCommand::Refuse { attempt: ask.attempt, refusal });
@@ -169,6 +170,7 @@
     }
 
     pub(crate) fn dispatch_all(&mut self, now: MonotonicTime) {
+        self.now = now;
         let mut targets: Vec<WorkTarget> = self.lanes.keys().map(|(t, _)| t.clone()).collect();
         targets.dedup();
         targets.iter().for_each(|target| self.dispatch(now, target));
@@ -274,6 +276,7 @@
         let backlog = self.note_running(&ask, class, &placement);
         let members = placement.iter().map(|(endpoint, reserved)| GrantedEndpoint {
             endpoint: endpoint.clone(),
+            data_centre: self.endpoints[endpoint].data_centre.clone(),
             address: self.endpoints[endpoint].address,
             reserved: *reserved,
         });
--- a/crates/scheduler/src/endpoint.rs
+++ b/crates/scheduler/src/endpoint.rs
@@ -6,7 +6,8 @@
 use oriolepass_schema::endpoint::{CacheChange, EndpointAnnouncement, EndpointKind};
 use oriolepass_schema::operator::{EndpointState, PoolRole};
 use oriolepass_units::{
-    AttemptId, Incarnation, ModelId, MonotonicTime, PrefixHash, ServiceName, TokenCount,
+    AttemptId, DataCentreId, Incarnation, ModelId, MonotonicTime, PrefixHash, ServiceName,
+    TokenCount,
 };
 
 use crate::ask::WorkTarget;
@@ -37,6 +38,7 @@
 /// An endpoint with its part of the ledger.
 #[derive(Debug)]
 pub(crate) struct EndpointEntry {
+    pub(crate) data_centre: DataCentreId,
     pub(crate) address: SocketAddr,
     pub(crate) incarnation: Incarnation,
     pub(crate) models: Vec<ModelId>,
@@ -47,6 +49,9 @@
     pub(crate) state: EndpointState,
     pub(crate) last_heartbeat: MonotonicTime,
     pub(crate) inspect_due: MonotonicTime,
+    /// Before then, another home may still grant its memory.
+    pub(crate) usable_from: MonotonicTime,
+    pub(crate) inspected: bool,
     pub(crate) holds: BTreeMap<AttemptId, MemoryHold>,
     pub(crate) held: TokenCount,
     /// Prompt tokens granted and not yet processed, by priority.
@@ -65,6 +70,7 @@
         announcement: &EndpointAnnouncement,
         role: PoolRole,
         now: MonotonicTime,
+        usable_from: MonotonicTime,
     ) -> Self {
         let (models, service, memory, prefill_rate) = match &announcement.kind {
             EndpointKind::Engine { models, memory, prefill_rate } => {
@@ -75,6 +81,7 @@
             }
         };
         Self {
+            data_centre: announcement.data_centre.clone(),
             address: announcement.address,
             incarnation: announcement.incarnation,
             models,
@@ -84,7 +91,9 @@
             role,
             state: EndpointState::Joining,
             last_heartbeat: now,
-            inspect_due: now,
+            inspect_due: usable_from,
+            usable_from,
+            inspected: false,
             holds: BTreeMap::new(),
             held: TokenCount::ZERO,
             backlog: [0; 4],
@@ -96,6 +105,13 @@
         }
     }
 
+    /// Makes a joining endpoint live once what it holds is known and no other home can grant.
+    pub(crate) fn finish_joining(&mut self, now: MonotonicTime) {
+        if self.state == EndpointState::Joining && self.inspected && now >= self.usable_from {
+            self.state = EndpointState::Live;
+        }
+    }
+
     pub(crate) fn serves(&self, target: &WorkTarget) -> bool {
         match target {
             WorkTarget::Model(model) => self.models.contains(model),
--- a/crates/scheduler/src/home.rs
+++ b/crates/scheduler/src/home.rs
@@ -1,11 +1,13 @@
 //! The home of a shard: what it knows, and the events that change it.
 
 use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
 
 use oriolepass_schema::endpoint::{CacheEvents, EndpointAnnouncement, EndpointHeartbeat};
 use oriolepass_schema::operator::{EndpointState, EndpointView, PoolRole};
 use oriolepass_units::{
-    AccountId, AttemptId, EndpointId, Incarnation, InstanceId, MonotonicTime, TokenCount,
+    AccountId, AttemptId, DataCentreId, EndpointId, Incarnation, InstanceId, MonotonicTime,
+    TokenCount,
 };
 
 use crate::ask::{GrantAsk, GrantRefusal, HomeCommand, ReleaseReason, WorkTarget};
@@ -16,6 +18,10 @@
 use crate::lane::PromptLane;
 use crate::placement::EngineReservation;
 
+/// How long another home may take to stop, in percent of the suspect time: its clock may be
+/// slower than this one's.
+const SUSPECT_DRIFT_PERCENT: u32 = 115;
+
 /// The endpoint is not known here, or in another life; it has to announce itself again.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct UnknownEndpoint;
@@ -62,6 +68,8 @@
     pub(crate) commands: Vec<HomeCommand>,
     pub(crate) counters: HomeCounters,
     pub(crate) next_place: u64,
+    /// The time of the latest event.
+    pub(crate) now: MonotonicTime,
 }
 
 impl HomeScheduler {
@@ -78,6 +86,7 @@
             commands: Vec::new(),
             counters: HomeCounters::default(),
             next_place: 0,
+            now: MonotonicTime::ZERO,
         }
     }
 
@@ -92,12 +101,24 @@
     }
 
     /// Takes an endpoint in, or notes that it is alive.
+    ///
+    /// An endpoint belongs to the home that it sends its heartbeats to: a home without them
+    /// grants nothing after the suspect time. One that comes from another home, which has not
+    /// released it, is used only once that time has passed there for certain, so that two
+    /// homes never grant the same memory.
     pub fn announce(
         &mut self,
         now: MonotonicTime,
         announcement: &EndpointAnnouncement,
         role: PoolRole,
     ) {
+        let usable_from = match announcement.other_home_ms {
+            None => now,
+            Some(silent) => {
+                let other_stops = self.config.endpoint_suspect * SUSPECT_DRIFT_PERCENT / 100;
+                now + other_stops.saturating_sub(Duration::from_millis(silent))
+            }
+        };
         let id = &announcement.endpoint;
         let known = self.endpoints.get(id).map(|entry| entry.incarnation);
         match known {
@@ -109,7 +130,8 @@
             _ => {
                 // Another life: whatever the earlier one held is gone with it.
                 self.forget_endpoint(id);
-                self.endpoints.insert(id.clone(), EndpointEntry::new(announcement, role, now));
+                let entry = EndpointEntry::new(announcement, role, now, usable_from);
+                self.endpoints.insert(id.clone(), entry);
                 self.inspect_due(now);
             }
         }
@@ -324,6 +346,7 @@
         let (suspect, gone) = (self.config.endpoint_suspect, self.config.endpoint_gone);
         let mut lost = Vec::new();
         for (id, entry) in &mut self.endpoints {
+            entry.finish_joining(now);
             let silent = now.since(entry.last_heartbeat);
             if silent >= gone {
                 lost.push(id.clone());
@@ -372,9 +395,21 @@
         self.reservation = None;
     }
 
+    /// Lets an endpoint go that has another home now; returns whether it was here.
+    pub fn let_go(&mut self, endpoint: &EndpointId) -> bool {
+        let known = self.endpoints.contains_key(endpoint);
+        self.forget_endpoint(endpoint);
+        known
+    }
+
     /// Drops the endpoints that `keep` does not accept, because their home is elsewhere now.
-    pub fn retain_endpoints(&mut self, keep: impl Fn(&EndpointId) -> bool) {
-        let lost: Vec<EndpointId> = self.endpoints.keys().filter(|id| !keep(id)).cloned().collect();
+    pub fn retain_endpoints(&mut self, keep: impl Fn(&EndpointId, &DataCentreId) -> bool) {
+        let lost: Vec<EndpointId> = self
+            .endpoints
+            .iter()
+            .filter(|(id, entry)| !keep(id, &entry.data_centre))
+            .map(|(id, _)| id.clone())
+            .collect();
         lost.iter().for_each(|id| self.forget_endpoint(id));
     }
 
--- a/crates/scheduler/src/ledger.rs
+++ b/crates/scheduler/src/ledger.rs
@@ -60,9 +60,8 @@
             })
             .map(|(attempt, _)| attempt.clone())
             .collect();
-        if joining {
-            entry.state = EndpointState::Live;
-        }
+        entry.inspected = true;
+        entry.finish_joining(now);
         let address = entry.address;
         self.counters.cancelled_unexplained += cancelled.len() as u64;
         for attempt in cancelled {
--- a/crates/scheduler/src/placement.rs
+++ b/crates/scheduler/src/placement.rs
@@ -33,7 +33,10 @@
         ask: &'a GrantAsk,
     ) -> impl Iterator<Item = (&'a EndpointId, &'a EndpointEntry)> {
         self.endpoints.iter().filter(move |(id, entry)| {
+            // A home that was frozen for a while has not aged its endpoints yet when it wakes,
+            // so the heartbeat's age is checked here as well.
             entry.state == EndpointState::Live
+                && self.now.since(entry.last_heartbeat) < self.config.endpoint_suspect
                 && entry.serves(&ask.target)
                 && !ask.exclude.contains(id)
         })
--- a/crates/schema/src/caller.rs
+++ b/crates/schema/src/caller.rs
@@ -172,6 +172,26 @@
     pub oriolepass: Option<AnswerProof>,
 }
 
+/// A completion as it is kept for resends.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeptCompletion {
+    /// The text.
+    pub text: String,
+    /// Its tokens.
+    pub tokens: TokenCount,
+    /// SHA-256 of the text.
+    pub digest: String,
+    /// Why it ended.
+    pub finish_reason: String,
+}
+
+impl KeptCompletion {
+    /// Writes it as JSON.
+    pub fn to_json(&self) -> String {
+        serde_json::to_string(self).unwrap_or_default()
+    }
+}
+
 /// One address in the answer of `GET /v1/addresses`.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EntryAddress {
--- a/crates/schema/src/endpoint.rs
+++ b/crates/schema/src/endpoint.rs
@@ -49,11 +49,27 @@
     /// Whether it refuses orders with an old fencing number.
     #[serde(default)]
     pub fenced: bool,
+    /// Milliseconds since it last sent a heartbeat to another home that has not released it;
+    /// absent where there is none. The new home waits until the other has certainly stopped.
+    #[serde(default)]
+    pub other_home_ms: Option<u64>,
     /// What it serves.
     #[serde(flatten)]
     pub kind: EndpointKind,
 }
 
+/// The answer to a heartbeat, to cache events and to a leave.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeartbeatAnswer {
+    /// Whether this daemon is the endpoint's home and knows it. Otherwise the endpoint
+    /// announces itself again.
+    pub accepted: bool,
+    /// Whether this daemon was its home and has let it go: it grants nothing there any more.
+    pub released: bool,
+    /// The home's address for endpoints, if another daemon is it.
+    pub home: Option<SocketAddr>,
+}
+
 /// The answer to an announcement.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AnnouncementAnswer {
--- a/crates/schema/src/operator.rs
+++ b/crates/schema/src/operator.rs
@@ -10,8 +10,7 @@
 use std::str::FromStr;
 
 use oriolepass_units::{
-    ChangeId, DataCentreId, EndpointId, InstanceId, LeaderTerm, LogIndex, ObjectRevision, TeamId,
-    TokenCount,
+    ChangeId, DataCentreId, EndpointId, InstanceId, LogIndex, ObjectRevision, TeamId, TokenCount,
 };
 use serde::{Deserialize, Serialize};
 
@@ -368,8 +367,6 @@
     pub instance: InstanceId,
     /// The leader, if one is known.
     pub leader: Option<InstanceId>,
-    /// Its term.
-    pub term: LeaderTerm,
     /// The log index applied here.
     pub applied_index: LogIndex,
     /// The configuration's revision in force here.
@@ -393,6 +390,14 @@
     pub lagging: Vec<InstanceId>,
 }
 
+/// `POST /v1/voters`: which instances should hold the log.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct VotersCall {
+    /// The instances; an odd number of them.
+    pub wanted: Vec<InstanceId>,
+}
+
 /// `POST /v1/drain`: let a daemon leave gracefully.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- /dev/null
+++ b/crates/standin/src/caller.rs
@@ -0,0 +1,243 @@
+//! A caller that checks what it gets.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use http_body_util::BodyExt;
+use oriolepass_schema::caller::{AddressList, CompletionAnswer, PromptBody};
+use oriolepass_schema::digest::sha256_hex;
+use oriolepass_schema::error::{ApiError, ErrorBody};
+
+use crate::answer::answer_text;
+use crate::http::{HttpClient, client, request, send};
+
+/// Why a call did not bring a whole answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum CallerError {
+    /// The system refused or failed it, and said so.
+    Api(ApiError),
+    /// The connection broke or could not be made.
+    Connection(String),
+    /// The stream ended without its explicit end.
+    Truncated,
+    /// The answer is not the one to this prompt.
+    Wrong(String),
+}
+
+/// A whole, checked answer.
+#[derive(Debug, Clone)]
+pub struct CallerReply {
+    /// From sending to the first token.
+    pub first_token: Duration,
+    /// From sending to the end.
+    pub total: Duration,
+    /// Tokens of the answer.
+    pub tokens: u64,
+    /// How often the system tried it.
+    pub attempts: u32,
+}
+
+/// A plain service's answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ServiceReply {
+    /// The status.
+    pub status: u16,
+    /// The body.
+    pub body: String,
+}
+
+/// One prompt to send.
+#[derive(Debug, Clone)]
+pub struct CompletionRequest {
+    /// The model.
+    pub model: String,
+    /// The prompt.
+    pub prompt: PromptBody,
+    /// Tokens of answer.
+    pub max_tokens: u64,
+    /// The time allowed.
+    pub deadline: Duration,
+    /// The caller key of a request that must not be repeated.
+    pub once: Option<String>,
+}
+
+/// A caller with the key of an account.
+#[derive(Clone)]
+pub struct TestCaller {
+    client: HttpClient,
+    key: String,
+}
+
+impl TestCaller {
+    /// Creates a caller.
+    pub fn new(key: &str) -> Self {
+        Self { client: client(), key: key.to_owned() }
+    }
+
+    /// Asks a daemon which addresses to use.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error that the daemon or the connection gave.
+    pub async fn addresses(&self, daemon: SocketAddr) -> Result<AddressList, CallerError> {
+        let sent =
+            send(&self.client, daemon, "GET", "/v1/addresses", Some(&self.key), &[], String::new());
+        let answer = sent.await.map_err(CallerError::Connection)?;
+        serde_json::from_str(&answer.body).map_err(|_| api_error(&answer.body))
+    }
+
+    /// Sends a prompt, reads the streamed answer and checks that it is whole and the right one.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no such answer.
+    pub async fn complete(
+        &self,
+        address: SocketAddr,
+        call: &CompletionRequest,
+    ) -> Result<CallerReply, CallerError> {
+        let started = Instant::now();
+        let body = completion_body(call, true);
+        let sent = request(address, "POST", "/v1/completions", Some(&self.key), &[], body);
+        let response = self
+            .client
+            .request(sent)
+            .await
+            .map_err(|error| CallerError::Connection(format!("{error:?}")))?;
+        let status = response.status().as_u16();
+        let mut reader = StreamReader::default();
+        let mut body = response.into_body();
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|error| CallerError::Connection(error.to_string()))?;
+            if let Ok(data) = frame.into_data() {
+                reader.push(&data, started);
+            }
+        }
+        if status != 200 {
+            return Err(api_error(&String::from_utf8_lossy(&reader.raw)));
+        }
+        reader.finish(call, started)
+    }
+
+    /// Calls a plain service; `once` is the caller key of a call that must not be repeated.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error that the system or the connection gave.
+    pub async fn call_service(
+        &self,
+        address: SocketAddr,
+        service: &str,
+        body: &str,
+        once: Option<&str>,
+    ) -> Result<ServiceReply, CallerError> {
+        let mut headers =
+            vec![("x-oriolepass-repeatable", if once.is_some() { "no" } else { "yes" })];
+        headers.extend(once.map(|key| ("x-oriolepass-caller-key", key)));
+        let path = format!("/v1/services/{service}");
+        let sent =
+            send(&self.client, address, "POST", &path, Some(&self.key), &headers, body.to_owned());
+        let answer = sent.await.map_err(CallerError::Connection)?;
+        if answer.headers.contains_key("x-oriolepass-error") {
+            return Err(api_error(&answer.body));
+        }
+        Ok(ServiceReply { status: answer.status, body: answer.body })
+    }
+}
+
+fn api_error(body: &str) -> CallerError {
+    match serde_json::from_str::<ErrorBody>(body) {
+        Ok(body) => CallerError::Api(body.error),
+        Err(_) => CallerError::Wrong(format!("neither an answer nor an error: {body:.200}")),
+    }
+}
+
+fn completion_body(call: &CompletionRequest, stream: bool) -> String {
+    let mut body = serde_json::json!({
+        "model": call.model,
+        "prompt": call.prompt,
+        "max_tokens": call.max_tokens,
+        "stream": stream,
+        "deadline_ms": u64::try_from(call.deadline.as_millis()).unwrap_or(u64::MAX),
+    });
+    if let Some(key) = &call.once {
+        body["repeatable"] = false.into();
+        body["caller_key"] = key.as_str().into();
+    }
+    body.to_string()
+}
+
+/// Reads a stream of server-sent events.
+#[derive(Default)]
+struct StreamReader {
+    raw: Vec<u8>,
+    parsed: usize,
+    text: String,
+    first_token: Option<Duration>,
+    last: Option<CompletionAnswer>,
+    error: Option<ApiError>,
+    done: bool,
+}
+
+impl StreamReader {
+    fn push(&mut self, data: &[u8], started: Instant) {
+        self.raw.extend_from_slice(data);
+        while let Some(length) = self.raw[self.parsed..].windows(2).position(|pair| pair == b"\n\n")
+        {
+            let event = self.raw[self.parsed..self.parsed + length].to_vec();
+            self.parsed += length + 2;
+            self.event(&event, started);
+        }
+        if self.parsed > 0 && self.parsed == self.raw.len() {
+            self.raw.clear();
+            self.parsed = 0;
+        }
+    }
+
+    fn event(&mut self, event: &[u8], started: Instant) {
+        let Some(data) = event.strip_prefix(b"data: ") else { return };
+        if data == b"[DONE]" {
+            self.done = true;
+            return;
+        }
+        if let Ok(answer) = serde_json::from_slice::<CompletionAnswer>(data) {
+            let text = &answer.choices[0].text;
+            if !text.is_empty() {
+                self.first_token.get_or_insert_with(|| started.elapsed());
+                self.text.push_str(text);
+            }
+            if answer.usage.is_some() {
+                self.last = Some(answer);
+            }
+        } else if let Ok(body) = serde_json::from_slice::<ErrorBody>(data) {
+            self.error = Some(body.error);
+        }
+    }
+
+    fn finish(
+        self,
+        call: &CompletionRequest,
+        started: Instant,
+    ) -> Result<CallerReply, CallerError> {
+        if let Some(error) = self.error {
+            return Err(CallerError::Api(error));
+        }
+        let (true, Some(last)) = (self.done, self.last) else { return Err(CallerError::Truncated) };
+        let (usage, proof) = (last.usage.expect("checked"), last.oriolepass.expect("an end"));
+        if self.text != answer_text(&call.prompt, call.max_tokens) {
+            return Err(CallerError::Wrong(format!("another text: {:.60}", self.text)));
+        }
+        if proof.digest != sha256_hex(self.text.as_bytes()) {
+            return Err(CallerError::Wrong("another digest".to_owned()));
+        }
+        if usage.completion_tokens.0 != call.max_tokens {
+            return Err(CallerError::Wrong("another token count".to_owned()));
+        }
+        Ok(CallerReply {
+            first_token: self.first_token.unwrap_or_default(),
+            total: started.elapsed(),
+            tokens: usage.completion_tokens.0,
+            attempts: proof.attempts,
+        })
+    }
+}
--- a/crates/timer/src/service.rs
+++ b/crates/timer/src/service.rs
@@ -68,6 +68,16 @@
         ticket
     }
 
+    /// Calls `callback` every `period` until the service is stopped.
+    pub fn subscribe_every(&self, period: Duration, callback: impl Fn() + Send + 'static) {
+        let due = self.now() + period;
+        let service = self.clone();
+        self.subscribe(due, move || {
+            callback();
+            service.subscribe_every(period, callback);
+        });
+    }
+
     /// Forgets a subscription; does nothing when it has already been called back.
     pub fn cancel(&self, ticket: TimerTicket) {
         self.lock().queue.cancel(ticket);
