--- a/crates/daemon/src/entry/driver.rs
+++ b/crates/daemon/src/entry/driver.rs
@@ -502,10 +502,11 @@
         AttemptRefusal::NoHome => 0,
         AttemptRefusal::Home(GrantRefusal::NotServed) => 1,
         AttemptRefusal::Home(GrantRefusal::TooBig { .. }) => 2,
-        AttemptRefusal::HomeLost => 3,
-        AttemptRefusal::Home(GrantRefusal::NotHome) => 4,
-        AttemptRefusal::Home(GrantRefusal::AccountBusy { .. }) => 5,
-        AttemptRefusal::Home(GrantRefusal::Busy { .. }) => 6,
+        AttemptRefusal::Home(GrantRefusal::AllExcluded) => 3,
+        AttemptRefusal::HomeLost => 4,
+        AttemptRefusal::Home(GrantRefusal::NotHome) => 5,
+        AttemptRefusal::Home(GrantRefusal::AccountBusy { .. }) => 6,
+        AttemptRefusal::Home(GrantRefusal::Busy { .. }) => 7,
     };
     if rank(&right) >= rank(&left) { right } else { left }
 }
--- a/crates/daemon/src/http/answer.rs
+++ b/crates/daemon/src/http/answer.rs
@@ -33,6 +33,12 @@
     raw(status, "application/json", body)
 }
 
+/// Refuses a call, after whatever is left of its body.
+pub(super) async fn refuse(state: &mut State, refusal: &ApiError) -> HttpResponse {
+    super::body::discard(state).await;
+    error(refusal)
+}
+
 pub(super) fn error(error: &ApiError) -> HttpResponse {
     let mut response = json_status(error.code.status(), &ErrorBody { error: error.clone() });
     let headers = response.headers_mut();
--- a/crates/daemon/src/http/body.rs
+++ b/crates/daemon/src/http/body.rs
@@ -17,6 +17,12 @@
 /// The longest body of an operators' or endpoints' call, in bytes.
 const MAX_CONTROL_BODY: u64 = 4 << 20;
 
+/// Bytes of a refused body that are read and thrown away.
+const MAX_DISCARDED: u64 = 64 << 20;
+
+/// How long throwing a refused body away may take.
+const DISCARD_TIME: Duration = Duration::from_secs(3);
+
 /// Counts a body's bytes for as long as it is in memory.
 pub(super) struct BufferedBody {
     pub(super) bytes: Bytes,
@@ -66,7 +72,7 @@
     if announced.is_some_and(|length| length > limits.max_body_bytes) {
         return Err(too_large(limits.max_body_bytes));
     }
-    let mut body = Body::take_from(state);
+    let body = state.borrow_mut::<Body>();
     let read = async {
         let mut bytes = BytesMut::new();
         while let Some(frame) = body.frame().await {
@@ -97,6 +103,24 @@
     header.to_str().ok()?.parse().ok()
 }
 
+/// Reads the rest of a body that was refused and throws it away.
+///
+/// A client that is still sending would otherwise meet a closed connection and never see why.
+pub(super) async fn discard(state: &mut State) {
+    let Some(mut body) = state.try_take::<Body>() else { return };
+    let mut left = MAX_DISCARDED;
+    let read = async {
+        while let Some(Ok(frame)) = body.frame().await {
+            let length = frame.data_ref().map_or(0, Bytes::len);
+            left = left.saturating_sub(length as u64);
+            if left == 0 {
+                return;
+            }
+        }
+    };
+    let _ = tokio::time::timeout(DISCARD_TIME, read).await;
+}
+
 /// Parses JSON, naming the place of a mistake.
 pub(super) fn parse<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, ApiError> {
     serde_json::from_slice(bytes).map_err(|error| {
--- a/crates/daemon/src/http/completions.rs
+++ b/crates/daemon/src/http/completions.rs
@@ -28,14 +28,25 @@
 /// `POST /v1/completions`.
 pub(super) async fn complete(shared: Arc<DaemonShared>, mut state: State) -> (State, HttpResponse) {
     let result = serve(&shared, &mut state, parse::<CompletionCall>).await;
-    (state, result.unwrap_or_else(|error| answer::error(&error)))
+    answered(state, result).await
 }
 
 /// `POST /v1/chat/completions`.
 pub(super) async fn chat(shared: Arc<DaemonShared>, mut state: State) -> (State, HttpResponse) {
     let read = |bytes: &[u8]| parse::<ChatCall>(bytes).map(CompletionCall::from);
     let result = serve(&shared, &mut state, read).await;
-    (state, result.unwrap_or_else(|error| answer::error(&error)))
+    answered(state, result).await
+}
+
+async fn answered(
+    mut state: State,
+    result: Result<HttpResponse, ApiError>,
+) -> (State, HttpResponse) {
+    let response = match result {
+        Ok(response) => response,
+        Err(error) => answer::refuse(&mut state, &error).await,
+    };
+    (state, response)
 }
 
 async fn serve(
--- a/crates/daemon/src/http/operators.rs
+++ b/crates/daemon/src/http/operators.rs
@@ -65,6 +65,12 @@
     Fut: Future<Output = Result<HttpResponse, ApiError>>,
 {
     let result = async {
+        // A restarted daemon may hold an earlier state than it has shown before.
+        if !shared.freshness.was_current() {
+            let detail = "this daemon has not caught up with the accepted configuration yet";
+            let error = ApiError::not_run(ErrorCode::NotReady, detail);
+            return Err(error.retry_after(Duration::from_millis(500)));
+        }
         let name = auth::owner(&shared, &state, ObjectKind::Team)?;
         let team = name.parse().map_err(|e| ApiError::not_run(ErrorCode::Internal, e))?;
         let parts = CallParts::read(&shared, &mut state).await?;
--- a/crates/daemon/src/http/services.rs
+++ b/crates/daemon/src/http/services.rs
@@ -31,7 +31,7 @@
 pub(super) async fn call(shared: Arc<DaemonShared>, mut state: State) -> (State, HttpResponse) {
     let response = match serve(&shared, &mut state).await {
         Ok(response) => response,
-        Err(error) => answer::error(&error),
+        Err(error) => answer::refuse(&mut state, &error).await,
     };
     (state, response)
 }
--- a/crates/daemon/src/peers/client.rs
+++ b/crates/daemon/src/peers/client.rs
@@ -1,10 +1,10 @@
 //! The calling side of the connections.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::Duration;
 
 use capnp_rpc::rpc_twoparty_capnp::Side;
@@ -14,12 +14,12 @@
 use oriolepass_schema::wire_capnp::{gate, session};
 use rand::RngCore;
 use tokio::net::TcpStream;
-use tokio::sync::{OnceCell, mpsc};
+use tokio::sync::{OnceCell, mpsc, watch};
 use tokio::task::spawn_local;
 use tokio_util::compat::TokioAsyncReadCompatExt;
 
 use super::auth::{ClusterKey, NONCE_BYTES, ProofSide};
-use super::{PeerCommand, PeerError, PeerFaults};
+use super::{PeerCommand, PeerError, PeerFaults, PeerQuestion};
 
 /// How long a connection may take to come about.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
@@ -27,11 +27,63 @@
 /// Consensus messages under way to one peer; more are dropped.
 const MAX_CONSENSUS_IN_FLIGHT: u32 = 512;
 
+/// Between two pings of a connection.
+const PING_EVERY: Duration = Duration::from_millis(700);
+
+/// How long a ping may take before the connection counts as dead.
+const PING_PATIENCE: Duration = Duration::from_millis(1_500);
+
 /// One connection, or the attempt to make one.
-#[derive(Default)]
+///
+/// TCP alone does not tell that the other side's host has gone: a question would hang until its
+/// own patience is over, and so would the next. Pings find out, and everything that waits on the
+/// connection fails at once.
 struct PeerLink {
     session: OnceCell<session::Client>,
-    consensus_in_flight: RefCell<u32>,
+    consensus_in_flight: Cell<u32>,
+    watched: Cell<bool>,
+    dead: watch::Sender<bool>,
+}
+
+impl Default for PeerLink {
+    fn default() -> Self {
+        Self {
+            session: OnceCell::new(),
+            consensus_in_flight: Cell::new(0),
+            watched: Cell::new(false),
+            dead: watch::Sender::new(false),
+        }
+    }
+}
+
+impl PeerLink {
+    /// Waits for an answer, or for the connection's death.
+    async fn or_dead<T>(
+        &self,
+        answer: impl Future<Output = Result<T, capnp::Error>>,
+    ) -> Result<T, PeerError> {
+        let mut dead = self.dead.subscribe();
+        tokio::select! {
+            answer = answer => answer.map_err(|_| PeerError::Broken),
+            _ = dead.wait_for(|dead| *dead) => Err(PeerError::Broken),
+        }
+    }
+}
+
+/// Pings a connection until it is dead or nobody uses it any more.
+async fn watch_link(link: Weak<PeerLink>, session: session::Client) {
+    let ping = postcard::to_stdvec(&PeerQuestion::Ping).expect("a question always serialises");
+    loop {
+        tokio::time::sleep(PING_EVERY).await;
+        let mut request = session.ask_request();
+        request.get().set_question(&ping);
+        let answered = tokio::time::timeout(PING_PATIENCE, request.send().promise).await;
+        let Some(link) = link.upgrade() else { return };
+        if !matches!(answered, Ok(Ok(_))) {
+            link.dead.send_replace(true);
+            return;
+        }
+    }
 }
 
 struct PeerClients {
@@ -65,11 +117,12 @@
             }
             PeerCommand::Consensus { address, message } => {
                 let link = clients.link(address);
-                if *link.consensus_in_flight.borrow() < MAX_CONSENSUS_IN_FLIGHT {
-                    *link.consensus_in_flight.borrow_mut() += 1;
+                let in_flight = &link.consensus_in_flight;
+                if in_flight.get() < MAX_CONSENSUS_IN_FLIGHT {
+                    in_flight.set(in_flight.get() + 1);
                     spawn_local(async move {
                         clients.send_consensus(address, &link, &message).await;
-                        *link.consensus_in_flight.borrow_mut() -= 1;
+                        link.consensus_in_flight.set(link.consensus_in_flight.get() - 1);
                     });
                 }
             }
@@ -84,7 +137,12 @@
 
 impl PeerClients {
     fn link(&self, address: SocketAddr) -> Rc<PeerLink> {
-        Rc::clone(self.links.borrow_mut().entry(address).or_default())
+        let mut links = self.links.borrow_mut();
+        let link = links.entry(address).or_default();
+        if *link.dead.borrow() {
+            *link = Rc::default();
+        }
+        Rc::clone(link)
     }
 
     /// Forgets a connection that broke, unless it was replaced meanwhile.
@@ -104,9 +162,14 @@
             let attempt = connect(address, &self.key, &self.instance);
             tokio::time::timeout(CONNECT_TIMEOUT, attempt).await.unwrap_or(Err(PeerError::Timeout))
         });
+        let fresh = link.session.get().is_none();
         let result = connected.await.cloned();
-        if result.is_err() {
-            self.forget(address, link);
+        match &result {
+            Err(_) => self.forget(address, link),
+            Ok(session) if fresh && !link.watched.replace(true) => {
+                spawn_local(watch_link(Rc::downgrade(link), session.clone()));
+            }
+            Ok(_) => {}
         }
         result
     }
@@ -120,17 +183,18 @@
             let response = request.send().promise.await?;
             Ok::<_, capnp::Error>(response.get()?.get_answer()?.to_vec())
         };
-        answer.await.map_err(|_| {
+        let answer = link.or_dead(answer).await;
+        if answer.is_err() {
             self.forget(address, &link);
-            PeerError::Broken
-        })
+        }
+        answer
     }
 
     async fn send_consensus(&self, address: SocketAddr, link: &Rc<PeerLink>, message: &[u8]) {
         let Ok(session) = self.session(address, link).await else { return };
         let mut request = session.consensus_request();
         request.get().set_message(message);
-        if request.send().promise.await.is_err() {
+        if link.or_dead(request.send().promise).await.is_err() {
             self.forget(address, link);
         }
     }
--- a/crates/daemon/src/peers/message.rs
+++ b/crates/daemon/src/peers/message.rs
@@ -90,6 +90,8 @@
     },
     /// To any daemon: what a home serves.
     Digest(HomeDigest),
+    /// To any daemon: is the connection alive?
+    Ping,
 }
 
 /// An answer.
--- a/crates/daemon/src/peers/server.rs
+++ b/crates/daemon/src/peers/server.rs
@@ -193,6 +193,7 @@
             None => PeerAnswer::RingFull,
         },
         PeerQuestion::Release { attempt, reason } => noted(shared.home.release(attempt, reason)),
+        PeerQuestion::Ping => PeerAnswer::Noted,
         PeerQuestion::Digest(digest) => {
             let now: MonotonicTime = shared.now();
             shared.digests.put(now, digest);
--- a/crates/request/src/life.rs
+++ b/crates/request/src/life.rs
@@ -281,13 +281,20 @@
                 }
                 ("no home could be reached".to_owned(), ErrorCode::Overloaded, Some(SHORT_WAIT))
             }
+            AttemptRefusal::Home(GrantRefusal::AllExcluded) => {
+                // All there are have failed it, each perhaps for a reason that has passed.
+                self.exclude.clear();
+                self.moved_homes += 1;
+                if self.moved_homes < MAX_MOVED_HOMES {
+                    self.ask(next, self.backoff());
+                    return;
+                }
+                let detail = "every endpoint that serves this has failed the request".to_owned();
+                (detail, ErrorCode::EndpointFailed, Some(SHORT_WAIT))
+            }
             AttemptRefusal::NoHome | AttemptRefusal::Home(GrantRefusal::NotServed) => {
-                let detail = if self.exclude.is_empty() {
-                    "no endpoint serves this at present"
-                } else {
-                    "every endpoint that serves this has failed the request"
-                };
-                (detail.to_owned(), ErrorCode::Overloaded, Some(Duration::from_secs(1)))
+                let detail = "no endpoint serves this at present".to_owned();
+                (detail, ErrorCode::Overloaded, Some(Duration::from_secs(1)))
             }
             AttemptRefusal::Home(GrantRefusal::TooBig { limit }) => (
                 format!("prompt and answer need more than the {limit} tokens of memory there are"),
--- a/crates/scheduler/src/ask.rs
+++ b/crates/scheduler/src/ask.rs
@@ -82,6 +82,8 @@
 pub enum GrantRefusal {
     /// No endpoint of this home serves it.
     NotServed,
+    /// Every endpoint of this home that serves it has failed this request already.
+    AllExcluded,
     /// It needs more memory than its endpoints may ever give.
     TooBig {
         /// The most that a request may need here.
--- a/crates/scheduler/src/dispatch.rs
+++ b/crates/scheduler/src/dispatch.rs
@@ -9,8 +9,9 @@
 
 use crate::ask::{GrantAsk, GrantRefusal, GrantedEndpoint, HomeCommand, PromptGrant, WorkTarget};
 use crate::config::LengthClass;
+use crate::endpoint::EndpointEntry;
 use crate::home::{GrantRecord, HomeScheduler};
-use crate::lane::{PlaceInAccount, WaitingPrompt};
+use crate::lane::{PlaceInAccount, PromptLane, WaitingPrompt};
 use crate::placement::{EngineReservation, Placement};
 
 /// The shortest and longest time that a refusal tells the caller to wait.
@@ -57,14 +58,7 @@
 
     fn refusal(&self, ask: &GrantAsk) -> Option<GrantRefusal> {
         let Some(limit) = self.capacity_for(ask) else {
-            let joining = |entry: &crate::endpoint::EndpointEntry| {
-                entry.serves(&ask.target) && entry.state != EndpointState::Leaving
-            };
-            // One that is joining or late with a heartbeat may serve it in a moment.
-            return match self.endpoints.values().any(joining) {
-                true => Some(GrantRefusal::Busy { retry_after: RETRY_BOUNDS.0 }),
-                false => Some(GrantRefusal::NotServed),
-            };
+            return Some(self.why_none_serves(ask));
         };
         if ask.need() > limit {
             return Some(GrantRefusal::TooBig { limit });
@@ -89,6 +83,39 @@
         None
     }
 
+    /// Says why no endpoint can ever take an ask.
+    fn why_none_serves(&self, ask: &GrantAsk) -> GrantRefusal {
+        let stays = |entry: &EndpointEntry| {
+            entry.serves(&ask.target) && entry.state != EndpointState::Leaving
+        };
+        match self.endpoints.values().any(stays) {
+            true => GrantRefusal::AllExcluded,
+            false => GrantRefusal::NotServed,
+        }
+    }
+
+    /// Refuses what waits and can be served no longer, after endpoints have gone.
+    pub(crate) fn refuse_hopeless(&mut self) {
+        let hopeless: Vec<(AttemptId, GrantRefusal)> = self
+            .lanes
+            .values()
+            .flat_map(PromptLane::prompts)
+            .filter_map(|prompt| {
+                let refusal = match self.capacity_for(&prompt.ask) {
+                    None => self.why_none_serves(&prompt.ask),
+                    Some(limit) if prompt.ask.need() > limit => GrantRefusal::TooBig { limit },
+                    Some(_) => return None,
+                };
+                Some((prompt.ask.attempt.clone(), refusal))
+            })
+            .collect();
+        for (attempt, refusal) in hopeless {
+            self.withdraw(&attempt);
+            self.counters.refused += 1;
+            self.commands.push(HomeCommand::Refuse { attempt, refusal });
+        }
+    }
+
     /// Returns an account's part of what waits, by its share among the accounts that wait.
     fn queue_part(&self, share: u32, queued: u64) -> u64 {
         let waiting = self.accounts.iter().filter(|(_, meter)| meter.queued > 0);
--- a/crates/scheduler/src/home.rs
+++ b/crates/scheduler/src/home.rs
@@ -128,10 +128,11 @@
                 entry.last_heartbeat = now;
             }
             _ => {
-                // Another life: whatever the earlier one held is gone with it.
-                self.forget_endpoint(id);
+                // Another life: whatever the earlier one held is gone with it. What waits may
+                // still be served by the new one.
                 let entry = EndpointEntry::new(announcement, role, now, usable_from);
                 self.endpoints.insert(id.clone(), entry);
+                self.drop_reservation_on(&announcement.endpoint);
                 self.inspect_due(now);
             }
         }
@@ -179,6 +180,7 @@
     ) -> Result<(), UnknownEndpoint> {
         self.known(endpoint, incarnation)?.state = EndpointState::Leaving;
         self.drop_reservation_on(endpoint);
+        self.refuse_hopeless();
         Ok(())
     }
 
@@ -363,6 +365,7 @@
     fn forget_endpoint(&mut self, id: &EndpointId) {
         if self.endpoints.remove(id).is_some() {
             self.drop_reservation_on(id);
+            self.refuse_hopeless();
         }
     }
 
--- a/crates/scheduler/src/lane.rs
+++ b/crates/scheduler/src/lane.rs
@@ -76,6 +76,11 @@
         }
     }
 
+    /// Returns all prompts.
+    pub(crate) fn prompts(&self) -> impl Iterator<Item = &WaitingPrompt> {
+        self.accounts.values().flat_map(|(_, prompts)| prompts.values())
+    }
+
     pub(crate) fn is_empty(&self) -> bool {
         self.accounts.is_empty()
     }
--- a/crates/scheduler/src/placement.rs
+++ b/crates/scheduler/src/placement.rs
@@ -28,20 +28,31 @@
 }
 
 impl HomeScheduler {
-    fn candidates<'a>(
+    /// Returns the endpoints that may serve an ask, now or in a moment.
+    fn eligible<'a>(
         &'a self,
         ask: &'a GrantAsk,
     ) -> impl Iterator<Item = (&'a EndpointId, &'a EndpointEntry)> {
         self.endpoints.iter().filter(move |(id, entry)| {
-            // A home that was frozen for a while has not aged its endpoints yet when it wakes,
-            // so the heartbeat's age is checked here as well.
-            entry.state == EndpointState::Live
-                && self.now.since(entry.last_heartbeat) < self.config.endpoint_suspect
+            entry.state != EndpointState::Leaving
                 && entry.serves(&ask.target)
                 && !ask.exclude.contains(id)
         })
     }
 
+    /// Returns the endpoints that can serve an ask now.
+    fn candidates<'a>(
+        &'a self,
+        ask: &'a GrantAsk,
+    ) -> impl Iterator<Item = (&'a EndpointId, &'a EndpointEntry)> {
+        // A home that was frozen for a while has not aged its endpoints yet when it wakes, so
+        // the heartbeat's age is checked here as well.
+        self.eligible(ask).filter(|(_, entry)| {
+            entry.state == EndpointState::Live
+                && self.now.since(entry.last_heartbeat) < self.config.endpoint_suspect
+        })
+    }
+
     /// Returns the room that an endpoint has for a prompt, less what is reserved for another.
     fn room_for(
         &self,
@@ -109,13 +120,13 @@
     /// Returns whether no single endpoint can ever take the prompt.
     fn needs_group(&self, ask: &GrantAsk, class: LengthClass) -> bool {
         let guard = self.config.short_guard_percent;
-        !self.candidates(ask).any(|(_, entry)| entry.capacity(class, guard) >= ask.need())
+        !self.eligible(ask).any(|(_, entry)| entry.capacity(class, guard) >= ask.need())
     }
 
     /// Returns the most endpoints of a group: one must stay free of it, so that short prompts
     /// of the model always have somewhere to go.
     fn group_limit(&self, ask: &GrantAsk) -> usize {
-        match self.candidates(ask).count() {
+        match self.eligible(ask).count() {
             0 | 1 => 1,
             count => count - 1,
         }
@@ -126,7 +137,7 @@
         let class = LengthClass::of(ask.prompt);
         let guard = self.config.short_guard_percent;
         let mut capacities: Vec<TokenCount> =
-            self.candidates(ask).map(|(_, entry)| entry.capacity(class, guard)).collect();
+            self.eligible(ask).map(|(_, entry)| entry.capacity(class, guard)).collect();
         if capacities.is_empty() {
             return None;
         }
