A member is named to callers only once it can serve; a returning one keeps its lease

Cause: (1) a restarted daemon joined and was removed at once, again and again: the leader counted its new lease from the last sign of life before it was away (seen as Join/Remove pairs every 500 ms in the log; ruled out: dead connections, which pings now find). (2) A restarted daemon was in the address answers as soon as its join was committed, before it knew that it was current. Change: a join counts as a sign of life; a daemon asks how far it must come, catches up, and only then joins; a claim made between two leases waits for the new one.

--- a/crates/daemon/src/entry/driver.rs
+++ b/crates/daemon/src/entry/driver.rs
@@ -37,6 +37,9 @@
 /// How long the commit of a claim may take.
 const CLAIM_PATIENCE: Duration = Duration::from_secs(5);
 
+/// The pause before a claim is tried with a new lease.
+const CLAIM_PAUSE: Duration = Duration::from_millis(50);
+
 /// Homes asked one after the other before their refusals are passed on.
 const MAX_HOMES_ASKED: usize = 3;
 
@@ -349,24 +352,8 @@
         let (shared, request) = (Arc::clone(&self.shared), Arc::clone(&self.request));
         let nonce = self.claim_nonce.clone();
         Box::pin(async move {
-            let claim = request.claim.as_ref().expect("only non-repeatable requests claim");
-            let left = request.deadline.since(shared.now());
-            let command = ClaimCommand {
-                account: request.account.clone(),
-                key: claim.key.clone(),
-                body_digest: claim.body_digest.clone(),
-                nonce,
-                entry: shared.id().clone(),
-                epoch: shared.lease_epoch(),
-                allowed_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
-            };
-            let question = PeerQuestion::Propose(ReplicatedCommand::Claim(command));
-            let patience = left.min(CLAIM_PATIENCE);
-            let answer = LeaderClient::default().ask(&shared, &question, patience).await;
-            DriverEvent::Claimed(match answer {
-                Ok(PeerAnswer::Proposed(Ok(ApplyOutcome::Claimed(answer)))) => Some(answer),
-                _ => None,
-            })
+            let until = request.deadline.min(shared.now() + CLAIM_PATIENCE);
+            DriverEvent::Claimed(claim_until(&shared, &request, &nonce, until).await)
         })
     }
 
@@ -428,6 +415,41 @@
     }
 }
 
+/// Claims a request; none where no answer came in time.
+async fn claim_until(
+    shared: &DaemonShared,
+    request: &EntryRequest,
+    nonce: &AttemptId,
+    until: MonotonicTime,
+) -> Option<ClaimAnswer> {
+    let claim = request.claim.as_ref().expect("only non-repeatable requests claim");
+    let allowed = request.deadline.since(shared.now());
+    loop {
+        let command = ClaimCommand {
+            account: request.account.clone(),
+            key: claim.key.clone(),
+            body_digest: claim.body_digest.clone(),
+            nonce: nonce.clone(),
+            entry: shared.id().clone(),
+            epoch: shared.lease_epoch(),
+            allowed_ms: u64::try_from(allowed.as_millis()).unwrap_or(u64::MAX),
+        };
+        let question = PeerQuestion::Propose(ReplicatedCommand::Claim(command));
+        let left = until.since(shared.now());
+        let answer = LeaderClient::default().ask(shared, &question, left).await;
+        match answer {
+            // This daemon's lease is being renewed; it knows the new one in a moment.
+            Ok(PeerAnswer::Proposed(Ok(ApplyOutcome::Claimed(ClaimAnswer::StaleEntry))))
+                if shared.now() + CLAIM_PAUSE < until =>
+            {
+                tokio::time::sleep(CLAIM_PAUSE).await;
+            }
+            Ok(PeerAnswer::Proposed(Ok(ApplyOutcome::Claimed(answer)))) => return Some(answer),
+            _ => return None,
+        }
+    }
+}
+
 /// Sends a prompt to its engines: the parts first, so that the leading engine can count on them.
 async fn send_prompt(
     shared: &DaemonShared,
--- a/crates/daemon/src/log/driver.rs
+++ b/crates/daemon/src/log/driver.rs
@@ -14,7 +14,7 @@
 };
 use oriolepass_schema::operator::KeyHash;
 use oriolepass_storage::LogStore;
-use oriolepass_units::{InstanceId, LeaderTerm, LogIndex, MonotonicTime};
+use oriolepass_units::{InstanceId, LeaderTerm, LeaseEpoch, LogIndex, MonotonicTime};
 use spdlog::info;
 
 use super::leases::MemberWatch;
@@ -237,7 +237,17 @@
             let _ = reply.send(Ok(lease));
             return;
         }
-        // It joins, or joins again; the next beat finds it. One proposal at a time is enough.
+        if !beat.join {
+            let lease = MemberLease { epoch: LeaseEpoch::ZERO, view_index: view.index() };
+            let _ = reply.send(Ok(lease));
+            return;
+        }
+        // It joins, or joins again; the next beat finds it. Its new lease counts from this sign
+        // of life: counted from the last one before it was away, it would end at once.
+        if let Some(duty) = &mut self.leader {
+            duty.watch.heard(now, &beat.record.instance, beat.applied);
+        }
+        // One proposal at a time is enough.
         let instance = beat.record.instance.clone();
         let asked = self.pending_joins.get(&instance);
         if asked.is_none_or(|at| now.since(*at) > Duration::from_millis(500)) {
--- a/crates/daemon/src/member.rs
+++ b/crates/daemon/src/member.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use oriolepass_config::{ConfigView, MemberRecord};
-use oriolepass_units::{AttemptId, InstanceId, MonotonicTime, ShardId};
+use oriolepass_units::{AttemptId, InstanceId, LeaseEpoch, MonotonicTime, ShardId};
 use spdlog::{info, warn};
 
 use crate::peers::{MemberBeat, MemberLease, PeerAnswer, PeerQuestion};
@@ -44,13 +44,16 @@
         let beat = MemberBeat {
             record: shared.member_record(),
             applied: mark.borrow_and_update().config_revision,
+            join: shared.freshness.is_current(shared.now()),
         };
         let sent = shared.now();
         let question = PeerQuestion::Beat(beat);
         match client.ask_once(shared, &question, period.max(BEAT_RETRY)).await {
             Ok(PeerAnswer::Lease(Ok(lease))) => {
                 take_lease(shared, sent, &lease).await;
-                let _ = tokio::time::timeout(period, mark.changed()).await;
+                // One that is no member yet joins at once.
+                let pause = if lease.epoch == LeaseEpoch::ZERO { BEAT_RETRY / 4 } else { period };
+                let _ = tokio::time::timeout(pause, mark.changed()).await;
             }
             Ok(_) => tokio::time::sleep(BEAT_RETRY / 2).await,
             Err(_) => {
@@ -70,7 +73,7 @@
 /// Takes a lease over once the view has come as far as the leader's.
 async fn take_lease(shared: &DaemonShared, sent: MonotonicTime, lease: &MemberLease) {
     let before = shared.epoch.swap(lease.epoch.0, Ordering::SeqCst);
-    if before != lease.epoch.0 {
+    if before != lease.epoch.0 && lease.epoch != LeaseEpoch::ZERO {
         info!("member", kv: { epoch = lease.epoch.0 });
     }
     let mut mark = shared.view.watch();
--- a/crates/daemon/src/member/leader.rs
+++ b/crates/daemon/src/member/leader.rs
@@ -114,6 +114,7 @@
         let beat = PeerQuestion::Beat(MemberBeat {
             record: shared.member_record(),
             applied: shared.view.mark().config_revision,
+            join: false,
         });
         let answers =
             voters.iter().map(|(instance, _)| ask_voter(shared, instance, &beat, VOTER_PATIENCE));
--- a/crates/daemon/src/peers/message.rs
+++ b/crates/daemon/src/peers/message.rs
@@ -17,6 +17,9 @@
     pub(crate) record: MemberRecord,
     /// The configuration's revision in force there.
     pub(crate) applied: ObjectRevision,
+    /// Whether it has caught up and wants to be a member. Before that it only asks how far it
+    /// has to come: a member is named to callers, so it must be able to serve them.
+    pub(crate) join: bool,
 }
 
 /// The leader's answer to a sign of life.
