Operators' command line, and the schema file held to the types both ways

Cause: operators drive the system only through remote calls described in one shared schema file. Change: openapi.json with every route, field and error code; tests that hold it to the route table, the message types and the codes in both directions; the oriolepass command line (apply with a dry-run difference, get, list, delete, history, audit with chain check, status, top, wait, drain, voters, hash-key), JSON output, stable exit codes, keys from file or environment only.

--- /dev/null
+++ b/crates/cli/src/arguments.rs
@@ -0,0 +1,171 @@
+//! The command line's grammar.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use bpaf::{OptionParser, Parser, construct, long, positional};
+use oriolepass_schema::operator::ObjectKind;
+use oriolepass_units::{InstanceId, ObjectRevision};
+
+/// What every command needs.
+#[derive(Debug, Clone)]
+pub(crate) struct CommonOptions {
+    /// Daemons to try, in order.
+    pub(crate) daemons: Vec<SocketAddr>,
+    /// The file with the key.
+    pub(crate) key_file: Option<PathBuf>,
+    /// Whether to print JSON.
+    pub(crate) json: bool,
+}
+
+/// A command.
+#[derive(Debug, Clone)]
+pub(crate) enum Command {
+    Apply { file: PathBuf, dry_run: bool, wait: bool },
+    Get { kind: ObjectKind, name: String },
+    List { kind: Option<ObjectKind> },
+    Delete { kind: ObjectKind, name: String },
+    History { kind: ObjectKind, name: String },
+    Audit { after: u64 },
+    Status,
+    Top,
+    Wait { revision: Option<ObjectRevision>, patience: Duration },
+    Drain { instance: InstanceId },
+    Voters { wanted: Vec<InstanceId> },
+    HashKey,
+}
+
+/// The whole command line.
+#[derive(Debug, Clone)]
+pub(crate) struct Arguments {
+    pub(crate) common: CommonOptions,
+    pub(crate) command: Command,
+}
+
+/// Parses the command line; prints help and ends the process where it has to.
+pub(crate) fn parse() -> Arguments {
+    options().run()
+}
+
+fn options() -> OptionParser<Arguments> {
+    let common = common();
+    let command = command();
+    construct!(Arguments { common, command })
+        .to_options()
+        .version(env!("CARGO_PKG_VERSION"))
+        .descr("Drives oriolepass by its remote calls")
+        .footer(
+            "Examples:\n  oriolepass --daemon 10.0.0.1:7001 --key-file key status\n  \
+             oriolepass apply accounts.json --dry-run\n  oriolepass apply accounts.json --wait\n\n\
+             The key comes from --key-file or from OPKEY in the environment, never from the \
+             arguments, which others on the machine can read. --daemon may be given several \
+             times, or as OPDAEMON in the environment.\n\nExit codes: 0 done, 1 refused, 2 wrong \
+             usage, 3 no answer or outcome unknown, 4 not yet.\n\nShell completion: oriolepass \
+             --bpaf-complete-style-bash (or -zsh, -fish).",
+        )
+}
+
+fn common() -> impl Parser<CommonOptions> {
+    let daemons = long("daemon")
+        .env("OPDAEMON")
+        .help("A daemon's address for operators; may be given several times")
+        .argument::<SocketAddr>("IP:PORT")
+        .many();
+    let key_file = long("key-file")
+        .help("A file with the operator's key")
+        .argument::<PathBuf>("FILE")
+        .optional();
+    let json = long("json").help("Print JSON for programs").switch();
+    construct!(CommonOptions { daemons, key_file, json })
+}
+
+fn kind() -> impl Parser<ObjectKind> {
+    positional::<ObjectKind>("KIND").help("team, account, model or pool")
+}
+
+fn name() -> impl Parser<String> {
+    positional::<String>("NAME").help("The object's name")
+}
+
+fn command() -> impl Parser<Command> {
+    let apply = {
+        let dry_run = long("dry-run").help("Show the differences and change nothing").switch();
+        let wait = long("wait").help("Wait until the changes are in force everywhere").switch();
+        let file = positional::<PathBuf>("FILE").help("Objects as JSON");
+        construct!(Command::Apply { dry_run, wait, file })
+            .to_options()
+            .descr("Bring objects to what a file says")
+            .command("apply")
+    };
+    let get = construct!(Command::Get { kind(), name() })
+        .to_options()
+        .descr("Show one object")
+        .command("get");
+    let list = {
+        let kind = kind().optional();
+        construct!(Command::List { kind })
+            .to_options()
+            .descr("List objects, of one kind or all")
+            .command("list")
+    };
+    let delete = construct!(Command::Delete { kind(), name() })
+        .to_options()
+        .descr("Remove an object")
+        .command("delete");
+    let history = construct!(Command::History { kind(), name() })
+        .to_options()
+        .descr("Show the changes of one object")
+        .command("history");
+    let audit = {
+        let after = long("after")
+            .help("Only records after this one")
+            .argument::<u64>("SEQUENCE")
+            .fallback(0);
+        construct!(Command::Audit { after })
+            .to_options()
+            .descr("List the audit trail and verify its chain")
+            .command("audit")
+    };
+    let status = bpaf::pure(Command::Status)
+        .to_options()
+        .descr("Show the leader, revisions, endpoints and memory at a glance")
+        .command("status");
+    let top = bpaf::pure(Command::Top)
+        .to_options()
+        .descr("Show the status again every second")
+        .command("top");
+    let wait = {
+        let patience = long("patience")
+            .help("How long to wait at most, in seconds")
+            .argument::<u64>("SECONDS")
+            .fallback(10)
+            .map(Duration::from_secs);
+        let revision = positional::<ObjectRevision>("REVISION").optional();
+        construct!(Command::Wait { patience, revision })
+            .to_options()
+            .descr("Wait until a revision is in force everywhere")
+            .command("wait")
+    };
+    let drain = {
+        let instance = positional::<InstanceId>("INSTANCE");
+        construct!(Command::Drain { instance })
+            .to_options()
+            .descr("Let a daemon leave gracefully")
+            .command("drain")
+    };
+    let voters = {
+        let wanted = positional::<InstanceId>("INSTANCE").some("name 1, 3 or 5 instances");
+        construct!(Command::Voters { wanted })
+            .to_options()
+            .descr("Say which instances should hold the log")
+            .command("voters")
+    };
+    let hash_key = bpaf::pure(Command::HashKey)
+        .to_options()
+        .descr("Print the hash of the key, for use in objects")
+        .command("hash-key");
+    construct!([
+        apply, get, list, delete, history, audit, status, top, wait, drain, voters, hash_key
+    ])
+}
--- a/crates/daemon/src/http/callers.rs
+++ b/crates/daemon/src/http/callers.rs
@@ -13,6 +13,8 @@
 use oriolepass_schema::operator::ObjectKind;
 use oriolepass_units::{AccountId, MonotonicTime};
 
+use oriolepass_schema::routes;
+
 use super::answer::{self, ROUTE_ERRORS, RouteError};
 use super::{HttpResponse, auth, completions, handler, services};
 use crate::shared::{DaemonShared, DrainPhase};
@@ -22,10 +24,14 @@
         for (status, code) in ROUTE_ERRORS {
             route.add_response_extender(status, RouteError(code));
         }
-        route.get("/v1/addresses").to_new_handler(handler(shared, addresses));
-        route.post("/v1/completions").to_new_handler(handler(shared, completions::complete));
-        route.post("/v1/chat/completions").to_new_handler(handler(shared, completions::chat));
-        route.post("/v1/services/*").to_new_handler(handler(shared, services::call));
+        route.get(routes::ADDRESSES.pattern).to_new_handler(handler(shared, addresses));
+        route
+            .post(routes::COMPLETIONS.pattern)
+            .to_new_handler(handler(shared, completions::complete));
+        route
+            .post(routes::CHAT_COMPLETIONS.pattern)
+            .to_new_handler(handler(shared, completions::chat));
+        route.post(routes::SERVICES.pattern).to_new_handler(handler(shared, services::call));
     })
 }
 
--- a/crates/daemon/src/http/endpoints.rs
+++ b/crates/daemon/src/http/endpoints.rs
@@ -12,6 +12,8 @@
 use oriolepass_schema::error::{ApiError, ErrorCode};
 use oriolepass_schema::operator::{ObjectKind, ObjectSpec, PoolRole};
 
+use oriolepass_schema::routes;
+
 use super::answer::{self, ROUTE_ERRORS, RouteError};
 use super::body::read_control_json;
 use super::{HttpResponse, auth, handler};
@@ -22,10 +24,10 @@
         for (status, code) in ROUTE_ERRORS {
             route.add_response_extender(status, RouteError(code));
         }
-        route.post("/v1/endpoints/announce").to_new_handler(handler(shared, announce));
-        route.post("/v1/endpoints/heartbeat").to_new_handler(handler(shared, heartbeat));
-        route.post("/v1/endpoints/cache-events").to_new_handler(handler(shared, cache_events));
-        route.post("/v1/endpoints/leave").to_new_handler(handler(shared, leave));
+        route.post(routes::ANNOUNCE.pattern).to_new_handler(handler(shared, announce));
+        route.post(routes::HEARTBEAT.pattern).to_new_handler(handler(shared, heartbeat));
+        route.post(routes::CACHE_EVENTS.pattern).to_new_handler(handler(shared, cache_events));
+        route.post(routes::LEAVE.pattern).to_new_handler(handler(shared, leave));
     })
 }
 
--- a/crates/daemon/src/http/operators.rs
+++ b/crates/daemon/src/http/operators.rs
@@ -18,6 +18,8 @@
 };
 use oriolepass_units::{InstanceId, ObjectRevision, TeamId};
 
+use oriolepass_schema::routes;
+
 use super::answer::{self, ROUTE_ERRORS, RouteError};
 use super::body::read_control_json;
 use super::{HttpResponse, auth, handler};
@@ -39,18 +41,18 @@
         for (status, code) in ROUTE_ERRORS {
             route.add_response_extender(status, RouteError(code));
         }
-        route.get("/health/live").to_new_handler(handler(shared, live));
-        route.get("/health/ready").to_new_handler(handler(shared, ready));
-        route.get("/metrics").to_new_handler(handler(shared, metrics));
-        route.get("/v1/schema").to_new_handler(handler(shared, schema));
-        route.get("/v1/objects").to_new_handler(handler(shared, objects));
-        route.get("/v1/objects/*").to_new_handler(handler(shared, object));
-        route.get("/v1/status").to_new_handler(handler(shared, status));
-        route.get("/v1/in-force").to_new_handler(handler(shared, in_force));
-        route.get("/v1/audit").to_new_handler(handler(shared, audit));
-        route.post("/v1/changes").to_new_handler(handler(shared, change));
-        route.post("/v1/drain").to_new_handler(handler(shared, drain));
-        route.post("/v1/voters").to_new_handler(handler(shared, voters));
+        route.get(routes::LIVE.pattern).to_new_handler(handler(shared, live));
+        route.get(routes::READY.pattern).to_new_handler(handler(shared, ready));
+        route.get(routes::METRICS.pattern).to_new_handler(handler(shared, metrics));
+        route.get(routes::SCHEMA.pattern).to_new_handler(handler(shared, schema));
+        route.get(routes::OBJECTS.pattern).to_new_handler(handler(shared, objects));
+        route.get(routes::OBJECT.pattern).to_new_handler(handler(shared, object));
+        route.get(routes::STATUS.pattern).to_new_handler(handler(shared, status));
+        route.get(routes::IN_FORCE.pattern).to_new_handler(handler(shared, in_force));
+        route.get(routes::AUDIT.pattern).to_new_handler(handler(shared, audit));
+        route.post(routes::CHANGES.pattern).to_new_handler(handler(shared, change));
+        route.post(routes::DRAIN.pattern).to_new_handler(handler(shared, drain));
+        route.post(routes::VOTERS.pattern).to_new_handler(handler(shared, voters));
     })
 }
 
--- a/crates/schema/src/lib.rs
+++ b/crates/schema/src/lib.rs
@@ -6,6 +6,7 @@
 //!   this package.
 //! * [`wire_capnp`]: the framing between daemons, generated from
 //!   `wire.capnp` and committed, so that the build needs no generator.
+//! * [`routes`]: every call of every listener.
 //! * [`error`]: the stable error codes that all of them share.
 //! * [`digest`]: the running digest that lets a receiver tell a whole answer from a cut one.
 //!
@@ -17,6 +18,7 @@
 pub mod endpoint;
 pub mod error;
 pub mod operator;
+pub mod routes;
 
 #[allow(missing_docs, unsafe_code, clippy::all, clippy::pedantic, unused_qualifications)]
 #[rustfmt::skip]
