--- a/crates/daemon/src/member.rs
+++ b/crates/daemon/src/member.rs
@@ -12,7 +12,7 @@
 use spdlog::{info, warn};
 
 use crate::peers::{MemberBeat, MemberLease, PeerAnswer, PeerQuestion};
-use crate::shared::DaemonShared;
+use crate::shared::{DaemonShared, DrainPhase};
 
 pub(crate) use leader::{LeaderClient, LeaderError};
 
@@ -44,7 +44,10 @@
         let beat = MemberBeat {
             record: shared.member_record(),
             applied: mark.borrow_and_update().config_revision,
-            join: shared.freshness.is_current(shared.now()),
+            // One that has left must not come back by its last beats: callers would be told to
+            // use it, and find nobody.
+            join: shared.freshness.is_current(shared.now())
+                && shared.drain_phase() == DrainPhase::Serving,
         };
         let sent = shared.now();
         let question = PeerQuestion::Beat(beat);
--- /dev/null
+++ b/crates/request/tests/world/deliver.rs
@@ -0,0 +1,435 @@
+//! What happens when something arrives.
+
+use std::time::Duration;
+
+use oriolepass_config::KeptAnswer;
+use oriolepass_request::{AttemptRefusal, RequestLife, SendFailure};
+use oriolepass_scheduler::{GrantRefusal, HomeCommand, ReleaseReason};
+use oriolepass_schema::endpoint::{AttemptCall, StreamLine};
+use oriolepass_schema::operator::PoolRole;
+use oriolepass_standin::StepEvent;
+use oriolepass_units::AttemptId;
+use rand::Rng;
+
+use super::endpoints::TestService;
+use super::requests::entry_name;
+use super::{Coverage, ENGINES, ENTRIES, Event, World};
+
+impl World {
+    /// Decides what the loss of a message means to whoever waits for it.
+    pub fn lose(&mut self, event: Event) {
+        match event {
+            // The asker's patience with a lost home ends some time.
+            Event::Ask { request, ask, .. } => {
+                let attempt = ask.attempt;
+                self.at(Duration::from_secs(1), Event::HomeLost { request, attempt });
+            }
+            Event::Answer { request, answer, .. } => {
+                let attempt = match answer {
+                    Ok(grant) => grant.attempt,
+                    Err((attempt, _)) => attempt,
+                };
+                self.at(Duration::from_secs(1), Event::HomeLost { request, attempt });
+            }
+            Event::Claimed { request, .. } => {
+                self.at(Duration::from_secs(2), Event::Claimed { request, answer: None });
+            }
+            // A lost piece of a connection breaks the connection.
+            Event::Line { request, line } => {
+                let attempt = line.attempt().clone();
+                self.break_stream(request, attempt);
+            }
+            Event::Send { request, call, .. } => self.break_stream(request, call.attempt),
+            Event::Call { request, attempt, .. }
+            | Event::ServiceAnswer { request, attempt, .. } => {
+                self.break_stream(request, attempt);
+            }
+            // The driver repeats a release for as long as the lease lasts.
+            Event::Release { home, attempt, reason } => {
+                self.at(Duration::from_millis(50), Event::Release { home, attempt, reason });
+            }
+            _ => {}
+        }
+    }
+
+    /// Breaks a connection. An engine drops what nobody reads any more.
+    fn break_stream(&mut self, request: usize, attempt: AttemptId) {
+        let failure = SendFailure::Broken;
+        for engine in 0..ENGINES {
+            let cancel = Event::Cancel { engine, attempt: attempt.clone() };
+            self.at(Duration::from_millis(2), cancel);
+        }
+        self.at(Duration::from_millis(2), Event::Broke { request, attempt, failure });
+    }
+
+    pub fn deliver(&mut self, event: Event, coverage: &mut Coverage) {
+        match event {
+            Event::Ask { home, request, ask } => {
+                if home == self.home {
+                    self.homes[home].ask(self.now, *ask);
+                    self.home_commands(home, coverage);
+                } else {
+                    let answer = Err((ask.attempt, GrantRefusal::NotHome));
+                    self.post(Event::Answer { request, home, answer }, coverage);
+                }
+            }
+            Event::Answer { request, home, answer } => {
+                self.answer(request, home, answer, coverage);
+            }
+            Event::HomeLost { request, attempt } => {
+                let next = self.fresh_attempt();
+                let lost = AttemptRefusal::HomeLost;
+                self.with_life(request, coverage, |life| life.refused(&attempt, &lost, next));
+            }
+            Event::Claimed { request, answer } => {
+                let next = self.fresh_attempt();
+                coverage.still_running +=
+                    u64::from(answer == Some(oriolepass_config::ClaimAnswer::StillRunning));
+                self.with_life(request, coverage, |life| match answer {
+                    Some(answer) => life.claim_answered(answer, next),
+                    None => life.claim_failed(),
+                });
+            }
+            Event::Started { home, attempt } => self.homes[home].started(self.now, &attempt),
+            Event::Release { home, attempt, reason } => {
+                self.homes[home].release(self.now, &attempt, reason);
+                self.home_commands(home, coverage);
+            }
+            Event::Part { engine, call } => {
+                if self.engines[engine].alive {
+                    let _ = self.engines[engine].model.hold_part(&call);
+                }
+            }
+            Event::Send { request, engine, incarnation, call } => {
+                self.arrive(request, engine, incarnation, &call, coverage);
+            }
+            Event::Line { request, line } => self.line(request, line, coverage),
+            Event::Broke { request, attempt, failure } => {
+                self.broke(request, &attempt, failure, coverage);
+            }
+            Event::Call { request, attempt, body } => {
+                self.service.run(&attempt, &body);
+                coverage.services_run += 1;
+                let text = format!("done {body}");
+                let kept = KeptAnswer::new(200, "text/plain".to_owned(), text.as_bytes());
+                let answer = Event::ServiceAnswer { request, attempt, kept, body: text };
+                self.post(answer, coverage);
+            }
+            Event::ServiceAnswer { request, attempt, kept, body } => {
+                self.with_life(request, coverage, |life| {
+                    life.service_answered(&attempt, &kept, &body);
+                });
+            }
+            // The plain service holds nothing that could be cancelled.
+            Event::Cancel { engine, .. } if engine >= ENGINES => {}
+            Event::Cancel { engine, attempt } => {
+                self.engines[engine].readers.remove(&attempt);
+                self.engines[engine].model.cancel(&attempt);
+            }
+            Event::Held { home, engine, asked, streams } => {
+                let endpoint = self.engines[engine].announcement(self.now).endpoint;
+                let before = self.homes[home].counters().cancelled_unexplained;
+                self.homes[home].held_streams(self.now, asked, &endpoint, &streams);
+                let after = self.homes[home].counters().cancelled_unexplained;
+                coverage.orphans_cancelled += after - before;
+                self.home_commands(home, coverage);
+            }
+            Event::Step { engine, incarnation } => self.step(engine, incarnation, coverage),
+            Event::Deadline { request } => {
+                let open = self.requests[request].outcome.is_none();
+                coverage.deadlines += u64::from(open && !self.requests[request].gone);
+                self.with_life(request, coverage, RequestLife::deadline_passed);
+            }
+        }
+    }
+
+    /// Tells a request's state machine something, unless its entry has died.
+    fn with_life(
+        &mut self,
+        number: usize,
+        coverage: &mut Coverage,
+        tell: impl FnOnce(&mut RequestLife),
+    ) {
+        if self.requests[number].gone {
+            return;
+        }
+        tell(&mut self.requests[number].life);
+        self.carry_out(number, coverage);
+    }
+
+    fn answer(
+        &mut self,
+        request: usize,
+        home: usize,
+        answer: Result<oriolepass_scheduler::PromptGrant, (AttemptId, GrantRefusal)>,
+        coverage: &mut Coverage,
+    ) {
+        let now = self.now;
+        match answer {
+            Ok(grant) => {
+                if !self.requests[request].gone && self.requests[request].outcome.is_none() {
+                    self.requests[request].home = Some(home);
+                }
+                self.with_life(request, coverage, |life| life.granted(now, grant));
+            }
+            Err((attempt, refusal)) => {
+                let next = self.fresh_attempt();
+                let refusal = AttemptRefusal::Home(refusal);
+                self.with_life(request, coverage, |life| life.refused(&attempt, &refusal, next));
+            }
+        }
+    }
+
+    fn arrive(
+        &mut self,
+        request: usize,
+        engine: usize,
+        incarnation: u64,
+        call: &AttemptCall,
+        coverage: &mut Coverage,
+    ) {
+        let target = &mut self.engines[engine];
+        if !target.alive {
+            let failure = SendFailure::NotConnected;
+            let attempt = call.attempt.clone();
+            self.post(Event::Broke { request, attempt, failure }, coverage);
+            return;
+        }
+        let _ = incarnation;
+        match target.model.submit(call) {
+            Ok(()) => {
+                target.readers.insert(call.attempt.clone(), request);
+                *target.began.entry(call.attempt.clone()).or_default() += 1;
+                self.start_stepping(engine);
+            }
+            Err(message) => {
+                let attempt = call.attempt.clone();
+                let line = StreamLine::Failed { attempt, ran: false, message };
+                self.post(Event::Line { request, line }, coverage);
+            }
+        }
+    }
+
+    fn start_stepping(&mut self, engine: usize) {
+        let target = &mut self.engines[engine];
+        if !target.stepping {
+            target.stepping = true;
+            let incarnation = target.incarnation;
+            self.at(Duration::from_millis(1), Event::Step { engine, incarnation });
+        }
+    }
+
+    fn step(&mut self, engine: usize, incarnation: u64, coverage: &mut Coverage) {
+        let target = &mut self.engines[engine];
+        if !target.alive || target.incarnation != incarnation {
+            return;
+        }
+        let step = target.model.step();
+        if target.model.is_idle() {
+            target.stepping = false;
+        } else {
+            self.at(step.duration, Event::Step { engine, incarnation });
+        }
+        for event in step.events {
+            let line = match event {
+                StepEvent::Token { attempt, index, text } => {
+                    StreamLine::Token { attempt, index, text }
+                }
+                StepEvent::Ended { attempt, tokens, digest } => {
+                    StreamLine::End { attempt, tokens, digest, finish_reason: "stop".into() }
+                }
+            };
+            let Some(reader) = self.engines[engine].readers.get(line.attempt()).copied() else {
+                continue;
+            };
+            // A connection keeps its order, so lines take the same time; some are doubled, and
+            // some reach a request that they do not belong to.
+            let doubled = !self.calm && self.random.random_bool(0.005);
+            let crossed = !self.calm && self.random.random_bool(0.005);
+            if doubled {
+                let copy = Event::Line { request: reader, line: line.clone() };
+                self.at(Duration::from_millis(40), copy);
+                coverage.late_lines += 1;
+            }
+            if crossed {
+                let other = self.random.random_range(0..self.requests.len());
+                self.at(
+                    Duration::from_millis(3),
+                    Event::Line { request: other, line: line.clone() },
+                );
+            }
+            let lost = !self.calm && self.random.random_bool(0.001);
+            if lost {
+                coverage.broken_streams += 1;
+                self.lose(Event::Line { request: reader, line });
+            } else {
+                self.at(Duration::from_millis(1), Event::Line { request: reader, line });
+            }
+        }
+    }
+
+    fn line(&mut self, request: usize, line: StreamLine, coverage: &mut Coverage) {
+        let next = self.fresh_attempt();
+        let allowed = self.budget.spend();
+        let before = self.requests[request].life.strays();
+        self.with_life(request, coverage, |life| life.line(line, || allowed, next));
+        coverage.strays += self.requests[request].life.strays() - before;
+    }
+
+    fn broke(
+        &mut self,
+        request: usize,
+        attempt: &AttemptId,
+        failure: SendFailure,
+        coverage: &mut Coverage,
+    ) {
+        if self.requests[request].life.attempt() != Some(attempt) {
+            return;
+        }
+        let next = self.fresh_attempt();
+        let allowed = self.budget.spend();
+        self.with_life(request, coverage, |life| life.broke(failure, || allowed, next));
+    }
+
+    /// Carries out what a home wants done.
+    pub fn home_commands(&mut self, home: usize, coverage: &mut Coverage) {
+        loop {
+            let commands = self.homes[home].take_commands();
+            if commands.is_empty() {
+                return;
+            }
+            for command in commands {
+                self.home_command(home, command, coverage);
+            }
+        }
+    }
+
+    fn home_command(&mut self, home: usize, command: HomeCommand, coverage: &mut Coverage) {
+        match command {
+            HomeCommand::Grant(grant) => {
+                let asker = self.asker_of(&grant.attempt);
+                match asker {
+                    Some(request) => {
+                        self.post(Event::Answer { request, home, answer: Ok(grant) }, coverage);
+                    }
+                    None => {
+                        let reason = ReleaseReason::NeverSent;
+                        self.homes[home].release(self.now, &grant.attempt, reason);
+                    }
+                }
+            }
+            HomeCommand::Refuse { attempt, refusal } => {
+                if let Some(request) = self.asker_of(&attempt) {
+                    let answer = Err((attempt, refusal));
+                    self.post(Event::Answer { request, home, answer }, coverage);
+                }
+            }
+            HomeCommand::Cancel { address, attempt, .. } => {
+                let engine = usize::from(address.port()) - 1;
+                if engine < ENGINES {
+                    self.post(Event::Cancel { engine, attempt }, coverage);
+                }
+            }
+            HomeCommand::Inspect { address, endpoint } => {
+                let engine = usize::from(address.port()) - 1;
+                if engine < ENGINES {
+                    if self.engines[engine].alive {
+                        let (asked, streams) = (self.now, self.engines[engine].model.held());
+                        self.post(Event::Held { home, engine, asked, streams }, coverage);
+                    }
+                } else {
+                    // The plain service holds nothing between calls.
+                    self.homes[home].held_streams(self.now, self.now, &endpoint, &[]);
+                }
+            }
+        }
+    }
+
+    fn asker_of(&self, attempt: &AttemptId) -> Option<usize> {
+        self.requests.iter().position(|r| r.life.attempt() == Some(attempt) && !r.gone)
+    }
+
+    /// What happens regularly: heartbeats, renewals, the homes' own ticks.
+    pub fn tick(&mut self, coverage: &mut Coverage) {
+        let (now, home) = (self.now, self.home);
+        for engine in 0..ENGINES {
+            self.engine_heartbeat(engine);
+        }
+        self.homes[home].announce(now, &TestService::announcement(), PoolRole::General);
+        for entry in 0..ENTRIES {
+            let attempts: Vec<AttemptId> = self
+                .requests
+                .iter()
+                .filter(|r| r.entry == entry && !r.gone && r.outcome.is_none())
+                .filter_map(|r| r.grant.as_ref().map(|grant| grant.attempt.clone()))
+                .collect();
+            let lost = !self.calm && self.random.random_bool(0.05);
+            if !lost {
+                self.homes[home].renew(now, &entry_name(entry), &attempts);
+            }
+        }
+        for home in 0..2 {
+            let before = self.homes[home].counters();
+            self.homes[home].tick(now);
+            let after = self.homes[home].counters();
+            coverage.expired_grants += after.expired_grants - before.expired_grants;
+            self.home_commands(home, coverage);
+        }
+    }
+
+    fn engine_heartbeat(&mut self, engine: usize) {
+        let (now, home) = (self.now, self.home);
+        let target = &mut self.engines[engine];
+        if !target.alive {
+            return;
+        }
+        let known = target.home == Some(home)
+            && self.homes[home].heartbeat(now, &target.heartbeat()).is_ok();
+        if known {
+            target.last_heartbeat = Some(now);
+            return;
+        }
+        // The old home may be dead or frozen and has not let it go.
+        let announcement = target.announcement(now);
+        self.homes[home].announce(now, &announcement, PoolRole::General);
+        target.home = Some(home);
+        target.last_heartbeat = Some(now);
+    }
+
+    pub fn kill_engine(&mut self, coverage: &mut Coverage) {
+        let victim = self.random.random_range(0..ENGINES);
+        if !self.engines[victim].alive {
+            return;
+        }
+        coverage.engine_deaths += 1;
+        self.note(|| format!("engine {victim} dies"));
+        let readers: Vec<_> = self.engines[victim].readers.clone().into_iter().collect();
+        self.engines[victim].die();
+        for (attempt, request) in readers {
+            let failure = SendFailure::Broken;
+            self.post(Event::Broke { request, attempt, failure }, coverage);
+        }
+    }
+
+    /// The home dies, or is cut off; the other one takes over with an empty ledger.
+    pub fn kill_home(&mut self, coverage: &mut Coverage) {
+        coverage.home_deaths += 1;
+        let old = self.home;
+        self.home = 1 - old;
+        self.note(|| format!("home {old} dies"));
+        self.homes[self.home] = super::home();
+        let stays = self.random.random_bool(0.5);
+        if !stays {
+            self.homes[old] = super::home();
+        }
+        // Whoever waited there finds out.
+        for number in 0..self.requests.len() {
+            let waits = self.requests[number].grant.is_none();
+            let attempt = self.requests[number].life.attempt().cloned();
+            if let Some(attempt) = attempt.filter(|_| waits) {
+                let lost = Event::HomeLost { request: number, attempt };
+                self.at(Duration::from_millis(800), lost);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/request/tests/world/mod.rs
@@ -0,0 +1,254 @@
+//! The world of the randomised run.
+
+mod checks;
+mod deliver;
+mod endpoints;
+mod requests;
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::time::Duration;
+
+use oriolepass_config::{ClaimAnswer, KeptAnswer, ReplicatedState};
+use oriolepass_request::RetryBudget;
+use oriolepass_scheduler::{
+    GrantAsk, GrantRefusal, HomeScheduler, PromptGrant, ReleaseReason, SchedulerConfig,
+};
+use oriolepass_schema::endpoint::{AttemptCall, HeldStream, PartCall, StreamLine};
+use oriolepass_units::{AttemptId, MonotonicTime};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+use endpoints::{TestEngine, TestService};
+use requests::TestRequest;
+
+/// How long things go wrong, and how long everything then has to settle.
+const STORM: Duration = Duration::from_secs(20);
+const CALM: Duration = Duration::from_secs(60);
+
+pub const ENGINES: usize = 3;
+pub const ENTRIES: usize = 2;
+
+macro_rules! coverage {
+    ($($name:ident),* $(,)?) => {
+        /// How often each thing that the run is meant to meet was met.
+        #[derive(Debug, Default)]
+        pub struct Coverage { $(pub $name: u64),* }
+
+        impl Coverage {
+            /// Fails when something never happened: a path that is not met is not tested.
+            pub fn assert_all_met(&self) {
+                $(assert!(self.$name > 0, "{} was never met", stringify!($name));)*
+            }
+        }
+
+        impl fmt::Display for Coverage {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                $(write!(f, "{} {}  ", stringify!($name), self.$name)?;)*
+                Ok(())
+            }
+        }
+    };
+}
+
+coverage!(
+    seeds,
+    admitted,
+    done,
+    kept,
+    failed_not_run,
+    failed_ran,
+    failed_unknown,
+    ended_with_entry,
+    resends,
+    still_running,
+    engine_deaths,
+    home_deaths,
+    entry_deaths,
+    callers_gone,
+    deadlines,
+    strays,
+    broken_streams,
+    lost_messages,
+    late_lines,
+    retried,
+    resumed,
+    groups,
+    claims_refused,
+    services_run,
+    orphans_cancelled,
+    expired_grants,
+);
+
+/// Something that arrives.
+#[derive(Debug)]
+pub enum Event {
+    Ask { home: usize, request: usize, ask: Box<GrantAsk> },
+    Answer { request: usize, home: usize, answer: Result<PromptGrant, (AttemptId, GrantRefusal)> },
+    HomeLost { request: usize, attempt: AttemptId },
+    Claimed { request: usize, answer: Option<ClaimAnswer> },
+    Started { home: usize, attempt: AttemptId },
+    Release { home: usize, attempt: AttemptId, reason: ReleaseReason },
+    Part { engine: usize, call: PartCall },
+    Send { request: usize, engine: usize, incarnation: u64, call: Box<AttemptCall> },
+    Line { request: usize, line: StreamLine },
+    Broke { request: usize, attempt: AttemptId, failure: oriolepass_request::SendFailure },
+    Call { request: usize, attempt: AttemptId, body: String },
+    ServiceAnswer { request: usize, attempt: AttemptId, kept: KeptAnswer, body: String },
+    Cancel { engine: usize, attempt: AttemptId },
+    Held { home: usize, engine: usize, asked: MonotonicTime, streams: Vec<HeldStream> },
+    Step { engine: usize, incarnation: u64 },
+    Deadline { request: usize },
+}
+
+pub struct World {
+    seed: u64,
+    random: StdRng,
+    now: MonotonicTime,
+    events: BTreeMap<(MonotonicTime, u64), Event>,
+    serial: u64,
+    state: ReplicatedState,
+    homes: [HomeScheduler; 2],
+    home: usize,
+    quorum: bool,
+    engines: Vec<TestEngine>,
+    service: TestService,
+    requests: Vec<TestRequest>,
+    entry_epochs: [u64; ENTRIES],
+    budget: RetryBudget,
+    attempts: u64,
+    calm: bool,
+    trace: bool,
+}
+
+fn home() -> HomeScheduler {
+    HomeScheduler::new(SchedulerConfig {
+        grant_lease: Duration::from_secs(2),
+        ..SchedulerConfig::default()
+    })
+}
+
+impl World {
+    pub fn new(seed: u64, trace: bool) -> Self {
+        let mut world = Self {
+            seed,
+            random: StdRng::seed_from_u64(seed),
+            now: MonotonicTime(1_000_000),
+            events: BTreeMap::new(),
+            serial: 0,
+            state: ReplicatedState::default(),
+            homes: [home(), home()],
+            home: 0,
+            quorum: true,
+            engines: (0..ENGINES).map(TestEngine::new).collect(),
+            service: TestService::new(),
+            requests: Vec::new(),
+            entry_epochs: [0; ENTRIES],
+            budget: RetryBudget::default(),
+            attempts: 0,
+            calm: false,
+            trace,
+        };
+        (0..ENTRIES).for_each(|entry| world.join_entry(entry));
+        world
+    }
+
+    fn note(&self, text: impl FnOnce() -> String) {
+        if self.trace {
+            println!("{:>10} {}", self.now.0, text());
+        }
+    }
+
+    fn fresh_attempt(&mut self) -> AttemptId {
+        self.attempts += 1;
+        format!("a-{}", self.attempts).parse().expect("a valid id")
+    }
+
+    /// Sends something, which arrives after a while, or never while things go wrong.
+    fn post(&mut self, event: Event, coverage: &mut Coverage) {
+        let lost = !self.calm && self.random.random_bool(0.02);
+        let droppable = !matches!(event, Event::Step { .. } | Event::Deadline { .. });
+        if lost && droppable {
+            coverage.lost_messages += 1;
+            self.lose(event);
+            return;
+        }
+        let slow = !self.calm && self.random.random_bool(0.03);
+        let micros = if slow {
+            self.random.random_range(50_000..3_000_000)
+        } else {
+            self.random.random_range(200..3_000)
+        };
+        self.at(Duration::from_micros(micros), event);
+    }
+
+    fn at(&mut self, after: Duration, event: Event) {
+        self.serial += 1;
+        self.events.insert((self.now + after, self.serial), event);
+    }
+
+    pub fn run(mut self, coverage: &mut Coverage) {
+        let storm_ends = self.now + STORM;
+        let all_ends = storm_ends + CALM;
+        let mut tick_due = self.now;
+        while self.now < all_ends {
+            if !self.calm && self.now >= storm_ends {
+                self.calm_down();
+            }
+            if self.now >= tick_due {
+                tick_due = self.now + Duration::from_millis(50);
+                self.tick(coverage);
+                if !self.calm {
+                    self.storm(coverage);
+                }
+            }
+            let next = self.events.first_key_value().map(|((at, _), _)| *at);
+            match next.filter(|at| *at <= tick_due) {
+                Some(at) => {
+                    self.now = self.now.max(at);
+                    let (_, event) = self.events.pop_first().expect("looked at");
+                    self.deliver(event, coverage);
+                }
+                None => self.now = tick_due,
+            }
+            if self.calm && self.settled() {
+                break;
+            }
+        }
+        self.check(coverage);
+        coverage.seeds += 1;
+    }
+
+    /// Ends the failures: everything that died comes back.
+    fn calm_down(&mut self) {
+        self.calm = true;
+        self.quorum = true;
+        for engine in &mut self.engines {
+            engine.revive();
+        }
+        for entry in 0..ENTRIES {
+            if self.entry_epochs[entry] == 0 {
+                self.join_entry(entry);
+            }
+        }
+    }
+
+    /// Lets something happen, good or bad.
+    fn storm(&mut self, coverage: &mut Coverage) {
+        match self.random.random_range(0..100) {
+            0..=29 => self.admit(coverage),
+            30..=36 => self.resend(coverage),
+            37..=38 => self.kill_engine(coverage),
+            39..=44 => {
+                let victim = self.random.random_range(0..ENGINES);
+                self.engines[victim].revive();
+            }
+            45 => self.kill_home(coverage),
+            46 => self.kill_entry(coverage),
+            47..=49 => self.caller_gone(coverage),
+            50..=51 => self.quorum = !self.quorum,
+            52..=54 => self.quorum = true,
+            _ => {}
+        }
+    }
+}
