Bench of the whole path, daemon as a process of its own; smaller open streams

Cause: added latency, processor time and memory of an open stream were not measured. Change: path_bench beside a caller that talks to the engine directly; boxed rare events, smaller read buffers towards endpoints.

--- a/crates/daemon/src/entry/client.rs
+++ b/crates/daemon/src/entry/client.rs
@@ -22,6 +22,10 @@
 /// How long a connection to an endpoint may take to come about.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Bytes read at a time from an endpoint. A stream trickles tokens of some tens of bytes, and
+/// there are thousands of streams.
+const READ_BUFFER: usize = 2_048;
+
 /// The longest answer of a plain service.
 const MAX_SERVICE_ANSWER: usize = 16 << 20;
 
@@ -57,8 +61,11 @@
             connector
         };
         Self {
-            pooled: Client::builder(TokioExecutor::new()).build(connector()),
+            pooled: Client::builder(TokioExecutor::new())
+                .http1_read_buf_exact_size(READ_BUFFER)
+                .build(connector()),
             single: Client::builder(TokioExecutor::new())
+                .http1_read_buf_exact_size(READ_BUFFER)
                 .pool_max_idle_per_host(0)
                 .retry_canceled_requests(false)
                 .build(connector()),
--- a/crates/daemon/src/entry/driver.rs
+++ b/crates/daemon/src/entry/driver.rs
@@ -32,7 +32,7 @@
 use crate::shared::DaemonShared;
 
 /// Pieces of an answer that may wait for a slow caller.
-const PIECES_AHEAD: usize = 64;
+const PIECES_AHEAD: usize = 32;
 
 /// How long the commit of a claim may take.
 const CLAIM_PATIENCE: Duration = Duration::from_secs(5);
@@ -75,13 +75,15 @@
 }
 
 /// What the caller's side is told.
+///
+/// A channel of these is allocated for every open stream, so the rare large ones are boxed.
 pub(crate) enum CallerEvent {
     /// The next piece of the answer.
     Piece(String),
     /// A plain service's answer, ahead of its only piece.
-    ServiceHead(KeptAnswer),
+    ServiceHead(Box<KeptAnswer>),
     /// The end.
-    Finished(RequestOutcome),
+    Finished(Box<RequestOutcome>),
 }
 
 /// Something that the request waited for.
@@ -220,7 +222,7 @@
             DriverEvent::Answered(Ok((attempt, kept, body))) => {
                 let own = self.life.attempt() == Some(&attempt);
                 if own {
-                    let _ = self.events.try_send(CallerEvent::ServiceHead(kept.clone()));
+                    let _ = self.events.try_send(CallerEvent::ServiceHead(Box::new(kept.clone())));
                 }
                 self.life.service_answered(&attempt, &kept, &body);
                 if !own {
@@ -345,7 +347,7 @@
     async fn finish(&mut self, outcome: RequestOutcome) {
         self.shared.metrics.requests.with_label_values(&[outcome.label()]).inc();
         let patience = self.shared.settings.limits.reader_timeout;
-        let _ = self.events.send_timeout(CallerEvent::Finished(outcome), patience).await;
+        let _ = self.events.send_timeout(CallerEvent::Finished(Box::new(outcome)), patience).await;
     }
 
     fn claim(&self) -> BoxFuture<'static, DriverEvent> {
--- a/crates/daemon/src/http/completions.rs
+++ b/crates/daemon/src/http/completions.rs
@@ -69,7 +69,9 @@
     drop(body);
     let first = events.recv().await;
     Ok(match first {
-        Some(CallerEvent::Finished(RequestOutcome::Failed(error))) => answer::error(&error),
+        Some(CallerEvent::Finished(outcome)) if matches!(*outcome, RequestOutcome::Failed(_)) => {
+            whole_answer(&frame, CallerEvent::Finished(outcome), events).await
+        }
         Some(first) if frame.options.stream => stream_answer(frame, first, events),
         Some(first) => whole_answer(&frame, first, events).await,
         None => answer::error(&lost()),
@@ -213,7 +215,7 @@
             CallerEvent::Piece(piece) => text.push_str(&piece),
             CallerEvent::ServiceHead(_) => {}
             CallerEvent::Finished(outcome) => {
-                return match end_of(outcome) {
+                return match end_of(*outcome) {
                     Ok((rest, end)) => {
                         text.push_str(&rest);
                         answer::json(&frame.end(text, &end))
@@ -256,7 +258,7 @@
     match event {
         CallerEvent::Piece(text) => (sse(&frame.piece(text, None)), false),
         CallerEvent::ServiceHead(_) => (Bytes::new(), false),
-        CallerEvent::Finished(outcome) => match end_of(outcome) {
+        CallerEvent::Finished(outcome) => match end_of(*outcome) {
             Ok((text, end)) => {
                 let mut bytes = sse(&frame.end(text, &end)).to_vec();
                 bytes.extend_from_slice(b"data: [DONE]\n\n");
--- a/crates/daemon/src/http/services.rs
+++ b/crates/daemon/src/http/services.rs
@@ -97,22 +97,32 @@
     let mut text = String::new();
     while let Some(event) = events.recv().await {
         match event {
-            CallerEvent::ServiceHead(kept) => head = Some(kept),
+            CallerEvent::ServiceHead(kept) => head = Some(*kept),
             CallerEvent::Piece(piece) => text.push_str(&piece),
-            CallerEvent::Finished(RequestOutcome::Failed(error)) => return Err(error),
-            CallerEvent::Finished(RequestOutcome::Kept(kept)) => {
-                let body = kept.body.unwrap_or_default();
-                return Ok(answer::raw(kept.status, &kept.content_type, body));
-            }
-            CallerEvent::Finished(RequestOutcome::Done { .. }) => {
-                let head = head.ok_or_else(lost)?;
-                return Ok(answer::raw(head.status, &head.content_type, text));
-            }
+            CallerEvent::Finished(outcome) => return answer_of(*outcome, head, text),
         }
     }
     Err(lost())
 }
 
+fn answer_of(
+    outcome: RequestOutcome,
+    head: Option<KeptAnswer>,
+    text: String,
+) -> Result<HttpResponse, ApiError> {
+    match outcome {
+        RequestOutcome::Failed(error) => Err(error),
+        RequestOutcome::Kept(kept) => {
+            let body = kept.body.unwrap_or_default();
+            Ok(answer::raw(kept.status, &kept.content_type, body))
+        }
+        RequestOutcome::Done { .. } => {
+            let head = head.ok_or_else(lost)?;
+            Ok(answer::raw(head.status, &head.content_type, text))
+        }
+    }
+}
+
 fn lost() -> ApiError {
     ApiError::new(ErrorCode::Internal, RanState::Unknown, "the call's task has ended")
 }
--- a/crates/standin/src/caller.rs
+++ b/crates/standin/src/caller.rs
@@ -6,7 +6,9 @@
 use http_body_util::BodyExt;
 use oriolepass_schema::caller::{AddressList, CompletionAnswer, PromptBody};
 use oriolepass_schema::digest::sha256_hex;
+use oriolepass_schema::endpoint::{AttemptCall, StreamLine};
 use oriolepass_schema::error::{ApiError, ErrorBody};
+use oriolepass_units::{AttemptId, TokenCount};
 
 use crate::answer::answer_text;
 use crate::http::{HttpClient, client, request, send};
@@ -119,6 +121,45 @@
         reader.finish(call, started)
     }
 
+    /// Sends a prompt to an engine without any system between, as the baseline of the benches.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no whole answer.
+    pub async fn complete_direct(
+        &self,
+        engine: SocketAddr,
+        attempt: AttemptId,
+        call: &CompletionRequest,
+    ) -> Result<CallerReply, CallerError> {
+        let started = Instant::now();
+        let body = AttemptCall {
+            attempt,
+            model: call.model.parse().map_err(|e| CallerError::Wrong(format!("{e}")))?,
+            prompt: call.prompt.clone(),
+            max_tokens: call.max_tokens,
+            reserved: call.prompt.tokens() + TokenCount(call.max_tokens),
+            priority: 3,
+            resume_from: 0,
+            resume_text: String::new(),
+            helpers: Vec::new(),
+        };
+        let body = serde_json::to_string(&body).expect("a plain message");
+        let sent = request(engine, "POST", "/v1/attempts", None, &[], body);
+        let connection = |error: String| CallerError::Connection(error);
+        let response =
+            self.client.request(sent).await.map_err(|error| connection(error.to_string()))?;
+        let mut reader = DirectReader::default();
+        let mut body = response.into_body();
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|error| connection(error.to_string()))?;
+            if let Ok(data) = frame.into_data() {
+                reader.push(&data, started);
+            }
+        }
+        reader.finish(call, started)
+    }
+
     /// Calls a plain service; `once` is the caller key of a call that must not be repeated.
     ///
     /// # Errors
@@ -167,6 +208,52 @@
     body.to_string()
 }
 
+/// Reads an engine's own stream.
+#[derive(Default)]
+struct DirectReader {
+    raw: Vec<u8>,
+    text: String,
+    first_token: Option<Duration>,
+    ended: bool,
+}
+
+impl DirectReader {
+    fn push(&mut self, data: &[u8], started: Instant) {
+        self.raw.extend_from_slice(data);
+        while let Some(length) = self.raw.windows(2).position(|pair| pair == b"\n\n") {
+            let event: Vec<u8> = self.raw.drain(..length + 2).collect();
+            let line = event[..length].strip_prefix(b"data: ").unwrap_or_default();
+            match serde_json::from_slice(line) {
+                Ok(StreamLine::Token { text, .. }) => {
+                    self.first_token.get_or_insert_with(|| started.elapsed());
+                    self.text.push_str(&text);
+                }
+                Ok(StreamLine::End { .. }) => self.ended = true,
+                _ => {}
+            }
+        }
+    }
+
+    fn finish(
+        self,
+        call: &CompletionRequest,
+        started: Instant,
+    ) -> Result<CallerReply, CallerError> {
+        if !self.ended {
+            return Err(CallerError::Truncated);
+        }
+        if self.text != answer_text(&call.prompt, call.max_tokens) {
+            return Err(CallerError::Wrong("another text".to_owned()));
+        }
+        Ok(CallerReply {
+            first_token: self.first_token.unwrap_or_default(),
+            total: started.elapsed(),
+            tokens: call.max_tokens,
+            attempts: 1,
+        })
+    }
+}
+
 /// Reads a stream of server-sent events.
 #[derive(Default)]
 struct StreamReader {
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -2,14 +2,16 @@
 //! services, operators and callers, all on loopback. Not shipped.
 //!
 //! [`Fleet`] starts them, with free ports and data folders of its own. [`OperatorClient`] makes
-//! the operators' calls. [`LatencyTable`] collects and prints times by length class.
+//! the operators' calls. [`DaemonProcess`] is one daemon as a process. [`LatencyTable`] collects and prints times by length class.
 
 mod fleet;
 mod operator;
+mod process;
 mod report;
 
 pub use fleet::{Fleet, FleetPlan};
 pub use operator::OperatorClient;
+pub use process::{DaemonProcess, ProcessUsage, process_usage};
 pub use report::{LatencyTable, text_prompt};
 
 /// The key of the root team in a [`Fleet`].
