Homes keep the same engines clear for short prompts, as many as they need

Cause: the experiment's load ignored what a step costs when empty, so 0.85 was 0.98 of what the engines can do; and engines were clear only by chance, so under load none was.

--- a/crates/experiment/src/lib.rs
+++ b/crates/experiment/src/lib.rs
@@ -21,4 +21,4 @@
 pub use farm::{EngineFarm, FarmEvent, engine_config};
 pub use homes::HomesPolicy;
 pub use mix::{Arrival, LoadMix};
-pub use run::{PolicyKind, PolicyResult, RunPlan, empty_first_token, run_policy};
+pub use run::{PolicyKind, PolicyResult, RunPlan, empty_first_token, engine_capacity, run_policy};
--- a/crates/experiment/src/mix.rs
+++ b/crates/experiment/src/mix.rs
@@ -72,10 +72,13 @@
         serde_json::from_str(&text).wrap_err_with(|| format!("{} is no mix", file.display()))
     }
 
-    /// Returns the mean length of a prompt in tokens.
-    pub fn mean_prompt(&self) -> f64 {
+    /// Returns the mean of a request's prompt and answer in tokens.
+    pub fn mean_work(&self) -> f64 {
         let total: f64 = self.classes.iter().map(|class| class.part).sum();
-        let mean = |class: &MixClass| class.part * (class.min + class.max) as f64 / 2.0;
+        let mean = |class: &MixClass| {
+            let bounds = class.min + class.max + class.answer_min + class.answer_max;
+            class.part * bounds as f64 / 2.0
+        };
         self.classes.iter().map(mean).sum::<f64>() / total
     }
 
--- a/crates/scheduler/src/config.rs
+++ b/crates/scheduler/src/config.rs
@@ -68,6 +68,11 @@
     pub unexplained_grace: Duration,
     /// The part of each engine's memory that only short prompts may use, in percent.
     pub short_guard_percent: u64,
+    /// How busy with short prompts the engines kept clear of longer ones should be, in percent.
+    pub clear_load_percent: u64,
+    /// Work of longer prompts that waits on the other engines before engines kept clear are
+    /// used as well.
+    pub spill_after: Duration,
     /// The cost of a token of answer, in tokens of prompt.
     pub answer_weight: u64,
     /// How long a prompt that does not fit waits before engines are reserved for it.
@@ -87,6 +92,8 @@
             inspect_every: Duration::from_secs(2),
             unexplained_grace: Duration::from_secs(1),
             short_guard_percent: 20,
+            clear_load_percent: 35,
+            spill_after: Duration::from_secs(10),
             answer_weight: 8,
             reserve_after: Duration::from_millis(500),
             queue_tokens_per_share: 20_000_000,
--- a/crates/scheduler/src/digest.rs
+++ b/crates/scheduler/src/digest.rs
@@ -9,7 +9,7 @@
 use crate::ask::{GrantAsk, WorkTarget};
 use crate::config::LengthClass;
 use crate::home::HomeScheduler;
-use crate::placement::backlog_micros;
+use crate::placement::short_wait_micros;
 
 /// Milliseconds that an entry prefers a home of its own data centre by.
 const DISTANCE_MS: u64 = 2;
@@ -64,7 +64,7 @@
                 *services.entry(service.clone()).or_default() += entry.free().0;
             }
             for model in &entry.models {
-                let wait = backlog_micros(entry, LengthClass::Short) / 1_000;
+                let wait = short_wait_micros(entry) / 1_000;
                 let digest = models.entry(model.clone()).or_insert_with(|| ModelDigest {
                     model: model.clone(),
                     engines: 0,
--- a/crates/scheduler/src/dispatch.rs
+++ b/crates/scheduler/src/dispatch.rs
@@ -52,6 +52,10 @@
             return;
         }
         let target = ask.target.clone();
+        let is_model = matches!(target, WorkTarget::Model(_));
+        if is_model && LengthClass::of(ask.prompt) == LengthClass::Short {
+            self.short_rate.add(ask.prompt.0);
+        }
         self.enqueue(now, ask);
         self.dispatch(now, &target);
     }
--- a/crates/scheduler/src/endpoint.rs
+++ b/crates/scheduler/src/endpoint.rs
@@ -155,6 +155,18 @@
         (blocks * PREFIX_BLOCK_TOKENS) as u64
     }
 
+    /// Returns whether a prompt above the short class runs here.
+    pub(crate) fn is_clear(&self) -> bool {
+        self.long_running == 0
+    }
+
+    /// Returns whether a prompt above the short class is being processed here, so that every
+    /// step is as long as a step can be.
+    pub(crate) fn processes_long(&self) -> bool {
+        let short = usize::from(LengthClass::Short.priority());
+        self.backlog[..short].iter().any(|tokens| *tokens > 0)
+    }
+
     /// Takes in cache events. After a gap nothing is known: what was cached may be gone.
     pub(crate) fn cache_events(&mut self, first_sequence: u64, changes: &[CacheChange]) {
         if self.next_cache_sequence.is_some_and(|expected| expected != first_sequence) {
--- a/crates/scheduler/src/home.rs
+++ b/crates/scheduler/src/home.rs
@@ -17,6 +17,7 @@
 use crate::fairness::AccountBook;
 use crate::lane::PromptLane;
 use crate::placement::EngineReservation;
+use crate::rate::ArrivalRate;
 
 /// How long another home may take to stop, in percent of the suspect time: its clock may be
 /// slower than this one's.
@@ -70,6 +71,8 @@
     pub(crate) next_place: u64,
     /// The time of the latest event.
     pub(crate) now: MonotonicTime,
+    /// Short prompts asked for.
+    pub(crate) short_rate: ArrivalRate,
 }
 
 impl HomeScheduler {
@@ -87,6 +90,7 @@
             counters: HomeCounters::default(),
             next_place: 0,
             now: MonotonicTime::ZERO,
+            short_rate: ArrivalRate::default(),
         }
     }
 
@@ -322,6 +326,7 @@
 
     /// Lets time pass: leases end, endpoints become suspect or are forgotten, asks expire.
     pub fn tick(&mut self, now: MonotonicTime) {
+        self.short_rate.tick(now);
         self.expire_grants(now);
         self.expire_holds(now);
         self.expire_waiting(now);
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -10,8 +10,9 @@
 //!   throw work away half-way.
 //! * Prompts wait in lanes by length. Within a lane, accounts are served by weighted fair
 //!   queueing over tokens of work, not over requests.
-//! * A short prompt goes where its first token is expected earliest; a long one is packed beside
-//!   other long ones. A part of every engine's memory is kept for short prompts.
+//! * A short prompt goes where its first token is expected earliest. Longer ones share engines
+//!   with each other as long as that leaves as many engines clear as the present short prompts
+//!   need. A part of every engine's memory is kept for short prompts.
 //! * Engines process shorter prompts first: the lane decides the priority.
 //! * A prompt that needs several engines gets all of them in one step. If it has waited long
 //!   enough, engines are reserved for it: what becomes free there is kept until it fits. There
@@ -31,6 +32,7 @@
 mod ledger;
 mod placement;
 mod prefix;
+mod rate;
 
 pub use ask::{
     GrantAsk, GrantRefusal, GrantedEndpoint, HomeCommand, PromptGrant, ReleaseReason, WorkTarget,
--- a/crates/scheduler/src/placement.rs
+++ b/crates/scheduler/src/placement.rs
@@ -1,5 +1,7 @@
 //! Where a prompt goes.
 
+use std::cmp::Reverse;
+
 use oriolepass_schema::operator::EndpointState;
 use oriolepass_units::{AttemptId, EndpointId, TokenCount};
 
@@ -96,25 +98,52 @@
 
     fn place_alone(&self, ask: &GrantAsk, class: LengthClass) -> Option<Placement> {
         let need = ask.need();
+        let kept_clear = self.kept_clear(ask, class);
         let (id, _) = self
             .candidates(ask)
             .filter(|(id, entry)| self.room_for(ask, class, id, entry) >= need)
-            .min_by_key(|(_, entry)| place_cost(ask, class, entry))?;
+            .min_by_key(|(id, entry)| (kept_clear.contains(id), place_cost(ask, class, entry)))?;
         Some(vec![(id.clone(), need)])
     }
 
+    /// Returns the engines that a prompt should leave to short ones.
+    ///
+    /// As many are kept clear as the present short prompts need, so the number moves with the
+    /// mix and is none when there are no short prompts. They are always the same ones, the first
+    /// by name: left to chance, each engine would get its long prompt in turn and none would
+    /// ever be clear. Work that piles up on the others spills over: an idle engine helps nobody.
+    fn kept_clear<'a>(&'a self, ask: &'a GrantAsk, class: LengthClass) -> Vec<&'a EndpointId> {
+        if class == LengthClass::Short || self.short_rate.tokens_per_second() == 0 {
+            return Vec::new();
+        }
+        let rate = self.candidates(ask).map(|(_, entry)| entry.prefill_rate).max().unwrap_or(1);
+        let for_each = (rate * self.config.clear_load_percent / 100).max(1);
+        let wanted = self.short_rate.tokens_per_second().div_ceil(for_each);
+        let wanted = usize::try_from(wanted).unwrap_or(usize::MAX);
+        let mut candidates = self.candidates(ask);
+        let kept: Vec<&EndpointId> = candidates.by_ref().take(wanted).map(|(id, _)| id).collect();
+        let backlog = |entry: &EndpointEntry| backlog_micros(entry, LengthClass::Huge);
+        let least = candidates.map(|(_, entry)| backlog(entry)).min();
+        let spill = u64::try_from(self.config.spill_after.as_micros()).unwrap_or(u64::MAX);
+        if least.is_some_and(|least| least < spill) { kept } else { Vec::new() }
+    }
+
     /// Chooses the fewest endpoints that together have room, if there are any now.
     fn place_group(&self, ask: &GrantAsk, class: LengthClass) -> Option<Placement> {
         if !self.needs_group(ask, class) {
             return None;
         }
         let limit = self.group_limit(ask);
-        let mut rooms: Vec<(TokenCount, &EndpointId)> = self
+        let kept_clear = self.kept_clear(ask, class);
+        let mut rooms: Vec<(bool, Reverse<TokenCount>, &EndpointId)> = self
             .candidates(ask)
-            .map(|(id, entry)| (self.room_for(ask, class, id, entry), id))
+            .map(|(id, entry)| {
+                let room = self.room_for(ask, class, id, entry);
+                (kept_clear.contains(&id), Reverse(room), id)
+            })
             .collect();
-        rooms.sort_by(|left, right| right.0.cmp(&left.0).then_with(|| left.1.cmp(right.1)));
-        split(ask.need(), rooms.into_iter().take(limit))
+        rooms.sort();
+        split(ask.need(), rooms.into_iter().take(limit).map(|(_, room, id)| (room.0, id)))
     }
 
     /// Returns whether no single endpoint can ever take the prompt.
@@ -192,19 +221,31 @@
     tokens.saturating_mul(1_000_000) / rate.max(1)
 }
 
-/// Microseconds that a short prompt is expected to lose beside one long prompt: its chunk of
-/// the batch is already under way, and each step takes longer.
-const LONG_NEIGHBOUR_MICROS: u64 = 20_000;
+/// Microseconds that a short prompt loses on average where a longer one is being processed: half
+/// of a full step is still to go.
+const LONG_STEP_MICROS: u64 = 30_000;
+
+/// Microseconds that a short prompt loses where a longer one only yields tokens.
+const LONG_STREAM_MICROS: u64 = 4_000;
+
+/// Returns the microseconds until a short prompt's own processing starts.
+pub(crate) fn short_wait_micros(entry: &EndpointEntry) -> u64 {
+    let neighbours = if entry.processes_long() {
+        LONG_STEP_MICROS
+    } else if entry.is_clear() {
+        0
+    } else {
+        LONG_STREAM_MICROS
+    };
+    backlog_micros(entry, LengthClass::Short).saturating_add(neighbours)
+}
 
 fn place_cost(ask: &GrantAsk, class: LengthClass, entry: &EndpointEntry) -> PlaceCost {
     let cached = entry.cached_tokens(&ask.prefix).min(ask.prompt.0.saturating_sub(1));
     let own = micros(ask.prompt.0 - cached, entry.prefill_rate);
-    let neighbours = match class {
-        LengthClass::Short => u64::from(entry.long_running) * LONG_NEIGHBOUR_MICROS,
-        _ => 0,
+    let wait = match class {
+        LengthClass::Short => short_wait_micros(entry),
+        _ => backlog_micros(entry, class),
     };
-    PlaceCost {
-        first_token: backlog_micros(entry, class).saturating_add(own).saturating_add(neighbours),
-        held: entry.held,
-    }
+    PlaceCost { first_token: wait.saturating_add(own), held: entry.held }
 }
