--- a/crates/daemon/src/home/duty.rs
+++ b/crates/daemon/src/home/duty.rs
@@ -41,6 +41,7 @@
         chores,
         view_seen: LogIndex::ZERO,
         ticks: 0,
+        served: false,
         shared: Arc::downgrade(shared),
     };
     std::thread::Builder::new().name("home".into()).spawn(move || duty.run(&inputs))
@@ -52,6 +53,8 @@
     chores: mpsc::Sender<HomeChore>,
     view_seen: LogIndex,
     ticks: u64,
+    /// Whether the last digest named anything.
+    served: bool,
     shared: Weak<DaemonShared>,
 }
 
@@ -119,12 +122,22 @@
         self.scheduler.tick(now);
         self.ticks += 1;
         if self.ticks.is_multiple_of(DIGEST_EVERY) {
-            let digest = self.scheduler.digest(shared.id(), shared.data_centre());
-            let _ = self.chores.try_send(HomeChore::Publish(digest));
+            self.publish(shared);
             self.report(shared);
         }
     }
 
+    /// Tells the others what this home serves. One that serves nothing says so once and is then
+    /// silent: at any size, only some daemons are homes.
+    fn publish(&mut self, shared: &DaemonShared) {
+        let digest = self.scheduler.digest(shared.id(), shared.data_centre());
+        let serves = !digest.models.is_empty() || !digest.services.is_empty();
+        let served = std::mem::replace(&mut self.served, serves);
+        if serves || served {
+            let _ = self.chores.try_send(HomeChore::Publish(digest));
+        }
+    }
+
     /// Takes over the accounts' shares, and lets go of endpoints whose home is elsewhere.
     fn take_over_view(&mut self, shared: &DaemonShared) {
         let accounts: Vec<_> = {
--- a/crates/daemon/src/http/answer.rs
+++ b/crates/daemon/src/http/answer.rs
@@ -56,6 +56,11 @@
 
 impl ResponseExtender<gotham::helpers::http::Body> for RouteError {
     fn extend(&self, state: &mut State, response: &mut HttpResponse) {
+        // gotham extends every response of the status, those of handlers included; what a
+        // handler says of a missing object must not turn into a missing call.
+        if response.headers().contains_key(ERROR_HEADER) {
+            return;
+        }
         let path = state.try_borrow::<gotham::hyper::Uri>().map_or("", |uri| uri.path());
         *response = error(&ApiError::not_run(self.0, format!("no such call: {path}")));
     }
--- a/crates/testbed/tests/whole_path.rs
+++ b/crates/testbed/tests/whole_path.rs
@@ -105,6 +105,8 @@
         assert_eq!(body["error"]["ran"], "no");
         assert!(!answer.body.contains("wrong-key"), "a key stands in an error");
     }
+    let missing = post(key, good.replace("oriole-large", "nobody") + "}").await;
+    assert!(missing.body.contains("there is no model nobody"), "{}", missing.body);
     let answer = get_text(address, "/v1/nothing").await.expect("an answer");
     assert_eq!(answer.status, 404);
     assert!(answer.body.contains("not_found"), "{}", answer.body);
@@ -321,3 +323,52 @@
     }
     wait_memory_free(&fleet).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn every_call_of_the_schema_is_served() {
+    let _one = ONE_FLEET.lock().await;
+    let fleet = Fleet::start(FleetPlan::default()).await.expect("a fleet");
+    let settings = fleet.settings(0);
+    for route in oriolepass_schema::routes::ROUTES {
+        let address = match route.listener {
+            oriolepass_schema::routes::RouteListener::Callers => settings.listen.callers,
+            oriolepass_schema::routes::RouteListener::Endpoints => settings.listen.endpoints,
+            oriolepass_schema::routes::RouteListener::Operators => settings.listen.operators,
+        };
+        let path = route.path.replace(['{', '}'], "");
+        let answer = call_json(address, route.method, &path, None, "{}".to_owned()).await;
+        let answer = answer.expect("an answer");
+        assert!(!answer.body.contains("no such call"), "{} {path}: {}", route.method, answer.body);
+        let other = if route.method == "GET" { "POST" } else { "GET" };
+        let answer = call_json(address, other, &path, None, "{}".to_owned()).await;
+        let answer = answer.expect("an answer");
+        assert_eq!(answer.status, 405, "{other} {path}: {}", answer.body);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn keys_stand_in_no_metric_error_or_answer() {
+    let _one = ONE_FLEET.lock().await;
+    let fleet = Fleet::start(FleetPlan::default()).await.expect("a fleet");
+    complete(&fleet, &call(900, 100, 2)).await.expect("a whole answer");
+    let operators = fleet.operators(0);
+    let mut pages = vec![get_text(operators, "/metrics").await.expect("a page").body];
+    for path in ["/v1/objects", "/v1/status", "/v1/audit"] {
+        let page = fleet.operator.call(operators, "GET", path, String::new()).await;
+        pages.push(page.expect("a page").body);
+        let refused = call_json(operators, "GET", path, Some("planted-key-7731"), String::new());
+        pages.push(refused.await.expect("an answer").body);
+    }
+    let keys = [
+        account_key(0),
+        oriolepass_testbed::ROOT_KEY.to_owned(),
+        oriolepass_testbed::POOL_KEY.to_owned(),
+        fleet.settings(0).cluster_key.clone(),
+        "planted-key-7731".to_owned(),
+    ];
+    for page in &pages {
+        for key in &keys {
+            assert!(!page.contains(key.as_str()), "a key stands in a page: {page:.200}");
+        }
+    }
+}
