--- a/crates/consensus/tests/harness/mod.rs
+++ b/crates/consensus/tests/harness/mod.rs
@@ -80,7 +80,8 @@
     dropped,
     duplicated,
     hand_overs,
-    torn_frames
+    torn_frames,
+    crashes_writing
 );
 
 struct Delivery {
@@ -184,6 +185,14 @@
             6..=30 => self.start(victim, coverage),
             31..=36 if count > 1 => self.cut(victim, coverage),
             37..=38 if self.plan.lose_disks => self.lose_disk(victim, coverage),
+            // One that is writing: what it has not synced is what it must not have promised.
+            226..=229 => {
+                let busy = (0..count).find(|node| self.nodes[*node].is_writing());
+                if let Some(node) = busy {
+                    self.crash(node, coverage);
+                    coverage.crashes_writing += 1;
+                }
+            }
             39 if self.plan.power_cut => {
                 (0..count).for_each(|node| self.crash(node, coverage));
                 coverage.power_cuts += 1;
@@ -203,11 +212,15 @@
 
     fn cut(&mut self, victim: usize, coverage: &mut Coverage) {
         let until = self.step + self.random.random_range(10..400);
-        let one_way = self.random.random_bool(0.4);
+        let one_way = self.random.random_bool(0.5);
+        let deaf = self.random.random_bool(0.5);
         self.note(|| format!("cut {} one_way {one_way} until {until}", self.nodes[victim].name));
         for other in (0..self.nodes.len()).filter(|other| *other != victim) {
-            self.cuts.insert((victim, other), until);
-            if !one_way {
+            // Cut off one way, it may still hear the others, or may still be heard by them.
+            if !one_way || !deaf {
+                self.cuts.insert((victim, other), until);
+            }
+            if !one_way || deaf {
                 self.cuts.insert((other, victim), until);
             }
         }
--- a/crates/consensus/tests/harness/node.rs
+++ b/crates/consensus/tests/harness/node.rs
@@ -86,6 +86,11 @@
         MonotonicTime::ZERO + true_time * self.rate / 1_000
     }
 
+    /// Returns whether something is not synced yet.
+    pub fn is_writing(&self) -> bool {
+        self.running.as_ref().is_some_and(|running| !running.batches.is_empty())
+    }
+
     /// Starts the node; returns whether a torn frame was cut.
     pub fn start(&mut self, true_time: Duration, fresh: u64) -> bool {
         let folder = DiskFolder::fake(self.disk.clone());
--- a/crates/testbed/src/fleet.rs
+++ b/crates/testbed/src/fleet.rs
@@ -234,6 +234,11 @@
         &self.settings[number]
     }
 
+    /// Returns a daemon's settings, to be changed before it is started again.
+    pub fn settings_mut(&mut self, number: usize) -> &mut DaemonSettings {
+        &mut self.settings[number]
+    }
+
     /// Returns where callers reach a daemon.
     pub fn callers(&self, number: usize) -> SocketAddr {
         self.settings[number].listen.callers
--- a/crates/testbed/tests/failures.rs
+++ b/crates/testbed/tests/failures.rs
@@ -250,6 +250,51 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_voter_moves_to_another_instance() {
+    let _one = ONE_FLEET.lock().await;
+    let plan =
+        FleetPlan { daemons_per_data_centre: 2, engines: 0, services: 0, ..FleetPlan::default() };
+    let mut fleet = Fleet::start(plan).await.expect("a fleet");
+    let before = fleet.operators(5);
+    fleet.operator.put(before, "v-1", "one", 0, model(1)).await.expect("accepted");
+    // Voter 2 is gone for good; daemon 3, so far without a disk, takes its place.
+    fleet.kill(2).await.expect("killed");
+    fleet.kill(3).await.expect("killed");
+    let folder = tempfile::tempdir().expect("a folder");
+    let own = fleet.settings(3).clone();
+    let settings = fleet.settings_mut(3);
+    settings.instance.data_folder = Some(folder.path().join("data"));
+    settings.voters[2] = oriolepass_settings::VoterAddress {
+        instance: own.instance.id.clone(),
+        peers: own.listen.peers,
+    };
+    fleet.restart(3).await.expect("restarted");
+    let wanted: Vec<InstanceId> =
+        [0, 1, 3].iter().map(|number| fleet.settings(*number).instance.id.clone()).collect();
+    let body = serde_json::json!({ "wanted": wanted }).to_string();
+    let mut answer = String::new();
+    for _ in 0..200 {
+        let sent = fleet.operator.call(before, "POST", "/v1/voters", body.clone()).await;
+        let done = sent.as_ref().is_ok_and(|answer| answer.status == 200);
+        answer = sent.map_or_else(|error| error.to_string(), |answer| answer.body);
+        if done {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    assert!(answer.contains("wanted"), "{answer}");
+    // Only if the new voter counts can one of the two old ones be missed.
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    fleet.kill(0).await.expect("killed");
+    let answer = fleet.operator.put(before, "v-2", "two", 0, model(1)).await.expect("accepted");
+    for number in [1, 3, 4, 5] {
+        let list = wait_revision(&fleet, number, answer.config_revision).await;
+        let wanted: BTreeSet<String> = ["one", "two"].map(str::to_owned).into();
+        assert!(wanted.is_subset(&names(&list)), "daemon {number} lost a change");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn without_a_quorum_prompts_go_on_and_confirmations_are_refused_as_not_run() {
     let _one = ONE_FLEET.lock().await;
