--- a/crates/consensus/tests/harness/mod.rs
+++ b/crates/consensus/tests/harness/mod.rs
@@ -73,6 +73,7 @@
     power_cuts,
     partitions,
     one_way_cuts,
+    pair_cuts,
     disks_lost,
     replaced_disks,
     snapshots_taken,
@@ -212,6 +213,14 @@
 
     fn cut(&mut self, victim: usize, coverage: &mut Coverage) {
         let until = self.step + self.random.random_range(10..400);
+        if self.random.random_bool(0.3) {
+            // Two do not reach each other, and both reach all others.
+            let other = (victim + self.random.random_range(1..self.nodes.len())) % self.nodes.len();
+            self.cuts.insert((victim, other), until);
+            self.cuts.insert((other, victim), until);
+            coverage.pair_cuts += 1;
+            return;
+        }
         let one_way = self.random.random_bool(0.5);
         let deaf = self.random.random_bool(0.5);
         self.note(|| format!("cut {} one_way {one_way} until {until}", self.nodes[victim].name));
--- /dev/null
+++ b/crates/consensus/tests/learner.rs
@@ -0,0 +1,104 @@
+//! A learner receives the log and counts in no quorum.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use oriolepass_consensus::{ConsensusConfig, ConsensusNode, DiskId, Envelope, NodeRole};
+use oriolepass_storage::RecoveredLog;
+use oriolepass_units::{InstanceId, MonotonicTime};
+
+const STEP: Duration = Duration::from_millis(5);
+
+fn name(number: usize) -> InstanceId {
+    format!("v{number}").parse().expect("a valid name")
+}
+
+/// Nodes whose messages arrive at once, unless one of the two is cut off.
+struct SmallCluster {
+    nodes: BTreeMap<InstanceId, ConsensusNode>,
+    cut: Vec<InstanceId>,
+    now: MonotonicTime,
+}
+
+impl SmallCluster {
+    fn new(voters: usize, all: usize) -> Self {
+        let first: Vec<InstanceId> = (0..voters).map(name).collect();
+        let now = MonotonicTime(1);
+        let node = |number: usize| {
+            let config = ConsensusConfig {
+                election: Duration::from_millis(200),
+                heartbeat: Duration::from_millis(30),
+                drift_percent: 10,
+                message_bytes: 4_096,
+                first_voters: first.clone(),
+                seed: number as u64,
+            };
+            let disk = DiskId(number as u64 + 1);
+            ConsensusNode::new(config, name(number), disk, RecoveredLog::default(), now)
+        };
+        let nodes = (0..all).map(|number| (name(number), node(number))).collect();
+        Self { nodes, cut: Vec::new(), now }
+    }
+
+    fn run(&mut self, steps: usize) {
+        for _ in 0..steps {
+            self.now = self.now + STEP;
+            let mut sent: Vec<Envelope> = Vec::new();
+            for node in self.nodes.values_mut() {
+                node.tick(self.now);
+                let output = node.take_output();
+                sent.extend(output.send);
+                if let Some(batch) = output.persist {
+                    node.persisted(batch.sequence);
+                    sent.extend(batch.send_after);
+                }
+            }
+            for envelope in sent {
+                let lost =
+                    self.cut.contains(&envelope.from.instance) || self.cut.contains(&envelope.to);
+                if !lost {
+                    let to = self.nodes.get_mut(&envelope.to).expect("a known node");
+                    to.receive(self.now, envelope);
+                }
+            }
+        }
+    }
+
+    fn leader(&self) -> InstanceId {
+        let leads = |node: &&ConsensusNode| node.role() == NodeRole::Leader;
+        self.nodes.values().find(leads).expect("a leader").id().instance.clone()
+    }
+}
+
+#[test]
+fn a_learner_counts_in_no_quorum() {
+    let mut cluster = SmallCluster::new(3, 4);
+    cluster.run(400);
+    let leader = cluster.leader();
+    let spare = name(3);
+    // The two other voters cannot be reached; the fourth instance learns.
+    let all: Vec<InstanceId> = (0..4).map(name).collect();
+    let node = cluster.nodes.get_mut(&leader).expect("the leader");
+    node.want_voters(all).expect("it leads");
+    let learns = |cluster: &SmallCluster| {
+        let voters = cluster.nodes[&leader].voters();
+        voters.learners.iter().any(|learner| learner.instance == spare)
+    };
+    for _ in 0..4_000 {
+        cluster.run(1);
+        if learns(&cluster) {
+            break;
+        }
+    }
+    assert!(learns(&cluster), "the spare never became a learner");
+    cluster.cut = (0..3).map(name).filter(|voter| *voter != leader).collect();
+    let before = cluster.nodes[&leader].commit();
+    let node = cluster.nodes.get_mut(&leader).expect("the leader");
+    let (index, _) = node.propose(Arc::from([1_u8])).expect("it leads");
+    cluster.run(20);
+    assert!(cluster.nodes[&spare].last_index() >= index, "the learner did not even receive it");
+    let commit = cluster.nodes[&leader].commit();
+    assert!(commit < index, "entry {index} counts as committed with one voter of three");
+    assert!(commit >= before);
+}
