--- a/crates/request/tests/world/checks.rs
+++ b/crates/request/tests/world/checks.rs
@@ -34,9 +34,16 @@
             let outcome = request.outcome.as_ref();
             let outcome = outcome.unwrap_or_else(|| panic!("seed {seed}: {number} never ended"));
             self.check_truth(number, &request.sent, outcome, coverage);
-            if let (RequestOutcome::Done { .. }, Some(prompt)) = (outcome, &request.prompt) {
+            if let Some(prompt) = &request.prompt {
                 let expected = answer_text(prompt, request.answer);
-                assert_eq!(request.delivered, expected, "seed {seed}: {number} got another text");
+                // However it ended, what it got is the beginning of its own answer.
+                assert!(
+                    expected.starts_with(&request.delivered),
+                    "seed {seed}: {number} got text that is not its own"
+                );
+                if matches!(outcome, RequestOutcome::Done { .. }) {
+                    assert_eq!(request.delivered, expected, "seed {seed}: {number} is not whole");
+                }
             }
         }
         self.check_once();
