--- a/crates/scheduler/src/dispatch.rs
+++ b/crates/scheduler/src/dispatch.rs
@@ -212,8 +212,8 @@
         self.serve_reservation(now);
         for class in LengthClass::ALL {
             while self.grant_next(now, target, class) {}
-            self.reserve_for_oldest(now, target, class);
         }
+        self.reserve_for_most_due(now);
     }
 
     /// Grants the next ask of a lane that fits; returns whether there was one.
@@ -261,22 +261,26 @@
         }
     }
 
-    /// Reserves engines for the first ask of a lane once it has waited long enough.
+    /// Reserves engines for the ask that is most due, once it has waited long enough.
     ///
     /// There is one reservation at a time. Two prompts that each hold a part of what the other
     /// needs can therefore not exist, and the one reserved for is sure to fit some day: every
-    /// grant that stands in its way has a deadline.
-    fn reserve_for_oldest(&mut self, now: MonotonicTime, target: &WorkTarget, class: LengthClass) {
-        if self.reservation.is_some() || class == LengthClass::Short {
+    /// grant that stands in its way has a deadline. Lanes compete for it by the virtual time of
+    /// their accounts: by lane or by age alone, a flood of medium prompts would always have one
+    /// that comes first, and a group of engines would never come together.
+    fn reserve_for_most_due(&mut self, now: MonotonicTime) {
+        if self.reservation.is_some() {
             return;
         }
-        let Some(lane) = self.lanes.get(&(target.clone(), class)) else { return };
-        let head = lane.accounts_in_order().find_map(|account| lane.head_of(account));
-        let Some((_, prompt)) = head.filter(|(_, prompt)| {
-            now.since(prompt.since) >= self.config.reserve_after && !self.at_own_limit(&prompt.ask)
-        }) else {
-            return;
-        };
+        let waited = |prompt: &WaitingPrompt| now.since(prompt.since) >= self.config.reserve_after;
+        let most_due = self
+            .lanes
+            .iter()
+            .filter(|((_, class), _)| *class != LengthClass::Short)
+            .filter_map(|(_, lane)| lane.first_head())
+            .filter(|(_, prompt)| waited(prompt) && !self.at_own_limit(&prompt.ask))
+            .min_by_key(|(at, prompt)| (*at, prompt.since));
+        let Some((_, prompt)) = most_due else { return };
         if let Some(members) = self.choose_reservation(&prompt.ask) {
             let attempt = prompt.ask.attempt.clone();
             self.reservation = Some(EngineReservation { attempt, members });
--- a/crates/scheduler/src/lane.rs
+++ b/crates/scheduler/src/lane.rs
@@ -47,6 +47,12 @@
         self.order.iter().map(|(_, account)| account)
     }
 
+    /// Returns the next prompt of the account that is due first, with that account's time.
+    pub(crate) fn first_head(&self) -> Option<(VirtualTime, &WaitingPrompt)> {
+        let (at, account) = self.order.first()?;
+        self.head_of(account).map(|(_, prompt)| (*at, prompt))
+    }
+
     /// Returns the next prompt of an account.
     pub(crate) fn head_of(&self, account: &AccountId) -> Option<(PlaceInAccount, &WaitingPrompt)> {
         let (_, prompts) = self.accounts.get(account)?;
