Chats are answered in their own shape; an operator's drain ends a process; leaves name the home

Cause: chat calls got the text shape, which callers' libraries do not read; draining by a remote call had no test on processes; a leave sent to another daemon than the home was lost without a word. Change: chat.completion and chat.completion.chunk with message and delta, in the schema both ways; the process test drains by a remote call; the answer to a leave names the home. Measured: the new tests pass; the schema tests hold 3 more types. Conclusion: the callers' side has the shapes it promised.

--- a/crates/daemon/src/http/completions.rs
+++ b/crates/daemon/src/http/completions.rs
@@ -11,12 +11,14 @@
 use oriolepass_request::RequestOutcome;
 use oriolepass_scheduler::WorkTarget;
 use oriolepass_schema::caller::{
-    AnswerProof, ChatCall, CompletionAnswer, CompletionCall, CompletionChoice, CompletionOptions,
-    DEFAULT_ANSWER_TOKENS, KeptCompletion, TokenUsage,
+    AnswerProof, ChatAnswer, ChatCall, ChatChoice, ChatDelta, ChatMessage, CompletionAnswer,
+    CompletionCall, CompletionChoice, CompletionOptions, DEFAULT_ANSWER_TOKENS, KeptCompletion,
+    TokenUsage,
 };
 use oriolepass_schema::digest::sha256_hex;
 use oriolepass_schema::error::{ApiError, ErrorBody, ErrorCode, RanState};
 use oriolepass_units::TokenCount;
+use serde::Serialize;
 use tokio::sync::mpsc;
 
 use super::body::{parse, read_caller_body};
@@ -27,14 +29,14 @@
 
 /// `POST /v1/completions`.
 pub(super) async fn complete(shared: Arc<DaemonShared>, mut state: State) -> (State, HttpResponse) {
-    let result = serve(&shared, &mut state, parse::<CompletionCall>).await;
+    let result = serve(&shared, &mut state, AnswerShape::Text, parse::<CompletionCall>).await;
     answered(state, result).await
 }
 
 /// `POST /v1/chat/completions`.
 pub(super) async fn chat(shared: Arc<DaemonShared>, mut state: State) -> (State, HttpResponse) {
     let read = |bytes: &[u8]| parse::<ChatCall>(bytes).map(CompletionCall::from);
-    let result = serve(&shared, &mut state, read).await;
+    let result = serve(&shared, &mut state, AnswerShape::Chat, read).await;
     answered(state, result).await
 }
 
@@ -52,6 +54,7 @@
 async fn serve(
     shared: &Arc<DaemonShared>,
     state: &mut State,
+    shape: AnswerShape,
     read: impl Fn(&[u8]) -> Result<CompletionCall, ApiError>,
 ) -> Result<HttpResponse, ApiError> {
     let admission = admit(shared, state)?;
@@ -60,6 +63,7 @@
     let body_digest = sha256_hex(&body.bytes);
     // The raw body is not needed any more; the prompt in `call` is counted by what it was.
     let frame = AnswerFrame {
+        shape,
         id: format!("req-{}", shared.fresh_attempt()),
         options: call.options.clone(),
         prompt_tokens: call.prompt.tokens(),
@@ -131,36 +135,76 @@
     })
 }
 
+/// The shape of an answer, after the call that it answers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum AnswerShape {
+    Text,
+    Chat,
+}
+
 /// What all pieces of one answer have in common.
 struct AnswerFrame {
+    shape: AnswerShape,
     id: String,
     options: CompletionOptions,
     prompt_tokens: TokenCount,
 }
 
-impl AnswerFrame {
-    fn piece(&self, text: String, finish_reason: Option<String>) -> CompletionAnswer {
-        CompletionAnswer {
-            id: self.id.clone(),
-            object: "text_completion".to_owned(),
-            model: self.options.model.clone(),
-            choices: vec![CompletionChoice { index: 0, text, finish_reason }],
-            usage: None,
-            oriolepass: None,
-        }
-    }
+/// A piece of an answer, or a whole one, in its shape.
+#[derive(Serialize)]
+#[serde(untagged)]
+enum ShapedAnswer {
+    Text(CompletionAnswer),
+    Chat(ChatAnswer),
+}
 
-    fn end(&self, text: String, end: &AnswerEnd) -> CompletionAnswer {
-        let mut piece = self.piece(text, Some(end.finish_reason.clone()));
-        piece.usage =
-            Some(TokenUsage { prompt_tokens: self.prompt_tokens, completion_tokens: end.tokens });
-        piece.oriolepass = Some(AnswerProof {
+impl AnswerFrame {
+    /// Shapes a text; `end` is there with the last one.
+    fn shape(&self, text: String, end: Option<&AnswerEnd>) -> ShapedAnswer {
+        let finish_reason = end.map(|end| end.finish_reason.clone());
+        let usage = end.map(|end| TokenUsage {
+            prompt_tokens: self.prompt_tokens,
+            completion_tokens: end.tokens,
+        });
+        let proof = end.map(|end| AnswerProof {
             digest: end.digest.clone(),
             attempts: end.attempts,
             ran: RanState::Yes,
             kept: end.kept,
         });
-        piece
+        let (id, model) = (self.id.clone(), self.options.model.clone());
+        match self.shape {
+            AnswerShape::Text => ShapedAnswer::Text(CompletionAnswer {
+                id,
+                object: "text_completion".to_owned(),
+                model,
+                choices: vec![CompletionChoice { index: 0, text, finish_reason }],
+                usage,
+                oriolepass: proof,
+            }),
+            AnswerShape::Chat => ShapedAnswer::Chat(ChatAnswer {
+                id,
+                object: self.chat_object().to_owned(),
+                model,
+                choices: vec![self.chat_choice(text, finish_reason)],
+                usage,
+                oriolepass: proof,
+            }),
+        }
+    }
+
+    fn chat_object(&self) -> &'static str {
+        if self.options.stream { "chat.completion.chunk" } else { "chat.completion" }
+    }
+
+    fn chat_choice(&self, content: String, finish_reason: Option<String>) -> ChatChoice {
+        let role = "assistant".to_owned();
+        let (message, delta) = if self.options.stream {
+            (None, Some(ChatDelta { role, content }))
+        } else {
+            (Some(ChatMessage { role, content }), None)
+        };
+        ChatChoice { index: 0, message, delta, finish_reason }
     }
 }
 
@@ -218,7 +262,7 @@
                 return match end_of(*outcome) {
                     Ok((rest, end)) => {
                         text.push_str(&rest);
-                        answer::json(&frame.end(text, &end))
+                        answer::json(&frame.shape(text, Some(&end)))
                     }
                     Err(error) => answer::error(&error),
                 };
@@ -256,11 +300,11 @@
 /// Writes an event; returns whether it is the last.
 fn encode_event(frame: &AnswerFrame, event: CallerEvent) -> (Bytes, bool) {
     match event {
-        CallerEvent::Piece(text) => (sse(&frame.piece(text, None)), false),
+        CallerEvent::Piece(text) => (sse(&frame.shape(text, None)), false),
         CallerEvent::ServiceHead(_) => (Bytes::new(), false),
         CallerEvent::Finished(outcome) => match end_of(*outcome) {
             Ok((text, end)) => {
-                let mut bytes = sse(&frame.end(text, &end)).to_vec();
+                let mut bytes = sse(&frame.shape(text, Some(&end))).to_vec();
                 bytes.extend_from_slice(b"data: [DONE]\n\n");
                 (bytes.into(), true)
             }
@@ -269,7 +313,7 @@
     }
 }
 
-fn sse<T: serde::Serialize>(value: &T) -> Bytes {
+fn sse<T: Serialize>(value: &T) -> Bytes {
     let mut bytes = b"data: ".to_vec();
     serde_json::to_writer(&mut bytes, value).expect("an answer always serialises");
     bytes.extend_from_slice(b"\n\n");
--- a/crates/daemon/src/http/endpoints.rs
+++ b/crates/daemon/src/http/endpoints.rs
@@ -106,8 +106,10 @@
     let result = async {
         pool_role(&shared, &state)?;
         let leave: EndpointLeave = read_control_json(&shared, &mut state).await?;
+        // Whoever is asked by mistake names the home, which is the one that has to know.
+        let home = moved_home(&shared, &leave.endpoint);
         let accepted = shared.home.leave(leave).await;
-        Ok(answer::json(&HeartbeatAnswer { accepted, released: false, home: None }))
+        Ok(answer::json(&HeartbeatAnswer { accepted, released: false, home }))
     };
     let response = result.await.unwrap_or_else(|error: ApiError| answer::error(&error));
     (state, response)
--- a/crates/daemon/tests/processes.rs
+++ b/crates/daemon/tests/processes.rs
@@ -209,6 +209,13 @@
     daemons.complete(1, 4).await;
     let log = log_of(daemons.folder.path(), 0);
     assert!(log.contains("drained"), "{log}");
+    // An operator lets another one leave by a remote call to any daemon.
+    let body = "{\"instance\":\"a1\"}".to_owned();
+    let told = call_json(daemons.operators(2), "POST", "/v1/drain", Some(ROOT_KEY), body).await;
+    assert_eq!(told.expect("an answer").status, 200);
+    let mut drained = daemons.children[1].take().expect("it runs");
+    let status = drained.wait().expect("ended");
+    assert_eq!(status.code(), Some(0), "{}", log_of(daemons.folder.path(), 1));
     for (number, key) in [(0, ROOT_KEY), (1, POOL_KEY), (2, ACCOUNT_KEY)] {
         assert!(!log_of(daemons.folder.path(), number).contains(key), "a key stands in a log");
     }
--- a/crates/schema/src/caller.rs
+++ b/crates/schema/src/caller.rs
@@ -172,6 +172,49 @@
     pub oriolepass: Option<AnswerProof>,
 }
 
+/// The next piece of a chat's answer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ChatDelta {
+    /// Who speaks; the system always answers as the assistant.
+    pub role: String,
+    /// The text.
+    pub content: String,
+}
+
+/// One choice of a chat's answer: a whole message, or the next piece of one.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ChatChoice {
+    /// Always 0.
+    pub index: u32,
+    /// The whole message, where the answer is not streamed.
+    #[serde(skip_serializing_if = "Option::is_none", default)]
+    pub message: Option<ChatMessage>,
+    /// The next piece, where it is.
+    #[serde(skip_serializing_if = "Option::is_none", default)]
+    pub delta: Option<ChatDelta>,
+    /// Why the answer ended; absent while it goes on.
+    pub finish_reason: Option<String>,
+}
+
+/// A chat's answer, or one piece of a streamed one.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ChatAnswer {
+    /// The request's id.
+    pub id: String,
+    /// The kind of object, as callers' libraries expect.
+    pub object: String,
+    /// The model.
+    pub model: ModelId,
+    /// The message or its piece.
+    pub choices: Vec<ChatChoice>,
+    /// Present in a whole answer and in the last piece of a stream.
+    #[serde(skip_serializing_if = "Option::is_none", default)]
+    pub usage: Option<TokenUsage>,
+    /// Present in a whole answer and in the last piece of a stream.
+    #[serde(skip_serializing_if = "Option::is_none", default)]
+    pub oriolepass: Option<AnswerProof>,
+}
+
 /// A completion as it is kept for resends.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct KeptCompletion {
--- a/crates/schema/tests/openapi.rs
+++ b/crates/schema/tests/openapi.rs
@@ -4,8 +4,9 @@
 
 use oriolepass_schema::OPENAPI_JSON;
 use oriolepass_schema::caller::{
-    AddressList, AnswerProof, ChatCall, ChatMessage, CompletionAnswer, CompletionCall,
-    CompletionChoice, CompletionOptions, EntryAddress, PromptBody, RequestPriority, TokenUsage,
+    AddressList, AnswerProof, ChatAnswer, ChatCall, ChatChoice, ChatDelta, ChatMessage,
+    CompletionAnswer, CompletionCall, CompletionChoice, CompletionOptions, EntryAddress,
+    PromptBody, RequestPriority, TokenUsage,
 };
 use oriolepass_schema::endpoint::{
     AnnouncementAnswer, CacheChange, CacheEvents, EndpointAnnouncement, EndpointHeartbeat,
@@ -100,6 +101,7 @@
     let choice = CompletionChoice { index: 0, text: "x".into(), finish_reason: None };
     let usage = TokenUsage { prompt_tokens: TokenCount(1), completion_tokens: TokenCount(1) };
     let proof = AnswerProof { digest: "d".into(), attempts: 1, ran: RanState::Yes, kept: false };
+    chats(add, &usage, &proof);
     add("CompletionChoice", json(&choice));
     add("TokenUsage", json(&usage));
     add("AnswerProof", json(&proof));
@@ -126,6 +128,30 @@
     add("ErrorBody", json(&ErrorBody { error }));
 }
 
+fn chats(add: &mut impl FnMut(&'static str, Value), usage: &TokenUsage, proof: &AnswerProof) {
+    let (role, content) = ("assistant".to_owned(), "hi".to_owned());
+    let delta = ChatDelta { role: role.clone(), content: content.clone() };
+    add("ChatDelta", json(&delta));
+    let choice = ChatChoice {
+        index: 0,
+        message: Some(ChatMessage { role, content }),
+        delta: Some(delta),
+        finish_reason: None,
+    };
+    add("ChatChoice", json(&choice));
+    add(
+        "ChatAnswer",
+        json(&ChatAnswer {
+            id: "r".into(),
+            object: "o".into(),
+            model: id(),
+            choices: vec![choice],
+            usage: Some(usage.clone()),
+            oriolepass: Some(proof.clone()),
+        }),
+    );
+}
+
 fn endpoints(add: &mut impl FnMut(&'static str, Value)) {
     let address = "127.0.0.1:1".parse().expect("an address");
     let engine = EndpointKind::Engine {
--- a/crates/testbed/tests/whole_path.rs
+++ b/crates/testbed/tests/whole_path.rs
@@ -113,6 +113,40 @@
     wait_memory_free(&fleet).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn chats_are_answered_in_their_own_shape() {
+    let _one = ONE_FLEET.lock().await;
+    let fleet = Fleet::start(FleetPlan::default()).await.expect("a fleet");
+    let call = |stream: bool| {
+        let message = serde_json::json!({"role": "user", "content": "olá"});
+        let body = serde_json::json!({
+            "model": MODEL, "messages": [message], "max_tokens": 3, "stream": stream
+        });
+        let (address, key) = (fleet.callers(0), account_key(0));
+        async move {
+            let path = "/v1/chat/completions";
+            call_json(address, "POST", path, Some(&key), body.to_string()).await.expect("an answer")
+        }
+    };
+    let whole: serde_json::Value = serde_json::from_str(&call(false).await.body).expect("JSON");
+    assert_eq!(whole["object"], "chat.completion");
+    let text = whole["choices"][0]["message"]["content"].as_str().expect("a message").to_owned();
+    assert_eq!(whole["choices"][0]["finish_reason"], "stop");
+    let stream = call(true).await.body;
+    let pieces: Vec<serde_json::Value> = stream
+        .lines()
+        .filter_map(|line| line.strip_prefix("data: "))
+        .filter(|data| *data != "[DONE]")
+        .map(|data| serde_json::from_str(data).expect("JSON"))
+        .collect();
+    let joined: String = pieces
+        .iter()
+        .filter_map(|piece| piece["choices"][0]["delta"]["content"].as_str())
+        .collect();
+    assert_eq!(joined, text, "the same prompt gets the same answer from the stand-in");
+    assert!(stream.trim_end().ends_with("data: [DONE]"));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn damaged_answers_are_never_passed_off_as_whole() {
     let _one = ONE_FLEET.lock().await;
