Seeded runs share one package; the slope of claims is measured

Cause: the two randomised runs had their seeds and coverage twice; the memory of claims was not on the capacity page. Change: crates/seeds (not shipped); a table of claims in the capacity example.

--- a/crates/consensus/tests/harness/mod.rs
+++ b/crates/consensus/tests/harness/mod.rs
@@ -4,7 +4,6 @@
 mod node;
 
 use std::collections::BTreeMap;
-use std::fmt;
 use std::time::Duration;
 
 use oriolepass_consensus::{Envelope, NodeRole};
@@ -43,30 +42,7 @@
     }
 }
 
-macro_rules! coverage {
-    ($($name:ident),*) => {
-        /// How often each thing that the run is meant to meet was met.
-        #[derive(Debug, Default)]
-        pub struct Coverage { $(pub $name: u64),* }
-
-        impl Coverage {
-            /// Fails when something that the run is meant to meet never happened: a run that
-            /// does not meet a failure proves nothing about it.
-            pub fn assert_all_met(&self) {
-                $(assert!(self.$name > 0, "{} was never met", stringify!($name));)*
-            }
-        }
-
-        impl fmt::Display for Coverage {
-            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-                $(write!(f, "{} {}  ", stringify!($name), self.$name)?;)*
-                Ok(())
-            }
-        }
-    };
-}
-
-coverage!(
+oriolepass_seeds::coverage!(
     seeds,
     leaders,
     accepted,
--- a/crates/request/tests/world/mod.rs
+++ b/crates/request/tests/world/mod.rs
@@ -6,7 +6,6 @@
 mod requests;
 
 use std::collections::BTreeMap;
-use std::fmt;
 use std::time::Duration;
 
 use oriolepass_config::{ClaimAnswer, KeptAnswer, ReplicatedState};
@@ -29,29 +28,7 @@
 pub const ENGINES: usize = 3;
 pub const ENTRIES: usize = 2;
 
-macro_rules! coverage {
-    ($($name:ident),* $(,)?) => {
-        /// How often each thing that the run is meant to meet was met.
-        #[derive(Debug, Default)]
-        pub struct Coverage { $(pub $name: u64),* }
-
-        impl Coverage {
-            /// Fails when something never happened: a path that is not met is not tested.
-            pub fn assert_all_met(&self) {
-                $(assert!(self.$name > 0, "{} was never met", stringify!($name));)*
-            }
-        }
-
-        impl fmt::Display for Coverage {
-            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-                $(write!(f, "{} {}  ", stringify!($name), self.$name)?;)*
-                Ok(())
-            }
-        }
-    };
-}
-
-coverage!(
+oriolepass_seeds::coverage!(
     seeds,
     admitted,
     done,
--- a/crates/testbed/examples/capacity.rs
+++ b/crates/testbed/examples/capacity.rs
@@ -6,7 +6,9 @@
 
 use eyre::Result;
 use oriolepass_config::{
-    ChangeCommand, ReplicatedCommand, ReplicatedState, StampedCommand, ViewChange, ViewDelta,
+    ChangeCommand, ClaimCommand, ClaimVerdict, KeptAnswer, MemberAddresses, MemberCommand,
+    MemberRecord, ReplicatedCommand, ReplicatedState, SettleCommand, StampedCommand, ViewChange,
+    ViewDelta,
 };
 use oriolepass_scheduler::{
     GrantAsk, HomeCommand, HomeScheduler, ReleaseReason, SchedulerConfig, WorkTarget,
@@ -19,13 +21,15 @@
 use oriolepass_storage::{DiskFolder, LogRecord, LogStore, StoredEntry};
 use oriolepass_testbed::{Fleet, FleetPlan, LatencyTable, process_usage};
 use oriolepass_units::{
-    Incarnation, LeaderTerm, LogIndex, MonotonicTime, ObjectRevision, TokenCount, TokenRate,
+    Incarnation, LeaderTerm, LeaseEpoch, LogIndex, MonotonicTime, ObjectRevision, TokenCount,
+    TokenRate,
 };
 
 fn main() -> Result<()> {
     endpoints()?;
     accounts()?;
     objects()?;
+    claims()?;
     log_length()?;
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
     runtime.block_on(followers())
@@ -228,6 +232,64 @@
     Ok(())
 }
 
+fn claims() -> Result<()> {
+    println!("| claims kept | claim and settle | voter's state as a snapshot | memory |");
+    println!("|---|---|---|---|");
+    for count in [10_000_u64, 100_000] {
+        let before = resident()?;
+        let mut state = ReplicatedState::default();
+        let address = "127.0.0.1:1".parse()?;
+        let join = MemberCommand::Join(MemberRecord {
+            instance: "entry".parse()?,
+            data_centre: "dc".parse()?,
+            boot: 1,
+            epoch: LeaseEpoch::ZERO,
+            draining: false,
+            addresses: MemberAddresses {
+                callers: address,
+                operators: address,
+                endpoints: address,
+                peers: address,
+            },
+        });
+        let mut index = LogIndex(1);
+        let stamped = |command| StampedCommand { unix_ms: 1, command };
+        state.apply(index, &stamped(ReplicatedCommand::Member(join)));
+        let started = Instant::now();
+        for number in 0..count {
+            let (account, key) = ("account-1".parse()?, format!("confirm-{number}").parse()?);
+            let claim = ClaimCommand {
+                account,
+                key,
+                body_digest: KeyHash::of(&number.to_string()).0,
+                nonce: format!("entry-1a2b3c-{number}").parse()?,
+                entry: "entry".parse()?,
+                epoch: LeaseEpoch(1),
+                allowed_ms: 60_000,
+            };
+            let settle = SettleCommand {
+                account: claim.account.clone(),
+                key: claim.key.clone(),
+                nonce: claim.nonce.clone(),
+                verdict: ClaimVerdict::Done(KeptAnswer::new(200, "text/plain".into(), &[7; 100])),
+            };
+            index = index.next();
+            state.apply(index, &stamped(ReplicatedCommand::Claim(claim)));
+            index = index.next();
+            state.apply(index, &stamped(ReplicatedCommand::Settle(settle)));
+        }
+        println!(
+            "| {} | {:.1} us | {:.1} MB | {:.1} MB |",
+            state.claim_count(),
+            started.elapsed().as_secs_f64() * 1e6 / count as f64,
+            state.to_snapshot().len() as f64 / 1e6,
+            resident()?.saturating_sub(before) as f64 / 1e6
+        );
+    }
+    println!();
+    Ok(())
+}
+
 fn log_length() -> Result<()> {
     println!("| entries in the log | recovery | size on disk | append and sync of one entry |");
     println!("|---|---|---|---|");
