The entry's driver is split: asking homes and sending have their own modules

Change: entry/homes.rs and entry/sending.rs; unused parameters of the log's driver, the experiment and the request run are gone. No behaviour changed. Conclusion: each module has one job again.

--- a/crates/daemon/src/entry/driver.rs
+++ b/crates/daemon/src/entry/driver.rs
@@ -6,18 +6,15 @@
 use std::time::Duration;
 
 use futures::future::BoxFuture;
-use oriolepass_config::{
-    ApplyOutcome, ClaimAnswer, ClaimCommand, KeptAnswer, ReplicatedCommand, SettleCommand,
-};
+use oriolepass_config::{ClaimAnswer, KeptAnswer, SettleCommand};
 use oriolepass_request::{
     AttemptRefusal, RequestCommand, RequestLife, RequestOutcome, RequestPlan, SendFailure,
 };
 use oriolepass_scheduler::{
-    GrantAsk, GrantRefusal, LengthClass, PromptGrant, ReleaseReason, WorkTarget, prefix_hashes,
-    rank_homes,
+    GrantAsk, LengthClass, PromptGrant, ReleaseReason, WorkTarget, prefix_hashes,
 };
 use oriolepass_schema::caller::{PromptBody, RequestPriority};
-use oriolepass_schema::endpoint::{AttemptCall, PartCall};
+use oriolepass_schema::endpoint::StreamLine;
 use oriolepass_units::{
     AccountId, AttemptId, CallerKey, DataCentreId, EndpointId, InstanceId, MonotonicTime,
     TokenCount,
@@ -25,10 +22,10 @@
 use tokio::sync::{mpsc, oneshot};
 
 use super::client::ServiceCall;
+use super::homes::{ask_homes, jittered};
 use super::lines::LineStream;
 use super::outcomes;
-use crate::member::LeaderClient;
-use crate::peers::{PeerAnswer, PeerQuestion};
+use super::sending::{claim_until, send_prompt};
 use crate::shared::DaemonShared;
 
 /// Pieces of an answer that may wait for a slow caller.
@@ -37,12 +34,6 @@
 /// How long the commit of a claim may take.
 const CLAIM_PATIENCE: Duration = Duration::from_secs(5);
 
-/// The pause before a claim is tried with a new lease.
-const CLAIM_PAUSE: Duration = Duration::from_millis(50);
-
-/// Homes asked one after the other before their refusals are passed on.
-const MAX_HOMES_ASKED: usize = 3;
-
 /// How long an endpoint may take to drop a cancelled attempt.
 const CANCEL_PATIENCE: Duration = Duration::from_secs(2);
 
@@ -243,7 +234,7 @@
         self.shared.data_centre().clone()
     }
 
-    fn on_line(&mut self, line: Option<oriolepass_schema::endpoint::StreamLine>) {
+    fn on_line(&mut self, line: Option<StreamLine>) {
         let next = self.shared.fresh_attempt();
         let Some(line) = line else {
             self.lines = None;
@@ -417,129 +408,6 @@
     }
 }
 
-/// Claims a request; none where no answer came in time.
-async fn claim_until(
-    shared: &DaemonShared,
-    request: &EntryRequest,
-    nonce: &AttemptId,
-    until: MonotonicTime,
-) -> Option<ClaimAnswer> {
-    let claim = request.claim.as_ref().expect("only non-repeatable requests claim");
-    let allowed = request.deadline.since(shared.now());
-    loop {
-        let command = ClaimCommand {
-            account: request.account.clone(),
-            key: claim.key.clone(),
-            body_digest: claim.body_digest.clone(),
-            nonce: nonce.clone(),
-            entry: shared.id().clone(),
-            epoch: shared.lease_epoch(),
-            allowed_ms: u64::try_from(allowed.as_millis()).unwrap_or(u64::MAX),
-        };
-        let question = PeerQuestion::Propose(ReplicatedCommand::Claim(command));
-        let left = until.since(shared.now());
-        let answer = LeaderClient::default().ask(shared, &question, left).await;
-        match answer {
-            // This daemon's lease is being renewed; it knows the new one in a moment.
-            Ok(PeerAnswer::Proposed(Ok(ApplyOutcome::Claimed(ClaimAnswer::StaleEntry))))
-                if shared.now() + CLAIM_PAUSE < until =>
-            {
-                tokio::time::sleep(CLAIM_PAUSE).await;
-            }
-            Ok(PeerAnswer::Proposed(Ok(ApplyOutcome::Claimed(answer)))) => return Some(answer),
-            _ => return None,
-        }
-    }
-}
-
-/// Sends a prompt to its engines: the parts first, so that the leading engine can count on them.
-async fn send_prompt(
-    shared: &DaemonShared,
-    request: &EntryRequest,
-    prompt: PromptBody,
-    grant: &PromptGrant,
-    resume_from: u64,
-    resume_text: String,
-) -> Result<LineStream, SendFailure> {
-    let WorkTarget::Model(model) = &request.target else { return Err(SendFailure::RefusedUnrun) };
-    let (lead, parts) = grant.members.split_first().expect("a grant has a member");
-    let holds = parts.iter().map(|part| {
-        let call = PartCall { attempt: grant.attempt.clone(), reserved: part.reserved };
-        async move { shared.endpoints.hold_part(part.address, &call).await }
-    });
-    for held in futures::future::join_all(holds).await {
-        held.map_err(|_| SendFailure::PartRefused)?;
-    }
-    let call = AttemptCall {
-        attempt: grant.attempt.clone(),
-        model: model.clone(),
-        prompt,
-        max_tokens: request.answer_tokens.0,
-        reserved: lead.reserved,
-        priority: grant.priority,
-        resume_from,
-        resume_text,
-        helpers: parts.iter().map(|part| part.address).collect(),
-    };
-    shared.endpoints.start_attempt(lead.address, &call, request.claim.is_none()).await
-}
-
-/// Asks the homes that serve the target, the best first.
-async fn ask_homes(
-    shared: &DaemonShared,
-    ask: GrantAsk,
-) -> Result<(InstanceId, PromptGrant), (AttemptId, AttemptRefusal)> {
-    let digests = shared.digests.fresh(shared.now());
-    let homes = rank_homes(&ask, shared.data_centre(), digests.iter().map(AsRef::as_ref));
-    let mut refusal = match digests.is_empty() {
-        // No home has been heard of yet, so this daemon cannot tell.
-        true => AttemptRefusal::HomeLost,
-        false => AttemptRefusal::NoHome,
-    };
-    for home in homes.into_iter().take(MAX_HOMES_ASKED) {
-        match ask_home(shared, &home, &ask).await {
-            Ok(grant) => return Ok((home, grant)),
-            Err(refused) => refusal = more_helpful(refusal, refused),
-        }
-    }
-    Err((ask.attempt, refusal))
-}
-
-async fn ask_home(
-    shared: &DaemonShared,
-    home: &InstanceId,
-    ask: &GrantAsk,
-) -> Result<PromptGrant, AttemptRefusal> {
-    if home == shared.id() {
-        return shared.home.ask(ask.clone()).await.map_err(AttemptRefusal::Home);
-    }
-    let question = PeerQuestion::Grant(ask.clone());
-    match shared.peers.ask_instance(home, &question, ask.patience).await {
-        Ok(PeerAnswer::Granted(answer)) => answer.map_err(AttemptRefusal::Home),
-        _ => Err(AttemptRefusal::HomeLost),
-    }
-}
-
-/// Chooses which of two refusals tells the caller more.
-fn more_helpful(left: AttemptRefusal, right: AttemptRefusal) -> AttemptRefusal {
-    let rank = |refusal: &AttemptRefusal| match refusal {
-        AttemptRefusal::NoHome => 0,
-        AttemptRefusal::Home(GrantRefusal::NotServed) => 1,
-        AttemptRefusal::Home(GrantRefusal::TooBig { .. }) => 2,
-        AttemptRefusal::Home(GrantRefusal::AllExcluded) => 3,
-        AttemptRefusal::HomeLost => 4,
-        AttemptRefusal::Home(GrantRefusal::NotHome) => 5,
-        AttemptRefusal::Home(GrantRefusal::AccountBusy { .. }) => 6,
-        AttemptRefusal::Home(GrantRefusal::Busy { .. }) => 7,
-    };
-    if rank(&right) >= rank(&left) { right } else { left }
-}
-
-/// Spreads retries, so that those of one failure do not all come back at once.
-fn jittered(span: Duration) -> Duration {
-    span.mul_f64(rand::random_range(0.5..1.5))
-}
-
 async fn next_event(pending: &mut Option<BoxFuture<'static, DriverEvent>>) -> DriverEvent {
     match pending {
         Some(future) => future.await,
@@ -547,9 +415,7 @@
     }
 }
 
-async fn next_line(
-    lines: &mut Option<LineStream>,
-) -> Option<oriolepass_schema::endpoint::StreamLine> {
+async fn next_line(lines: &mut Option<LineStream>) -> Option<StreamLine> {
     match lines {
         Some(lines) => lines.next().await,
         None => std::future::pending().await,
--- a/crates/daemon/src/log/driver.rs
+++ b/crates/daemon/src/log/driver.rs
@@ -104,8 +104,7 @@
     fn run(mut self, inputs: &Receiver<LogInput>, acks: &Receiver<u64>) {
         loop {
             let Some(shared) = self.shared.upgrade() else { return };
-            let now = shared.now();
-            if !self.carry_out(&shared, now) {
+            if !self.carry_out(&shared) {
                 return;
             }
             drop(shared);
@@ -296,7 +295,7 @@
     }
 
     /// Carries out the node's output; returns whether the storage thread still runs.
-    fn carry_out(&mut self, shared: &DaemonShared, now: MonotonicTime) -> bool {
+    fn carry_out(&mut self, shared: &DaemonShared) -> bool {
         let output = self.node.take_output();
         self.peers.send_consensus(output.send);
         let lost = output.persist.is_some_and(|batch| self.batches.send(batch).is_err());
@@ -321,7 +320,7 @@
         if applied_any {
             self.publish(shared);
         }
-        self.fail_lost(now);
+        self.fail_lost();
         shared.metrics.is_leader.set(i64::from(self.node.role() == NodeRole::Leader));
         true
     }
@@ -359,7 +358,7 @@
     }
 
     /// Tells those whose proposals this node can no longer commit itself.
-    fn fail_lost(&mut self, _now: MonotonicTime) {
+    fn fail_lost(&mut self) {
         if self.node.role() == NodeRole::Leader || self.waiting.is_empty() {
             return;
         }
--- a/crates/experiment/src/homes.rs
+++ b/crates/experiment/src/homes.rs
@@ -165,11 +165,10 @@
             let _ = self.homes[engine % self.data_centres].heartbeat(now, &heartbeat);
         }
         let attempts: Vec<AttemptId> = self.requests.keys().cloned().collect();
-        for (number, home) in self.homes.iter_mut().enumerate() {
+        for home in &mut self.homes {
             (0..self.data_centres).for_each(|entry| {
                 home.renew(now, &instance(entry), &attempts);
             });
-            let _ = number;
             home.tick(now);
         }
     }
--- a/crates/request/tests/world/deliver.rs
+++ b/crates/request/tests/world/deliver.rs
@@ -100,8 +100,8 @@
                     let _ = self.engines[engine].model.hold_part(&call);
                 }
             }
-            Event::Send { request, engine, incarnation, call } => {
-                self.arrive(request, engine, incarnation, &call, coverage);
+            Event::Send { request, engine, call } => {
+                self.arrive(request, engine, &call, coverage);
             }
             Event::Line { request, line } => self.line(request, line, coverage),
             Event::Broke { request, attempt, failure } => {
@@ -184,7 +184,6 @@
         &mut self,
         request: usize,
         engine: usize,
-        incarnation: u64,
         call: &AttemptCall,
         coverage: &mut Coverage,
     ) {
@@ -195,7 +194,6 @@
             self.post(Event::Broke { request, attempt, failure }, coverage);
             return;
         }
-        let _ = incarnation;
         match target.model.submit(call) {
             Ok(()) => {
                 target.readers.insert(call.attempt.clone(), request);
--- a/crates/request/tests/world/mod.rs
+++ b/crates/request/tests/world/mod.rs
@@ -67,7 +67,7 @@
     Started { home: usize, attempt: AttemptId },
     Release { home: usize, attempt: AttemptId, reason: ReleaseReason },
     Part { engine: usize, call: PartCall },
-    Send { request: usize, engine: usize, incarnation: u64, call: Box<AttemptCall> },
+    Send { request: usize, engine: usize, call: Box<AttemptCall> },
     Line { request: usize, line: StreamLine },
     Broke { request: usize, attempt: AttemptId, failure: oriolepass_request::SendFailure },
     Call { request: usize, attempt: AttemptId, body: String },
--- a/crates/request/tests/world/requests.rs
+++ b/crates/request/tests/world/requests.rs
@@ -296,9 +296,8 @@
             helpers: parts.iter().map(|part| part.address).collect(),
         };
         let engine = engine_of(lead);
-        let incarnation = self.engines[engine].incarnation;
         let call = Box::new(call);
-        self.post(Event::Send { request: number, engine, incarnation, call }, coverage);
+        self.post(Event::Send { request: number, engine, call }, coverage);
     }
 
     pub fn caller_gone(&mut self, coverage: &mut Coverage) {
