--- a/crates/testbed/examples/soak.rs
+++ b/crates/testbed/examples/soak.rs
@@ -292,11 +292,16 @@
 
 /// Compares what callers were told with what the stand-ins did; returns the violations.
 async fn verdict(fleet: &Fleet, tally: &Tally) -> Result<u64> {
-    let mut runs: BTreeMap<String, usize> = BTreeMap::new();
+    let mut runs: BTreeMap<String, Vec<String>> = BTreeMap::new();
     for run in fleet.services.iter().flat_map(ServiceServer::ledger) {
-        *runs.entry(run.body).or_default() += 1;
+        runs.entry(run.body).or_default().push(run.attempt);
     }
-    let doubled = runs.values().filter(|count| **count > 1).count();
+    let doubled: Vec<_> = runs.iter().filter(|(_, attempts)| attempts.len() > 1).collect();
+    for (body, attempts) in &doubled {
+        // The attempts name the entry, its start and the request.
+        println!("DOUBLED {body}: {}", attempts.join(", "));
+    }
+    let doubled = doubled.len();
     let not_run = tally.not_run.lock().expect("no panic with the lock").clone();
     let lies = not_run.values().filter(|body| runs.contains_key(*body)).count();
     let wrong = tally.wrong.load(Ordering::SeqCst);
