Entry: nothing is made for each token that only a retry needs

Cause: reading the change once more showed, for each token of an answer, an attempt id formatted in case the line failed, a data centre's name cloned for a map of retry budgets that only ever has one key, and a fresh subscription to the abandon signal. Each attempt copied its whole prompt (megabytes) to serialise it. Change: RequestLife takes the next attempt's name as a closure; the budget is one value; the driver subscribes once; AttemptCall shares the prompt. The JSON is the same, and so is every decision. Memory of a long prompt's attempt was not measured.

--- a/crates/daemon/src/entry/driver.rs
+++ b/crates/daemon/src/entry/driver.rs
@@ -16,10 +16,9 @@
 use oriolepass_schema::caller::{PromptBody, RequestPriority};
 use oriolepass_schema::endpoint::StreamLine;
 use oriolepass_units::{
-    AccountId, AttemptId, CallerKey, DataCentreId, EndpointId, InstanceId, MonotonicTime,
-    TokenCount,
+    AccountId, AttemptId, CallerKey, EndpointId, InstanceId, MonotonicTime, TokenCount,
 };
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 
 use super::client::ServiceCall;
 use super::homes::{ask_homes, jittered};
@@ -154,6 +153,7 @@
 
     async fn run(mut self) {
         let (due, mut deadline) = oneshot::channel::<()>();
+        let mut abandon = self.shared.abandon.subscribe();
         let ticket = self.shared.timer.subscribe(self.request.deadline, move || {
             let _ = due.send(());
         });
@@ -166,18 +166,20 @@
                 }
                 self.carry_out(command, &mut deadline).await;
             }
-            self.wait(&mut deadline).await;
+            self.wait(&mut deadline, &mut abandon).await;
         }
     }
 
     /// Waits for the next thing to happen and tells the state machine.
-    async fn wait(&mut self, deadline: &mut oneshot::Receiver<()>) {
-        let events = self.events.clone();
-        let mut abandon = self.shared.abandon.subscribe();
+    async fn wait(
+        &mut self,
+        deadline: &mut oneshot::Receiver<()>,
+        abandon: &mut watch::Receiver<bool>,
+    ) {
         tokio::select! {
             biased;
             _ = deadline => self.life.deadline_passed(),
-            () = events.closed(), if !self.runs_on_alone() => self.life.caller_gone(),
+            () = self.events.closed(), if !self.runs_on_alone() => self.life.caller_gone(),
             _ = abandon.wait_for(|abandon| *abandon) => self.life.abandon(),
             event = next_event(&mut self.pending) => {
                 self.pending = None;
@@ -194,7 +196,8 @@
     }
 
     fn happened(&mut self, event: DriverEvent) {
-        let next = self.shared.fresh_attempt();
+        let shared = Arc::clone(&self.shared);
+        let next = || shared.fresh_attempt();
         match event {
             DriverEvent::Claimed(Some(answer)) => self.life.claim_answered(answer, next),
             DriverEvent::Claimed(None) => self.life.claim_failed(),
@@ -208,7 +211,7 @@
             }
             DriverEvent::Sent(Ok(lines)) => self.lines = Some(lines),
             DriverEvent::Sent(Err(failure)) | DriverEvent::Answered(Err(failure)) => {
-                self.broke(failure, next);
+                self.broke(failure);
             }
             DriverEvent::Answered(Ok((attempt, kept, body))) => {
                 let own = self.life.attempt() == Some(&attempt);
@@ -219,31 +222,26 @@
                 if !own {
                     // The answer is somebody else's. Ours may never come, and the call may
                     // have run.
-                    self.broke(SendFailure::Broken, next);
+                    self.broke(SendFailure::Broken);
                 }
             }
         }
     }
 
-    fn broke(&mut self, failure: SendFailure, next: AttemptId) {
-        let (shared, data_centre) = (Arc::clone(&self.shared), self.own_data_centre());
-        self.life.broke(failure, || shared.may_retry(&data_centre), next);
-    }
-
-    fn own_data_centre(&self) -> DataCentreId {
-        self.shared.data_centre().clone()
+    fn broke(&mut self, failure: SendFailure) {
+        let shared = &self.shared;
+        self.life.broke(failure, || shared.may_retry(), || shared.fresh_attempt());
     }
 
     fn on_line(&mut self, line: Option<StreamLine>) {
-        let next = self.shared.fresh_attempt();
         let Some(line) = line else {
             self.lines = None;
-            self.broke(SendFailure::Broken, next);
+            self.broke(SendFailure::Broken);
             return;
         };
-        let (shared, data_centre) = (Arc::clone(&self.shared), self.own_data_centre());
+        let shared = &self.shared;
         let before = self.life.strays();
-        self.life.line(line, || shared.may_retry(&data_centre), next);
+        self.life.line(line, || shared.may_retry(), || shared.fresh_attempt());
         self.shared.metrics.stray_pieces.inc_by(self.life.strays() - before);
     }
 
@@ -357,7 +355,7 @@
     ) -> BoxFuture<'static, DriverEvent> {
         let request = &self.request;
         if self.life.attempts() == 0 {
-            self.shared.earn_retry(self.shared.data_centre());
+            self.shared.earn_retry();
         }
         let ask = GrantAsk {
             attempt: self.life.attempt().expect("it waits for a grant").clone(),
@@ -398,7 +396,7 @@
                     DriverEvent::Answered(sent.await)
                 }
                 WorkBody::Prompt(prompt) => {
-                    let prompt = (**prompt).clone();
+                    let prompt = Arc::clone(prompt);
                     let sent =
                         send_prompt(&shared, &request, prompt, &grant, resume_from, resume_text);
                     DriverEvent::Sent(sent.await)
--- a/crates/daemon/src/entry/sending.rs
+++ b/crates/daemon/src/entry/sending.rs
@@ -1,5 +1,6 @@
 //! Claims a request and sends it to its endpoints.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use oriolepass_config::{ApplyOutcome, ClaimAnswer, ClaimCommand, ReplicatedCommand};
@@ -57,7 +58,7 @@
 pub(super) async fn send_prompt(
     shared: &DaemonShared,
     request: &EntryRequest,
-    prompt: PromptBody,
+    prompt: Arc<PromptBody>,
     grant: &PromptGrant,
     resume_from: u64,
     resume_text: String,
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -61,7 +61,8 @@
     pub(crate) grants: GrantKeeper,
     pub(crate) endpoints: EndpointClient,
     pub(crate) digests: DigestBoard,
-    pub(crate) budgets: Mutex<BTreeMap<DataCentreId, RetryBudget>>,
+    /// What requests that came in here may try again.
+    budget: Mutex<RetryBudget>,
     pub(crate) epoch: AtomicU64,
     pub(crate) running: AtomicU64,
     pub(crate) buffered: AtomicU64,
@@ -103,7 +104,7 @@
             grants: GrantKeeper::default(),
             endpoints: EndpointClient::new(),
             digests: DigestBoard::default(),
-            budgets: Mutex::default(),
+            budget: Mutex::default(),
             epoch: AtomicU64::new(0),
             running: AtomicU64::new(0),
             buffered: AtomicU64::new(0),
@@ -182,10 +183,9 @@
         self.view.read().members().home(data_centre, &shard).cloned()
     }
 
-    /// Spends a retry of the data centre's budget.
-    pub(crate) fn may_retry(&self, data_centre: &DataCentreId) -> bool {
-        let mut budgets = self.budgets.lock().expect("no panic with the lock");
-        let allowed = budgets.entry(data_centre.clone()).or_default().spend();
+    /// Spends a retry of this daemon's budget.
+    pub(crate) fn may_retry(&self) -> bool {
+        let allowed = self.budget.lock().expect("no panic with the lock").spend();
         if allowed {
             self.metrics.retries.inc();
         }
@@ -193,9 +193,8 @@
     }
 
     /// Earns a part of a retry by a first attempt.
-    pub(crate) fn earn_retry(&self, data_centre: &DataCentreId) {
-        let mut budgets = self.budgets.lock().expect("no panic with the lock");
-        budgets.entry(data_centre.clone()).or_default().earn();
+    pub(crate) fn earn_retry(&self) {
+        self.budget.lock().expect("no panic with the lock").earn();
     }
 }
 
--- a/crates/experiment/src/farm.rs
+++ b/crates/experiment/src/farm.rs
@@ -1,6 +1,7 @@
 //! Engines in manual time.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use oriolepass_schema::caller::PromptBody;
@@ -125,7 +126,7 @@
         let call = AttemptCall {
             attempt: attempt(request),
             model: "oriole-large".parse().expect("a valid name"),
-            prompt: PromptBody::Tokens(vec![0; prompt]),
+            prompt: Arc::new(PromptBody::Tokens(vec![0; prompt])),
             max_tokens: arrival.answer,
             reserved: TokenCount(own),
             priority,
--- a/crates/request/src/life.rs
+++ b/crates/request/src/life.rs
@@ -7,7 +7,7 @@
 use oriolepass_schema::caller::KeptCompletion;
 use oriolepass_schema::digest::AnswerDigest;
 use oriolepass_schema::endpoint::StreamLine;
-use oriolepass_schema::error::{ErrorCode, RanState};
+use oriolepass_schema::error::{ApiError, ErrorCode, RanState};
 use oriolepass_units::{AttemptId, EndpointId, MonotonicTime, TokenCount};
 
 use crate::outcome::RequestOutcome;
@@ -186,8 +186,8 @@
         self.commands.push(RequestCommand::AskGrant { after, exclude: self.exclude.clone() });
     }
 
-    /// Takes in the answer to its claim; `attempt` names the attempt that may follow.
-    pub fn claim_answered(&mut self, answer: ClaimAnswer, attempt: AttemptId) {
+    /// Takes in the answer to its claim; `next` names the attempt that may follow.
+    pub fn claim_answered(&mut self, answer: ClaimAnswer, next: impl FnOnce() -> AttemptId) {
         if !matches!(self.state, LifeState::Claiming) {
             return;
         }
@@ -195,7 +195,7 @@
         let outcome = match answer {
             ClaimAnswer::Granted => {
                 self.claimed = true;
-                self.ask(attempt, Duration::ZERO);
+                self.ask(next(), Duration::ZERO);
                 return;
             }
             ClaimAnswer::Done(kept) if kept.body.is_some() => RequestOutcome::Kept(kept),
@@ -265,7 +265,12 @@
     }
 
     /// Takes in a refusal of a grant; `next` names the attempt that may follow.
-    pub fn refused(&mut self, attempt: &AttemptId, refusal: &AttemptRefusal, next: AttemptId) {
+    pub fn refused(
+        &mut self,
+        attempt: &AttemptId,
+        refusal: &AttemptRefusal,
+        next: impl FnOnce() -> AttemptId,
+    ) {
         if !matches!(&self.state, LifeState::Waiting { attempt: own } if own == attempt) {
             return;
         }
@@ -276,7 +281,7 @@
                 self.commands.push(RequestCommand::Release(attempt.clone(), release));
                 self.moved_homes += 1;
                 if self.moved_homes < MAX_MOVED_HOMES {
-                    self.ask(next, FIRST_BACKOFF * self.moved_homes);
+                    self.ask(next(), FIRST_BACKOFF * self.moved_homes);
                     return;
                 }
                 ("no home could be reached".to_owned(), ErrorCode::Overloaded, Some(SHORT_WAIT))
@@ -286,7 +291,7 @@
                 self.exclude.clear();
                 self.moved_homes += 1;
                 if self.moved_homes < MAX_MOVED_HOMES {
-                    self.ask(next, self.backoff());
+                    self.ask(next(), self.backoff());
                     return;
                 }
                 let detail = "every endpoint that serves this has failed the request".to_owned();
@@ -315,8 +320,14 @@
     }
 
     /// Takes in a line of the endpoint's answer. `retry` says whether the budget allows another
-    /// attempt, named `next`, should this one have failed.
-    pub fn line(&mut self, line: StreamLine, retry: impl FnOnce() -> bool, next: AttemptId) {
+    /// attempt, which `next` names, should this one have failed. Neither is called for the many
+    /// lines that merely carry a token.
+    pub fn line(
+        &mut self,
+        line: StreamLine,
+        retry: impl FnOnce() -> bool,
+        next: impl FnOnce() -> AttemptId,
+    ) {
         let LifeState::Running { grant, seen_token } = &mut self.state else {
             self.strays += 1;
             return;
@@ -407,7 +418,12 @@
     }
 
     /// Notes that sending failed or that the stream broke off before its end.
-    pub fn broke(&mut self, failure: SendFailure, retry: impl FnOnce() -> bool, next: AttemptId) {
+    pub fn broke(
+        &mut self,
+        failure: SendFailure,
+        retry: impl FnOnce() -> bool,
+        next: impl FnOnce() -> AttemptId,
+    ) {
         let LifeState::Running { grant, .. } = &self.state else { return };
         self.exclude.extend(grant.members.iter().map(|m| m.endpoint.clone()));
         match failure {
@@ -428,18 +444,23 @@
     }
 
     /// Tries again after nothing was sent, which a non-repeatable request may do as well.
-    fn retry_unrun(&mut self, retry: impl FnOnce() -> bool, next: AttemptId) {
+    fn retry_unrun(&mut self, retry: impl FnOnce() -> bool, next: impl FnOnce() -> AttemptId) {
         if self.attempts < MAX_ATTEMPTS && retry() {
-            self.ask(next, self.backoff());
+            self.ask(next(), self.backoff());
         } else {
             self.fail(ErrorCode::EndpointFailed, "no endpoint could be reached", Some(SHORT_WAIT));
         }
     }
 
-    fn retry_or_fail(&mut self, retry: impl FnOnce() -> bool, next: AttemptId, detail: &str) {
+    fn retry_or_fail(
+        &mut self,
+        retry: impl FnOnce() -> bool,
+        next: impl FnOnce() -> AttemptId,
+        detail: &str,
+    ) {
         let allowed = self.plan.repeatable || !self.maybe_ran;
         if allowed && self.attempts < MAX_ATTEMPTS && retry() {
-            self.ask(next, self.backoff());
+            self.ask(next(), self.backoff());
         } else {
             self.fail(ErrorCode::EndpointFailed, detail, None);
         }
@@ -511,7 +532,7 @@
             RanState::Unknown if !self.plan.repeatable => ErrorCode::OutcomeUnknown,
             _ => code,
         };
-        let mut error = oriolepass_schema::error::ApiError::new(code, ran, detail);
+        let mut error = ApiError::new(code, ran, detail);
         if let Some(span) = retry_after {
             error = error.retry_after(span);
         }
--- a/crates/request/tests/world/deliver.rs
+++ b/crates/request/tests/world/deliver.rs
@@ -79,14 +79,14 @@
             Event::HomeLost { request, attempt } => {
                 let next = self.fresh_attempt();
                 let lost = AttemptRefusal::HomeLost;
-                self.with_life(request, coverage, |life| life.refused(&attempt, &lost, next));
+                self.with_life(request, coverage, |life| life.refused(&attempt, &lost, || next));
             }
             Event::Claimed { request, answer } => {
                 let next = self.fresh_attempt();
                 coverage.still_running +=
                     u64::from(answer == Some(oriolepass_config::ClaimAnswer::StillRunning));
                 self.with_life(request, coverage, |life| match answer {
-                    Some(answer) => life.claim_answered(answer, next),
+                    Some(answer) => life.claim_answered(answer, || next),
                     None => life.claim_failed(),
                 });
             }
@@ -175,7 +175,7 @@
             Err((attempt, refusal)) => {
                 let next = self.fresh_attempt();
                 let refusal = AttemptRefusal::Home(refusal);
-                self.with_life(request, coverage, |life| life.refused(&attempt, &refusal, next));
+                self.with_life(request, coverage, |life| life.refused(&attempt, &refusal, || next));
             }
         }
     }
@@ -270,7 +270,7 @@
         let next = self.fresh_attempt();
         let allowed = self.budget.spend();
         let before = self.requests[request].life.strays();
-        self.with_life(request, coverage, |life| life.line(line, || allowed, next));
+        self.with_life(request, coverage, |life| life.line(line, || allowed, || next));
         coverage.strays += self.requests[request].life.strays() - before;
     }
 
@@ -286,7 +286,7 @@
         }
         let next = self.fresh_attempt();
         let allowed = self.budget.spend();
-        self.with_life(request, coverage, |life| life.broke(failure, || allowed, next));
+        self.with_life(request, coverage, |life| life.broke(failure, || allowed, || next));
     }
 
     /// Carries out what a home wants done.
--- a/crates/request/tests/world/requests.rs
+++ b/crates/request/tests/world/requests.rs
@@ -1,5 +1,6 @@
 //! Requests and what a daemon's driver would do for them.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use oriolepass_config::{
@@ -287,7 +288,7 @@
         let call = AttemptCall {
             attempt,
             model: MODEL.parse().expect("a name"),
-            prompt,
+            prompt: Arc::new(prompt),
             max_tokens,
             reserved: lead.reserved,
             priority: grant.priority,
--- a/crates/schema/src/endpoint.rs
+++ b/crates/schema/src/endpoint.rs
@@ -4,6 +4,7 @@
 //! earlier life had to say is told from the present one.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use oriolepass_units::{
     AttemptId, DataCentreId, EndpointId, FencingNumber, Incarnation, ModelId, PrefixHash,
@@ -136,8 +137,8 @@
     pub attempt: AttemptId,
     /// The model.
     pub model: ModelId,
-    /// The prompt.
-    pub prompt: PromptBody,
+    /// The prompt; shared, since a long one must not be copied for every attempt.
+    pub prompt: Arc<PromptBody>,
     /// The most tokens of answer.
     pub max_tokens: u64,
     /// Memory set aside on this engine.
--- a/crates/standin/src/caller.rs
+++ b/crates/standin/src/caller.rs
@@ -1,6 +1,7 @@
 //! A caller that checks what it gets.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use http_body_util::BodyExt;
@@ -136,7 +137,7 @@
         let body = AttemptCall {
             attempt,
             model: call.model.parse().map_err(|e| CallerError::Wrong(format!("{e}")))?,
-            prompt: call.prompt.clone(),
+            prompt: Arc::new(call.prompt.clone()),
             max_tokens: call.max_tokens,
             reserved: call.prompt.tokens() + TokenCount(call.max_tokens),
             priority: 3,
