--- a/crates/config/src/members.rs
+++ b/crates/config/src/members.rs
@@ -36,6 +36,13 @@
     pub addresses: MemberAddresses,
 }
 
+impl MemberRecord {
+    /// Returns whether `other` is the same start of the same daemon, which keeps its lease.
+    pub fn is_same_start(&self, other: &Self) -> bool {
+        self.boot == other.boot && self.addresses == other.addresses
+    }
+}
+
 /// The members and the count of leases granted so far.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberTable {
@@ -71,8 +78,7 @@
     /// Takes a member in. One that is known by the same start keeps its lease.
     pub(crate) fn join(&mut self, record: &MemberRecord) -> LeaseEpoch {
         let present = self.members.get(&record.instance);
-        let same = |m: &&MemberRecord| m.boot == record.boot && m.addresses == record.addresses;
-        if let Some(present) = present.filter(same) {
+        if let Some(present) = present.filter(|present| present.is_same_start(record)) {
             return present.epoch;
         }
         self.last_epoch = self.last_epoch.next();
--- a/crates/config/src/view.rs
+++ b/crates/config/src/view.rs
@@ -2,7 +2,9 @@
 
 use std::collections::BTreeMap;
 
-use oriolepass_schema::operator::{KeyHash, ObjectKind, ObjectList, ObjectSpec, ObjectView};
+use oriolepass_schema::operator::{
+    AccountSpec, KeyHash, ObjectKind, ObjectList, ObjectSpec, ObjectView,
+};
 use oriolepass_units::{AccountId, InstanceId, LogIndex, ModelId, ObjectRevision, TeamId};
 use serde::{Deserialize, Serialize};
 use subtle::ConstantTimeEq;
@@ -20,6 +22,19 @@
     pub spec: ObjectSpec,
 }
 
+impl StoredObject {
+    /// Returns the object as queries show it.
+    pub fn view(&self, kind: ObjectKind, name: &str) -> ObjectView {
+        ObjectView {
+            kind,
+            name: name.to_owned(),
+            team: self.team.clone(),
+            revision: self.revision,
+            spec: self.spec.clone(),
+        }
+    }
+}
+
 /// What a key gives access to.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct KeyOwner {
@@ -113,20 +128,21 @@
 
     /// Lists the objects of one kind, or of all.
     pub fn list(&self, kind: Option<ObjectKind>) -> ObjectList {
-        let view = |((kind, name), object): (&(ObjectKind, String), &StoredObject)| ObjectView {
-            kind: *kind,
-            name: name.clone(),
-            team: object.team.clone(),
-            revision: object.revision,
-            spec: object.spec.clone(),
-        };
-        let wanted = |key: &ObjectKind| kind.is_none_or(|kind| kind == *key);
+        let wanted = self.objects.iter().filter(|((k, _), _)| kind.is_none_or(|kind| kind == *k));
         ObjectList {
             config_revision: self.config_revision,
-            objects: self.objects.iter().filter(|((k, _), _)| wanted(k)).map(view).collect(),
+            objects: wanted.map(|((kind, name), object)| object.view(*kind, name)).collect(),
         }
     }
 
+    /// Returns the client accounts by their names.
+    pub fn accounts(&self) -> impl Iterator<Item = (&str, &AccountSpec)> {
+        self.objects.iter().filter_map(|((_, name), object)| match &object.spec {
+            ObjectSpec::Account(spec) => Some((name.as_str(), spec)),
+            _ => None,
+        })
+    }
+
     /// Returns what a key gives access to.
     ///
     /// The lookup is by the key's hash, whose bytes an attacker cannot choose; the final
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -3,7 +3,6 @@
 use std::io;
 use std::net::{SocketAddr, TcpListener as StdListener};
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::thread::JoinHandle;
 use std::time::Duration;
 
@@ -247,7 +246,7 @@
 
     fn end(&mut self, callers: Runtime) {
         callers.shutdown_background();
-        self.shared.stopping.store(true, Ordering::SeqCst);
+        self.shared.stopping.send_replace(true);
         self.shared.timer.stop();
         self.shared.home.stop();
         if let Some(log) = &self.shared.log {
@@ -312,9 +311,7 @@
 }
 
 async fn until_stopping(shared: Arc<DaemonShared>) {
-    while !shared.stopping.load(Ordering::SeqCst) {
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
+    let _ = shared.stopping.subscribe().wait_for(|stopping| *stopping).await;
 }
 
 fn start_peers(
--- a/crates/daemon/src/home/chores.rs
+++ b/crates/daemon/src/home/chores.rs
@@ -43,14 +43,15 @@
                     }
                 });
             }
-            HomeChore::Publish(digest) => publish(&shared, &digest),
+            HomeChore::Publish(digest) => publish(&shared, digest),
         }
     }
 }
 
 /// Tells every member what this home serves.
-fn publish(shared: &Arc<DaemonShared>, digest: &HomeDigest) {
-    shared.digests.put(shared.now(), digest.clone());
+fn publish(shared: &Arc<DaemonShared>, digest: HomeDigest) {
+    let question = PeerQuestion::Digest(digest.clone()).encode();
+    shared.digests.put(shared.now(), digest);
     let peers: Vec<SocketAddr> = shared
         .view
         .read()
@@ -60,9 +61,9 @@
         .map(|member| member.addresses.peers)
         .collect();
     for address in peers {
-        let (shared, question) = (Arc::clone(shared), PeerQuestion::Digest(digest.clone()));
+        let (shared, question) = (Arc::clone(shared), question.clone());
         tokio::spawn(async move {
-            let _ = shared.peers.ask(address, &question, DIGEST_PATIENCE).await;
+            let _ = shared.peers.ask_encoded(address, question, DIGEST_PATIENCE).await;
         });
     }
 }
--- a/crates/daemon/src/home/duty.rs
+++ b/crates/daemon/src/home/duty.rs
@@ -8,7 +8,7 @@
 use oriolepass_scheduler::{
     GrantRefusal, HomeCommand, HomeScheduler, PromptGrant, ReleaseReason, SchedulerConfig,
 };
-use oriolepass_schema::operator::{EndpointState, EndpointView, ObjectKind, ObjectSpec};
+use oriolepass_schema::operator::{EndpointState, EndpointView};
 use oriolepass_units::{AccountId, AttemptId, LogIndex, MonotonicTime};
 use tokio::sync::mpsc;
 
@@ -140,19 +140,10 @@
 
     /// Takes over the accounts' shares, and lets go of endpoints whose home is elsewhere.
     fn take_over_view(&mut self, shared: &DaemonShared) {
-        let accounts: Vec<_> = {
-            let view = shared.view.read();
-            let list = view.list(Some(ObjectKind::Account)).objects;
-            list.into_iter()
-                .filter_map(|object| {
-                    let account: AccountId = object.name.parse().ok()?;
-                    let ObjectSpec::Account(spec) = object.spec else { return None };
-                    Some((account, spec.share, spec.max_held))
-                })
-                .collect()
-        };
-        for (account, share, max_held) in accounts {
-            self.scheduler.set_share(&account, share, max_held);
+        for (name, spec) in shared.view.read().accounts() {
+            if let Ok(account) = name.parse::<AccountId>() {
+                self.scheduler.set_share(&account, spec.share, spec.max_held);
+            }
         }
         let own = shared.id();
         self.scheduler.retain_endpoints(|endpoint, data_centre| {
--- a/crates/daemon/src/home/mod.rs
+++ b/crates/daemon/src/home/mod.rs
@@ -89,11 +89,7 @@
         entry: InstanceId,
         attempts: Vec<AttemptId>,
     ) -> Option<Vec<AttemptId>> {
-        let (reply, answer) = oneshot::channel();
-        if !self.try_put(HomeInput::Renew(entry, attempts, reply)) {
-            return None;
-        }
-        answer.await.ok()
+        self.answered(|reply| HomeInput::Renew(entry, attempts, reply)).await
     }
 
     pub(crate) fn announce(&self, announcement: EndpointAnnouncement, role: PoolRole) -> bool {
@@ -113,33 +109,33 @@
         self.try_put(HomeInput::Held { asked, endpoint, streams });
     }
 
-    async fn ask_bool(&self, input: impl FnOnce(oneshot::Sender<bool>) -> HomeInput) -> bool {
+    /// Returns the answer to an input; none when the ring is full or the thread has ended.
+    async fn answered<T>(&self, input: impl FnOnce(oneshot::Sender<T>) -> HomeInput) -> Option<T> {
         let (reply, answer) = oneshot::channel();
-        self.try_put(input(reply)) && answer.await.unwrap_or(false)
+        if !self.try_put(input(reply)) {
+            return None;
+        }
+        answer.await.ok()
     }
 
     /// Returns whether the endpoint is known.
     pub(crate) async fn heartbeat(&self, heartbeat: EndpointHeartbeat) -> bool {
-        self.ask_bool(|reply| HomeInput::Heartbeat(heartbeat, reply)).await
+        self.answered(|reply| HomeInput::Heartbeat(heartbeat, reply)).await.unwrap_or(false)
     }
 
     /// Returns whether the endpoint is known.
     pub(crate) async fn leave(&self, leave: EndpointLeave) -> bool {
-        self.ask_bool(|reply| HomeInput::Leave(leave, reply)).await
+        self.answered(|reply| HomeInput::Leave(leave, reply)).await.unwrap_or(false)
     }
 
     /// Lets an endpoint go that has another home; returns whether it was known.
     pub(crate) async fn let_go(&self, endpoint: EndpointId) -> bool {
-        self.ask_bool(|reply| HomeInput::LetGo(endpoint, reply)).await
+        self.answered(|reply| HomeInput::LetGo(endpoint, reply)).await.unwrap_or(false)
     }
 
     /// Lists the endpoints.
     pub(crate) async fn views(&self) -> Vec<EndpointView> {
-        let (reply, answer) = oneshot::channel();
-        if !self.try_put(HomeInput::Views(reply)) {
-            return Vec::new();
-        }
-        answer.await.unwrap_or_default()
+        self.answered(HomeInput::Views).await.unwrap_or_default()
     }
 
     pub(crate) fn tick(&self) {
--- a/crates/daemon/src/http/answer.rs
+++ b/crates/daemon/src/http/answer.rs
@@ -4,6 +4,8 @@
 use gotham::hyper::Response;
 use gotham::hyper::StatusCode;
 use gotham::hyper::header::{CONTENT_TYPE, RETRY_AFTER};
+use gotham::router::Router;
+use gotham::router::builder::{RouterBuilder, build_simple_router};
 use gotham::router::response::ResponseExtender;
 use gotham::state::State;
 use http_body_util::{BodyExt, Full};
@@ -33,10 +35,19 @@
     raw(status, "application/json", body)
 }
 
-/// Refuses a call, after whatever is left of its body.
-pub(super) async fn refuse(state: &mut State, refusal: &ApiError) -> HttpResponse {
-    super::body::discard(state).await;
-    error(refusal)
+/// Answers a caller's call, or refuses it after whatever is left of its body.
+pub(super) async fn answered(
+    mut state: State,
+    result: Result<HttpResponse, ApiError>,
+) -> (State, HttpResponse) {
+    let response = match result {
+        Ok(response) => response,
+        Err(refusal) => {
+            super::body::discard(&mut state).await;
+            error(&refusal)
+        }
+    };
+    (state, response)
 }
 
 pub(super) fn error(error: &ApiError) -> HttpResponse {
@@ -52,7 +63,7 @@
 }
 
 /// Gives gotham's own refusals the form of all others.
-pub(super) struct RouteError(pub(super) ErrorCode);
+struct RouteError(ErrorCode);
 
 impl ResponseExtender<gotham::helpers::http::Body> for RouteError {
     fn extend(&self, state: &mut State, response: &mut HttpResponse) {
@@ -66,8 +77,18 @@
     }
 }
 
+/// Makes a listener's router, whose own refusals have the form of all others.
+pub(super) fn router(routes: impl FnOnce(&mut RouterBuilder<'_, (), ()>)) -> Router {
+    build_simple_router(|route| {
+        for (status, code) in ROUTE_ERRORS {
+            route.add_response_extender(status, RouteError(code));
+        }
+        routes(route);
+    })
+}
+
 /// The statuses that gotham gives to calls that match no route.
-pub(super) const ROUTE_ERRORS: [(StatusCode, ErrorCode); 2] = [
+const ROUTE_ERRORS: [(StatusCode, ErrorCode); 2] = [
     (StatusCode::NOT_FOUND, ErrorCode::NotFound),
     (StatusCode::METHOD_NOT_ALLOWED, ErrorCode::MethodNotAllowed),
 ];
--- a/crates/daemon/src/http/callers.rs
+++ b/crates/daemon/src/http/callers.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use gotham::router::Router;
-use gotham::router::builder::{DefineSingleRoute, DrawRoutes, build_simple_router};
+use gotham::router::builder::{DefineSingleRoute, DrawRoutes};
 use gotham::state::State;
 use oriolepass_config::MemberRecord;
 use oriolepass_schema::caller::{AddressList, EntryAddress};
@@ -15,15 +15,11 @@
 
 use oriolepass_schema::routes;
 
-use super::answer::{self, ROUTE_ERRORS, RouteError};
-use super::{HttpResponse, auth, completions, handler, services};
+use super::{HttpResponse, answer, auth, completions, handler, services};
 use crate::shared::{DaemonShared, DrainPhase};
 
 pub(crate) fn caller_router(shared: &Arc<DaemonShared>) -> Router {
-    build_simple_router(|route| {
-        for (status, code) in ROUTE_ERRORS {
-            route.add_response_extender(status, RouteError(code));
-        }
+    answer::router(|route| {
         route.get(routes::ADDRESSES.pattern).to_new_handler(handler(shared, addresses));
         route
             .post(routes::COMPLETIONS.pattern)
--- a/crates/daemon/src/http/completions.rs
+++ b/crates/daemon/src/http/completions.rs
@@ -30,25 +30,14 @@
 /// `POST /v1/completions`.
 pub(super) async fn complete(shared: Arc<DaemonShared>, mut state: State) -> (State, HttpResponse) {
     let result = serve(&shared, &mut state, AnswerShape::Text, parse::<CompletionCall>).await;
-    answered(state, result).await
+    answer::answered(state, result).await
 }
 
 /// `POST /v1/chat/completions`.
 pub(super) async fn chat(shared: Arc<DaemonShared>, mut state: State) -> (State, HttpResponse) {
     let read = |bytes: &[u8]| parse::<ChatCall>(bytes).map(CompletionCall::from);
     let result = serve(&shared, &mut state, AnswerShape::Chat, read).await;
-    answered(state, result).await
-}
-
-async fn answered(
-    mut state: State,
-    result: Result<HttpResponse, ApiError>,
-) -> (State, HttpResponse) {
-    let response = match result {
-        Ok(response) => response,
-        Err(error) => answer::refuse(&mut state, &error).await,
-    };
-    (state, response)
+    answer::answered(state, result).await
 }
 
 async fn serve(
--- a/crates/daemon/src/http/endpoints.rs
+++ b/crates/daemon/src/http/endpoints.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use gotham::router::Router;
-use gotham::router::builder::{DefineSingleRoute, DrawRoutes, build_simple_router};
+use gotham::router::builder::{DefineSingleRoute, DrawRoutes};
 use gotham::state::State;
 use oriolepass_schema::endpoint::{
     AnnouncementAnswer, CacheEvents, EndpointAnnouncement, EndpointHeartbeat, EndpointLeave,
@@ -14,16 +14,12 @@
 
 use oriolepass_schema::routes;
 
-use super::answer::{self, ROUTE_ERRORS, RouteError};
 use super::body::read_control_json;
-use super::{HttpResponse, auth, handler};
+use super::{HttpResponse, answer, auth, handler};
 use crate::shared::DaemonShared;
 
 pub(crate) fn endpoint_router(shared: &Arc<DaemonShared>) -> Router {
-    build_simple_router(|route| {
-        for (status, code) in ROUTE_ERRORS {
-            route.add_response_extender(status, RouteError(code));
-        }
+    answer::router(|route| {
         route.post(routes::ANNOUNCE.pattern).to_new_handler(handler(shared, announce));
         route.post(routes::HEARTBEAT.pattern).to_new_handler(handler(shared, heartbeat));
         route.post(routes::CACHE_EVENTS.pattern).to_new_handler(handler(shared, cache_events));
--- a/crates/daemon/src/http/operators.rs
+++ b/crates/daemon/src/http/operators.rs
@@ -7,22 +7,20 @@
 
 use gotham::hyper::Uri;
 use gotham::router::Router;
-use gotham::router::builder::{DefineSingleRoute, DrawRoutes, build_simple_router};
+use gotham::router::builder::{DefineSingleRoute, DrawRoutes};
 use gotham::state::State;
 use oriolepass_config::{ApplyOutcome, ChangeCommand, MemberCommand, ReplicatedCommand};
 use oriolepass_schema::OPENAPI_JSON;
 use oriolepass_schema::error::{ApiError, ErrorCode, RanState};
 use oriolepass_schema::operator::{
-    ChangeCall, DrainCall, InForceAnswer, MemberView, ObjectKind, ObjectView, StatusAnswer,
-    VotersCall,
+    ChangeCall, DrainCall, InForceAnswer, MemberView, ObjectKind, StatusAnswer, VotersCall,
 };
 use oriolepass_units::{InstanceId, ObjectRevision, TeamId};
 
 use oriolepass_schema::routes;
 
-use super::answer::{self, ROUTE_ERRORS, RouteError};
 use super::body::read_control_json;
-use super::{HttpResponse, auth, handler};
+use super::{HttpResponse, answer, auth, handler};
 use crate::member::{LeaderClient, LeaderError};
 use crate::peers::{LeaderReport, PeerAnswer, PeerQuestion};
 use crate::shared::DaemonShared;
@@ -37,10 +35,7 @@
 const MAX_AUDIT_PAGE: u32 = 1_000;
 
 pub(crate) fn operator_router(shared: &Arc<DaemonShared>) -> Router {
-    build_simple_router(|route| {
-        for (status, code) in ROUTE_ERRORS {
-            route.add_response_extender(status, RouteError(code));
-        }
+    answer::router(|route| {
         route.get(routes::LIVE.pattern).to_new_handler(handler(shared, live));
         route.get(routes::READY.pattern).to_new_handler(handler(shared, ready));
         route.get(routes::METRICS.pattern).to_new_handler(handler(shared, metrics));
@@ -166,13 +161,7 @@
         let kind: ObjectKind = kind.parse().map_err(|_| missing())?;
         let view = shared.view.read();
         let object = view.object(kind, name).ok_or_else(missing)?;
-        Ok(answer::json(&ObjectView {
-            kind,
-            name: name.to_owned(),
-            team: object.team.clone(),
-            revision: object.revision,
-            spec: object.spec.clone(),
-        }))
+        Ok(answer::json(&object.view(kind, name)))
     })
     .await
 }
--- a/crates/daemon/src/http/services.rs
+++ b/crates/daemon/src/http/services.rs
@@ -29,11 +29,8 @@
 
 /// `POST /v1/services/{name}/{path}`.
 pub(super) async fn call(shared: Arc<DaemonShared>, mut state: State) -> (State, HttpResponse) {
-    let response = match serve(&shared, &mut state).await {
-        Ok(response) => response,
-        Err(error) => answer::refuse(&mut state, &error).await,
-    };
-    (state, response)
+    let result = serve(&shared, &mut state).await;
+    answer::answered(state, result).await
 }
 
 fn malformed(detail: impl std::fmt::Display) -> ApiError {
--- a/crates/daemon/src/log/driver.rs
+++ b/crates/daemon/src/log/driver.rs
@@ -10,7 +10,7 @@
     ApplyOutcome, MemberCommand, ReplicatedCommand, ReplicatedState, StampedCommand,
 };
 use oriolepass_consensus::{
-    ConsensusNode, EntryPayload, LogEntry, NodeRole, NotLeader, PersistBatch, ReplicaId,
+    ConsensusNode, EntryPayload, LogEntry, NodeRole, PersistBatch, ReplicaId,
 };
 use oriolepass_schema::operator::KeyHash;
 use oriolepass_storage::LogStore;
@@ -165,7 +165,7 @@
             }
             LogInput::WantVoters(wanted, reply) => {
                 let answer = self.node.want_voters(wanted).map(|_| ());
-                let _ = reply.send(answer.map_err(|error| self.not_leader(&error)));
+                let _ = reply.send(answer.map_err(|error| self.not_leader(error.leader.as_ref())));
             }
             LogInput::HandOver(reply) => {
                 let _ = reply.send(self.node.hand_over(now));
@@ -187,11 +187,9 @@
         }
     }
 
-    fn not_leader(&self, error: &NotLeader) -> LogFailure {
-        LogFailure::NotLeader {
-            leader: error.leader.as_ref().map(|replica| replica.instance.clone()),
-            term: self.node.term(),
-        }
+    fn not_leader(&self, leader: Option<&ReplicaId>) -> LogFailure {
+        let leader = leader.map(|replica| replica.instance.clone());
+        LogFailure::NotLeader { leader, term: self.node.term() }
     }
 
     /// Succeeds only while this node surely is the one leader.
@@ -200,10 +198,7 @@
             return Ok(());
         }
         let leader = self.node.leader().filter(|replica| *replica != self.node.id());
-        Err(LogFailure::NotLeader {
-            leader: leader.map(|replica| replica.instance.clone()),
-            term: self.node.term(),
-        })
+        Err(self.not_leader(leader))
     }
 
     fn stamped(command: ReplicatedCommand) -> Arc<[u8]> {
@@ -219,7 +214,7 @@
                 self.waiting.insert(index, (term, reply));
             }
             Err(error) => {
-                let _ = reply.send(Err(self.not_leader(&error)));
+                let _ = reply.send(Err(self.not_leader(error.leader.as_ref())));
             }
         }
     }
@@ -236,9 +231,7 @@
         }
         let view = self.state.view();
         let known = view.members().get(&beat.record.instance);
-        let same =
-            known.filter(|m| m.boot == beat.record.boot && m.addresses == beat.record.addresses);
-        if let Some(member) = same {
+        if let Some(member) = known.filter(|member| member.is_same_start(&beat.record)) {
             let lease = MemberLease { epoch: member.epoch, view_index: view.index() };
             if let Some(duty) = &mut self.leader {
                 duty.watch.heard(now, &beat.record.instance, beat.applied);
--- a/crates/daemon/src/member.rs
+++ b/crates/daemon/src/member.rs
@@ -25,22 +25,18 @@
 /// How long a question to a source of the view may take.
 const FOLLOW_PATIENCE: Duration = Duration::from_millis(1_500);
 
-/// Runs the duty until the daemon stops.
+/// Runs the duty until it is dropped, which the daemon's end does.
 pub(crate) async fn run(shared: Arc<DaemonShared>) {
     tokio::join!(beat(&shared), follow(&shared), renew(&shared));
 }
 
-fn stopping(shared: &DaemonShared) -> bool {
-    shared.stopping.load(Ordering::SeqCst)
-}
-
 /// Sends signs of life; one at once after each change of the configuration, so that "in force
 /// everywhere" is known soon.
 async fn beat(shared: &DaemonShared) {
     let mut client = LeaderClient::default();
     let mut mark = shared.view.watch();
     let period = shared.settings.timing.member_lease / BEATS_PER_LEASE;
-    while !stopping(shared) {
+    loop {
         let beat = MemberBeat {
             record: shared.member_record(),
             applied: mark.borrow_and_update().config_revision,
@@ -97,7 +93,7 @@
         return;
     }
     let mut failures: usize = 0;
-    while !stopping(shared) {
+    loop {
         let have = shared.view.mark().index;
         let source = follow_source(shared, failures);
         let question = PeerQuestion::Follow { have };
@@ -149,7 +145,7 @@
 /// Renews the grants that requests here use.
 async fn renew(shared: &DaemonShared) {
     let period = shared.settings.timing.grant_lease / 4;
-    while !stopping(shared) {
+    loop {
         tokio::time::sleep(period).await;
         let mut by_home: BTreeMap<InstanceId, Vec<AttemptId>> = BTreeMap::new();
         for (attempt, endpoints) in shared.grants.snapshot() {
--- a/crates/daemon/src/member/leader.rs
+++ b/crates/daemon/src/member/leader.rs
@@ -4,7 +4,7 @@
 
 use oriolepass_units::InstanceId;
 
-use crate::peers::{LogFailure, MemberBeat, PeerAnswer, PeerError, PeerQuestion};
+use crate::peers::{self, LogFailure, MemberBeat, PeerAnswer, PeerError, PeerQuestion};
 use crate::shared::DaemonShared;
 
 /// The pause between two rounds of looking for a leader.
@@ -132,12 +132,12 @@
     question: &PeerQuestion,
     patience: Duration,
 ) -> Result<VoterSays, PeerError> {
-    let answer = match &shared.log {
-        Some(log) if instance == shared.id() => {
-            let answer = ask_own_log(log, question.clone());
-            tokio::time::timeout(patience, answer).await.map_err(|_| PeerError::Timeout)?
-        }
-        _ => shared.peers.ask_instance(instance, question, patience).await?,
+    let answer = if instance == shared.id() {
+        // This daemon's own replica is asked past the peers' thread.
+        let answer = peers::answer(shared, question.clone());
+        tokio::time::timeout(patience, answer).await.map_err(|_| PeerError::Timeout)?
+    } else {
+        shared.peers.ask_instance(instance, question, patience).await?
     };
     let failure = match &answer {
         PeerAnswer::Proposed(result) => result.as_ref().err(),
@@ -156,15 +156,3 @@
         Some(LogFailure::Lost | LogFailure::Busy) => VoterSays::Lost,
     })
 }
-
-/// Asks this daemon's own replica, past the peers' thread.
-async fn ask_own_log(log: &crate::log::LogHandle, question: PeerQuestion) -> PeerAnswer {
-    match question {
-        PeerQuestion::Propose(command) => PeerAnswer::Proposed(log.propose(command).await),
-        PeerQuestion::Beat(beat) => PeerAnswer::Lease(log.beat(beat).await),
-        PeerQuestion::Audit { after, limit } => PeerAnswer::Audit(log.audit(after, limit).await),
-        PeerQuestion::LeaderReport => PeerAnswer::LeaderReport(log.leader_report().await),
-        PeerQuestion::WantVoters(wanted) => PeerAnswer::VotersWanted(log.want_voters(wanted).await),
-        _ => PeerAnswer::Noted,
-    }
-}
--- a/crates/daemon/src/peers/client.rs
+++ b/crates/daemon/src/peers/client.rs
@@ -7,18 +7,16 @@
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 
+use capnp_rpc::RpcSystem;
 use capnp_rpc::rpc_twoparty_capnp::Side;
-use capnp_rpc::{RpcSystem, twoparty};
-use futures::AsyncReadExt;
-use futures::io::{BufReader, BufWriter};
 use oriolepass_schema::wire_capnp::{gate, session};
 use rand::RngCore;
 use tokio::net::TcpStream;
 use tokio::sync::{OnceCell, mpsc, watch};
 use tokio::task::spawn_local;
-use tokio_util::compat::TokioAsyncReadCompatExt;
 
 use super::auth::{ClusterKey, NONCE_BYTES, ProofSide};
+use super::link::network;
 use super::{PeerCommand, PeerError, PeerFaults, PeerQuestion};
 
 /// How long a connection may take to come about.
@@ -72,7 +70,7 @@
 
 /// Pings a connection until it is dead or nobody uses it any more.
 async fn watch_link(link: Weak<PeerLink>, session: session::Client) {
-    let ping = postcard::to_stdvec(&PeerQuestion::Ping).expect("a question always serialises");
+    let ping = PeerQuestion::Ping.encode();
     loop {
         tokio::time::sleep(PING_EVERY).await;
         let mut request = session.ask_request();
@@ -210,15 +208,7 @@
         ErrorKind::ConnectionRefused => PeerError::Refused,
         _ => PeerError::Broken,
     })?;
-    let _ = stream.set_nodelay(true);
-    let (reader, writer) = stream.compat().split();
-    let network = twoparty::VatNetwork::new(
-        BufReader::new(reader),
-        BufWriter::new(writer),
-        Side::Client,
-        super::server::reader_options(),
-    );
-    let mut system = RpcSystem::new(Box::new(network), None);
+    let mut system = RpcSystem::new(network(stream, Side::Client), None);
     let gate: gate::Client = system.bootstrap(Side::Server);
     spawn_local(async move {
         let _ = system.await;
--- a/crates/daemon/src/peers/message.rs
+++ b/crates/daemon/src/peers/message.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use oriolepass_config::{ApplyOutcome, MemberRecord, ReplicatedCommand};
 use oriolepass_scheduler::{GrantAsk, GrantRefusal, HomeDigest, PromptGrant, ReleaseReason};
 use oriolepass_schema::operator::AuditTrailView;
@@ -110,6 +111,13 @@
     Ping,
 }
 
+impl PeerQuestion {
+    /// Writes the question as it goes over a connection.
+    pub(crate) fn encode(&self) -> Bytes {
+        postcard::to_stdvec(self).expect("a question always serialises").into()
+    }
+}
+
 /// An answer.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum PeerAnswer {
--- a/crates/daemon/src/peers/mod.rs
+++ b/crates/daemon/src/peers/mod.rs
@@ -6,6 +6,7 @@
 
 mod auth;
 mod client;
+mod link;
 mod message;
 mod server;
 
@@ -14,6 +15,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use bytes::Bytes;
 use oriolepass_consensus::Envelope;
 use oriolepass_units::InstanceId;
 use tokio::sync::{mpsc, oneshot};
@@ -25,7 +27,7 @@
 pub(crate) use message::{
     LeaderAnswer, LeaderReport, LogFailure, MemberBeat, MemberLease, PeerAnswer, PeerQuestion,
 };
-pub(crate) use server::run_server;
+pub(crate) use server::{answer, run_server};
 
 /// Questions and messages that wait for the peers' thread.
 const RING_CAPACITY: usize = 8_192;
@@ -67,15 +69,8 @@
 
 /// Work for the peers' thread.
 pub(crate) enum PeerCommand {
-    Ask {
-        address: SocketAddr,
-        question: Vec<u8>,
-        reply: oneshot::Sender<Result<Vec<u8>, PeerError>>,
-    },
-    Consensus {
-        address: SocketAddr,
-        message: Vec<u8>,
-    },
+    Ask { address: SocketAddr, question: Bytes, reply: oneshot::Sender<Result<Vec<u8>, PeerError>> },
+    Consensus { address: SocketAddr, message: Vec<u8> },
 }
 
 /// Sends to other daemons.
@@ -99,7 +94,16 @@
         question: &PeerQuestion,
         patience: Duration,
     ) -> Result<PeerAnswer, PeerError> {
-        let question = postcard::to_stdvec(question).expect("a question always serialises");
+        self.ask_encoded(address, question.encode(), patience).await
+    }
+
+    /// Asks a question that was encoded before, because many daemons are asked the same.
+    pub(crate) async fn ask_encoded(
+        &self,
+        address: SocketAddr,
+        question: Bytes,
+        patience: Duration,
+    ) -> Result<PeerAnswer, PeerError> {
         let (reply, answer) = oneshot::channel();
         self.ring
             .try_send(PeerCommand::Ask { address, question, reply })
--- a/crates/daemon/src/peers/server.rs
+++ b/crates/daemon/src/peers/server.rs
@@ -4,32 +4,21 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use capnp::message::ReaderOptions;
+use capnp_rpc::RpcSystem;
 use capnp_rpc::rpc_twoparty_capnp::Side;
-use capnp_rpc::{RpcSystem, twoparty};
-use futures::AsyncReadExt;
-use futures::io::{BufReader, BufWriter};
 use oriolepass_schema::wire_capnp::{gate, session};
-use oriolepass_units::MonotonicTime;
+use oriolepass_units::LeaderTerm;
 use rand::RngCore;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
-use tokio_util::compat::TokioAsyncReadCompatExt;
 
 use super::auth::{ClusterKey, NONCE_BYTES, ProofSide};
+use super::link::network;
 use super::message::{FOLLOW_WAIT, PeerAnswer, PeerQuestion};
-use super::{LogFailure, PeerFaults};
+use super::{LeaderAnswer, LogFailure, PeerFaults};
+use crate::log::LogHandle;
 use crate::shared::DaemonShared;
 
-/// Words of one message read at most, so that a peer cannot make this daemon allocate at will.
-const MAX_MESSAGE_WORDS: usize = 16 * 1024 * 1024;
-
-pub(super) fn reader_options() -> ReaderOptions {
-    let mut options = ReaderOptions::new();
-    options.traversal_limit_in_words(Some(MAX_MESSAGE_WORDS));
-    options
-}
-
 /// Accepts connections for ever. Runs on the peers' thread.
 pub(crate) async fn run_server(
     listener: TcpListener,
@@ -39,19 +28,11 @@
 ) {
     loop {
         let Ok((stream, _)) = listener.accept().await else { continue };
-        let _ = stream.set_nodelay(true);
         serve(stream, &shared, &key, &faults);
     }
 }
 
 fn serve(stream: TcpStream, shared: &Arc<DaemonShared>, key: &ClusterKey, faults: &PeerFaults) {
-    let (reader, writer) = stream.compat().split();
-    let network = twoparty::VatNetwork::new(
-        BufReader::new(reader),
-        BufWriter::new(writer),
-        Side::Server,
-        reader_options(),
-    );
     let gate = PeerGate {
         shared: Arc::clone(shared),
         key: key.clone(),
@@ -59,7 +40,7 @@
         nonce: RefCell::default(),
     };
     let gate: gate::Client = capnp_rpc::new_client(gate);
-    let system = RpcSystem::new(Box::new(network), Some(gate.client));
+    let system = RpcSystem::new(network(stream, Side::Server), Some(gate.client));
     spawn_local(async move {
         let _ = system.await;
     });
@@ -155,31 +136,36 @@
     }
 }
 
-/// Passes a question to the duty that answers it.
-async fn answer(shared: &Arc<DaemonShared>, question: PeerQuestion) -> PeerAnswer {
-    let no_log =
-        || LogFailure::NotLeader { leader: None, term: oriolepass_units::LeaderTerm::ZERO };
+/// Asks the log, which only voters have.
+async fn ask_log<'a, T, Fut>(
+    shared: &'a DaemonShared,
+    ask: impl FnOnce(&'a LogHandle) -> Fut,
+) -> LeaderAnswer<T>
+where
+    Fut: Future<Output = LeaderAnswer<T>>,
+{
+    match &shared.log {
+        Some(log) => ask(log).await,
+        None => Err(LogFailure::NotLeader { leader: None, term: LeaderTerm::ZERO }),
+    }
+}
+
+/// Passes a question to the duty of this daemon that answers it.
+pub(crate) async fn answer(shared: &DaemonShared, question: PeerQuestion) -> PeerAnswer {
     match question {
-        PeerQuestion::Propose(command) => match &shared.log {
-            Some(log) => PeerAnswer::Proposed(log.propose(command).await),
-            None => PeerAnswer::Proposed(Err(no_log())),
-        },
-        PeerQuestion::Beat(beat) => match &shared.log {
-            Some(log) => PeerAnswer::Lease(log.beat(beat).await),
-            None => PeerAnswer::Lease(Err(no_log())),
-        },
-        PeerQuestion::Audit { after, limit } => match &shared.log {
-            Some(log) => PeerAnswer::Audit(log.audit(after, limit).await),
-            None => PeerAnswer::Audit(Err(no_log())),
-        },
-        PeerQuestion::LeaderReport => match &shared.log {
-            Some(log) => PeerAnswer::LeaderReport(log.leader_report().await),
-            None => PeerAnswer::LeaderReport(Err(no_log())),
-        },
-        PeerQuestion::WantVoters(wanted) => match &shared.log {
-            Some(log) => PeerAnswer::VotersWanted(log.want_voters(wanted).await),
-            None => PeerAnswer::VotersWanted(Err(no_log())),
-        },
+        PeerQuestion::Propose(command) => {
+            PeerAnswer::Proposed(ask_log(shared, |log| log.propose(command)).await)
+        }
+        PeerQuestion::Beat(beat) => PeerAnswer::Lease(ask_log(shared, |log| log.beat(beat)).await),
+        PeerQuestion::Audit { after, limit } => {
+            PeerAnswer::Audit(ask_log(shared, |log| log.audit(after, limit)).await)
+        }
+        PeerQuestion::LeaderReport => {
+            PeerAnswer::LeaderReport(ask_log(shared, LogHandle::leader_report).await)
+        }
+        PeerQuestion::WantVoters(wanted) => {
+            PeerAnswer::VotersWanted(ask_log(shared, |log| log.want_voters(wanted)).await)
+        }
         PeerQuestion::Follow { have } => {
             let mut watch = shared.view.watch();
             let newer = watch.wait_for(|mark| mark.index > have);
@@ -195,8 +181,7 @@
         PeerQuestion::Release { attempt, reason } => noted(shared.home.release(attempt, reason)),
         PeerQuestion::Ping => PeerAnswer::Noted,
         PeerQuestion::Digest(digest) => {
-            let now: MonotonicTime = shared.now();
-            shared.digests.put(now, digest);
+            shared.digests.put(shared.now(), digest);
             PeerAnswer::Noted
         }
     }
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -1,7 +1,7 @@
 //! What all duties of one daemon share.
 
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, RwLock};
 use std::time::Duration;
 
@@ -66,7 +66,8 @@
     pub(crate) epoch: AtomicU64,
     pub(crate) running: AtomicU64,
     pub(crate) buffered: AtomicU64,
-    pub(crate) stopping: AtomicBool,
+    /// Set when the duties end.
+    pub(crate) stopping: watch::Sender<bool>,
     /// Set when requests must end although they are not done.
     pub(crate) abandon: watch::Sender<bool>,
     /// Set when a graceful shutdown must not take any longer.
@@ -108,7 +109,7 @@
             epoch: AtomicU64::new(0),
             running: AtomicU64::new(0),
             buffered: AtomicU64::new(0),
-            stopping: AtomicBool::new(false),
+            stopping: watch::Sender::new(false),
             abandon: watch::Sender::new(false),
             hurry: watch::Sender::new(false),
             drain: AtomicU8::new(DrainPhase::Serving as u8),
