--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -33,7 +33,7 @@
         // instance.
         let known = self.voters().voters.iter().map(|voter| voter.instance.clone());
         let mut asked: BTreeSet<_> =
-            known.chain(self.config.first_voters.iter().cloned()).collect();
+            known.chain(self.config.first_voters.iter().chain(&self.contacts).cloned()).collect();
         asked.remove(&self.id.instance);
         for instance in asked {
             self.send_to_instance(instance, ConsensusMessage::JoinAsk);
--- a/crates/consensus/src/forming.rs
+++ b/crates/consensus/src/forming.rs
@@ -1,6 +1,6 @@
 //! How a new system comes into being.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use oriolepass_units::{InstanceId, LogIndex, MonotonicTime};
 
@@ -22,8 +22,13 @@
         }
         self.join_due = now + self.config.heartbeat;
         let RoleState::Forming { met } = &self.role else { return };
-        let message = ConsensusMessage::Forming { met: met.clone() };
-        for instance in self.config.first_voters.clone() {
+        let message = ConsensusMessage::Forming {
+            met: met.clone(),
+            first_voters: self.config.first_voters.clone(),
+        };
+        let others: BTreeSet<InstanceId> =
+            self.config.first_voters.iter().chain(&self.contacts).cloned().collect();
+        for instance in others {
             if instance != self.id.instance {
                 self.send_to_instance(instance, message.clone());
             }
@@ -39,7 +44,12 @@
         self.batch().send_after.push(envelope);
     }
 
-    pub(crate) fn on_forming(&mut self, from: &ReplicaId, met: &BTreeMap<InstanceId, DiskId>) {
+    pub(crate) fn on_forming(
+        &mut self,
+        from: &ReplicaId,
+        met: &BTreeMap<InstanceId, DiskId>,
+        first_voters: &[InstanceId],
+    ) {
         if let Some(first) = &self.first {
             let message = ConsensusMessage::Formed { first: first.clone() };
             self.send_synced(from, message);
@@ -49,7 +59,10 @@
             // Only what a replica says of itself counts. Hearsay may be about a disk that has
             // been replaced since.
             let own = met.get(&from.instance).copied();
-            if own == Some(from.disk) && self.config.first_voters.contains(&from.instance) {
+            // Only one that would form the same system counts. With lists that merely overlap, a
+            // replica could end up in two systems.
+            let same = is_same_set(first_voters, &self.config.first_voters);
+            if own == Some(from.disk) && same && first_voters.contains(&from.instance) {
                 mine.insert(from.instance.clone(), from.disk);
             }
             self.form_if_complete();
@@ -62,7 +75,7 @@
     fn form_if_complete(&mut self) {
         let RoleState::Forming { met } = &self.role else { return };
         let all = self.config.first_voters.iter().all(|instance| met.contains_key(instance));
-        if !all || met.is_empty() {
+        if !all || !self.config.first_voters.contains(&self.id.instance) {
             return;
         }
         let replica = |(instance, disk): (&InstanceId, &DiskId)| ReplicaId {
@@ -94,3 +107,8 @@
         self.persist_hard();
     }
 }
+
+fn is_same_set(left: &[InstanceId], right: &[InstanceId]) -> bool {
+    let set = |list: &[InstanceId]| list.iter().cloned().collect::<BTreeSet<_>>();
+    set(left) == set(right)
+}
--- a/crates/consensus/src/message.rs
+++ b/crates/consensus/src/message.rs
@@ -15,6 +15,8 @@
     Forming {
         /// The disks of the first voters met so far, the sender's own among them.
         met: BTreeMap<InstanceId, DiskId>,
+        /// The first voters that the sender would form a system with; kept on its disk.
+        first_voters: Vec<InstanceId>,
     },
     /// The system exists already; this was its first set of voters.
     Formed {
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use oriolepass_storage::{HardState, LogRecord, RecoveredLog, SnapshotMeta, StoredEntry};
+use oriolepass_storage::{
+    HardState, LogRecord, LogStore, RecoveredLog, SnapshotMeta, StorageError, StoredEntry,
+};
 use oriolepass_units::{InstanceId, LeaderTerm, LogIndex, MonotonicTime};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -16,9 +18,6 @@
 use crate::message::{ConsensusMessage, Envelope};
 use crate::replica::{DiskId, ReplicaId, VoterSet};
 
-/// Entries kept behind a snapshot for replicas that lag a little.
-pub(crate) const TRAILING_ENTRIES: u64 = 1_024;
-
 /// Checked parameters of a node.
 #[derive(Debug, Clone)]
 pub struct ConsensusConfig {
@@ -30,8 +29,11 @@
     pub drift_percent: u32,
     /// The most bytes of entries, or of a snapshot, in one message.
     pub message_bytes: usize,
-    /// The first voters, from the settings.
+    /// The first voters, from the settings or agreed on by the daemons that have met. Empty on a
+    /// replica that must not found a system.
     pub first_voters: Vec<InstanceId>,
+    /// Entries kept behind a snapshot for replicas that lag a little.
+    pub trailing_entries: u64,
     /// Seeds the choice of election timeouts.
     pub seed: u64,
 }
@@ -105,6 +107,31 @@
     pub compact: Option<(LogIndex, LogIndex)>,
 }
 
+impl PersistBatch {
+    /// Writes batches in order and syncs them together. Only after that may their messages be
+    /// sent.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when something may not be durable; the store is of no use after that.
+    pub fn write_group(store: &mut LogStore, group: &[Self]) -> Result<(), StorageError> {
+        let mut records: Vec<LogRecord> = Vec::new();
+        for batch in group {
+            if let Some((meta, held)) = &batch.snapshot {
+                // Records before the snapshot are written first, in the order they were made.
+                store.append(&std::mem::take(&mut records))?;
+                store.save_snapshot(meta, &held.data)?;
+            }
+            records.extend(batch.records.iter().cloned());
+            if let Some((index, keep_after)) = batch.compact {
+                store.append(&std::mem::take(&mut records))?;
+                store.compact(index, keep_after)?;
+            }
+        }
+        store.append(&records)
+    }
+}
+
 /// What the caller has to do now.
 #[derive(Debug, Default)]
 pub struct NodeOutput {
@@ -126,6 +153,8 @@
 pub(crate) struct ReplicaIdentity {
     pub(crate) disk: DiskId,
     pub(crate) first: Option<VoterSet>,
+    /// The first voters that this replica has told others it would form a system with.
+    pub(crate) chosen: Vec<InstanceId>,
 }
 
 /// One replica of the log.
@@ -136,6 +165,8 @@
     pub(crate) term: LeaderTerm,
     pub(crate) vote: Option<ReplicaId>,
     pub(crate) first: Option<VoterSet>,
+    /// Replicas that may know the system, beside the voters known.
+    pub(crate) contacts: Vec<InstanceId>,
     pub(crate) log: LogBuffer,
     /// Sets of voters by the entry that brought them; the last one is in force.
     pub(crate) voter_sets: Vec<(LogIndex, VoterSet)>,
@@ -166,7 +197,7 @@
     ///
     /// Panics when the store holds something that this version did not write.
     pub fn new(
-        config: ConsensusConfig,
+        mut config: ConsensusConfig,
         instance: InstanceId,
         fresh_disk: DiskId,
         recovered: RecoveredLog,
@@ -175,6 +206,10 @@
         let identity = decode_identity(&recovered.hard.identity);
         let disk = identity.as_ref().map_or(fresh_disk, |identity| identity.disk);
         let first = identity.as_ref().and_then(|identity| identity.first.clone());
+        // A choice that others may have built on stands, whatever has been discovered since.
+        if let Some(chosen) = identity.as_ref().map(|i| &i.chosen).filter(|c| !c.is_empty()) {
+            config.first_voters.clone_from(chosen);
+        }
         let id = ReplicaId { instance, disk };
         let snapshot = recovered.snapshot.map(|(meta, data)| {
             let voters = postcard::from_bytes(&meta.voters).expect("voters that were encoded here");
@@ -201,6 +236,7 @@
             output: NodeOutput { restore: snapshot.clone(), ..NodeOutput::default() },
             unsynced: BTreeMap::new(),
             next_sequence: 1,
+            contacts: Vec::new(),
             snapshot,
             first,
             id,
@@ -229,6 +265,11 @@
         }
     }
 
+    /// Names replicas that may know the system, for one that was told of no first voters.
+    pub fn learn_contacts(&mut self, contacts: impl IntoIterator<Item = InstanceId>) {
+        self.contacts = contacts.into_iter().filter(|c| *c != self.id.instance).collect();
+    }
+
     /// Lets time pass.
     pub fn tick(&mut self, now: MonotonicTime) {
         match &self.role {
@@ -245,7 +286,9 @@
         }
         let from = envelope.from;
         match envelope.message {
-            ConsensusMessage::Forming { met } => self.on_forming(&from, &met),
+            ConsensusMessage::Forming { met, first_voters } => {
+                self.on_forming(&from, &met, &first_voters);
+            }
             ConsensusMessage::Formed { first } => self.on_formed(now, first),
             ConsensusMessage::JoinAsk => self.on_join_ask(now, from),
             ConsensusMessage::PreVoteAsk { term, last_index, last_term } => {
@@ -314,7 +357,7 @@
         let Some(term) = self.log.term_at(index) else { return };
         let voters = self.voters_at(index).clone();
         let held = Arc::new(HeldSnapshot { index, term, voters, data });
-        let keep_after = LogIndex(index.0.saturating_sub(TRAILING_ENTRIES));
+        let keep_after = LogIndex(index.0.saturating_sub(self.config.trailing_entries));
         self.log.compact_to(keep_after);
         self.drop_old_sets();
         self.snapshot = Some(Arc::clone(&held));
@@ -453,7 +496,11 @@
 
     pub(crate) fn persist_hard(&mut self) {
         let vote = self.vote.as_ref().map(|v| postcard::to_stdvec(v).expect("a vote serialises"));
-        let identity = ReplicaIdentity { disk: self.id.disk, first: self.first.clone() };
+        let identity = ReplicaIdentity {
+            disk: self.id.disk,
+            first: self.first.clone(),
+            chosen: self.config.first_voters.clone(),
+        };
         let identity = postcard::to_stdvec(&identity).expect("an identity serialises");
         let hard = HardState { term: self.term, vote, identity };
         self.batch().records.push(LogRecord::Hard(hard));
--- a/crates/consensus/tests/harness/node.rs
+++ b/crates/consensus/tests/harness/node.rs
@@ -103,6 +103,7 @@
             drift_percent: DRIFT_PERCENT,
             message_bytes: 600,
             first_voters: self.first_voters.clone(),
+            trailing_entries: 1_024,
             seed: self.seed,
         };
         let now = self.local_time(true_time);
--- a/crates/consensus/tests/learner.rs
+++ b/crates/consensus/tests/learner.rs
@@ -32,6 +32,7 @@
                 drift_percent: 10,
                 message_bytes: 4_096,
                 first_voters: first.clone(),
+                trailing_entries: 1_024,
                 seed: number as u64,
             };
             let disk = DiskId(number as u64 + 1);
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -34,6 +34,10 @@
 /// Bytes of entries, or of a snapshot, in one consensus message.
 const MESSAGE_BYTES: usize = 256 * 1024;
 
+/// Entries kept behind a snapshot: at 1 kB a change some 1 MB, and more than a follower misses
+/// in a restart of a few seconds at the brief's rate of changes.
+const TRAILING_ENTRIES: u64 = 1_024;
+
 /// Chores of the home that may wait.
 const CHORE_RING: usize = 4_096;
 
@@ -284,6 +288,7 @@
         drift_percent: timing.drift_percent,
         message_bytes: MESSAGE_BYTES,
         first_voters: shared.settings.voters.iter().map(|v| v.instance.clone()).collect(),
+        trailing_entries: TRAILING_ENTRIES,
         seed: rand::random(),
     }
 }
--- a/crates/daemon/src/log/storage_duty.rs
+++ b/crates/daemon/src/log/storage_duty.rs
@@ -1,8 +1,8 @@
 //! The storage thread: one sync for all batches that wait.
 
 use crossbeam_channel::{Receiver, Sender};
-use oriolepass_consensus::{Envelope, PersistBatch};
-use oriolepass_storage::{LogRecord, LogStore, StorageError};
+use oriolepass_consensus::PersistBatch;
+use oriolepass_storage::LogStore;
 
 use crate::logging::duty_failed;
 use crate::peers::PeerHandle;
@@ -28,43 +28,14 @@
             group.push(next);
         }
         let last = group.last().map_or(0, |batch| batch.sequence);
-        let messages = match sync_group(&mut store, group) {
-            Ok(messages) => messages,
-            Err(error) => {
-                duty_failed("storage", &error);
-                return;
-            }
-        };
+        if let Err(error) = PersistBatch::write_group(&mut store, &group) {
+            duty_failed("storage", &error);
+            return;
+        }
         on_sync();
-        peers.send_consensus(messages);
+        peers.send_consensus(group.into_iter().flat_map(|batch| batch.send_after).collect());
         if synced.send(last).is_err() {
             return;
         }
     }
 }
-
-/// Writes a group in order and returns the messages that may be sent now.
-fn sync_group(
-    store: &mut LogStore,
-    group: Vec<PersistBatch>,
-) -> Result<Vec<Envelope>, StorageError> {
-    let mut records: Vec<LogRecord> = Vec::new();
-    let mut messages = Vec::new();
-    for batch in group {
-        if let Some((meta, held)) = &batch.snapshot {
-            // Records before the snapshot are written first, in the order they were made.
-            store.append(&records)?;
-            records.clear();
-            store.save_snapshot(meta, &held.data)?;
-        }
-        records.extend(batch.records);
-        if let Some((index, keep_after)) = batch.compact {
-            store.append(&records)?;
-            records.clear();
-            store.compact(index, keep_after)?;
-        }
-        messages.extend(batch.send_after);
-    }
-    store.append(&records)?;
-    Ok(messages)
-}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,13 +1,13 @@
 //! `oriolepassd`: reads its settings, runs the daemon, leaves gracefully when asked to.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::Duration;
 
 use bpaf::{OptionParser, Parser, construct, long};
 use eyre::{Result, WrapErr};
 use oriolepass_daemon::{Daemon, DaemonListeners, init_logging};
-use oriolepass_settings::{DaemonSettings, reference_page};
+use oriolepass_settings::{DaemonSettings, GatewaySettings, reference_page};
 use tokio::signal::unix::{SignalKind, signal};
 
 /// The exit code for settings that were refused.
@@ -21,6 +21,7 @@
 enum DaemonTask {
     Run { config: PathBuf, check: bool },
     PrintSettings,
+    Gateway { config: PathBuf, check: bool },
 }
 
 fn command_line() -> OptionParser<DaemonTask> {
@@ -30,7 +31,16 @@
     let print = long("print-settings")
         .help("Print the settings reference and exit")
         .req_flag(DaemonTask::PrintSettings);
-    construct!([print, run])
+    let gateway_config = long("config")
+        .env("ORIOLEPASS_BOOT")
+        .help("The gateway's settings file")
+        .argument::<PathBuf>("FILE.ini");
+    let gateway_check = long("check-config").help("Check the settings file and exit").switch();
+    let gateway = construct!(DaemonTask::Gateway { config(gateway_config), check(gateway_check) })
+        .to_options()
+        .descr("Run a gateway, which finds the other daemons by seeds")
+        .command("gateway");
+    construct!([gateway, print, run])
         .to_options()
         .descr("The oriolepass daemon")
         .version(env!("CARGO_PKG_VERSION"))
@@ -43,6 +53,7 @@
             print!("{}", reference_page());
             return ExitCode::SUCCESS;
         }
+        DaemonTask::Gateway { config, check } => return run_gateway(&config, check),
         DaemonTask::Run { config, check } => (config, check),
     };
     let settings = match DaemonSettings::load(&config) {
@@ -65,6 +76,27 @@
     }
 }
 
+fn run_gateway(config: &Path, check: bool) -> ExitCode {
+    let settings = match GatewaySettings::load(config) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("{error}");
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    if check {
+        println!("{}: the settings are good", config.display());
+        return ExitCode::SUCCESS;
+    }
+    match oriolepass_platform::run(settings, config) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("oriolepassd gateway: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 fn run(settings: DaemonSettings) -> Result<()> {
     init_logging(&settings.log_level).wrap_err("the log cannot be set up")?;
     let listeners = DaemonListeners::bind(&settings.listen)?;
--- /dev/null
+++ b/crates/gateway/src/announce.rs
@@ -0,0 +1,175 @@
+//! What endpoints say of themselves, and how the other daemons come to know it.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use oriolepass_units::{EndpointId, InstanceId, MonotonicTime};
+use tokio::time::sleep;
+
+use crate::balancer::FaultKind;
+use crate::endpoints::{BeatChange, EndpointBeat, EndpointNotice, EndpointPhase};
+use crate::events::EventKind;
+use crate::gateway::Gateway;
+use crate::peers::PeerMessage;
+
+/// Heartbeats are passed on together, this often; changes are passed on at once.
+const PASS_ON_EVERY: Duration = Duration::from_millis(500);
+
+/// An endpoint that has been silent for this many heartbeats is forgotten.
+const FORGOTTEN_HEARTBEATS: u32 = 12;
+
+impl Gateway {
+    /// Takes in an endpoint's heartbeat; the other daemons are told of a change at once.
+    pub fn endpoint_beat(&self, beat: EndpointBeat) {
+        let now = self.now();
+        let endpoint = beat.endpoint.clone();
+        let change = self.endpoints.borrow_mut().take(now, beat.clone(), Duration::ZERO);
+        match change {
+            BeatChange::Met | BeatChange::Changed => {
+                self.log_endpoint(&beat, change, None);
+                let notice = EndpointNotice { beat, age: Duration::ZERO };
+                self.tell_all(&PeerMessage::Endpoints(vec![notice]));
+                self.endpoints_changed();
+            }
+            BeatChange::Refreshed => {
+                self.home.borrow_mut().direct_beats.insert(endpoint);
+            }
+            BeatChange::Stale => {}
+        }
+    }
+
+    /// Takes in an endpoint's farewell.
+    pub fn endpoint_leaves(&self, endpoint: &EndpointId) {
+        if self.endpoints.borrow_mut().leave(endpoint) {
+            self.line(EventKind::Endpoint).text("endpoint", endpoint).text("outcome", "left");
+            self.tell_all(&PeerMessage::EndpointsLeft(vec![endpoint.clone()]));
+            self.endpoints_changed();
+        }
+    }
+
+    pub(crate) fn on_endpoint_notices(&self, from: &InstanceId, notices: Vec<EndpointNotice>) {
+        let now = self.now();
+        let mut news = Vec::new();
+        for notice in notices {
+            let change = self.endpoints.borrow_mut().take(now, notice.beat.clone(), notice.age);
+            if matches!(change, BeatChange::Met | BeatChange::Changed) {
+                self.log_endpoint(&notice.beat, change, Some(from));
+                news.push(notice);
+            }
+        }
+        if news.is_empty() {
+            return;
+        }
+        // The leader is in reach of every daemon that counts, also of those that are cut off
+        // from the one that heard the news.
+        if self.is_leader() {
+            self.tell_all(&PeerMessage::Endpoints(news));
+        }
+        self.endpoints_changed();
+    }
+
+    pub(crate) fn on_endpoints_left(&self, from: &InstanceId, endpoints: Vec<EndpointId>) {
+        let news: Vec<EndpointId> = {
+            let mut registry = self.endpoints.borrow_mut();
+            endpoints.into_iter().filter(|endpoint| registry.leave(endpoint)).collect()
+        };
+        if news.is_empty() {
+            return;
+        }
+        for endpoint in &news {
+            let line = self.line(EventKind::Endpoint).text("endpoint", endpoint);
+            line.text("told_by", from).text("outcome", "left");
+        }
+        if self.is_leader() {
+            self.tell_all(&PeerMessage::EndpointsLeft(news));
+        }
+        self.endpoints_changed();
+    }
+
+    /// Forgets an endpoint whose address answers for another one.
+    pub(crate) fn endpoint_displaced(&self, endpoint: &EndpointId) {
+        let line = self.line(EventKind::Endpoint).text("endpoint", endpoint);
+        line.text("outcome", "displaced");
+        self.endpoint_leaves(endpoint);
+    }
+
+    fn log_endpoint(&self, beat: &EndpointBeat, change: BeatChange, from: Option<&InstanceId>) {
+        let phase = match beat.phase {
+            EndpointPhase::Serving => "serving",
+            EndpointPhase::Draining => "draining",
+        };
+        self.line(EventKind::Endpoint)
+            .text("endpoint", &beat.endpoint)
+            .text("service", &beat.service)
+            .text("address", beat.address)
+            .number("sequence", beat.sequence)
+            .text("phase", phase)
+            .maybe("told_by", from)
+            .text("outcome", if change == BeatChange::Met { "met" } else { "changed" });
+    }
+
+    fn tell_all(&self, message: &PeerMessage) {
+        let to: Vec<InstanceId> = self.roster.borrow().known().cloned().collect();
+        self.mesh.send_all(&to, message);
+    }
+
+    /// Passes heartbeats on, and forgets endpoints that have been silent for long.
+    pub(crate) async fn keep_passing_on(self: Rc<Self>) {
+        let mut since = MonotonicTime::ZERO;
+        loop {
+            sleep(PASS_ON_EVERY).await;
+            let now = self.now();
+            let direct = std::mem::take(&mut self.home.borrow_mut().direct_beats);
+            let mut notices = self.endpoints.borrow().notices(now, since);
+            notices.retain(|notice| direct.contains(&notice.beat.endpoint));
+            since = now;
+            if !notices.is_empty() {
+                self.tell_all(&PeerMessage::Endpoints(notices));
+            }
+            self.expire_endpoints(now);
+        }
+    }
+
+    fn expire_endpoints(&self, now: MonotonicTime) {
+        let silence = self.settings().bounds.endpoint_heartbeat * FORGOTTEN_HEARTBEATS;
+        let expired = self.endpoints.borrow_mut().expire(now, silence);
+        for endpoint in &expired {
+            self.line(EventKind::Endpoint)
+                .text("endpoint", endpoint)
+                .millis("silent_ms", silence)
+                .text("outcome", "forgotten");
+        }
+        if !expired.is_empty() {
+            self.endpoints_changed();
+        }
+    }
+
+    fn endpoints_changed(&self) {
+        let registry = self.endpoints.borrow();
+        let serving = registry.all().filter(|b| b.phase == EndpointPhase::Serving).count();
+        self.metrics.endpoints.set(i64::try_from(serving).unwrap_or(i64::MAX));
+        self.balancer.borrow_mut().retain(|endpoint| registry.takes_work(endpoint).is_some());
+    }
+
+    /// Notes that an endpoint failed a request, and tells the others.
+    pub(crate) fn endpoint_fault(&self, request: &str, endpoint: &EndpointId, fault: FaultKind) {
+        self.line(EventKind::EndpointFault)
+            .text("request", request)
+            .text("endpoint", endpoint)
+            .text("fault", fault.name());
+        self.balancer.borrow_mut().fault(self.now(), endpoint, fault);
+        let to: Vec<InstanceId> = {
+            let roster = self.roster.borrow();
+            roster.alive(self.now()).map(|note| note.instance.clone()).collect()
+        };
+        self.mesh.send_all(&to, &PeerMessage::Faults(vec![(endpoint.clone(), fault)]));
+    }
+
+    pub(crate) fn on_faults(&self, faults: &[(EndpointId, FaultKind)]) {
+        let now = self.now();
+        let mut balancer = self.balancer.borrow_mut();
+        for (endpoint, fault) in faults {
+            balancer.fault(now, endpoint, *fault);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/directory.rs
@@ -0,0 +1,54 @@
+//! Which instances callers should use.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use oriolepass_units::DataCentreId;
+
+use crate::gateway::Gateway;
+use crate::lifecycle::ADDRESS_KEEP;
+use crate::roster::DaemonPhase;
+
+/// The most addresses in an answer; callers do not take more.
+const MAX_ADDRESSES: usize = 64;
+
+/// With fewer ready instances than this in the caller's data centre, those of others are named
+/// too: a single one that fails would leave its callers without any.
+const ENOUGH_NEAR: usize = 2;
+
+/// The addresses that a caller should use.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AddressAnswer {
+    /// Where callers connect, all equally good.
+    pub addresses: Vec<SocketAddr>,
+    /// How long the caller should keep them.
+    pub keep: Duration,
+}
+
+impl Gateway {
+    /// Returns the instances that are ready, those in the caller's data centre if there are
+    /// enough of them; none where no instance is ready.
+    pub fn addresses(&self, data_centre: Option<&DataCentreId>) -> Option<AddressAnswer> {
+        let now = self.now();
+        let settings = self.settings();
+        let roster = self.roster.borrow();
+        let mut ready: Vec<(DataCentreId, SocketAddr)> = roster
+            .alive(now)
+            .filter(|note| note.phase == DaemonPhase::Ready)
+            .map(|note| (note.data_centre.clone(), note.callers))
+            .collect();
+        if self.is_ready() {
+            ready.push((settings.data_centre.clone(), settings.listen.callers));
+        }
+        let near: Vec<SocketAddr> = ready
+            .iter()
+            .filter(|(centre, _)| Some(centre) == data_centre)
+            .map(|(_, address)| *address)
+            .collect();
+        let all = || ready.iter().map(|(_, address)| *address).collect();
+        let mut addresses = if near.len() >= ENOUGH_NEAR { near } else { all() };
+        addresses.truncate(MAX_ADDRESSES);
+        let keep = ADDRESS_KEEP.min(settings.bounds.address_keep_max);
+        (!addresses.is_empty()).then_some(AddressAnswer { addresses, keep })
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/endpoints.rs
@@ -0,0 +1,196 @@
+//! The endpoints that have announced themselves, at this daemon or at another.
+//!
+//! The state is soft: nothing of it is on a disk. Each endpoint names its start by an id and
+//! numbers its heartbeats, so that a late one is told from a new one whichever daemon got it.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use oriolepass_units::{DataCentreId, EndpointId, MonotonicTime, ServiceName};
+use serde::{Deserialize, Serialize};
+
+/// Ids of endpoints that have left and are remembered, so that a late heartbeat does not bring
+/// one back.
+const REMEMBERED_LEAVERS: usize = 4_096;
+
+/// Whether an endpoint takes new work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum EndpointPhase {
+    /// It does.
+    Serving,
+    /// It is about to leave.
+    Draining,
+}
+
+/// What an endpoint says of itself in a heartbeat.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndpointBeat {
+    /// Names this start of the endpoint.
+    pub endpoint: EndpointId,
+    /// The service that it belongs to.
+    pub service: ServiceName,
+    /// Where it takes requests.
+    pub address: SocketAddr,
+    /// Its data centre.
+    pub data_centre: DataCentreId,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it takes new work.
+    pub phase: EndpointPhase,
+    /// Counts its heartbeats.
+    pub sequence: u64,
+}
+
+/// What one daemon tells another of an endpoint.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndpointNotice {
+    /// The last heartbeat known.
+    pub beat: EndpointBeat,
+    /// How long ago it came.
+    pub age: Duration,
+}
+
+/// What a heartbeat or a notice changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BeatChange {
+    /// The endpoint was not known.
+    Met,
+    /// It takes work, or no longer, or moved.
+    Changed,
+    /// It is alive.
+    Refreshed,
+    /// Nothing: the news was older than what is known.
+    Stale,
+}
+
+#[derive(Debug, Clone)]
+struct EndpointEntry {
+    beat: EndpointBeat,
+    heard: MonotonicTime,
+}
+
+/// The endpoints known here.
+#[derive(Debug, Default)]
+pub struct EndpointRegistry {
+    entries: BTreeMap<EndpointId, EndpointEntry>,
+    left: HashMap<EndpointId, ()>,
+    left_order: VecDeque<EndpointId>,
+    generation: u64,
+}
+
+impl EndpointRegistry {
+    /// Takes in a heartbeat that came `age` ago.
+    pub fn take(&mut self, now: MonotonicTime, beat: EndpointBeat, age: Duration) -> BeatChange {
+        if self.left.contains_key(&beat.endpoint) {
+            return BeatChange::Stale;
+        }
+        let heard = now - age;
+        match self.entries.get_mut(&beat.endpoint) {
+            Some(entry) if entry.beat.sequence >= beat.sequence => BeatChange::Stale,
+            Some(entry) => {
+                let changed = entry.beat.phase != beat.phase
+                    || entry.beat.address != beat.address
+                    || entry.beat.service != beat.service;
+                entry.heard = entry.heard.max(heard);
+                entry.beat = beat;
+                if changed {
+                    self.generation += 1;
+                    return BeatChange::Changed;
+                }
+                BeatChange::Refreshed
+            }
+            None => {
+                self.displace(heard, &beat);
+                self.entries.insert(beat.endpoint.clone(), EndpointEntry { beat, heard });
+                self.generation += 1;
+                BeatChange::Met
+            }
+        }
+    }
+
+    /// Forgets an older endpoint whose address is used again: it cannot be there any more.
+    fn displace(&mut self, heard: MonotonicTime, beat: &EndpointBeat) {
+        let older =
+            |entry: &&EndpointEntry| entry.beat.address == beat.address && entry.heard < heard;
+        let displaced = self.entries.values().find(older).map(|e| e.beat.endpoint.clone());
+        if let Some(endpoint) = displaced {
+            self.leave(&endpoint);
+        }
+    }
+
+    /// Notes that an endpoint has left for good; returns whether that is news.
+    pub fn leave(&mut self, endpoint: &EndpointId) -> bool {
+        if self.left.insert(endpoint.clone(), ()).is_some() {
+            return false;
+        }
+        self.left_order.push_back(endpoint.clone());
+        if self.left_order.len() > REMEMBERED_LEAVERS
+            && let Some(oldest) = self.left_order.pop_front()
+        {
+            self.left.remove(&oldest);
+        }
+        self.entries.remove(endpoint);
+        self.generation += 1;
+        true
+    }
+
+    /// Forgets endpoints that have been silent for `silence`; returns them.
+    pub fn expire(&mut self, now: MonotonicTime, silence: Duration) -> Vec<EndpointId> {
+        let silent = |entry: &EndpointEntry| now.since(entry.heard) > silence;
+        let expired: Vec<EndpointId> = self
+            .entries
+            .values()
+            .filter(|entry| silent(entry))
+            .map(|entry| entry.beat.endpoint.clone())
+            .collect();
+        for endpoint in &expired {
+            self.entries.remove(endpoint);
+            self.generation += 1;
+        }
+        expired
+    }
+
+    /// Returns the endpoints of a service that take new work.
+    pub fn serving<'a>(
+        &'a self,
+        service: &'a ServiceName,
+    ) -> impl Iterator<Item = &'a EndpointBeat> {
+        self.all().filter(move |b| b.service == *service && b.phase == EndpointPhase::Serving)
+    }
+
+    /// Returns all endpoints.
+    pub fn all(&self) -> impl Iterator<Item = &EndpointBeat> {
+        self.entries.values().map(|entry| &entry.beat)
+    }
+
+    /// Returns an endpoint if it takes new work.
+    pub fn takes_work(&self, endpoint: &EndpointId) -> Option<&EndpointBeat> {
+        let entry = self.entries.get(endpoint)?;
+        (entry.beat.phase == EndpointPhase::Serving).then_some(&entry.beat)
+    }
+
+    /// Returns how long an endpoint has been silent.
+    pub fn silence(&self, now: MonotonicTime, endpoint: &EndpointId) -> Option<Duration> {
+        self.entries.get(endpoint).map(|entry| now.since(entry.heard))
+    }
+
+    /// Returns a number that grows with each change of who takes work where.
+    pub fn generation(&self) -> u64 {
+        self.generation
+    }
+
+    /// Lists what is known, for another daemon; with `since`, only what was heard after it.
+    pub fn notices(&self, now: MonotonicTime, since: MonotonicTime) -> Vec<EndpointNotice> {
+        let notice = |entry: &EndpointEntry| EndpointNotice {
+            beat: entry.beat.clone(),
+            age: now.since(entry.heard),
+        };
+        self.entries.values().filter(|entry| entry.heard > since).map(notice).collect()
+    }
+
+    /// Lists those that have left, newest first, at most `count`.
+    pub fn leavers(&self, count: usize) -> Vec<EndpointId> {
+        self.left_order.iter().rev().take(count).cloned().collect()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/events.rs
@@ -0,0 +1,255 @@
+//! Structured log lines: what the process decided, on what, and how it went.
+//!
+//! A line is a JSON object on standard output. Lines wait in a bounded buffer that a thread of
+//! its own writes out, so that a reader that stops reading never stops a request; lines that do
+//! not fit are counted, and the count is written as soon as there is room.
+
+use std::fmt::{Display, Write as _};
+use std::io::Write as _;
+use std::sync::{Arc, Condvar, Mutex};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// Bytes of lines that wait at most: some 3,000 lines, several seconds of a busy instance.
+const BUFFER_BYTES: usize = 512 * 1024;
+
+/// The writer's pause after each write, so that a burst of lines costs one wake-up.
+const WRITE_EVERY: Duration = Duration::from_millis(100);
+
+macro_rules! events {
+    ($($(#[doc = $doc:literal])+ $name:ident = $text:literal;)*) => {
+        /// Every kind of line.
+        #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+        pub enum EventKind {
+            $($(#[doc = $doc])+ $name,)*
+        }
+
+        impl EventKind {
+            /// All kinds with their names and meanings, for the operators' page.
+            pub const ALL: &'static [(&'static str, &'static str)] =
+                &[$(($text, concat!($($doc),+)),)*];
+
+            /// Returns the name as it stands in a line.
+            pub fn name(self) -> &'static str {
+                match self { $(Self::$name => $text,)* }
+            }
+        }
+    };
+}
+
+events! {
+    /// The process has started.
+    Start = "start";
+    /// The process has been asked to stop and drains.
+    Draining = "draining";
+    /// The process ends.
+    Stop = "stop";
+    /// The settings file was read again; `outcome` says what became of it.
+    Reload = "reload";
+    /// The process counts as ready, or no longer; `inputs` say why.
+    Readiness = "readiness";
+    /// A connection to another daemon is up or down.
+    PeerLink = "peer-link";
+    /// Another daemon was met, has left, or was forgotten.
+    Peer = "peer";
+    /// The set of first voters was chosen for a new system.
+    Founding = "founding";
+    /// The leader of the log that this process believes in has changed.
+    Leader = "leader";
+    /// The voters of the log have changed, or the leader wants other ones.
+    Voters = "voters";
+    /// The replica of the log has started, stopped, or failed with its disk.
+    Replica = "replica";
+    /// A routing document was proposed, acknowledged, or refused.
+    Document = "document";
+    /// A routing document is in force here.
+    InForce = "in-force";
+    /// Proof that the routing document is current was lost or regained.
+    Freshness = "freshness";
+    /// An endpoint was met, changed its state, left, or was forgotten.
+    Endpoint = "endpoint";
+    /// An endpoint failed a request in a way that counts against it.
+    EndpointFault = "endpoint-fault";
+    /// A request was sent to an endpoint.
+    Send = "send";
+    /// An endpoint's answer to a send did not do; `next` says what follows.
+    SendFailed = "send-failed";
+    /// A stream goes on at another endpoint.
+    Resume = "resume";
+    /// A request has ended; `status` is what the caller got.
+    End = "end";
+    /// A prompt could not be placed; `retry_after_ms` says when to come back.
+    NoPlace = "no-place";
+    /// The home of the engines did not answer; the prompt was placed on the local view.
+    HomeLost = "home-lost";
+    /// Memory of an engine was reserved or released, or that failed.
+    Reservation = "reservation";
+    /// Something failed that nobody waits for; `reason` says why it is borne.
+    Ignored = "ignored";
+    /// Lines were dropped because the reader of the log did not keep up.
+    LinesDropped = "lines-dropped";
+}
+
+#[derive(Default)]
+struct LineBuffer {
+    text: String,
+    dropped: u64,
+    is_closed: bool,
+}
+
+#[derive(Default)]
+struct SharedBuffer {
+    buffer: Mutex<LineBuffer>,
+    filled: Condvar,
+}
+
+/// Writes lines without ever waiting.
+#[derive(Clone)]
+pub struct EventLog {
+    shared: Arc<SharedBuffer>,
+    instance: Arc<str>,
+}
+
+impl EventLog {
+    /// Starts the writer's thread, which hands lines to `write`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the operating system's error when the thread cannot be started.
+    pub fn start(
+        instance: &str,
+        write: impl FnMut(&[u8]) -> std::io::Result<()> + Send + 'static,
+    ) -> std::io::Result<Self> {
+        let shared = Arc::new(SharedBuffer::default());
+        let writer = Arc::clone(&shared);
+        std::thread::Builder::new()
+            .name("event-log".into())
+            .spawn(move || write_lines(&writer, write))?;
+        Ok(Self { shared, instance: instance.into() })
+    }
+
+    /// Starts a log on standard output.
+    ///
+    /// # Errors
+    ///
+    /// Returns the operating system's error when the thread cannot be started.
+    pub fn to_stdout(instance: &str) -> std::io::Result<Self> {
+        Self::start(instance, |bytes| std::io::stdout().lock().write_all(bytes))
+    }
+
+    /// Begins a line; it is written when it is dropped.
+    pub fn line(&self, kind: EventKind) -> EventLine<'_> {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let mut text = String::with_capacity(256);
+        // Writing to a string cannot fail.
+        let _ = write!(
+            text,
+            "{{\"time\":{}.{:03},\"instance\":\"{}\",\"event\":\"{}\"",
+            unix.as_secs(),
+            unix.subsec_millis(),
+            self.instance,
+            kind.name()
+        );
+        EventLine { log: self, text }
+    }
+
+    /// Returns how many lines were dropped and not yet reported.
+    pub fn dropped(&self) -> u64 {
+        self.shared.buffer.lock().map_or(0, |buffer| buffer.dropped)
+    }
+
+    /// Lets the writer write what waits, for at most `patience`.
+    pub fn flush(&self, patience: Duration) {
+        let deadline = std::time::Instant::now() + patience;
+        self.shared.filled.notify_one();
+        while std::time::Instant::now() < deadline {
+            let is_empty = self.shared.buffer.lock().is_ok_and(|buffer| buffer.text.is_empty());
+            if is_empty {
+                return;
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+
+    fn put(&self, line: &str) {
+        // A poisoned lock means that the writer panicked: there is nothing to write to.
+        let Ok(mut buffer) = self.shared.buffer.lock() else { return };
+        if buffer.text.len() + line.len() > BUFFER_BYTES {
+            buffer.dropped += 1;
+            return;
+        }
+        let was_empty = buffer.text.is_empty();
+        buffer.text.push_str(line);
+        drop(buffer);
+        if was_empty {
+            self.shared.filled.notify_one();
+        }
+    }
+}
+
+fn write_lines(shared: &SharedBuffer, mut write: impl FnMut(&[u8]) -> std::io::Result<()>) {
+    let Ok(mut buffer) = shared.buffer.lock() else { return };
+    loop {
+        while buffer.text.is_empty() && !buffer.is_closed {
+            let Ok(woken) = shared.filled.wait(buffer) else { return };
+            buffer = woken;
+        }
+        if buffer.is_closed {
+            return;
+        }
+        let mut text = std::mem::take(&mut buffer.text);
+        let dropped = std::mem::take(&mut buffer.dropped);
+        drop(buffer);
+        if dropped > 0 {
+            let name = EventKind::LinesDropped.name();
+            let _ = writeln!(text, "{{\"event\":\"{name}\",\"count\":{dropped}}}");
+        }
+        // Nobody is left to be told that the log's own reader has gone.
+        let _ = write(text.as_bytes());
+        std::thread::sleep(WRITE_EVERY);
+        let Ok(next) = shared.buffer.lock() else { return };
+        buffer = next;
+    }
+}
+
+/// A line under construction.
+pub struct EventLine<'a> {
+    log: &'a EventLog,
+    text: String,
+}
+
+impl EventLine<'_> {
+    /// Adds a text.
+    pub fn text(mut self, key: &str, value: impl Display) -> Self {
+        let value = value.to_string();
+        let quoted = serde_json::to_string(&value).unwrap_or_else(|_| "\"?\"".to_owned());
+        let _ = write!(self.text, ",\"{key}\":{quoted}");
+        self
+    }
+
+    /// Adds a number or a truth value.
+    pub fn number(mut self, key: &str, value: impl Display) -> Self {
+        let _ = write!(self.text, ",\"{key}\":{value}");
+        self
+    }
+
+    /// Adds a duration in milliseconds.
+    pub fn millis(mut self, key: &str, value: Duration) -> Self {
+        let _ = write!(self.text, ",\"{key}\":{:.1}", value.as_secs_f64() * 1_000.0);
+        self
+    }
+
+    /// Adds a value where there is one.
+    pub fn maybe(self, key: &str, value: Option<impl Display>) -> Self {
+        match value {
+            Some(value) => self.text(key, value),
+            None => self,
+        }
+    }
+}
+
+impl Drop for EventLine<'_> {
+    fn drop(&mut self) {
+        self.text.push_str("}\n");
+        self.log.put(&self.text);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/front/mod.rs
@@ -0,0 +1,15 @@
+//! The callers' listener: from a request's first byte to the last byte of its answer.
+
+mod body;
+mod caller;
+mod events;
+mod headers;
+mod listener;
+mod placement;
+mod refusal;
+mod reserve;
+mod stream;
+mod tries;
+
+pub use events::EventSplitter;
+pub(crate) use listener::serve_callers;
--- /dev/null
+++ b/crates/gateway/src/front/placement.rs
@@ -0,0 +1,183 @@
+//! The endpoint that a try goes to, held while the try lasts.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use oriolepass_placement::{PromptAsk, PromptKey, PromptPlan};
+use oriolepass_units::EndpointId;
+use tokio::time::Instant;
+
+use super::caller::CallerRequest;
+use super::reserve::Reservations;
+use crate::balancer::FaultKind;
+use crate::dialect::HelperAddress;
+use crate::gateway::Gateway;
+use crate::peers::ProgressNote;
+
+/// Tokens of an answer where the request does not say.
+const UNKNOWN_ANSWER_TOKENS: u64 = 1_024;
+
+/// The longest pause of a stream whose route does not say.
+const UNKNOWN_PAUSE: Duration = Duration::from_millis(500);
+
+/// The reason that a try found no endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum NoPlace {
+    /// No endpoint of the service takes work.
+    NoEndpoint(Duration),
+    /// Engines' memory could not be reserved.
+    NoMemory,
+}
+
+/// An endpoint that a try goes to. Dropping it tells the home, and releases what is reserved.
+pub(super) struct Placement {
+    gateway: Rc<Gateway>,
+    pub(super) endpoint: EndpointId,
+    pub(super) address: SocketAddr,
+    pub(super) plan: Option<PromptPlan>,
+    pub(super) helpers: Vec<HelperAddress>,
+    pub(super) placed_by: &'static str,
+    key: Option<PromptKey>,
+    has_begun: Cell<bool>,
+    _reservations: Option<Reservations>,
+}
+
+impl Placement {
+    /// Finds an endpoint for a request.
+    pub(super) async fn find(
+        gateway: &Rc<Gateway>,
+        request: &CallerRequest,
+        avoid: &[EndpointId],
+    ) -> Result<Self, NoPlace> {
+        let began = Instant::now();
+        let found = if request.service.engine.is_some() {
+            Self::find_engine(gateway, request, avoid).await
+        } else {
+            Self::find_plain(gateway, request, avoid)
+        };
+        if let Ok(placement) = &found {
+            let took = began.elapsed().as_secs_f64();
+            let by = [placement.placed_by];
+            gateway.metrics.placement.with_label_values(&by).observe(took);
+        }
+        found
+    }
+
+    fn find_plain(
+        gateway: &Rc<Gateway>,
+        request: &CallerRequest,
+        avoid: &[EndpointId],
+    ) -> Result<Self, NoPlace> {
+        let chosen = {
+            let registry = gateway.endpoints.borrow();
+            let all: Vec<_> = registry.serving(&request.service.name).collect();
+            let liked: Vec<_> =
+                all.iter().filter(|beat| !avoid.contains(&beat.endpoint)).copied().collect();
+            let candidates = if liked.is_empty() { all } else { liked };
+            let settings = gateway.settings();
+            let balancer = gateway.balancer.borrow();
+            let (now, own) = (gateway.now(), &settings.data_centre);
+            balancer.choose(now, own, &candidates, rand::random()).cloned()
+        };
+        let beat = chosen.ok_or(NoPlace::NoEndpoint(super::caller::SOON))?;
+        gateway.balancer.borrow_mut().begin(&beat.endpoint);
+        Ok(Self {
+            gateway: Rc::clone(gateway),
+            endpoint: beat.endpoint,
+            address: beat.address,
+            plan: None,
+            helpers: Vec::new(),
+            placed_by: "balancer",
+            key: None,
+            has_begun: Cell::new(false),
+            _reservations: None,
+        })
+    }
+
+    async fn find_engine(
+        gateway: &Rc<Gateway>,
+        request: &CallerRequest,
+        avoid: &[EndpointId],
+    ) -> Result<Self, NoPlace> {
+        let ask = ask(gateway, request, avoid);
+        let (placed, by) = gateway.place_prompt(&request.id, &ask).await;
+        let plan = placed.map_err(|lack| NoPlace::NoEndpoint(lack.retry_after))?;
+        let mut placement = Self {
+            gateway: Rc::clone(gateway),
+            endpoint: plan.main.clone(),
+            address: SocketAddr::from(([0, 0, 0, 0], 0)),
+            helpers: Vec::new(),
+            placed_by: by.name(),
+            key: Some(ask.key),
+            has_begun: Cell::new(false),
+            _reservations: None,
+            plan: Some(plan.clone()),
+        };
+        let registry_address = |endpoint: &EndpointId| {
+            gateway.endpoints.borrow().takes_work(endpoint).map(|beat| beat.address)
+        };
+        placement.address =
+            registry_address(&plan.main).ok_or(NoPlace::NoEndpoint(super::caller::SOON))?;
+        let mut to_reserve = Vec::new();
+        for helper in &plan.helpers {
+            // One that has left meanwhile reads no part; the others read more.
+            let Some(address) = registry_address(&helper.endpoint) else { continue };
+            placement.helpers.push(HelperAddress { address, reservation: None });
+            if let Some(tokens) = helper.reserve_tokens {
+                to_reserve.push((placement.helpers.len() - 1, address, tokens));
+            }
+        }
+        if !to_reserve.is_empty() {
+            let held = Reservations::make(gateway, &request.id, &to_reserve).await;
+            let reservations = held.ok_or(NoPlace::NoMemory)?;
+            for (at, id) in reservations.ids() {
+                placement.helpers[at].reservation = Some(id.to_owned());
+            }
+            placement._reservations = Some(reservations);
+        }
+        Ok(placement)
+    }
+
+    /// Notes that the first event, or the answer, has come.
+    pub(super) fn begun(&self) {
+        if let Some(key) = self.key.filter(|_| !self.has_begun.replace(true)) {
+            self.gateway.report_progress(ProgressNote::Begun(key));
+        }
+    }
+
+    /// Notes that an endpoint failed the try.
+    pub(super) fn failed(&self, request: &str, endpoint: &EndpointId, fault: FaultKind) {
+        self.gateway.endpoint_fault(request, endpoint, fault);
+        if self.key.is_some() {
+            self.gateway.report_progress(ProgressNote::Failed(endpoint.clone()));
+        }
+    }
+}
+
+impl Drop for Placement {
+    fn drop(&mut self) {
+        match self.key {
+            Some(key) => self.gateway.report_progress(ProgressNote::Ended(key)),
+            None => self.gateway.balancer.borrow_mut().end(&self.endpoint),
+        }
+    }
+}
+
+fn ask(gateway: &Rc<Gateway>, request: &CallerRequest, avoid: &[EndpointId]) -> PromptAsk {
+    let facts = &request.facts;
+    let max_answer = facts.max_answer_tokens.unwrap_or(UNKNOWN_ANSWER_TOKENS);
+    let spent = request.arrived.elapsed();
+    PromptAsk {
+        key: gateway.prompt_key(),
+        service: request.service.name.clone(),
+        prompt_tokens: facts.prompt_tokens.unwrap_or(0),
+        answer_tokens: facts.expected_answer_tokens.unwrap_or(max_answer).min(max_answer).max(1),
+        max_answer_tokens: max_answer,
+        objective: request.route.objective.saturating_sub(spent),
+        pause: request.route.pause_objective.unwrap_or(UNKNOWN_PAUSE),
+        deadline: request.left(),
+        avoid: avoid.to_vec(),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/front/refusal.rs
@@ -0,0 +1,72 @@
+//! Answers of the gateway's own to requests that it does not or cannot serve.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::{Response, StatusCode};
+
+use super::body::FrontBody;
+
+/// An answer of the gateway's own.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct Refusal {
+    pub(super) status: StatusCode,
+    /// A short name for metrics and logs.
+    pub(super) reason: &'static str,
+    /// What the caller can do about it.
+    pub(super) remedy: String,
+    pub(super) retry_after: Option<Duration>,
+    /// Whether the connection is of no use any more.
+    pub(super) closes: bool,
+}
+
+impl Refusal {
+    pub(super) fn new(status: StatusCode, reason: &'static str, remedy: impl Into<String>) -> Self {
+        Self { status, reason, remedy: remedy.into(), retry_after: None, closes: false }
+    }
+
+    /// The request has not run and never will; it may be sent again after a while.
+    pub(super) fn not_run(reason: &'static str, retry_after: Duration) -> Self {
+        let remedy = "the request was not run; send it again after the time given";
+        Self {
+            retry_after: Some(retry_after),
+            ..Self::new(StatusCode::SERVICE_UNAVAILABLE, reason, remedy)
+        }
+    }
+
+    /// The request may have run, and there is no answer.
+    pub(super) fn failed(reason: &'static str) -> Self {
+        let remedy = "the request may have run, and its answer was lost";
+        Self::new(StatusCode::BAD_GATEWAY, reason, remedy)
+    }
+
+    /// The request's time is over.
+    pub(super) fn timed_out(reason: &'static str) -> Self {
+        let remedy = "the request's time is over; it may have run";
+        Self::new(StatusCode::GATEWAY_TIMEOUT, reason, remedy)
+    }
+
+    pub(super) fn closing(mut self) -> Self {
+        self.closes = true;
+        self
+    }
+
+    pub(super) fn response(&self) -> Response<FrontBody> {
+        let body = serde_json::json!({ "error": self.remedy, "reason": self.reason }).to_string();
+        let mut response = Response::new(FrontBody::Whole(Some(Bytes::from(body))));
+        *response.status_mut() = self.status;
+        let headers = response.headers_mut();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        if let Some(after) = self.retry_after {
+            let text = format!("{:.2}", after.as_secs_f64());
+            if let Ok(value) = HeaderValue::from_str(&text) {
+                headers.insert(RETRY_AFTER, value);
+            }
+        }
+        if self.closes {
+            headers.insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        response
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/front/tries.rs
@@ -0,0 +1,480 @@
+//! Sends of one request: what each brought, and what follows from it.
+//!
+//! The rules are few. An endpoint's own word that a request was not run, or a connection that
+//! never came about, leaves a request as it was: it may go elsewhere, or be refused truthfully.
+//! After anything else it may have run: then only an idempotent one, or a stream that can go on
+//! after its last event, is sent again; any other gets its failure at once.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::http::response::Parts;
+use hyper::{Request, Response, StatusCode};
+use oriolepass_routing::RepeatRule;
+use oriolepass_units::EndpointId;
+use tokio::time::{Instant, sleep, timeout};
+
+use super::caller::{CallerRequest, SOON};
+use super::headers::strip_hop_headers;
+use super::placement::{NoPlace, Placement};
+use super::refusal::Refusal;
+use super::stream::{EventSource, OpenStream, PieceEnd};
+use crate::balancer::FaultKind;
+use crate::dialect::{AnswerFacts, SendFacts};
+use crate::events::EventKind;
+use crate::gateway::Gateway;
+use crate::upstream::{self, SendFailure, Upstream};
+
+/// Sends of one request at most, those included that no endpoint ran.
+const MAX_SENDS: u32 = 4;
+
+/// The longest answer that is kept in memory before it is passed on.
+const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
+
+/// The part of the objective for which a request waits for an endpoint before it is refused.
+const WAIT_SHARE: f64 = 0.22;
+
+/// The pause before a place is looked for again.
+const LOOK_AGAIN: Duration = Duration::from_millis(25);
+
+/// The part of the objective after which an idempotent call that has no answer is sent to
+/// another endpoint: far above the usual time of a call, and early enough for the second answer
+/// to be on time.
+const CALL_SILENCE_SHARE: f64 = 0.65;
+
+/// A stream's first event is overdue at this many times its predicted time...
+const FIRST_EVENT_STRETCH: f64 = 2.5;
+
+/// ...and this much later...
+const FIRST_EVENT_SLACK: Duration = Duration::from_millis(500);
+
+/// ...and not before this many times the objective.
+const FIRST_EVENT_OBJECTIVES: f64 = 1.2;
+
+/// Where a service answers that it is full, callers come back after this long.
+const FULL_AGAIN: Duration = Duration::from_millis(250);
+
+/// An answer with its whole body.
+pub(super) type WholeAnswer = Response<Bytes>;
+
+/// What came of a request.
+pub(super) enum Verdict {
+    /// An endpoint's answer, to be passed on as it is.
+    Answer(WholeAnswer),
+    /// An endpoint's stream, whose first event has come.
+    Stream(OpenStream),
+    /// An answer of the gateway's own.
+    Refusal(Refusal),
+}
+
+/// What came of one send.
+enum TryEnd {
+    Answer(WholeAnswer),
+    Stream(OpenStream),
+    /// It was not run, and never will be.
+    NotRun {
+        reason: String,
+        endpoint: Option<EndpointId>,
+    },
+    /// It may have run.
+    MayHaveRun {
+        reason: String,
+        endpoint: EndpointId,
+    },
+    /// There is no endpoint to send it to.
+    NoPlace(NoPlace),
+    /// The document is not proved current any more.
+    NotProved,
+}
+
+/// The sends of one request so far.
+pub(super) struct History {
+    sends: u32,
+    /// Sends that may have run.
+    runs: u32,
+    /// Endpoints that failed this request.
+    avoid: Vec<EndpointId>,
+    /// The last event that the caller has.
+    pub(super) last_event: Option<u64>,
+    /// A failure that an endpoint answered, for want of anything better.
+    failure: Option<WholeAnswer>,
+    /// Until when an endpoint is looked for.
+    wait_until: Instant,
+}
+
+impl History {
+    pub(super) fn new(request: &CallerRequest) -> Self {
+        let wait = request.route.objective.mul_f64(WAIT_SHARE);
+        Self {
+            sends: 0,
+            runs: 0,
+            avoid: Vec::new(),
+            last_event: request.facts.resume_after,
+            failure: None,
+            wait_until: request.arrived + wait,
+        }
+    }
+
+    pub(super) fn sends(&self) -> u32 {
+        self.sends
+    }
+
+    pub(super) fn may_have_run(&self) -> bool {
+        self.runs > 0
+    }
+
+    /// Notes that a stream broke off after its first event, so that it can go on elsewhere.
+    pub(super) fn stream_broke(&mut self, endpoint: EndpointId, last_event: Option<u64>) {
+        self.avoid.push(endpoint);
+        self.last_event = last_event;
+        self.wait_until = Instant::now() + LOOK_AGAIN * 20;
+    }
+
+    /// Returns whether the request may be sent once more after it may have run.
+    pub(super) fn may_run_again(&self, request: &CallerRequest) -> bool {
+        request.route.repeat.may_repeat() && self.runs < request.route.max_attempts
+    }
+
+    /// Sends a request until it has an answer or is given up.
+    pub(super) async fn try_until_answered(
+        &mut self,
+        gateway: &Rc<Gateway>,
+        request: &CallerRequest,
+    ) -> Verdict {
+        loop {
+            if self.sends > 0 && !self.take_from_budget(gateway, request) {
+                return self.give_up("retry budget used up", FULL_AGAIN);
+            }
+            let end = self.try_once(gateway, request).await;
+            if let Some(verdict) = self.conclude(gateway, request, end).await {
+                return verdict;
+            }
+        }
+    }
+
+    fn take_from_budget(&self, gateway: &Gateway, request: &CallerRequest) -> bool {
+        let now = gateway.now();
+        let daemons = gateway.roster.borrow().alive(now).count() + 1;
+        let rule = gateway.budget_rule();
+        let service = &request.service.name;
+        let granted = gateway.budget.borrow_mut().take(now, &rule, daemons, service);
+        if !granted {
+            gateway.metrics.budget_refusals.inc();
+        }
+        granted
+    }
+
+    /// Returns what the request comes to; none where it is to be sent again.
+    async fn conclude(
+        &mut self,
+        gateway: &Gateway,
+        request: &CallerRequest,
+        end: TryEnd,
+    ) -> Option<Verdict> {
+        match end {
+            TryEnd::Stream(open) => Some(Verdict::Stream(open)),
+            TryEnd::Answer(answer) => self.conclude_answer(request, answer),
+            TryEnd::NotRun { reason, endpoint } => {
+                let again = self.sends < MAX_SENDS;
+                self.log_failure(gateway, request, endpoint.as_ref(), &reason, again);
+                self.avoid.extend(endpoint);
+                (!again).then(|| self.give_up("endpoints full or gone", FULL_AGAIN))
+            }
+            TryEnd::MayHaveRun { reason, endpoint } => {
+                self.runs += 1;
+                let again = self.may_run_again(request) && self.sends < MAX_SENDS;
+                self.log_failure(gateway, request, Some(&endpoint), &reason, again);
+                self.avoid.push(endpoint);
+                (!again).then(|| self.give_up("answer lost", FULL_AGAIN))
+            }
+            TryEnd::NotProved => Some(self.give_up("document not proved current", SOON)),
+            TryEnd::NoPlace(lack) => self.conclude_no_place(gateway, request, lack).await,
+        }
+    }
+
+    fn conclude_answer(&mut self, request: &CallerRequest, answer: WholeAnswer) -> Option<Verdict> {
+        self.runs += 1;
+        let is_failure = answer.status().is_server_error();
+        if !is_failure || !self.may_run_again(request) || self.sends >= MAX_SENDS {
+            return Some(Verdict::Answer(answer));
+        }
+        self.failure = Some(answer);
+        None
+    }
+
+    async fn conclude_no_place(
+        &mut self,
+        gateway: &Gateway,
+        request: &CallerRequest,
+        lack: NoPlace,
+    ) -> Option<Verdict> {
+        if Instant::now() < self.wait_until {
+            sleep(LOOK_AGAIN).await;
+            return None;
+        }
+        let (reason, after) = match lack {
+            NoPlace::NoEndpoint(after) => ("no endpoint takes work", after),
+            NoPlace::NoMemory => ("no engine memory", SOON),
+        };
+        gateway
+            .line(EventKind::NoPlace)
+            .text("request", &request.id)
+            .text("service", &request.service.name)
+            .millis("retry_after_ms", after)
+            .text("reason", reason);
+        Some(self.give_up(reason, after))
+    }
+
+    /// Ends a request that gets no answer, with the truth about whether it may have run.
+    fn give_up(&mut self, reason: &'static str, retry_after: Duration) -> Verdict {
+        if let Some(failure) = self.failure.take() {
+            return Verdict::Answer(failure);
+        }
+        if self.may_have_run() {
+            return Verdict::Refusal(Refusal::failed(reason));
+        }
+        Verdict::Refusal(Refusal::not_run(reason, retry_after))
+    }
+
+    fn log_failure(
+        &self,
+        gateway: &Gateway,
+        request: &CallerRequest,
+        endpoint: Option<&EndpointId>,
+        reason: &str,
+        again: bool,
+    ) {
+        gateway
+            .line(EventKind::SendFailed)
+            .text("request", &request.id)
+            .number("send", self.sends)
+            .number("may_have_run", self.runs)
+            .maybe("endpoint", endpoint)
+            .text("reason", reason)
+            .millis("left_ms", request.left())
+            .text("next", if again { "send again" } else { "give up" });
+    }
+
+    /// Sends a request once.
+    async fn try_once(&mut self, gateway: &Rc<Gateway>, request: &CallerRequest) -> TryEnd {
+        let placement = match Placement::find(gateway, request, &self.avoid).await {
+            Ok(placement) => placement,
+            Err(lack) => return TryEnd::NoPlace(lack),
+        };
+        // Last checks before the bytes leave: the process may have stood still since the first.
+        let fails_closed = request.needs_proof && gateway.settings().bounds.fail_closed;
+        if fails_closed && !gateway.is_fresh() {
+            return TryEnd::NotProved;
+        }
+        if gateway.endpoints.borrow().takes_work(&placement.endpoint).is_none() {
+            let reason = "the endpoint is leaving".to_owned();
+            return TryEnd::NotRun { reason, endpoint: Some(placement.endpoint.clone()) };
+        }
+        let Some(message) = self.message(gateway, request, &placement) else {
+            let reason = "the request cannot be written".to_owned();
+            return TryEnd::NotRun { reason, endpoint: None };
+        };
+        self.sends += 1;
+        self.log_send(gateway, request, &placement);
+        let patience = self.patience(request, &placement);
+        match timeout(patience, upstream::send(placement.address, message)).await {
+            Ok(Ok(upstream)) => {
+                self.read_answer(gateway, request, placement, upstream, patience).await
+            }
+            Ok(Err(SendFailure::NotSent(reason))) => {
+                gateway.metrics.sends.with_label_values(&["not sent"]).inc();
+                let endpoint = placement.endpoint.clone();
+                placement.failed(&request.id, &endpoint, FaultKind::Unreachable);
+                TryEnd::NotRun { reason, endpoint: Some(endpoint) }
+            }
+            Ok(Err(SendFailure::Unknown(reason))) => {
+                lost(gateway, request, &placement, FaultKind::Broken, reason)
+            }
+            Err(_) => {
+                let reason = format!("no answer in {} ms", patience.as_millis());
+                lost(gateway, request, &placement, FaultKind::Silent, reason)
+            }
+        }
+    }
+
+    fn message(
+        &self,
+        gateway: &Gateway,
+        request: &CallerRequest,
+        placement: &Placement,
+    ) -> Option<Request<Full<Bytes>>> {
+        let mut headers = request.headers.clone();
+        let facts = SendFacts {
+            deadline: request.left(),
+            endpoint: placement.endpoint.clone(),
+            account: request.holder.as_ref().map(|holder| holder.account.clone()),
+            engine_priority: placement.plan.as_ref().map(|plan| plan.engine_priority),
+            helpers: placement.helpers.clone(),
+            resume_after: self.last_event,
+        };
+        (gateway.dialect.write_send)(&facts, &mut headers);
+        let mut message = Request::builder()
+            .method(request.method.clone())
+            .uri(request.path.as_str())
+            .body(Full::new(request.body.clone()))
+            .ok()?;
+        *message.headers_mut() = headers;
+        Some(message)
+    }
+
+    fn log_send(&self, gateway: &Gateway, request: &CallerRequest, placement: &Placement) {
+        let proof_age = gateway.documents.borrow().proof_age(gateway.now());
+        let document = gateway.active_document();
+        let mut line = gateway
+            .line(EventKind::Send)
+            .text("request", &request.id)
+            .number("send", self.sends)
+            .text("endpoint", &placement.endpoint)
+            .text("address", placement.address)
+            .text("placed_by", placement.placed_by)
+            .maybe("revision", document.map(|document| document.text.revision))
+            .millis("proof_age_ms", proof_age.unwrap_or(Duration::MAX))
+            .millis("left_ms", request.left())
+            .maybe("after_event", self.last_event);
+        if let Some(plan) = &placement.plan {
+            line = line
+                .number("prompt_tokens", request.facts.prompt_tokens.unwrap_or(0))
+                .number("helpers", placement.helpers.len())
+                .millis("predicted_first_ms", plan.first_event);
+        }
+        drop(line);
+    }
+
+    /// Returns how long the head of the answer, or a stream's first event, is waited for.
+    fn patience(&self, request: &CallerRequest, placement: &Placement) -> Duration {
+        let left = request.left();
+        if !request.route.repeat.may_repeat() || self.runs + 1 >= request.route.max_attempts {
+            return left;
+        }
+        let objective = request.route.objective;
+        let patience = match &placement.plan {
+            Some(plan) => (plan.first_event.mul_f64(FIRST_EVENT_STRETCH) + FIRST_EVENT_SLACK)
+                .max(objective.mul_f64(FIRST_EVENT_OBJECTIVES)),
+            None => objective.mul_f64(CALL_SILENCE_SHARE),
+        };
+        patience.min(left)
+    }
+
+    async fn read_answer(
+        &mut self,
+        gateway: &Rc<Gateway>,
+        request: &CallerRequest,
+        placement: Placement,
+        upstream: Upstream,
+        patience: Duration,
+    ) -> TryEnd {
+        let status = upstream.response.status();
+        let facts = (gateway.dialect.read_answer)(upstream.response.headers());
+        if facts.was_not_run || status == StatusCode::MISDIRECTED_REQUEST {
+            return not_run(gateway, request, &placement, status, &facts);
+        }
+        let is_own = facts.request_id.as_deref() == Some(request.id.as_str());
+        if !is_own || !facts.is_signed {
+            let reason = format!("status {status} without proof that it answers this request");
+            return lost(gateway, request, &placement, FaultKind::Broken, reason);
+        }
+        if request.route.repeat.is_stream() && status.is_success() {
+            return self.open_stream(gateway, request, placement, upstream, patience).await;
+        }
+        let (parts, body) = upstream.response.into_parts();
+        let collected = timeout(patience, Limited::new(body, MAX_ANSWER_BYTES).collect()).await;
+        match collected {
+            Ok(Ok(body)) => {
+                gateway.metrics.sends.with_label_values(&["answered"]).inc();
+                if status.is_server_error() {
+                    let endpoint = &placement.endpoint;
+                    gateway.endpoint_fault(&request.id, endpoint, FaultKind::Failure);
+                }
+                placement.begun();
+                let parts = passed_on(gateway, parts);
+                TryEnd::Answer(Response::from_parts(parts, body.to_bytes()))
+            }
+            Ok(Err(error)) => {
+                lost(gateway, request, &placement, FaultKind::Broken, error.to_string())
+            }
+            Err(_) => {
+                let reason = "the answer's body did not come in time".to_owned();
+                lost(gateway, request, &placement, FaultKind::Silent, reason)
+            }
+        }
+    }
+
+    /// Waits for a stream's first event: until then it can still go elsewhere unnoticed.
+    async fn open_stream(
+        &mut self,
+        gateway: &Rc<Gateway>,
+        request: &CallerRequest,
+        placement: Placement,
+        upstream: Upstream,
+        patience: Duration,
+    ) -> TryEnd {
+        let (parts, body) = upstream.response.into_parts();
+        let mut source = EventSource::new(body, upstream.guard, self.last_event);
+        let first = match timeout(patience, source.next()).await {
+            Ok(PieceEnd::Piece(first)) => Some(first),
+            Ok(PieceEnd::Whole) => None,
+            Ok(PieceEnd::Broken(reason)) => {
+                return lost(gateway, request, &placement, FaultKind::Broken, reason);
+            }
+            Err(_) => {
+                let reason = format!("no event in {} ms", patience.as_millis());
+                return lost(gateway, request, &placement, FaultKind::Silent, reason);
+            }
+        };
+        gateway.metrics.sends.with_label_values(&["answered"]).inc();
+        self.runs += 1;
+        placement.begun();
+        TryEnd::Stream(OpenStream { head: passed_on(gateway, parts), first, source, placement })
+    }
+}
+
+/// Returns the head of an endpoint's answer as its caller gets it.
+fn passed_on(gateway: &Gateway, mut parts: Parts) -> Parts {
+    strip_hop_headers(&mut parts.headers, gateway.dialect.is_essential);
+    parts.version = hyper::Version::HTTP_11;
+    parts.extensions.clear();
+    parts
+}
+
+fn lost(
+    gateway: &Gateway,
+    request: &CallerRequest,
+    placement: &Placement,
+    fault: FaultKind,
+    reason: String,
+) -> TryEnd {
+    gateway.metrics.sends.with_label_values(&[fault.name()]).inc();
+    let endpoint = placement.endpoint.clone();
+    placement.failed(&request.id, &endpoint, fault);
+    TryEnd::MayHaveRun { reason, endpoint }
+}
+
+fn not_run(
+    gateway: &Gateway,
+    request: &CallerRequest,
+    placement: &Placement,
+    status: StatusCode,
+    facts: &AnswerFacts,
+) -> TryEnd {
+    gateway.metrics.sends.with_label_values(&["not run"]).inc();
+    let culprit = facts.culprit.as_ref().and_then(|id| id.parse::<EndpointId>().ok());
+    let endpoint = culprit.unwrap_or_else(|| placement.endpoint.clone());
+    if status == StatusCode::MISDIRECTED_REQUEST && endpoint == placement.endpoint {
+        gateway.endpoint_displaced(&endpoint);
+    } else {
+        placement.failed(&request.id, &endpoint, FaultKind::Full);
+    }
+    TryEnd::NotRun { reason: format!("status {status}: not run"), endpoint: Some(endpoint) }
+}
+
+/// Returns whether a stream that has begun may go on at another endpoint.
+pub(super) fn may_resume(request: &CallerRequest) -> bool {
+    request.route.repeat == RepeatRule::ResumableStream
+}
--- /dev/null
+++ b/crates/gateway/src/gateway.rs
@@ -0,0 +1,165 @@
+//! The gateway: everything that the event loop's tasks share.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use oriolepass_settings::GatewaySettings;
+use oriolepass_units::{InstanceId, LeaderTerm, MonotonicTime};
+use tokio::sync::{Notify, oneshot, watch};
+use tokio::time::timeout;
+
+use crate::balancer::EndpointBalancer;
+use crate::budget::{BudgetRule, RetryBudget};
+use crate::clock::ProcessClock;
+use crate::dialect::WireDialect;
+use crate::documents::DocumentState;
+use crate::endpoints::EndpointRegistry;
+use crate::events::{EventKind, EventLine, EventLog};
+use crate::founding::FoundingSurvey;
+use crate::home::HomeState;
+use crate::lifecycle::Lifecycle;
+use crate::metrics::GatewayMetrics;
+use crate::peers::{DocumentVerdict, FreshVerdict, PeerMesh, PeerMessage, PlaceVerdict};
+use crate::replica::ReplicaDriver;
+use crate::roster::DaemonRoster;
+
+/// An answer from another daemon.
+pub(crate) enum PeerReply {
+    Fresh(FreshVerdict),
+    Proposed(DocumentVerdict),
+    Placed(PlaceVerdict),
+}
+
+/// What the event loop's tasks share. Each part is borrowed for the length of a call only, never
+/// across an await.
+pub struct Gateway {
+    pub(crate) settings: RefCell<Rc<GatewaySettings>>,
+    pub(crate) dialect: WireDialect,
+    pub(crate) clock: ProcessClock,
+    pub(crate) log: EventLog,
+    pub(crate) metrics: GatewayMetrics,
+    /// This daemon's name among the others: the address at which they reach it.
+    pub(crate) own: InstanceId,
+    /// Drawn at the start of the process.
+    pub(crate) boot: u64,
+    pub(crate) mesh: Rc<PeerMesh>,
+    pub(crate) roster: RefCell<DaemonRoster>,
+    pub(crate) replica: RefCell<Option<ReplicaDriver>>,
+    pub(crate) survey: RefCell<FoundingSurvey>,
+    pub(crate) leader: RefCell<Option<(LeaderTerm, InstanceId)>>,
+    pub(crate) documents: RefCell<DocumentState>,
+    pub(crate) document_changed: Notify,
+    pub(crate) endpoints: RefCell<EndpointRegistry>,
+    pub(crate) balancer: RefCell<EndpointBalancer>,
+    pub(crate) budget: RefCell<RetryBudget>,
+    pub(crate) home: RefCell<HomeState>,
+    pub(crate) lifecycle: watch::Sender<Lifecycle>,
+    pub(crate) was_ready: Cell<bool>,
+    pub(crate) active_requests: Cell<u64>,
+    pub(crate) buffered_bytes: Cell<usize>,
+    calls: RefCell<HashMap<u64, oneshot::Sender<PeerReply>>>,
+    next_number: Cell<u64>,
+}
+
+impl Gateway {
+    /// Creates a gateway that does nothing yet.
+    pub(crate) fn new(settings: GatewaySettings, dialect: WireDialect, log: EventLog) -> Rc<Self> {
+        let clock = ProcessClock::start();
+        let peers = settings.listen.peers;
+        let own: InstanceId =
+            peers.to_string().parse().expect("an address is made of an id's characters");
+        Rc::new(Self {
+            settings: RefCell::new(Rc::new(settings)),
+            dialect,
+            clock,
+            log,
+            metrics: GatewayMetrics::new(),
+            boot: rand::random::<u64>() >> 12,
+            mesh: PeerMesh::new(own.clone(), peers.ip()),
+            own,
+            roster: RefCell::default(),
+            replica: RefCell::new(None),
+            survey: RefCell::new(FoundingSurvey::new(clock.now())),
+            leader: RefCell::new(None),
+            documents: RefCell::default(),
+            document_changed: Notify::new(),
+            endpoints: RefCell::default(),
+            balancer: RefCell::default(),
+            budget: RefCell::default(),
+            home: RefCell::default(),
+            lifecycle: watch::Sender::new(Lifecycle::Serving),
+            was_ready: Cell::new(false),
+            active_requests: Cell::new(0),
+            buffered_bytes: Cell::new(0),
+            calls: RefCell::default(),
+            next_number: Cell::new(1),
+        })
+    }
+
+    pub(crate) fn now(&self) -> MonotonicTime {
+        self.clock.now()
+    }
+
+    pub(crate) fn settings(&self) -> Rc<GatewaySettings> {
+        Rc::clone(&self.settings.borrow())
+    }
+
+    /// Returns the log of this process.
+    pub fn log(&self) -> &EventLog {
+        &self.log
+    }
+
+    pub(crate) fn line(&self, kind: EventKind) -> EventLine<'_> {
+        self.log.line(kind)
+    }
+
+    /// Returns a number that this process has not used yet.
+    pub(crate) fn next_number(&self) -> u64 {
+        let number = self.next_number.get();
+        self.next_number.set(number + 1);
+        number
+    }
+
+    pub(crate) fn budget_rule(&self) -> BudgetRule {
+        let bounds = &self.settings().bounds;
+        BudgetRule {
+            ratio: bounds.retry_ratio,
+            slack: bounds.retry_slack,
+            window: bounds.retry_window,
+        }
+    }
+
+    /// Asks another daemon and waits for its answer.
+    pub(crate) async fn call(
+        &self,
+        to: &InstanceId,
+        patience: Duration,
+        question: impl FnOnce(u64) -> PeerMessage,
+    ) -> Option<PeerReply> {
+        let token = self.next_number();
+        let (reply, answer) = oneshot::channel();
+        self.calls.borrow_mut().insert(token, reply);
+        self.mesh.send(to, &question(token));
+        let answer = timeout(patience, answer).await;
+        self.calls.borrow_mut().remove(&token);
+        answer.ok()?.ok()
+    }
+
+    /// Hands an answer to whoever waits for it, if somebody still does.
+    pub(crate) fn answer_call(&self, token: u64, reply: PeerReply) {
+        if let Some(waiter) = self.calls.borrow_mut().remove(&token) {
+            let _ = waiter.send(reply);
+        }
+    }
+
+    /// Returns whether this daemon leads the log, as far as it knows.
+    pub(crate) fn is_leader(&self) -> bool {
+        self.leader.borrow().as_ref().is_some_and(|(_, leader)| *leader == self.own)
+    }
+
+    pub(crate) fn leader_instance(&self) -> Option<InstanceId> {
+        self.leader.borrow().as_ref().map(|(_, leader)| leader.clone())
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/home.rs
@@ -0,0 +1,232 @@
+//! Where prompts go: asking the home of the engines, being it, and doing without it.
+//!
+//! The leader of the log is the home of all engines: it alone places prompts, so that its view
+//! of what each engine has to do is whole. An entry that cannot reach it places by itself on
+//! what it knows, which is its own prompts only. When the home changes, every entry tells the
+//! new one which prompts it has under way.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use oriolepass_placement::{EngineFacts, EngineFleet, PromptAsk, PromptKey, PromptPlan, SpareLack};
+use oriolepass_routing::RoutingRevision;
+use oriolepass_units::{EndpointId, InstanceId, MonotonicTime};
+
+use crate::endpoints::EndpointPhase;
+use crate::events::EventKind;
+use crate::gateway::{Gateway, PeerReply};
+use crate::peers::{PeerMessage, PlaceVerdict, PlacedPrompt, ProgressNote};
+
+/// How long the home has to place a prompt: far above a hop between data centres and a decision,
+/// far below the shortest objective.
+const HOME_PATIENCE: Duration = Duration::from_millis(90);
+
+/// An engine that has been silent for this many heartbeats gets no new work, unless its answers
+/// show that it lives.
+const SILENT_HEARTBEATS: u32 = 3;
+
+/// How long a good answer shows that an engine lives.
+const GOOD_ANSWER_COUNTS: Duration = Duration::from_secs(2);
+
+/// Who placed a prompt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum PlacedBy {
+    /// This daemon, as the home.
+    Home,
+    /// The home, on another daemon.
+    RemoteHome,
+    /// This daemon, because the home did not answer.
+    Alone,
+}
+
+impl PlacedBy {
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::Home => "home",
+            Self::RemoteHome => "remote home",
+            Self::Alone => "alone",
+        }
+    }
+}
+
+/// What this daemon knows of engines and of the prompts on them.
+#[derive(Debug, Default)]
+pub(crate) struct HomeState {
+    fleet: EngineFleet,
+    /// What the engines in the fleet were last taken from.
+    taken_from: Option<(u64, Option<RoutingRevision>, MonotonicTime)>,
+    /// The prompts of callers here.
+    own: BTreeMap<PromptKey, PlacedPrompt>,
+    last_good: BTreeMap<EndpointId, MonotonicTime>,
+    /// Endpoints that sent a heartbeat to this daemon lately.
+    pub(crate) direct_beats: BTreeSet<EndpointId>,
+}
+
+/// How long the engines' liveness may be out of date in the fleet.
+const REFRESH_AFTER: Duration = Duration::from_millis(200);
+
+impl Gateway {
+    /// Places a prompt of a caller here.
+    pub(crate) async fn place_prompt(
+        &self,
+        request: &str,
+        ask: &PromptAsk,
+    ) -> (Result<PromptPlan, SpareLack>, PlacedBy) {
+        if let Some(leader) = self.leader_instance().filter(|leader| *leader != self.own) {
+            let reply = self
+                .call(&leader, HOME_PATIENCE, |token| PeerMessage::PlaceAsk {
+                    token,
+                    ask: ask.clone(),
+                })
+                .await;
+            if let Some(PeerReply::Placed(verdict)) = reply {
+                if let Ok(plan) = &verdict {
+                    self.refresh_fleet();
+                    self.home.borrow_mut().fleet.adopt(self.now(), ask, plan, false);
+                    self.keep_own(ask, plan);
+                }
+                return (verdict, PlacedBy::RemoteHome);
+            }
+            self.line(EventKind::HomeLost).text("request", request).text("home", leader);
+        }
+        let by = if self.is_leader() { PlacedBy::Home } else { PlacedBy::Alone };
+        let verdict = self.place_here(ask);
+        if let Ok(plan) = &verdict {
+            self.keep_own(ask, plan);
+        }
+        (verdict, by)
+    }
+
+    fn keep_own(&self, ask: &PromptAsk, plan: &PromptPlan) {
+        let placed = PlacedPrompt { ask: ask.clone(), plan: plan.clone(), has_begun: false };
+        self.home.borrow_mut().own.insert(ask.key, placed);
+    }
+
+    fn place_here(&self, ask: &PromptAsk) -> PlaceVerdict {
+        self.refresh_fleet();
+        self.home.borrow_mut().fleet.place(self.now(), ask)
+    }
+
+    pub(crate) fn on_place_ask(&self, from: &InstanceId, token: u64, ask: &PromptAsk) {
+        let verdict = self.place_here(ask);
+        self.mesh.send(from, &PeerMessage::PlaceAnswer { token, verdict });
+    }
+
+    /// Tells the home, and notes here, what became of a prompt.
+    pub(crate) fn report_progress(&self, note: ProgressNote) {
+        self.on_progress(std::slice::from_ref(&note));
+        match &note {
+            ProgressNote::Begun(key) => {
+                if let Some(placed) = self.home.borrow_mut().own.get_mut(key) {
+                    placed.has_begun = true;
+                }
+            }
+            ProgressNote::Ended(key) => {
+                self.home.borrow_mut().own.remove(key);
+            }
+            ProgressNote::Failed(_) => {}
+        }
+        if let Some(leader) = self.leader_instance().filter(|leader| *leader != self.own) {
+            self.mesh.send(&leader, &PeerMessage::Progress(vec![note]));
+        }
+    }
+
+    pub(crate) fn on_progress(&self, notes: &[ProgressNote]) {
+        let now = self.now();
+        let mut home = self.home.borrow_mut();
+        for note in notes {
+            match note {
+                ProgressNote::Begun(key) => {
+                    home.fleet.first_event(now, *key);
+                    let used: Vec<EndpointId> = home.fleet.engines_of(*key).to_vec();
+                    for endpoint in used {
+                        home.last_good.insert(endpoint, now);
+                    }
+                }
+                ProgressNote::Ended(key) => home.fleet.ended(now, *key),
+                ProgressNote::Failed(endpoint) => {
+                    home.last_good.remove(endpoint);
+                    home.fleet.failed(now, endpoint);
+                }
+            }
+        }
+    }
+
+    /// Takes over prompts that an earlier home placed.
+    pub(crate) fn on_placed(&self, prompts: Vec<PlacedPrompt>) {
+        self.refresh_fleet();
+        let now = self.now();
+        let mut home = self.home.borrow_mut();
+        for placed in prompts {
+            home.fleet.adopt(now, &placed.ask, &placed.plan, placed.has_begun);
+        }
+    }
+
+    /// Tells a new home what runs.
+    pub(crate) fn on_new_home(&self) {
+        let Some(leader) = self.leader_instance().filter(|leader| *leader != self.own) else {
+            return;
+        };
+        let prompts: Vec<PlacedPrompt> = self.home.borrow().own.values().cloned().collect();
+        if !prompts.is_empty() {
+            self.mesh.send(&leader, &PeerMessage::Placed(prompts));
+        }
+    }
+
+    /// Takes the engines over from the announcements and the document in force, and forgets the
+    /// prompts of entries that are gone.
+    fn refresh_fleet(&self) {
+        let now = self.now();
+        let registry = self.endpoints.borrow();
+        let document = self.active_document();
+        let revision = document.as_ref().map(|document| document.text.revision);
+        let mut home = self.home.borrow_mut();
+        let is_current = home.taken_from.is_some_and(|(generation, taken, at)| {
+            generation == registry.generation()
+                && taken == revision
+                && now.since(at) < REFRESH_AFTER
+        });
+        if is_current {
+            return;
+        }
+        home.taken_from = Some((registry.generation(), revision, now));
+        let Some(document) = document else { return };
+        let profiles: BTreeMap<_, _> = document
+            .table
+            .services()
+            .filter_map(|service| Some((service.name.clone(), Arc::new(service.engine.clone()?))))
+            .collect();
+        let silent_after = self.settings().bounds.endpoint_heartbeat * SILENT_HEARTBEATS;
+        let facts = registry
+            .all()
+            .filter_map(|beat| {
+                let is_heard = registry
+                    .silence(now, &beat.endpoint)
+                    .is_some_and(|silence| silence < silent_after);
+                let is_good = home
+                    .last_good
+                    .get(&beat.endpoint)
+                    .is_some_and(|at| now.since(*at) < GOOD_ANSWER_COUNTS);
+                Some(EngineFacts {
+                    endpoint: beat.endpoint.clone(),
+                    service: beat.service.clone(),
+                    takes_work: beat.phase == EndpointPhase::Serving && (is_heard || is_good),
+                    profile: Arc::clone(profiles.get(&beat.service)?),
+                })
+            })
+            .collect();
+        let home = &mut *home;
+        home.fleet.update(now, facts);
+        home.last_good.retain(|_, at| now.since(*at) < GOOD_ANSWER_COUNTS);
+        let roster = self.roster.borrow();
+        let boots: BTreeSet<u64> = roster.alive(now).map(|note| note.boot).collect();
+        home.fleet.forget_entries(now, |entry| entry != self.boot && !boots.contains(&entry));
+    }
+
+    /// Returns the name of a fresh prompt.
+    pub(crate) fn prompt_key(self: &Rc<Self>) -> PromptKey {
+        PromptKey { entry: self.boot, number: self.next_number() }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,60 @@
+//! The gateway: a daemon that forwards any HTTP request by replicated routing documents.
+//!
+//! One event loop serves everything; one thread syncs the log of daemons with a disk, another
+//! writes log lines. Small instances have a fraction of one core, so threads would only take
+//! turns, and each wake-up costs (`docs/design/0007-platform.md` has the figures).
+//!
+//! | module | job |
+//! |---|---|
+//! | `cluster`, `roster`, `founding`, `replica`, `peers` | the daemons among themselves: who is there, who leads, who votes, the log |
+//! | `documents` | routing documents: into the log, in force, proved current |
+//! | `announce`, `endpoints` | what endpoints say of themselves |
+//! | `home` | placing prompts on engines, as the home or by asking it |
+//! | `balancer`, `budget` | choosing a plain endpoint; how often a request may be sent again |
+//! | `front` | callers: from a request's first byte to the last of its answer |
+//! | `directory`, `lifecycle` | which instances callers should use; start, readiness, reload, end |
+//! | `events`, `metrics` | what the process tells those who run it |
+//!
+//! A face of the product hands in a [`WireDialect`], which says where in an HTTP message each
+//! fact stands, and serves the calls of operators and endpoints on top of [`Gateway`]'s methods
+//! with [`serve_calls`].
+
+mod announce;
+mod balancer;
+mod budget;
+mod calls;
+mod clock;
+mod cluster;
+mod dialect;
+mod directory;
+mod documents;
+mod endpoints;
+mod events;
+mod founding;
+mod front;
+mod gateway;
+mod home;
+mod lifecycle;
+mod metrics;
+mod net;
+mod peers;
+mod replica;
+mod roster;
+mod start;
+mod upstream;
+
+pub use balancer::{EndpointBalancer, FaultKind};
+pub use budget::{BudgetRule, RetryBudget};
+pub use calls::{WholeAnswer, WholeCall, answer, serve_calls};
+pub use dialect::{
+    AnswerFacts, EndpointCall, HelperAddress, RequestFacts, ReservationAnswer, SendFacts,
+    WireDialect,
+};
+pub use directory::AddressAnswer;
+pub use documents::{PutError, ReadError};
+pub use endpoints::{BeatChange, EndpointBeat, EndpointNotice, EndpointPhase, EndpointRegistry};
+pub use events::{EventKind, EventLine, EventLog};
+pub use front::EventSplitter;
+pub use gateway::Gateway;
+pub use lifecycle::Lifecycle;
+pub use start::{GatewayError, listen, start};
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,118 @@
+//! Counters, gauges and histograms, in Prometheus' form.
+
+use prometheus::core::Collector;
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
+};
+
+/// Bounds of latencies, in seconds: from a hop between data centres to the longest deadline.
+const SECONDS: &[f64] =
+    &[0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 1.5, 2.0, 3.0, 5.0, 10.0, 15.0];
+
+/// Everything that a gateway counts.
+pub(crate) struct GatewayMetrics {
+    registry: Registry,
+    /// Requests by the status that the caller got.
+    pub(crate) requests: IntCounterVec,
+    /// Time from a request's arrival to its first event or its answer, by kind.
+    pub(crate) first_answer: HistogramVec,
+    /// Time from a request's arrival to its end, by kind.
+    pub(crate) whole_answer: HistogramVec,
+    /// Time that finding an endpoint took, by who decided.
+    pub(crate) placement: HistogramVec,
+    /// Sends to endpoints by outcome.
+    pub(crate) sends: IntCounterVec,
+    /// Repeated sends that the budget refused.
+    pub(crate) budget_refusals: IntCounter,
+    /// Streams that went on at another endpoint.
+    pub(crate) resumes: IntCounter,
+    /// Requests refused, by reason.
+    pub(crate) refusals: IntCounterVec,
+    /// Requests under way.
+    pub(crate) active: IntGauge,
+    /// The revision of the routing document in force.
+    pub(crate) revision: IntGauge,
+    /// Age of the proof that the routing document is current, in milliseconds.
+    pub(crate) proof_age: IntGauge,
+    /// Whether this daemon leads the log.
+    pub(crate) is_leader: IntGauge,
+    /// Daemons heard lately.
+    pub(crate) peers: IntGauge,
+    /// Endpoints that take work.
+    pub(crate) endpoints: IntGauge,
+    /// Syncs of the log.
+    pub(crate) syncs: IntCounter,
+    /// Reservations of engines' memory by outcome.
+    pub(crate) reservations: IntCounterVec,
+    /// Log lines dropped and not yet reported.
+    pub(crate) lines_dropped: IntGauge,
+}
+
+/// Registers a metric.
+///
+/// # Panics
+///
+/// Panics when its name is not valid or was given before, which is a mistake in this file.
+fn registered<M: Collector + Clone + 'static>(
+    registry: &Registry,
+    metric: prometheus::Result<M>,
+) -> M {
+    let metric = metric.expect("a valid name");
+    registry.register(Box::new(metric.clone())).expect("a fresh name");
+    metric
+}
+
+impl GatewayMetrics {
+    pub(crate) fn new() -> Self {
+        let registry = Registry::new();
+        let counter = |name: &str, help: &str| registered(&registry, IntCounter::new(name, help));
+        let gauge = |name: &str, help: &str| registered(&registry, IntGauge::new(name, help));
+        let counters = |name: &str, help: &str, label: &str| {
+            registered(&registry, IntCounterVec::new(Opts::new(name, help), &[label]))
+        };
+        let seconds = |name: &str, help: &str, label: &str| {
+            let options = HistogramOpts::new(name, help).buckets(SECONDS.to_vec());
+            registered(&registry, HistogramVec::new(options, &[label]))
+        };
+        Self {
+            requests: counters("oriolepass_requests_total", "Requests by status", "status"),
+            first_answer: seconds(
+                "oriolepass_first_answer_seconds",
+                "Arrival to first event or answer",
+                "kind",
+            ),
+            whole_answer: seconds("oriolepass_whole_answer_seconds", "Arrival to end", "kind"),
+            placement: seconds("oriolepass_placement_seconds", "Finding an endpoint", "decided_by"),
+            sends: counters("oriolepass_sends_total", "Sends to endpoints", "outcome"),
+            budget_refusals: counter(
+                "oriolepass_retry_budget_refusals_total",
+                "Repeated sends that the budget refused",
+            ),
+            resumes: counter("oriolepass_stream_resumes_total", "Streams that moved on"),
+            refusals: counters("oriolepass_refusals_total", "Requests refused", "reason"),
+            active: gauge("oriolepass_active_requests", "Requests under way"),
+            revision: gauge("oriolepass_routing_revision", "Revision in force"),
+            proof_age: gauge("oriolepass_routing_proof_age_ms", "Age of the proof of freshness"),
+            is_leader: gauge("oriolepass_is_leader", "Whether this daemon leads the log"),
+            peers: gauge("oriolepass_peers", "Daemons heard lately"),
+            endpoints: gauge("oriolepass_endpoints", "Endpoints that take work"),
+            syncs: counter("oriolepass_log_syncs_total", "Syncs of the log"),
+            reservations: counters(
+                "oriolepass_reservations_total",
+                "Reservations of engines' memory",
+                "outcome",
+            ),
+            lines_dropped: gauge("oriolepass_log_lines_dropped", "Dropped and not reported yet"),
+            registry,
+        }
+    }
+
+    /// Writes all metrics in text form.
+    pub(crate) fn render(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        // Encoding into memory fails only on a metric without a value, which cannot be registered.
+        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut text);
+        text
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/peers/message.rs
@@ -0,0 +1,92 @@
+//! What daemons say to each other.
+
+use oriolepass_consensus::Envelope;
+use oriolepass_placement::{PromptAsk, PromptKey, PromptPlan, SpareLack};
+use oriolepass_routing::{RegisterOutcome, RoutingRevision, RoutingText};
+use oriolepass_units::{EndpointId, InstanceId};
+use serde::{Deserialize, Serialize};
+
+use crate::balancer::FaultKind;
+use crate::endpoints::EndpointNotice;
+use crate::roster::DaemonNote;
+
+/// The leader's answer to a question whether a routing document is current.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum FreshVerdict {
+    /// At the time of the answer this was the newest accepted one.
+    Newest(Option<RoutingRevision>),
+    /// The one asked is not sure to lead.
+    NotLeader,
+}
+
+/// The leader's answer to a proposed document.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum DocumentVerdict {
+    /// The log holds it.
+    Done(RegisterOutcome),
+    /// The one asked does not lead; it may know who does.
+    NotLeader(Option<InstanceId>),
+    /// The one asked led when it proposed it, and does not know what became of it.
+    Lost,
+}
+
+/// A home's answer to a prompt.
+pub(crate) type PlaceVerdict = Result<PromptPlan, SpareLack>;
+
+/// What became of a placed prompt.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum ProgressNote {
+    /// Its first event has come.
+    Begun(PromptKey),
+    /// It has ended.
+    Ended(PromptKey),
+    /// An engine failed it.
+    Failed(EndpointId),
+}
+
+/// A prompt that another home placed.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub(crate) struct PlacedPrompt {
+    pub(crate) ask: PromptAsk,
+    pub(crate) plan: PromptPlan,
+    pub(crate) has_begun: bool,
+}
+
+/// A message.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub(crate) enum PeerMessage {
+    /// What the sender says of itself.
+    Greeting(DaemonNote),
+    /// Whom the sender knows.
+    Known(Vec<InstanceId>),
+    /// The sender's process ends.
+    Farewell,
+    /// For the replica of the log.
+    Consensus(Envelope),
+    /// Is the document that the sender holds the newest one?
+    FreshAsk { token: u64, held: Option<RoutingRevision> },
+    /// The answer.
+    FreshAnswer { token: u64, verdict: FreshVerdict },
+    /// A document that the log holds.
+    Document(RoutingText),
+    /// The sender has this document in force.
+    InForce(RoutingRevision),
+    /// Take this document into the log.
+    Propose { token: u64, text: RoutingText },
+    /// What became of it.
+    ProposeAnswer { token: u64, verdict: DocumentVerdict },
+    /// What the sender has heard of endpoints.
+    Endpoints(Vec<EndpointNotice>),
+    /// Endpoints that have left for good.
+    EndpointsLeft(Vec<EndpointId>),
+    /// Endpoints that failed a request of the sender's.
+    Faults(Vec<(EndpointId, FaultKind)>),
+    /// Place this prompt.
+    PlaceAsk { token: u64, ask: PromptAsk },
+    /// Where it goes.
+    PlaceAnswer { token: u64, verdict: PlaceVerdict },
+    /// What became of prompts that the receiver placed.
+    Progress(Vec<ProgressNote>),
+    /// What the sender's callers still have under way, for a new home.
+    Placed(Vec<PlacedPrompt>),
+}
--- /dev/null
+++ b/crates/gateway/src/replica/mod.rs
@@ -0,0 +1,404 @@
+//! The replica of the log on a daemon with a disk: feeds the consensus node, applies what it
+//! commits to the routing register, and starts over when the disk fails.
+
+mod storage;
+
+use std::collections::{BTreeMap, VecDeque};
+use std::path::{Path, PathBuf};
+use std::sync::{Arc, mpsc};
+use std::time::Duration;
+
+use oriolepass_consensus::{
+    ConsensusConfig, ConsensusNode, DiskId, EntryPayload, Envelope, LogEntry, NodeOutput, NodeRole,
+    PersistBatch,
+};
+use oriolepass_routing::{RegisterOutcome, RoutingRegister, RoutingRevision, RoutingText};
+use oriolepass_storage::{DiskFolder, LogStore, RecoveredLog, StorageError};
+use oriolepass_units::{InstanceId, LeaderTerm, LogIndex, MonotonicTime};
+use tokio::sync::mpsc::UnboundedSender;
+
+pub(crate) use storage::StorageReport;
+
+/// The least time without a leader before an election. Several times a heartbeat, and longer
+/// than a machine with a quarter of a core takes to decode and sync the largest document.
+const ELECTION: Duration = Duration::from_millis(700);
+
+/// Between heartbeats of a leader.
+const HEARTBEAT: Duration = Duration::from_millis(120);
+
+/// The most that two monotonic clocks differ in rate, in percent; real ones differ by less than
+/// a thousandth of that.
+const DRIFT_PERCENT: u32 = 10;
+
+/// Bytes of entries, or of a snapshot, in one message.
+const MESSAGE_BYTES: usize = 256 * 1024;
+
+/// Entries kept behind a snapshot: documents are large and a snapshot holds just one.
+const TRAILING_ENTRIES: u64 = 16;
+
+/// The size at which a segment of the log is ended; the platform's disks hold 64 MB.
+const SEGMENT_BYTES: u64 = 2 * 1024 * 1024;
+
+/// Packed bytes of documents between two snapshots.
+const SNAPSHOT_BYTES: usize = 4 * 1024 * 1024;
+
+/// Entries between two snapshots.
+const SNAPSHOT_ENTRIES: u64 = 1_000;
+
+/// A leader whose disk has not answered for this long lets another lead: well under the time in
+/// which a document has to be acknowledged, well over a sync of a slow disk.
+const DISK_PATIENCE: Duration = Duration::from_millis(500);
+
+/// The pause before a replica whose disk failed is read again.
+const REOPEN_AFTER: Duration = Duration::from_millis(400);
+
+/// Who waits for a proposal.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Proposer {
+    pub(crate) instance: InstanceId,
+    pub(crate) token: u64,
+}
+
+/// What became of a proposal.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum ProposalEnd {
+    /// The log holds it.
+    Done(RegisterOutcome, RoutingRevision),
+    /// This replica leads no more, and cannot tell.
+    Lost,
+}
+
+/// What a step of the replica brought about.
+#[derive(Debug, Default)]
+pub(crate) struct ReplicaEffects {
+    pub(crate) send: Vec<Envelope>,
+    /// The newest document, if it has changed.
+    pub(crate) newest: Option<RoutingText>,
+    pub(crate) ended: Vec<(Proposer, ProposalEnd)>,
+}
+
+struct RunningReplica {
+    node: ConsensusNode,
+    batches: mpsc::Sender<PersistBatch>,
+    /// What may be sent once a batch is synced, and when the batch was handed over.
+    unsynced: VecDeque<(u64, Vec<Envelope>, MonotonicTime)>,
+    register: RoutingRegister,
+    applied: LogIndex,
+    bytes_since_snapshot: usize,
+    proposals: BTreeMap<LogIndex, (LeaderTerm, RoutingRevision, Proposer)>,
+}
+
+/// What was read from the disk, before a node is made of it.
+struct OpenedStore {
+    store: LogStore,
+    recovered: RecoveredLog,
+}
+
+/// The replica of a daemon with a disk.
+pub(crate) struct ReplicaDriver {
+    instance: InstanceId,
+    folder: PathBuf,
+    reports: UnboundedSender<StorageReport>,
+    opened: Option<OpenedStore>,
+    running: Option<RunningReplica>,
+    reopen_at: MonotonicTime,
+}
+
+impl ReplicaDriver {
+    pub(crate) fn new(
+        instance: InstanceId,
+        folder: &Path,
+        reports: UnboundedSender<StorageReport>,
+    ) -> Self {
+        Self {
+            instance,
+            folder: folder.to_owned(),
+            reports,
+            opened: None,
+            running: None,
+            reopen_at: MonotonicTime::ZERO,
+        }
+    }
+
+    /// Reads the disk if that has not been done; returns whether the replica runs now.
+    ///
+    /// A replica whose disk is empty does not run before [`ReplicaDriver::found`] or
+    /// [`ReplicaDriver::join`].
+    ///
+    /// # Errors
+    ///
+    /// Returns the disk's error; a later call tries again.
+    pub(crate) fn open(&mut self, now: MonotonicTime) -> Result<bool, StorageError> {
+        if self.running.is_some() {
+            return Ok(true);
+        }
+        if self.opened.is_none() {
+            if now < self.reopen_at {
+                return Ok(false);
+            }
+            self.reopen_at = now + REOPEN_AFTER;
+            let folder = DiskFolder::open(&self.folder)?;
+            let (store, recovered) = LogStore::open(folder, SEGMENT_BYTES)?;
+            self.opened = Some(OpenedStore { store, recovered });
+        }
+        let is_empty = self.is_empty();
+        if !is_empty {
+            self.start(now, Vec::new())?;
+        }
+        Ok(!is_empty)
+    }
+
+    /// Returns whether the disk was read and has never held a replica.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.opened.as_ref().is_some_and(|opened| opened.recovered.hard.identity.is_empty())
+    }
+
+    /// Starts with an empty disk, to found a system with the given first voters.
+    pub(crate) fn found(
+        &mut self,
+        now: MonotonicTime,
+        first_voters: Vec<InstanceId>,
+    ) -> Result<(), StorageError> {
+        self.start(now, first_voters)
+    }
+
+    /// Starts with an empty disk, to become a replica of the system that the contacts know.
+    pub(crate) fn join(
+        &mut self,
+        now: MonotonicTime,
+        contacts: &[InstanceId],
+    ) -> Result<(), StorageError> {
+        self.start(now, Vec::new())?;
+        self.learn_contacts(contacts);
+        Ok(())
+    }
+
+    /// Names replicas to ask for membership.
+    pub(crate) fn learn_contacts(&mut self, contacts: &[InstanceId]) {
+        if let Some(running) = &mut self.running {
+            running.node.learn_contacts(contacts.iter().cloned());
+        }
+    }
+
+    fn start(
+        &mut self,
+        now: MonotonicTime,
+        first_voters: Vec<InstanceId>,
+    ) -> Result<(), StorageError> {
+        let Some(OpenedStore { store, recovered }) = self.opened.take() else { return Ok(()) };
+        let config = ConsensusConfig {
+            election: ELECTION,
+            heartbeat: HEARTBEAT,
+            drift_percent: DRIFT_PERCENT,
+            message_bytes: MESSAGE_BYTES,
+            first_voters,
+            trailing_entries: TRAILING_ENTRIES,
+            seed: rand::random(),
+        };
+        let disk = DiskId(rand::random());
+        let node = ConsensusNode::new(config, self.instance.clone(), disk, recovered, now);
+        let (batches, to_sync) = mpsc::channel();
+        storage::start(store, to_sync, self.reports.clone()).map_err(|source| {
+            StorageError::Io { operation: "start the thread of", file: "the log".into(), source }
+        })?;
+        self.running = Some(RunningReplica {
+            node,
+            batches,
+            unsynced: VecDeque::new(),
+            register: RoutingRegister::default(),
+            applied: LogIndex::ZERO,
+            bytes_since_snapshot: 0,
+            proposals: BTreeMap::new(),
+        });
+        Ok(())
+    }
+
+    /// Takes in the storage thread's report; returns the error of a disk that failed.
+    ///
+    /// The replica is dropped then, as in a crash: nothing that was not synced has been promised
+    /// to anyone, and what the disk holds has to be read again.
+    pub(crate) fn report(
+        &mut self,
+        now: MonotonicTime,
+        report: StorageReport,
+    ) -> (ReplicaEffects, Option<StorageError>) {
+        let mut effects = ReplicaEffects::default();
+        match report {
+            StorageReport::Synced(sequence) => {
+                if let Some(running) = &mut self.running {
+                    running.synced(sequence, &mut effects);
+                }
+                (effects, None)
+            }
+            StorageReport::Failed(error) => {
+                if let Some(running) = self.running.take() {
+                    let lost = running.proposals.into_values();
+                    effects.ended.extend(lost.map(|(_, _, p)| (p, ProposalEnd::Lost)));
+                }
+                self.reopen_at = now + REOPEN_AFTER;
+                (effects, Some(error))
+            }
+        }
+    }
+
+    /// Lets time pass.
+    pub(crate) fn tick(&mut self, now: MonotonicTime) {
+        let Some(running) = &mut self.running else { return };
+        running.node.tick(now);
+        let oldest = running.unsynced.front().map(|(_, _, at)| *at);
+        let is_stalled = oldest.is_some_and(|at| now.since(at) > DISK_PATIENCE);
+        if is_stalled && running.node.role() == NodeRole::Leader {
+            running.node.hand_over(now);
+        }
+    }
+
+    pub(crate) fn receive(&mut self, now: MonotonicTime, envelope: Envelope) {
+        if let Some(running) = &mut self.running {
+            running.node.receive(now, envelope);
+        }
+    }
+
+    /// Proposes a document; what became of it comes with a later step's effects.
+    ///
+    /// # Errors
+    ///
+    /// Returns the leader, if known, where this replica is not it.
+    pub(crate) fn propose(
+        &mut self,
+        text: RoutingText,
+        proposer: Proposer,
+    ) -> Result<(), Option<InstanceId>> {
+        let running = self.running.as_mut().ok_or(None)?;
+        let revision = text.revision;
+        let command: Arc<[u8]> =
+            postcard::to_stdvec(&text).expect("a document always serialises").into();
+        match running.node.propose(command) {
+            Ok((index, term)) => {
+                running.proposals.insert(index, (term, revision, proposer));
+                Ok(())
+            }
+            Err(error) => Err(error.leader.map(|leader| leader.instance)),
+        }
+    }
+
+    /// Gives up leadership, if it is this replica's, in favour of another.
+    pub(crate) fn hand_over(&mut self, now: MonotonicTime) -> bool {
+        self.running.as_mut().is_some_and(|running| running.node.hand_over(now))
+    }
+
+    /// Carries out what the node wants done.
+    pub(crate) fn step(&mut self, now: MonotonicTime) -> ReplicaEffects {
+        let mut effects = ReplicaEffects::default();
+        if let Some(running) = &mut self.running {
+            running.step(now, &mut effects);
+        }
+        effects
+    }
+
+    /// Returns the node, while the replica runs.
+    pub(crate) fn node(&self) -> Option<&ConsensusNode> {
+        self.running.as_ref().map(|running| &running.node)
+    }
+
+    /// Changes which instances should vote.
+    pub(crate) fn want_voters(&mut self, wanted: impl IntoIterator<Item = InstanceId>) {
+        if let Some(running) = &mut self.running {
+            // Only a leader asks, and one that has just lost its place has nobody to tell.
+            let _ = running.node.want_voters(wanted);
+        }
+    }
+
+    /// Returns the newest document if this replica surely leads and has applied everything that
+    /// any leader has acknowledged.
+    pub(crate) fn newest_as_leader(&self, now: MonotonicTime) -> Option<Option<&RoutingText>> {
+        let running = self.running.as_ref()?;
+        let is_sure = running.node.holds_lease(now) && running.applied >= running.node.commit();
+        is_sure.then(|| running.register.newest())
+    }
+}
+
+impl RunningReplica {
+    fn step(&mut self, now: MonotonicTime, effects: &mut ReplicaEffects) {
+        let before = self.register.revision();
+        // A snapshot taken on the way gives rise to another output.
+        while self.carry_out(now, effects) {}
+        if self.register.revision() != before {
+            effects.newest = self.register.newest().cloned();
+        }
+        if self.node.role() != NodeRole::Leader {
+            let lost = std::mem::take(&mut self.proposals).into_values();
+            effects.ended.extend(lost.map(|(_, _, p)| (p, ProposalEnd::Lost)));
+        }
+    }
+
+    /// Carries out one output; returns whether a snapshot was taken.
+    fn carry_out(&mut self, now: MonotonicTime, effects: &mut ReplicaEffects) -> bool {
+        let NodeOutput { send, persist, restore, committed, .. } = self.node.take_output();
+        effects.send.extend(send);
+        if let Some(held) = restore {
+            self.register = postcard::from_bytes(&held.data).expect("a state encoded here");
+            self.applied = self.applied.max(held.index);
+        }
+        for entry in committed {
+            self.apply(&entry, effects);
+        }
+        if let Some(batch) = persist {
+            self.hand_to_storage(now, batch, effects);
+        }
+        let entries = self.applied.0.saturating_sub(self.node.base_index().0);
+        let is_due = self.bytes_since_snapshot > SNAPSHOT_BYTES || entries > SNAPSHOT_ENTRIES;
+        if is_due && self.applied > self.node.base_index() {
+            self.bytes_since_snapshot = 0;
+            let data = postcard::to_stdvec(&self.register).expect("a state always serialises");
+            self.node.take_snapshot(self.applied, data);
+        }
+        is_due
+    }
+
+    fn hand_to_storage(
+        &mut self,
+        now: MonotonicTime,
+        mut batch: PersistBatch,
+        effects: &mut ReplicaEffects,
+    ) {
+        let messages = std::mem::take(&mut batch.send_after);
+        let sequence = batch.sequence;
+        let is_empty =
+            batch.records.is_empty() && batch.snapshot.is_none() && batch.compact.is_none();
+        if is_empty && self.unsynced.is_empty() {
+            self.node.persisted(sequence);
+            effects.send.extend(messages);
+            return;
+        }
+        self.unsynced.push_back((sequence, messages, now));
+        // A thread that has ended has reported why, or will.
+        let _ = self.batches.send(batch);
+    }
+
+    fn synced(&mut self, sequence: u64, effects: &mut ReplicaEffects) {
+        while self.unsynced.front().is_some_and(|(first, _, _)| *first <= sequence) {
+            if let Some((_, messages, _)) = self.unsynced.pop_front() {
+                effects.send.extend(messages);
+            }
+        }
+        self.node.persisted(sequence);
+    }
+
+    fn apply(&mut self, entry: &LogEntry, effects: &mut ReplicaEffects) {
+        self.applied = entry.index;
+        let EntryPayload::Command(bytes) = &entry.payload else { return };
+        self.bytes_since_snapshot += bytes.len();
+        let text: RoutingText =
+            postcard::from_bytes(bytes).expect("an entry that a leader encoded");
+        let revision = text.revision;
+        let outcome = self.register.apply(text);
+        if let Some((term, _, proposer)) = self.proposals.remove(&entry.index) {
+            let end = if term == entry.term {
+                ProposalEnd::Done(outcome, revision)
+            } else {
+                ProposalEnd::Lost
+            };
+            effects.ended.push((proposer, end));
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/roster.rs
@@ -0,0 +1,198 @@
+//! The other daemons: who they are, what they say of themselves, when they were last heard.
+//!
+//! A daemon starts with nothing but a few seeds. It greets them, they tell whom they know, and
+//! it greets those in turn. Greetings repeat, so that the roster heals by itself after a cut.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use oriolepass_units::{DataCentreId, InstanceId, LeaderTerm, MonotonicTime};
+use serde::{Deserialize, Serialize};
+
+/// Between two greetings. Three may be lost before a daemon counts as silent.
+pub(crate) const GREET_EVERY: Duration = Duration::from_millis(600);
+
+/// A daemon that has not been heard for this long is not named to callers.
+pub(crate) const SILENT_AFTER: Duration = Duration::from_millis(2_200);
+
+/// A daemon that has not been heard for this long is forgotten, unless it votes.
+const FORGOTTEN_AFTER: Duration = Duration::from_secs(90);
+
+/// Whether a daemon takes callers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum DaemonPhase {
+    /// It does not yet, or not for now.
+    Unready,
+    /// It does.
+    Ready,
+    /// It is about to end.
+    Leaving,
+}
+
+/// What a replica of the log says of the system.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct ReplicaNote {
+    pub(crate) term: LeaderTerm,
+    pub(crate) leader: Option<InstanceId>,
+    pub(crate) voters: Vec<InstanceId>,
+}
+
+/// What a daemon says of itself.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct DaemonNote {
+    pub(crate) instance: InstanceId,
+    pub(crate) name: InstanceId,
+    /// Drawn at the start of the process.
+    pub(crate) boot: u64,
+    pub(crate) data_centre: DataCentreId,
+    pub(crate) callers: SocketAddr,
+    pub(crate) phase: DaemonPhase,
+    pub(crate) has_disk: bool,
+    /// Whether it waits with an empty disk for a new system to be founded.
+    pub(crate) may_found: bool,
+    /// Absent while it knows of no system.
+    pub(crate) replica: Option<ReplicaNote>,
+    /// How many daemons it knows.
+    pub(crate) known: u32,
+}
+
+#[derive(Debug, Clone)]
+pub(crate) struct RosterEntry {
+    pub(crate) note: Option<DaemonNote>,
+    pub(crate) heard: Option<MonotonicTime>,
+    added: MonotonicTime,
+}
+
+/// What a greeting changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum RosterChange {
+    /// The daemon had not been heard before, or has started again.
+    Met,
+    /// It says something new of itself.
+    Changed,
+    /// It is alive.
+    Refreshed,
+}
+
+/// The other daemons.
+#[derive(Debug, Default)]
+pub(crate) struct DaemonRoster {
+    entries: BTreeMap<InstanceId, RosterEntry>,
+}
+
+impl DaemonRoster {
+    /// Adds a daemon that somebody named; returns whether it is new.
+    pub(crate) fn add(&mut self, now: MonotonicTime, instance: &InstanceId) -> bool {
+        if self.entries.contains_key(instance) {
+            return false;
+        }
+        let entry = RosterEntry { note: None, heard: None, added: now };
+        self.entries.insert(instance.clone(), entry);
+        true
+    }
+
+    /// Takes in what a daemon says of itself.
+    pub(crate) fn take(&mut self, now: MonotonicTime, note: DaemonNote) -> RosterChange {
+        self.add(now, &note.instance);
+        let Some(entry) = self.entries.get_mut(&note.instance) else {
+            return RosterChange::Refreshed;
+        };
+        entry.heard = Some(now);
+        let change = match &entry.note {
+            Some(before) if before.boot != note.boot => RosterChange::Met,
+            Some(before) if before.phase != note.phase || before.replica != note.replica => {
+                RosterChange::Changed
+            }
+            Some(_) => RosterChange::Refreshed,
+            None => RosterChange::Met,
+        };
+        entry.note = Some(note);
+        change
+    }
+
+    /// Notes that a daemon has ended.
+    pub(crate) fn left(&mut self, instance: &InstanceId) {
+        if let Some(entry) = self.entries.get_mut(instance) {
+            entry.heard = None;
+            if let Some(note) = &mut entry.note {
+                note.phase = DaemonPhase::Leaving;
+            }
+        }
+    }
+
+    /// Forgets daemons that have been silent for long, unless `is_kept`.
+    pub(crate) fn expire(
+        &mut self,
+        now: MonotonicTime,
+        is_kept: impl Fn(&InstanceId) -> bool,
+    ) -> Vec<InstanceId> {
+        let silent =
+            |entry: &RosterEntry| now.since(entry.heard.unwrap_or(entry.added)) > FORGOTTEN_AFTER;
+        let gone: Vec<InstanceId> = self
+            .entries
+            .iter()
+            .filter(|(instance, entry)| silent(entry) && !is_kept(instance))
+            .map(|(instance, _)| instance.clone())
+            .collect();
+        for instance in &gone {
+            self.entries.remove(instance);
+        }
+        gone
+    }
+
+    /// Returns everyone known.
+    pub(crate) fn known(&self) -> impl Iterator<Item = &InstanceId> {
+        self.entries.keys()
+    }
+
+    /// Returns how many are known.
+    pub(crate) fn known_count(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Returns a daemon.
+    pub(crate) fn get(&self, instance: &InstanceId) -> Option<&RosterEntry> {
+        self.entries.get(instance)
+    }
+
+    /// Returns what those heard lately say of themselves.
+    pub(crate) fn alive(&self, now: MonotonicTime) -> impl Iterator<Item = &DaemonNote> {
+        self.heard_within(now, SILENT_AFTER)
+    }
+
+    /// Returns what those heard within a span say of themselves.
+    pub(crate) fn heard_within(
+        &self,
+        now: MonotonicTime,
+        span: Duration,
+    ) -> impl Iterator<Item = &DaemonNote> {
+        let lately =
+            move |entry: &&RosterEntry| entry.heard.is_some_and(|at| now.since(at) <= span);
+        self.entries.values().filter(lately).filter_map(|entry| entry.note.as_ref())
+    }
+
+    /// Returns how long a daemon has been silent.
+    pub(crate) fn silence(&self, now: MonotonicTime, instance: &InstanceId) -> Duration {
+        self.entries
+            .get(instance)
+            .map_or(Duration::MAX, |entry| now.since(entry.heard.unwrap_or(entry.added)))
+    }
+
+    /// Returns the leader that the replicas heard lately believe in, by the highest term.
+    pub(crate) fn leader(&self, now: MonotonicTime) -> Option<(LeaderTerm, InstanceId)> {
+        self.alive(now)
+            .filter_map(|note| note.replica.as_ref())
+            .filter_map(|replica| replica.leader.clone().map(|leader| (replica.term, leader)))
+            .max_by_key(|(term, _)| *term)
+    }
+
+    /// Returns the voters that the replicas heard lately know of, by the highest term.
+    pub(crate) fn voters(&self, now: MonotonicTime) -> Vec<InstanceId> {
+        self.alive(now)
+            .filter_map(|note| note.replica.as_ref())
+            .max_by_key(|replica| replica.term)
+            .map(|replica| replica.voters.clone())
+            .unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/placement/src/plan.rs
@@ -0,0 +1,71 @@
+//! What is asked and what is answered.
+
+use std::time::Duration;
+
+use oriolepass_units::{EndpointId, ServiceName};
+use serde::{Deserialize, Serialize};
+
+/// Names a placed prompt: the instance that serves its caller and a number of that instance's.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct PromptKey {
+    /// Drawn by the entry at its start.
+    pub entry: u64,
+    /// Counted by the entry.
+    pub number: u64,
+}
+
+/// A prompt that needs engines.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct PromptAsk {
+    /// Its name.
+    pub key: PromptKey,
+    /// The service whose engines may serve it.
+    pub service: ServiceName,
+    /// Tokens of the prompt.
+    pub prompt_tokens: u64,
+    /// Tokens of the answer, as expected.
+    pub answer_tokens: u64,
+    /// The most tokens of the answer, which its memory may grow by.
+    pub max_answer_tokens: u64,
+    /// What is left until the first event is late.
+    pub objective: Duration,
+    /// The longest pause between two events that is on time.
+    pub pause: Duration,
+    /// What is left until the caller gives up.
+    pub deadline: Duration,
+    /// Engines that it should not go to, such as the one that just failed it.
+    pub avoid: Vec<EndpointId>,
+}
+
+/// An engine that reads a part of a prompt.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HelperPart {
+    /// The engine.
+    pub endpoint: EndpointId,
+    /// Memory to reserve there for the prompt, in tokens; none where it is kept elsewhere.
+    pub reserve_tokens: Option<u64>,
+}
+
+/// Where a prompt goes.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct PromptPlan {
+    /// The engine that receives the request and writes the answer.
+    pub main: EndpointId,
+    /// Memory to reserve there, in tokens, where the prompt is kept on several engines.
+    pub main_reserve_tokens: Option<u64>,
+    /// The engines that read parts of the prompt beside it.
+    pub helpers: Vec<HelperPart>,
+    /// How urgent the engine should take it; 0 is first, 9 is last.
+    pub engine_priority: u8,
+    /// When the first event is expected.
+    pub first_event: Duration,
+    /// How long the whole answer is expected to take.
+    pub whole: Duration,
+}
+
+/// No engine can take the prompt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SpareLack {
+    /// When it is worth asking again.
+    pub retry_after: Duration,
+}
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -1,15 +1,14 @@
 //! Reads a settings file into typed settings.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-use ini::Ini;
 use oriolepass_units::{DataCentreId, InstanceId};
 
-use crate::problem::{SettingProblem, SettingsError};
-use crate::spec::{SETTING_SPECS, SettingKind, SettingSpec};
+use crate::problem::SettingsError;
+use crate::reader::{self, SettingsReader, parse_voters};
+use crate::spec::SETTING_SPECS;
 
 /// Shortest cluster key accepted, in characters.
 const MIN_CLUSTER_KEY: usize = 16;
@@ -141,18 +140,7 @@
         text: &str,
         read_key: impl Fn(&Path) -> std::io::Result<String>,
     ) -> Result<Self, SettingsError> {
-        let ini = Ini::load_from_str(text).map_err(|error| SettingsError::NotIni {
-            file: name.to_owned(),
-            line: error.line,
-            message: error.msg.to_string(),
-        })?;
-        let mut reader = SettingsReader::default();
-        reader.collect(&ini);
-        let settings = reader.build(read_key);
-        match settings {
-            Some(settings) if reader.problems.is_empty() => Ok(settings),
-            _ => Err(SettingsError::Problems { file: name.to_owned(), problems: reader.problems }),
-        }
+        reader::read(name, text, SETTING_SPECS, |reader| reader.build(read_key))
     }
 
     /// Returns whether this daemon is one of the first voters.
@@ -161,87 +149,7 @@
     }
 }
 
-#[derive(Default)]
-struct SettingsReader {
-    values: BTreeMap<(&'static str, &'static str), String>,
-    problems: Vec<SettingProblem>,
-}
-
 impl SettingsReader {
-    fn problem(&mut self, section: &str, key: &str, read: impl Into<String>, remedy: String) {
-        self.problems.push(SettingProblem {
-            section: section.to_owned(),
-            key: key.to_owned(),
-            read: read.into(),
-            remedy,
-        });
-    }
-
-    /// Takes over the known keys and notes the unknown and doubled ones.
-    fn collect(&mut self, ini: &Ini) {
-        for (section, properties) in ini {
-            let section = section.unwrap_or_default();
-            for (key, value) in properties {
-                self.collect_one(section, key, value);
-            }
-        }
-        for spec in SETTING_SPECS {
-            self.check_one(spec);
-        }
-    }
-
-    fn collect_one(&mut self, section: &str, key: &str, value: &str) {
-        let known = SETTING_SPECS.iter().find(|s| s.section == section && s.key == key);
-        let Some(spec) = known else {
-            let remedy = match nearest(section, key) {
-                Some(near) => format!("remove it, or write [{}] {}", near.section, near.key),
-                None => "remove it; the settings reference lists every key".to_owned(),
-            };
-            self.problem(section, key, "an unknown key", remedy);
-            return;
-        };
-        if self.values.insert((spec.section, spec.key), value.trim().to_owned()).is_some() {
-            self.problem(section, key, "the key twice", "keep one of them".to_owned());
-        }
-    }
-
-    /// Fills in the default and checks the form.
-    fn check_one(&mut self, spec: &SettingSpec) {
-        let at = (spec.section, spec.key);
-        let Some(text) = self.values.get(&at).cloned() else {
-            match spec.default {
-                Some(default) => {
-                    self.values.insert(at, default.to_owned());
-                }
-                None => {
-                    let remedy = format!("write {}", spec.kind.expected());
-                    self.problem(spec.section, spec.key, "nothing, but it is required", remedy);
-                }
-            }
-            return;
-        };
-        if text.is_empty() && spec.default == Some("") {
-            return;
-        }
-        if !accepts(&spec.kind, &text) {
-            let remedy = format!("write {}", spec.kind.expected());
-            self.problem(spec.section, spec.key, format!("{text:?}"), remedy);
-            self.values.remove(&at);
-        }
-    }
-
-    fn text(&self, section: &'static str, key: &'static str) -> Option<&str> {
-        self.values.get(&(section, key)).map(String::as_str)
-    }
-
-    fn parsed<T: std::str::FromStr>(&self, section: &'static str, key: &'static str) -> Option<T> {
-        self.text(section, key)?.parse().ok()
-    }
-
-    fn millis(&self, section: &'static str, key: &'static str) -> Option<Duration> {
-        self.parsed(section, key).map(Duration::from_millis)
-    }
-
     fn build(
         &mut self,
         read_key: impl Fn(&Path) -> std::io::Result<String>,
@@ -409,54 +317,3 @@
         }
     }
 }
-
-fn accepts(kind: &SettingKind, text: &str) -> bool {
-    match kind {
-        SettingKind::Identifier => text.parse::<InstanceId>().is_ok(),
-        SettingKind::Address => text.parse::<SocketAddr>().is_ok(),
-        SettingKind::Integer { min, max } => {
-            text.parse::<u64>().is_ok_and(|number| (*min..=*max).contains(&number))
-        }
-        SettingKind::Path => !text.is_empty(),
-        SettingKind::Voters => parse_voters(text).is_some(),
-        SettingKind::KeyHash => {
-            text.len() == 64 && text.bytes().all(|b| matches!(b, b'0'..=b'9' | b'a'..=b'f'))
-        }
-        SettingKind::Word(words) => words.contains(&text),
-    }
-}
-
-/// Parses the list of voters; none where an item is malformed or an instance stands twice.
-fn parse_voters(text: &str) -> Option<Vec<VoterAddress>> {
-    let parse_one = |item: &str| {
-        let (instance, peers) = item.trim().split_once('@')?;
-        Some(VoterAddress { instance: instance.parse().ok()?, peers: peers.parse().ok()? })
-    };
-    let voters: Vec<VoterAddress> = text.split(',').map(parse_one).collect::<Option<_>>()?;
-    let distinct: std::collections::BTreeSet<_> = voters.iter().map(|v| &v.instance).collect();
-    (distinct.len() == voters.len()).then_some(voters)
-}
-
-/// Finds the key that was probably meant: the same one in another section, or a near spelling.
-fn nearest(section: &str, key: &str) -> Option<&'static SettingSpec> {
-    let elsewhere = SETTING_SPECS.iter().find(|s| s.key == key);
-    let near = || {
-        let close = |s: &&SettingSpec| s.section == section && edit_distance(s.key, key) <= 2;
-        SETTING_SPECS.iter().find(close)
-    };
-    elsewhere.or_else(near)
-}
-
-fn edit_distance(left: &str, right: &str) -> usize {
-    let mut row: Vec<usize> = (0..=right.len()).collect();
-    for (i, a) in left.bytes().enumerate() {
-        let mut diagonal = row[0];
-        row[0] = i + 1;
-        for (j, b) in right.bytes().enumerate() {
-            let substituted = diagonal + usize::from(a != b);
-            diagonal = row[j + 1];
-            row[j + 1] = substituted.min(row[j] + 1).min(diagonal + 1);
-        }
-    }
-    row[right.len()]
-}
--- /dev/null
+++ b/crates/settings/src/gateway.rs
@@ -0,0 +1,393 @@
+//! Settings of a gateway: a daemon that finds the others by seeds and forwards any HTTP request.
+
+use std::collections::BTreeSet;
+use std::net::{IpAddr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use oriolepass_units::{DataCentreId, InstanceId};
+
+use crate::problem::SettingsError;
+use crate::reader::{self, SettingsReader, parse_addresses};
+use crate::spec::{SettingKind, SettingSpec};
+
+const FLAG: SettingKind = SettingKind::Word(&["true", "false"]);
+
+const fn integer(max: u64) -> SettingKind {
+    SettingKind::Integer { min: 0, max }
+}
+
+const fn spec(
+    section: &'static str,
+    key: &'static str,
+    kind: SettingKind,
+    unit: &'static str,
+    default: Option<&'static str>,
+    help: &'static str,
+) -> SettingSpec {
+    SettingSpec { section, key, kind, unit, default, help }
+}
+
+/// Every setting of a gateway, in the order of the reference page.
+pub const GATEWAY_SPECS: &[SettingSpec] = &[
+    spec("instance", "name", SettingKind::Identifier, "", None, "The instance's name, for logs."),
+    spec("instance", "data_centre", SettingKind::Identifier, "", None, "The data centre."),
+    spec(
+        "instance",
+        "data_folder",
+        SettingKind::Path,
+        "",
+        Some(""),
+        "Where it keeps files; empty without a disk.",
+    ),
+    spec("listen", "callers", SettingKind::Address, "", None, "For callers."),
+    spec(
+        "listen",
+        "readiness",
+        SettingKind::Address,
+        "",
+        None,
+        "For the platform's readiness checks.",
+    ),
+    spec("listen", "control", SettingKind::Address, "", None, "For operators and endpoints."),
+    spec(
+        "listen",
+        "directory",
+        SettingKind::Address,
+        "",
+        None,
+        "For callers that ask which instance to use.",
+    ),
+    spec(
+        "listen",
+        "peers",
+        SettingKind::Address,
+        "",
+        None,
+        "For other daemons; also this daemon's id in the cluster.",
+    ),
+    spec(
+        "listen",
+        "metrics",
+        SettingKind::Address,
+        "",
+        None,
+        "For the metrics, in Prometheus' text form.",
+    ),
+    spec(
+        "cluster",
+        "seeds",
+        SettingKind::Addresses,
+        "",
+        Some(""),
+        "Daemons to ask for the others. Only the IP is used; the port is that of [listen] peers.",
+    ),
+    spec(
+        "cluster",
+        "may_found",
+        FLAG,
+        "",
+        Some("false"),
+        "Whether this daemon, with an empty disk, may take part in founding a new system.",
+    ),
+    spec(
+        "cluster",
+        "lost_instances",
+        integer(16),
+        "instances",
+        Some("1"),
+        "Instances with a disk whose loss at one time must be borne.",
+    ),
+    spec(
+        "cluster",
+        "lost_data_centres",
+        integer(16),
+        "data centres",
+        Some("0"),
+        "Data centres whose loss at one time must be borne.",
+    ),
+    spec(
+        "bounds",
+        "endpoint_heartbeat_ms",
+        integer(600_000),
+        "ms",
+        Some("1000"),
+        "Between heartbeats of an endpoint.",
+    ),
+    spec(
+        "bounds",
+        "acknowledge_ms",
+        integer(600_000),
+        "ms",
+        Some("4000"),
+        "The longest time until a routing document is acknowledged.",
+    ),
+    spec(
+        "bounds",
+        "in_force_ms",
+        integer(600_000),
+        "ms",
+        Some("2000"),
+        "The longest time from the acknowledgement until a document is in force everywhere.",
+    ),
+    spec(
+        "bounds",
+        "key_revoke_ms",
+        integer(600_000),
+        "ms",
+        Some("5000"),
+        "The longest time that a key works after a document without it was acknowledged.",
+    ),
+    spec(
+        "bounds",
+        "fail_closed",
+        FLAG,
+        "",
+        Some("true"),
+        "Whether requests with keys are refused where the document cannot be proved current.",
+    ),
+    spec(
+        "bounds",
+        "shutdown_grace_s",
+        SettingKind::Decimal { min: 0.0, max: 3600.0 },
+        "s",
+        Some("8"),
+        "The time from SIGTERM until the process is killed.",
+    ),
+    spec(
+        "bounds",
+        "retry_ratio",
+        SettingKind::Decimal { min: 0.0, max: 10.0 },
+        "",
+        Some("0.2"),
+        "Repeated sends to a service in a window, as a part of its requests, over all daemons.",
+    ),
+    spec(
+        "bounds",
+        "retry_slack",
+        SettingKind::Decimal { min: 0.0, max: 1e9 },
+        "sends",
+        Some("10"),
+        "Repeated sends to a service in a window beside that, over all daemons.",
+    ),
+    spec(
+        "bounds",
+        "retry_window_s",
+        SettingKind::Decimal { min: 0.1, max: 3600.0 },
+        "s",
+        Some("10"),
+        "The window of the two settings above.",
+    ),
+    spec(
+        "bounds",
+        "address_keep_max_s",
+        SettingKind::Decimal { min: 0.1, max: 3600.0 },
+        "s",
+        Some("5"),
+        "The longest time that callers keep addresses.",
+    ),
+    spec(
+        "bounds",
+        "reservation_max_ms",
+        integer(600_000),
+        "ms",
+        Some("20000"),
+        "The longest reservation of an engine's memory.",
+    ),
+    spec(
+        "limits",
+        "memory_mb",
+        integer(1 << 20),
+        "MB",
+        Some("256"),
+        "The memory that the process may use.",
+    ),
+    spec(
+        "limits",
+        "descriptors",
+        integer(1 << 24),
+        "",
+        Some("4096"),
+        "The descriptors that the process may use.",
+    ),
+    spec(
+        "log",
+        "level",
+        SettingKind::Word(&["error", "warn", "info", "debug"]),
+        "",
+        Some("info"),
+        "The least severe log lines that are written.",
+    ),
+];
+
+/// Where a gateway listens.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct GatewayListen {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For the platform's readiness checks.
+    pub readiness: SocketAddr,
+    /// For operators and endpoints.
+    pub control: SocketAddr,
+    /// For callers that ask which instance to use.
+    pub directory: SocketAddr,
+    /// For other daemons.
+    pub peers: SocketAddr,
+    /// For the metrics.
+    pub metrics: SocketAddr,
+}
+
+/// How a gateway finds the others.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SeedSettings {
+    /// Instances to ask.
+    pub hosts: BTreeSet<IpAddr>,
+    /// Whether it may take part in founding a system.
+    pub may_found: bool,
+}
+
+/// What may be lost at one time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ToleranceSettings {
+    /// Instances with a disk.
+    pub instances: usize,
+    /// Data centres.
+    pub data_centres: usize,
+}
+
+/// Bounds that the platform sets.
+#[derive(Debug, Clone, PartialEq)]
+pub struct GatewayBounds {
+    /// Between heartbeats of an endpoint.
+    pub endpoint_heartbeat: Duration,
+    /// Until a routing document is acknowledged.
+    pub acknowledge: Duration,
+    /// From the acknowledgement until a document is in force everywhere.
+    pub in_force: Duration,
+    /// How long a key may work after it was taken away.
+    pub key_revoke: Duration,
+    /// Whether requests with keys need a document that is proved current.
+    pub fail_closed: bool,
+    /// From SIGTERM until the process is killed.
+    pub shutdown_grace: Duration,
+    /// Repeated sends in a window, as a part of a service's requests.
+    pub retry_ratio: f64,
+    /// Repeated sends in a window beside that.
+    pub retry_slack: f64,
+    /// The window of both.
+    pub retry_window: Duration,
+    /// How long callers keep addresses at most.
+    pub address_keep_max: Duration,
+    /// The longest reservation of an engine's memory.
+    pub reservation_max: Duration,
+}
+
+/// All settings of a gateway, checked.
+#[derive(Debug, Clone, PartialEq)]
+pub struct GatewaySettings {
+    /// The instance's name.
+    pub name: InstanceId,
+    /// Its data centre.
+    pub data_centre: DataCentreId,
+    /// Where it keeps files, if it does.
+    pub data_folder: Option<PathBuf>,
+    /// Where it listens.
+    pub listen: GatewayListen,
+    /// How it finds the others.
+    pub seeds: SeedSettings,
+    /// What may be lost at one time.
+    pub tolerance: ToleranceSettings,
+    /// Bounds that the platform sets.
+    pub bounds: GatewayBounds,
+    /// The memory that the process may use, in megabytes.
+    pub memory_mb: u64,
+    /// The descriptors that the process may use.
+    pub descriptors: u64,
+    /// The least severe log lines that are written.
+    pub log_level: String,
+}
+
+impl GatewaySettings {
+    /// Reads and checks a file.
+    ///
+    /// # Errors
+    ///
+    /// Returns every problem of the file at once.
+    pub fn load(file: &Path) -> Result<Self, SettingsError> {
+        let name = file.display().to_string();
+        let unreadable = |source| SettingsError::Unreadable { file: name.clone(), source };
+        Self::parse(&name, &std::fs::read_to_string(file).map_err(unreadable)?)
+    }
+
+    /// Checks settings given as text.
+    ///
+    /// # Errors
+    ///
+    /// Returns every problem of the text at once.
+    pub fn parse(name: &str, text: &str) -> Result<Self, SettingsError> {
+        reader::read(name, text, GATEWAY_SPECS, |reader| reader.gateway())
+    }
+
+    /// Returns whether a changed settings file may be taken over without a restart: everything
+    /// but the addresses, the names and the data folder.
+    pub fn may_become(&self, next: &Self) -> bool {
+        self.listen == next.listen
+            && self.name == next.name
+            && self.data_centre == next.data_centre
+            && self.data_folder == next.data_folder
+    }
+}
+
+impl SettingsReader {
+    fn gateway(&mut self) -> Option<GatewaySettings> {
+        let folder = self.text("instance", "data_folder").filter(|text| !text.is_empty());
+        Some(GatewaySettings {
+            name: self.parsed("instance", "name")?,
+            data_centre: self.parsed("instance", "data_centre")?,
+            data_folder: folder.map(PathBuf::from),
+            listen: GatewayListen {
+                callers: self.parsed("listen", "callers")?,
+                readiness: self.parsed("listen", "readiness")?,
+                control: self.parsed("listen", "control")?,
+                directory: self.parsed("listen", "directory")?,
+                peers: self.parsed("listen", "peers")?,
+                metrics: self.parsed("listen", "metrics")?,
+            },
+            seeds: SeedSettings {
+                hosts: parse_addresses(self.text("cluster", "seeds")?)?
+                    .iter()
+                    .map(SocketAddr::ip)
+                    .collect(),
+                may_found: self.parsed("cluster", "may_found")?,
+            },
+            tolerance: ToleranceSettings {
+                instances: self.parsed("cluster", "lost_instances")?,
+                data_centres: self.parsed("cluster", "lost_data_centres")?,
+            },
+            bounds: self.bounds()?,
+            memory_mb: self.parsed("limits", "memory_mb")?,
+            descriptors: self.parsed("limits", "descriptors")?,
+            log_level: self.text("log", "level")?.to_owned(),
+        })
+    }
+
+    fn bounds(&self) -> Option<GatewayBounds> {
+        Some(GatewayBounds {
+            endpoint_heartbeat: self.millis("bounds", "endpoint_heartbeat_ms")?,
+            acknowledge: self.millis("bounds", "acknowledge_ms")?,
+            in_force: self.millis("bounds", "in_force_ms")?,
+            key_revoke: self.millis("bounds", "key_revoke_ms")?,
+            fail_closed: self.parsed("bounds", "fail_closed")?,
+            shutdown_grace: self.seconds("bounds", "shutdown_grace_s")?,
+            retry_ratio: self.parsed("bounds", "retry_ratio")?,
+            retry_slack: self.parsed("bounds", "retry_slack")?,
+            retry_window: self.seconds("bounds", "retry_window_s")?,
+            address_keep_max: self.seconds("bounds", "address_keep_max_s")?,
+            reservation_max: self.millis("bounds", "reservation_max_ms")?,
+        })
+    }
+
+    fn seconds(&self, section: &'static str, key: &'static str) -> Option<Duration> {
+        self.parsed(section, key).map(Duration::from_secs_f64)
+    }
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -6,13 +6,18 @@
 //! section, the key, what was read and what to write instead.
 
 mod check;
+mod gateway;
 mod problem;
+mod reader;
 mod reference;
 mod spec;
 
 pub use check::{
     DaemonSettings, InstanceSettings, LimitSettings, ListenSettings, TimingSettings, VoterAddress,
 };
+pub use gateway::{
+    GATEWAY_SPECS, GatewayBounds, GatewayListen, GatewaySettings, SeedSettings, ToleranceSettings,
+};
 pub use problem::{SettingProblem, SettingsError};
 pub use reference::reference_page;
 pub use spec::{SETTING_SPECS, SettingKind, SettingSpec};
--- a/crates/settings/src/spec.rs
+++ b/crates/settings/src/spec.rs
@@ -1,7 +1,7 @@
 //! The table of all settings.
 
 /// The type of a setting and what it accepts.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub enum SettingKind {
     /// An identifier.
     Identifier,
@@ -14,6 +14,15 @@
         /// The largest.
         max: u64,
     },
+    /// A number in a closed range.
+    Decimal {
+        /// The smallest.
+        min: f64,
+        /// The largest.
+        max: f64,
+    },
+    /// A comma-separated list of `IP:PORT`.
+    Addresses,
     /// A path of a file or folder.
     Path,
     /// A comma-separated list of `INSTANCE@IP:PORT`.
@@ -31,6 +40,10 @@
             Self::Identifier => "1 to 128 of the characters A-Z a-z 0-9 . _ : -".to_owned(),
             Self::Address => "an IP address with a port, such as 10.0.0.1:7000".to_owned(),
             Self::Integer { min, max } => format!("a whole number from {min} to {max}"),
+            Self::Decimal { min, max } => format!("a number from {min} to {max}"),
+            Self::Addresses => {
+                "a comma-separated list of IP:PORT, such as 10.0.0.1:7000".to_owned()
+            }
             Self::Path => "a path".to_owned(),
             Self::Voters => {
                 "a comma-separated list of INSTANCE@IP:PORT, such as a1@10.0.0.1:7003".to_owned()
