A silent endpoint is raced, not given up; elections and first proofs are faster

It had been silent for 1.2 s behind a long prompt, the gateway dropped it to move it, and the retry budget had nothing left. The same happened before first events: each false alarm put the prompt at the end of another queue. Ruled out: the endpoint's own fault; its run ended only because the gateway closed the connection. Change: a silent endpoint is kept while a second one is tried, whichever brings the next event first is taken, and where no second one may be tried the first goes on. Election timeout 700 to 400 ms, heartbeat 120 to 80 ms; a new leader is asked for a proof at once; a daemon that waits for an election tells callers to come back after 1 s instead of 0.4 s (most of those came back too early and were refused again). Late short prompts in bursts are what is left.

--- a/crates/gateway/src/cluster.rs
+++ b/crates/gateway/src/cluster.rs
@@ -19,7 +19,7 @@
 use crate::roster::{DaemonNote, DaemonPhase, GREET_EVERY, ReplicaNote, RosterChange};
 
 /// Between two ticks of the replica: a fraction of the heartbeat of the log.
-const REPLICA_TICK: Duration = Duration::from_millis(30);
+const REPLICA_TICK: Duration = Duration::from_millis(25);
 
 /// Between two looks at who should vote.
 const VOTERS_EVERY: Duration = Duration::from_millis(500);
@@ -192,6 +192,7 @@
             .number("term", next.as_ref().map_or(LeaderTerm::ZERO, |(term, _)| *term))
             .text("outcome", if next.is_some() { "found" } else { "lost" });
         self.metrics.is_leader.set(i64::from(self.is_leader()));
+        self.leader_changed.notify_waiters();
         self.on_new_home();
     }
 
--- a/crates/gateway/src/documents.rs
+++ b/crates/gateway/src/documents.rs
@@ -171,7 +171,8 @@
             self.prove_once().await;
             self.note_freshness();
             self.refresh_readiness();
-            sleep(PROVE_EVERY).await;
+            // A new leader is asked at once.
+            let _ = timeout(PROVE_EVERY, self.leader_changed.notified()).await;
         }
     }
 
--- a/crates/gateway/src/front/caller.rs
+++ b/crates/gateway/src/front/caller.rs
@@ -25,9 +25,13 @@
 use crate::events::EventKind;
 use crate::gateway::Gateway;
 
-/// When to come back after a refusal that will pass soon: an election takes about this long.
+/// When to come back after a refusal that will pass soon.
 pub(super) const SOON: Duration = Duration::from_millis(400);
 
+/// When to come back where this daemon waits for a leader or for a document: an election and the
+/// first proof take about this long.
+pub(super) const AFTER_ELECTION: Duration = Duration::from_millis(1_000);
+
 /// The time for a request's body to arrive where the request names no deadline.
 const BODY_PATIENCE: Duration = Duration::from_secs(10);
 
@@ -208,7 +212,7 @@
     guard.id = facts.id.clone().unwrap_or_default();
     let limits = gateway.active_document().map(|document| *document.table.limits());
     let Some(limits) = limits else {
-        return Err(Refusal::not_run("no document yet", SOON));
+        return Err(Refusal::not_run("no document yet", AFTER_ELECTION));
     };
     let host = match headers::check_head(&parts, limits.max_head_bytes) {
         Ok(host) => host,
@@ -247,7 +251,7 @@
     guard.place = Some((route.name.clone(), account, kind));
     let needs_proof = document.table.needs_keys() && !route.is_public;
     if needs_proof && gateway.settings().bounds.fail_closed && !gateway.is_fresh() {
-        return Err(Refusal::not_run("document not proved current", SOON));
+        return Err(Refusal::not_run("document not proved current", AFTER_ELECTION));
     }
     let service = RoutingTable::choose_service(&route, rand::random());
     let service = document
--- a/crates/gateway/src/front/stream.rs
+++ b/crates/gateway/src/front/stream.rs
@@ -8,6 +8,7 @@
 use hyper::Response;
 use hyper::body::Incoming;
 use hyper::http::response::Parts;
+use oriolepass_units::EndpointId;
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
 use tokio::time::{sleep_until, timeout};
@@ -56,7 +57,12 @@
         Self { body, splitter: EventSplitter::new(last_event), _guard: guard }
     }
 
-    /// Waits for the next whole events.
+    /// Returns the last event handed out.
+    pub(super) fn last_id(&self) -> Option<u64> {
+        self.splitter.last_id()
+    }
+
+    /// Waits for the next whole events. Nothing is lost when the wait is dropped.
     pub(super) async fn next(&mut self) -> PieceEnd {
         loop {
             match self.body.frame().await {
@@ -151,58 +157,115 @@
             {
                 return PumpEnd::CallerGone;
             }
-            let broken = match self.pass_on_one(&mut open).await {
-                Ok(end) => return end,
-                Err(reason) => reason,
+            open = match self.pass_on_one(open).await {
+                Ok(next) => next,
+                Err(end) => return end,
             };
-            let last_event = open.source.splitter.last_id();
-            let endpoint = open.placement.endpoint.clone();
-            drop(open);
-            if !may_resume(&self.request) || !self.history.may_run_again(&self.request) {
-                return PumpEnd::Broken(broken);
-            }
-            self.history.stream_broke(endpoint.clone(), last_event);
-            self.gateway
-                .line(EventKind::Resume)
-                .text("request", &self.request.id)
-                .text("from", endpoint)
-                .maybe("after_event", last_event)
-                .millis("left_ms", self.request.left())
-                .text("reason", &broken);
-            self.gateway.metrics.resumes.inc();
-            match self.history.try_until_answered(&self.gateway, &self.request).await {
-                Verdict::Stream(next) => open = next,
-                Verdict::Answer(answer) => {
-                    return PumpEnd::Broken(format!("{broken}; then status {}", answer.status()));
-                }
-                Verdict::Refusal(refusal) => {
-                    return PumpEnd::Broken(format!("{broken}; then {}", refusal.reason));
-                }
-            }
         }
     }
 
-    /// Passes one endpoint's events on; an error says why they broke off.
-    async fn pass_on_one(&mut self, open: &mut OpenStream) -> Result<PumpEnd, String> {
+    /// Passes one endpoint's events on until they end, or until the stream goes on at another
+    /// endpoint, which is returned.
+    async fn pass_on_one(&mut self, mut open: OpenStream) -> Result<OpenStream, PumpEnd> {
         let pause = self.request.route.pause_objective.unwrap_or(UNKNOWN_PAUSE);
-        let silence = (pause * SILENT_PAUSES).max(SILENT_AT_LEAST);
-        let can_move = may_resume(&self.request) && self.history.may_run_again(&self.request);
+        let mut silence = (pause * SILENT_PAUSES).max(SILENT_AT_LEAST);
         loop {
-            // Silence is a reason to move on only where the stream can go on elsewhere.
-            let patience = if can_move { silence } else { self.request.left() };
-            let (fault, reason) = match timeout(patience, open.source.next()).await {
-                Ok(PieceEnd::Piece(piece)) => {
-                    if self.pieces.send(Ok(piece)).await.is_err() {
-                        return Ok(PumpEnd::CallerGone);
+            match timeout(silence, open.source.next()).await {
+                Ok(PieceEnd::Piece(piece)) => self.pass(piece).await?,
+                Ok(PieceEnd::Whole) => return Err(PumpEnd::Whole),
+                Ok(PieceEnd::Broken(reason)) => {
+                    open.placement.failed(
+                        &self.request.id,
+                        &open.placement.endpoint,
+                        FaultKind::Broken,
+                    );
+                    let (endpoint, last) = (open.placement.endpoint.clone(), open.source.last_id());
+                    drop(open);
+                    return self.move_on(endpoint, last, &reason).await;
+                }
+                Err(_) => {
+                    if let Some(next) = self.look_elsewhere(&mut open, silence).await? {
+                        return Ok(next);
                     }
-                    continue;
+                    // It is worth another look only after a good while longer.
+                    silence *= 2;
                 }
-                Ok(PieceEnd::Whole) => return Ok(PumpEnd::Whole),
-                Ok(PieceEnd::Broken(reason)) => (FaultKind::Broken, reason),
-                Err(_) => (FaultKind::Silent, format!("no event in {} ms", patience.as_millis())),
-            };
-            open.placement.failed(&self.request.id, &open.placement.endpoint, fault);
-            return Err(reason);
+            }
+        }
+    }
+
+    async fn pass(&self, piece: Bytes) -> Result<(), PumpEnd> {
+        self.pieces.send(Ok(piece)).await.map_err(|_| PumpEnd::CallerGone)
+    }
+
+    fn can_move(&self) -> bool {
+        may_resume(&self.request) && self.history.may_run_again(&self.request)
+    }
+
+    fn begin_move(&mut self, endpoint: EndpointId, last_event: Option<u64>, reason: &str) {
+        self.gateway
+            .line(EventKind::Resume)
+            .text("request", &self.request.id)
+            .text("from", &endpoint)
+            .maybe("after_event", last_event)
+            .millis("left_ms", self.request.left())
+            .text("reason", reason);
+        self.gateway.metrics.resumes.inc();
+        self.history.stream_broke(endpoint, last_event);
+    }
+
+    /// Lets a stream that has broken off go on at another endpoint.
+    async fn move_on(
+        &mut self,
+        endpoint: EndpointId,
+        last_event: Option<u64>,
+        reason: &str,
+    ) -> Result<OpenStream, PumpEnd> {
+        if !self.can_move() {
+            return Err(PumpEnd::Broken(reason.to_owned()));
+        }
+        self.begin_move(endpoint, last_event, reason);
+        let next = match self.history.try_until_answered(&self.gateway, &self.request).await {
+            Verdict::Stream(next) => return Ok(next),
+            Verdict::Answer(answer) => format!("status {}", answer.status()),
+            Verdict::Refusal(refusal) => refusal.reason.to_owned(),
+        };
+        Err(PumpEnd::Broken(format!("{reason}; then {next}")))
+    }
+
+    /// Looks for another endpoint for a stream that is silent, without leaving the one that it
+    /// has: silence is no proof, and what it has may still come. Returns the other one if its
+    /// first event comes before the silence ends.
+    async fn look_elsewhere(
+        &mut self,
+        open: &mut OpenStream,
+        silence: Duration,
+    ) -> Result<Option<OpenStream>, PumpEnd> {
+        if !self.can_move() {
+            return Ok(None);
+        }
+        let endpoint = open.placement.endpoint.clone();
+        open.placement.failed(&self.request.id, &endpoint, FaultKind::Silent);
+        let reason = format!("no event in {} ms", silence.as_millis());
+        self.begin_move(endpoint.clone(), open.source.last_id(), &reason);
+        let mut moved = Box::pin(self.history.try_until_answered(&self.gateway, &self.request));
+        tokio::select! {
+            piece = open.source.next() => match piece {
+                PieceEnd::Piece(piece) => {
+                    drop(moved);
+                    self.pass(piece).await?;
+                    Ok(None)
+                }
+                PieceEnd::Whole => Err(PumpEnd::Whole),
+                PieceEnd::Broken(reason) => match moved.await {
+                    Verdict::Stream(next) => Ok(Some(next)),
+                    _ => Err(PumpEnd::Broken(reason)),
+                },
+            },
+            verdict = &mut moved => match verdict {
+                Verdict::Stream(next) => Ok(Some(next)),
+                Verdict::Answer(_) | Verdict::Refusal(_) => Ok(None),
+            },
         }
     }
 }
--- a/crates/gateway/src/front/tries.rs
+++ b/crates/gateway/src/front/tries.rs
@@ -16,7 +16,7 @@
 use oriolepass_units::EndpointId;
 use tokio::time::{Instant, sleep, timeout};
 
-use super::caller::{CallerRequest, SOON};
+use super::caller::{AFTER_ELECTION, CallerRequest, SOON};
 use super::headers::strip_hop_headers;
 use super::placement::{NoPlace, Placement};
 use super::refusal::Refusal;
@@ -25,6 +25,7 @@
 use crate::dialect::{AnswerFacts, SendFacts};
 use crate::events::EventKind;
 use crate::gateway::Gateway;
+use crate::peers::ProgressNote;
 use crate::upstream::{self, SendFailure, Upstream};
 
 /// Sends of one request at most, those included that no endpoint ran.
@@ -53,6 +54,9 @@
 /// ...and not before this many times the objective.
 const FIRST_EVENT_OBJECTIVES: f64 = 1.2;
 
+/// Longer than any request.
+const FOREVER: Duration = Duration::from_secs(24 * 3_600);
+
 /// Where a service answers that it is full, callers come back after this long.
 const FULL_AGAIN: Duration = Duration::from_millis(250);
 
@@ -138,6 +142,8 @@
     }
 
     /// Sends a request until it has an answer or is given up.
+    ///
+    /// To be dropped when the request's time is over.
     pub(super) async fn try_until_answered(
         &mut self,
         gateway: &Rc<Gateway>,
@@ -147,13 +153,54 @@
             if self.sends > 0 && !self.take_from_budget(gateway, request) {
                 return self.give_up("retry budget used up", FULL_AGAIN);
             }
-            let end = self.try_once(gateway, request).await;
+            let end = match self.begin_send(gateway, request).await {
+                Ok(placement) => self.send_hedged(gateway, request, placement).await,
+                Err(end) => end,
+            };
             if let Some(verdict) = self.conclude(gateway, request, end).await {
                 return verdict;
             }
         }
     }
 
+    /// Sends a request, and sends it to a second endpoint as well where the first one is silent
+    /// for too long and it may run twice. Whichever answers first is taken: an endpoint that is
+    /// merely slow is not given up for one that may be no faster.
+    async fn send_hedged(
+        &mut self,
+        gateway: &Rc<Gateway>,
+        request: &CallerRequest,
+        placement: Placement,
+    ) -> TryEnd {
+        let patience = self.patience(request, &placement);
+        let silent = placement.endpoint.clone();
+        let mut first = std::pin::pin!(send_once(gateway, request, placement, self.last_event));
+        if let Ok(end) = timeout(patience, &mut first).await {
+            return end;
+        }
+        self.runs += 1;
+        gateway.endpoint_fault(&request.id, &silent, FaultKind::Silent);
+        gateway.report_progress(ProgressNote::Failed(silent.clone()));
+        self.log_failure(gateway, request, Some(&silent), "silent", true);
+        self.avoid.push(silent);
+        let may_repeat = self.may_run_again(request) && self.sends < MAX_SENDS;
+        if !may_repeat || !self.take_from_budget(gateway, request) {
+            return first.await;
+        }
+        let Ok(placement) = self.begin_send(gateway, request).await else {
+            return first.await;
+        };
+        let mut second = std::pin::pin!(send_once(gateway, request, placement, self.last_event));
+        let (end, first_ended) = tokio::select! {
+            end = &mut first => (end, true),
+            end = &mut second => (end, false),
+        };
+        if matches!(end, TryEnd::Answer(_) | TryEnd::Stream(_)) {
+            return end;
+        }
+        if first_ended { second.await } else { first.await }
+    }
+
     fn take_from_budget(&self, gateway: &Gateway, request: &CallerRequest) -> bool {
         let now = gateway.now();
         let daemons = gateway.roster.borrow().alive(now).count() + 1;
@@ -174,7 +221,10 @@
         end: TryEnd,
     ) -> Option<Verdict> {
         match end {
-            TryEnd::Stream(open) => Some(Verdict::Stream(open)),
+            TryEnd::Stream(open) => {
+                self.runs += 1;
+                Some(Verdict::Stream(open))
+            }
             TryEnd::Answer(answer) => self.conclude_answer(request, answer),
             TryEnd::NotRun { reason, endpoint } => {
                 let again = self.sends < MAX_SENDS;
@@ -189,7 +239,7 @@
                 self.avoid.push(endpoint);
                 (!again).then(|| self.give_up("answer lost", FULL_AGAIN))
             }
-            TryEnd::NotProved => Some(self.give_up("document not proved current", SOON)),
+            TryEnd::NotProved => Some(self.give_up("document not proved current", AFTER_ELECTION)),
             TryEnd::NoPlace(lack) => self.conclude_no_place(gateway, request, lack).await,
         }
     }
@@ -257,71 +307,26 @@
             .text("next", if again { "send again" } else { "give up" });
     }
 
-    /// Sends a request once.
-    async fn try_once(&mut self, gateway: &Rc<Gateway>, request: &CallerRequest) -> TryEnd {
-        let placement = match Placement::find(gateway, request, &self.avoid).await {
-            Ok(placement) => placement,
-            Err(lack) => return TryEnd::NoPlace(lack),
-        };
-        // Last checks before the bytes leave: the process may have stood still since the first.
+    /// Finds an endpoint and makes the last checks before bytes leave.
+    async fn begin_send(
+        &mut self,
+        gateway: &Rc<Gateway>,
+        request: &CallerRequest,
+    ) -> Result<Placement, TryEnd> {
+        let found = Placement::find(gateway, request, &self.avoid).await;
+        let placement = found.map_err(TryEnd::NoPlace)?;
+        // The process may have stood still since the first checks.
         let fails_closed = request.needs_proof && gateway.settings().bounds.fail_closed;
         if fails_closed && !gateway.is_fresh() {
-            return TryEnd::NotProved;
+            return Err(TryEnd::NotProved);
         }
         if gateway.endpoints.borrow().takes_work(&placement.endpoint).is_none() {
             let reason = "the endpoint is leaving".to_owned();
-            return TryEnd::NotRun { reason, endpoint: Some(placement.endpoint.clone()) };
+            return Err(TryEnd::NotRun { reason, endpoint: Some(placement.endpoint.clone()) });
         }
-        let Some(message) = self.message(gateway, request, &placement) else {
-            let reason = "the request cannot be written".to_owned();
-            return TryEnd::NotRun { reason, endpoint: None };
-        };
         self.sends += 1;
         self.log_send(gateway, request, &placement);
-        let patience = self.patience(request, &placement);
-        match timeout(patience, upstream::send(placement.address, message)).await {
-            Ok(Ok(upstream)) => {
-                self.read_answer(gateway, request, placement, upstream, patience).await
-            }
-            Ok(Err(SendFailure::NotSent(reason))) => {
-                gateway.metrics.sends.with_label_values(&["not sent"]).inc();
-                let endpoint = placement.endpoint.clone();
-                placement.failed(&request.id, &endpoint, FaultKind::Unreachable);
-                TryEnd::NotRun { reason, endpoint: Some(endpoint) }
-            }
-            Ok(Err(SendFailure::Unknown(reason))) => {
-                lost(gateway, request, &placement, FaultKind::Broken, reason)
-            }
-            Err(_) => {
-                let reason = format!("no answer in {} ms", patience.as_millis());
-                lost(gateway, request, &placement, FaultKind::Silent, reason)
-            }
-        }
-    }
-
-    fn message(
-        &self,
-        gateway: &Gateway,
-        request: &CallerRequest,
-        placement: &Placement,
-    ) -> Option<Request<Full<Bytes>>> {
-        let mut headers = request.headers.clone();
-        let facts = SendFacts {
-            deadline: request.left(),
-            endpoint: placement.endpoint.clone(),
-            account: request.holder.as_ref().map(|holder| holder.account.clone()),
-            engine_priority: placement.plan.as_ref().map(|plan| plan.engine_priority),
-            helpers: placement.helpers.clone(),
-            resume_after: self.last_event,
-        };
-        (gateway.dialect.write_send)(&facts, &mut headers);
-        let mut message = Request::builder()
-            .method(request.method.clone())
-            .uri(request.path.as_str())
-            .body(Full::new(request.body.clone()))
-            .ok()?;
-        *message.headers_mut() = headers;
-        Some(message)
+        Ok(placement)
     }
 
     fn log_send(&self, gateway: &Gateway, request: &CallerRequest, placement: &Placement) {
@@ -349,92 +354,122 @@
 
     /// Returns how long the head of the answer, or a stream's first event, is waited for.
     fn patience(&self, request: &CallerRequest, placement: &Placement) -> Duration {
-        let left = request.left();
         if !request.route.repeat.may_repeat() || self.runs + 1 >= request.route.max_attempts {
-            return left;
+            // The request's own time ends first, and with the answer that fits that.
+            return FOREVER;
         }
         let objective = request.route.objective;
-        let patience = match &placement.plan {
+        match &placement.plan {
             Some(plan) => (plan.first_event.mul_f64(FIRST_EVENT_STRETCH) + FIRST_EVENT_SLACK)
                 .max(objective.mul_f64(FIRST_EVENT_OBJECTIVES)),
             None => objective.mul_f64(CALL_SILENCE_SHARE),
-        };
-        patience.min(left)
+        }
     }
+}
 
-    async fn read_answer(
-        &mut self,
-        gateway: &Rc<Gateway>,
-        request: &CallerRequest,
-        placement: Placement,
-        upstream: Upstream,
-        patience: Duration,
-    ) -> TryEnd {
-        let status = upstream.response.status();
-        let facts = (gateway.dialect.read_answer)(upstream.response.headers());
-        if facts.was_not_run || status == StatusCode::MISDIRECTED_REQUEST {
-            return not_run(gateway, request, &placement, status, &facts);
-        }
-        let is_own = facts.request_id.as_deref() == Some(request.id.as_str());
-        if !is_own || !facts.is_signed {
-            let reason = format!("status {status} without proof that it answers this request");
-            return lost(gateway, request, &placement, FaultKind::Broken, reason);
-        }
-        if request.route.repeat.is_stream() && status.is_success() {
-            return self.open_stream(gateway, request, placement, upstream, patience).await;
-        }
-        let (parts, body) = upstream.response.into_parts();
-        let collected = timeout(patience, Limited::new(body, MAX_ANSWER_BYTES).collect()).await;
-        match collected {
-            Ok(Ok(body)) => {
-                gateway.metrics.sends.with_label_values(&["answered"]).inc();
-                if status.is_server_error() {
-                    let endpoint = &placement.endpoint;
-                    gateway.endpoint_fault(&request.id, endpoint, FaultKind::Failure);
-                }
-                placement.begun();
-                let parts = passed_on(gateway, parts);
-                TryEnd::Answer(Response::from_parts(parts, body.to_bytes()))
-            }
-            Ok(Err(error)) => {
-                lost(gateway, request, &placement, FaultKind::Broken, error.to_string())
-            }
-            Err(_) => {
-                let reason = "the answer's body did not come in time".to_owned();
-                lost(gateway, request, &placement, FaultKind::Silent, reason)
-            }
+/// Sends a request once.
+async fn send_once(
+    gateway: &Rc<Gateway>,
+    request: &CallerRequest,
+    placement: Placement,
+    last_event: Option<u64>,
+) -> TryEnd {
+    let Some(message) = message(gateway, request, &placement, last_event) else {
+        let reason = "the request cannot be written".to_owned();
+        return TryEnd::NotRun { reason, endpoint: None };
+    };
+    match upstream::send(placement.address, message).await {
+        Ok(upstream) => read_answer(gateway, request, placement, upstream, last_event).await,
+        Err(SendFailure::NotSent(reason)) => {
+            gateway.metrics.sends.with_label_values(&["not sent"]).inc();
+            let endpoint = placement.endpoint.clone();
+            placement.failed(&request.id, &endpoint, FaultKind::Unreachable);
+            TryEnd::NotRun { reason, endpoint: Some(endpoint) }
         }
+        Err(SendFailure::Unknown(reason)) => lost(gateway, request, &placement, reason),
     }
+}
 
-    /// Waits for a stream's first event: until then it can still go elsewhere unnoticed.
-    async fn open_stream(
-        &mut self,
-        gateway: &Rc<Gateway>,
-        request: &CallerRequest,
-        placement: Placement,
-        upstream: Upstream,
-        patience: Duration,
-    ) -> TryEnd {
-        let (parts, body) = upstream.response.into_parts();
-        let mut source = EventSource::new(body, upstream.guard, self.last_event);
-        let first = match timeout(patience, source.next()).await {
-            Ok(PieceEnd::Piece(first)) => Some(first),
-            Ok(PieceEnd::Whole) => None,
-            Ok(PieceEnd::Broken(reason)) => {
-                return lost(gateway, request, &placement, FaultKind::Broken, reason);
-            }
-            Err(_) => {
-                let reason = format!("no event in {} ms", patience.as_millis());
-                return lost(gateway, request, &placement, FaultKind::Silent, reason);
+fn message(
+    gateway: &Gateway,
+    request: &CallerRequest,
+    placement: &Placement,
+    last_event: Option<u64>,
+) -> Option<Request<Full<Bytes>>> {
+    let mut headers = request.headers.clone();
+    let facts = SendFacts {
+        deadline: request.left(),
+        endpoint: placement.endpoint.clone(),
+        account: request.holder.as_ref().map(|holder| holder.account.clone()),
+        engine_priority: placement.plan.as_ref().map(|plan| plan.engine_priority),
+        helpers: placement.helpers.clone(),
+        resume_after: last_event,
+    };
+    (gateway.dialect.write_send)(&facts, &mut headers);
+    let mut message = Request::builder()
+        .method(request.method.clone())
+        .uri(request.path.as_str())
+        .body(Full::new(request.body.clone()))
+        .ok()?;
+    *message.headers_mut() = headers;
+    Some(message)
+}
+
+async fn read_answer(
+    gateway: &Rc<Gateway>,
+    request: &CallerRequest,
+    placement: Placement,
+    upstream: Upstream,
+    last_event: Option<u64>,
+) -> TryEnd {
+    let status = upstream.response.status();
+    let facts = (gateway.dialect.read_answer)(upstream.response.headers());
+    if facts.was_not_run || status == StatusCode::MISDIRECTED_REQUEST {
+        return not_run(gateway, request, &placement, status, &facts);
+    }
+    let is_own = facts.request_id.as_deref() == Some(request.id.as_str());
+    if !is_own || !facts.is_signed {
+        let reason = format!("status {status} without proof that it answers this request");
+        return lost(gateway, request, &placement, reason);
+    }
+    if request.route.repeat.is_stream() && status.is_success() {
+        return open_stream(gateway, request, placement, upstream, last_event).await;
+    }
+    let (parts, body) = upstream.response.into_parts();
+    match Limited::new(body, MAX_ANSWER_BYTES).collect().await {
+        Ok(body) => {
+            gateway.metrics.sends.with_label_values(&["answered"]).inc();
+            if status.is_server_error() {
+                let endpoint = &placement.endpoint;
+                gateway.endpoint_fault(&request.id, endpoint, FaultKind::Failure);
             }
-        };
-        gateway.metrics.sends.with_label_values(&["answered"]).inc();
-        self.runs += 1;
-        placement.begun();
-        TryEnd::Stream(OpenStream { head: passed_on(gateway, parts), first, source, placement })
+            placement.begun();
+            TryEnd::Answer(Response::from_parts(passed_on(gateway, parts), body.to_bytes()))
+        }
+        Err(error) => lost(gateway, request, &placement, error.to_string()),
     }
 }
 
+/// Waits for a stream's first event: until then it can still go elsewhere unnoticed.
+async fn open_stream(
+    gateway: &Rc<Gateway>,
+    request: &CallerRequest,
+    placement: Placement,
+    upstream: Upstream,
+    last_event: Option<u64>,
+) -> TryEnd {
+    let (parts, body) = upstream.response.into_parts();
+    let mut source = EventSource::new(body, upstream.guard, last_event);
+    let first = match source.next().await {
+        PieceEnd::Piece(first) => Some(first),
+        PieceEnd::Whole => None,
+        PieceEnd::Broken(reason) => return lost(gateway, request, &placement, reason),
+    };
+    gateway.metrics.sends.with_label_values(&["answered"]).inc();
+    placement.begun();
+    TryEnd::Stream(OpenStream { head: passed_on(gateway, parts), first, source, placement })
+}
+
 /// Returns the head of an endpoint's answer as its caller gets it.
 fn passed_on(gateway: &Gateway, mut parts: Parts) -> Parts {
     strip_hop_headers(&mut parts.headers, gateway.dialect.is_essential);
@@ -447,12 +482,11 @@
     gateway: &Gateway,
     request: &CallerRequest,
     placement: &Placement,
-    fault: FaultKind,
     reason: String,
 ) -> TryEnd {
-    gateway.metrics.sends.with_label_values(&[fault.name()]).inc();
+    gateway.metrics.sends.with_label_values(&[FaultKind::Broken.name()]).inc();
     let endpoint = placement.endpoint.clone();
-    placement.failed(&request.id, &endpoint, fault);
+    placement.failed(&request.id, &endpoint, FaultKind::Broken);
     TryEnd::MayHaveRun { reason, endpoint }
 }
 
--- a/crates/gateway/src/replica/mod.rs
+++ b/crates/gateway/src/replica/mod.rs
@@ -19,12 +19,13 @@
 
 pub(crate) use storage::StorageReport;
 
-/// The least time without a leader before an election. Several times a heartbeat, and longer
-/// than a machine with a quarter of a core takes to decode and sync the largest document.
-const ELECTION: Duration = Duration::from_millis(700);
+/// The least time without a leader before an election; at most twice this. Longer than a lost
+/// packet takes to be sent again (200 ms), and several heartbeats; a replica that is slow for
+/// longer deposes nobody, since the others are asked before an election.
+const ELECTION: Duration = Duration::from_millis(400);
 
 /// Between heartbeats of a leader.
-const HEARTBEAT: Duration = Duration::from_millis(120);
+const HEARTBEAT: Duration = Duration::from_millis(80);
 
 /// The most that two monotonic clocks differ in rate, in percent; real ones differ by less than
 /// a thousandth of that.
