--- /dev/null
+++ b/crates/experiment/examples/placement.rs
@@ -0,0 +1,106 @@
+//! Plays days of the users' deployments under the gateway's placement and under baselines.
+
+use std::thread;
+
+use bpaf::{OptionParser, Parser, construct, long};
+use oriolepass_experiment::{DayPlan, DayResult, FleetPolicy, run_day};
+
+#[derive(Debug, Clone)]
+struct PlacementTask {
+    seeds: u64,
+    loads: Vec<f64>,
+    json: bool,
+}
+
+fn command_line() -> OptionParser<PlacementTask> {
+    let seeds = long("seeds").help("Days of each kind").argument("N").fallback(40);
+    let loads = long("load")
+        .help("What the sheets' rates are multiplied by; may be given several times")
+        .argument("X")
+        .some("give a load")
+        .fallback(vec![0.85, 1.0, 1.25]);
+    let json = long("json").help("Write JSON").switch();
+    construct!(PlacementTask { seeds, loads, json })
+        .to_options()
+        .descr("Plays days on engines that work in passes, and prices them")
+}
+
+fn play(plan: &DayPlan, policy: FleetPolicy, seeds: u64) -> Vec<DayResult> {
+    let workers = thread::available_parallelism().map_or(1, usize::from) as u64;
+    thread::scope(|scope| {
+        let threads: Vec<_> = (0..workers)
+            .map(|worker| {
+                scope.spawn(move || {
+                    (worker..seeds)
+                        .step_by(workers as usize)
+                        .map(|seed| run_day(plan, policy, seed))
+                        .collect::<Vec<_>>()
+                })
+            })
+            .collect();
+        threads.into_iter().flat_map(|t| t.join().expect("a day ends")).collect()
+    })
+}
+
+fn summary(plan: &DayPlan, policy: FleetPolicy, days: &[DayResult], json: bool) {
+    let shares: Vec<f64> = days.iter().map(DayResult::share).collect();
+    let count = shares.len() as f64;
+    let mean = shares.iter().sum::<f64>() / count;
+    let variance = shares.iter().map(|share| (share - mean).powi(2)).sum::<f64>() / count.max(2.0);
+    let interval = 1.96 * (variance / count).sqrt();
+    if json {
+        let line = serde_json::json!({
+            "deployment": plan.name, "load": plan.load, "policy": format!("{policy:?}"),
+            "worth": mean, "interval": interval, "days": days.len(),
+        });
+        println!("{line}");
+        return;
+    }
+    println!("{:<10} load {:<5} {policy:<18?} worth {mean:.3} +- {interval:.3}", plan.name, plan.load);
+    for (at, class) in plan.classes.iter().enumerate() {
+        let tallies = || days.iter().map(|day| &day.classes[at]);
+        let asked: u32 = tallies().map(|tally| tally.asked).sum();
+        let part = |count: u32| f64::from(count) / f64::from(asked.max(1));
+        let mut errors: Vec<f64> = tallies()
+            .flat_map(|tally| &tally.first_ms)
+            .map(|(predicted, actual)| predicted - actual)
+            .collect();
+        errors.sort_by(f64::total_cmp);
+        let quantile = |q: f64| errors.get((errors.len() as f64 * q) as usize).copied();
+        println!(
+            "  {:<8} on time {:.3}  late first {:.3}  late pause {:.3}  lost {:.3}  predicted less actual ms: 10% {:.0} 50% {:.0} 90% {:.0}",
+            class.name,
+            part(tallies().map(|t| t.on_time).sum()),
+            part(tallies().map(|t| t.late_first).sum()),
+            part(tallies().map(|t| t.late_pause).sum()),
+            part(tallies().map(|t| t.lost).sum()),
+            quantile(0.1).unwrap_or(0.0),
+            quantile(0.5).unwrap_or(0.0),
+            quantile(0.9).unwrap_or(0.0),
+        );
+        println!("           late or lost by the second: {}", by_second(plan, days, at));
+    }
+}
+
+/// Counts late and lost prompts for each second of the day, per day.
+fn by_second(plan: &DayPlan, days: &[DayResult], class: usize) -> String {
+    let mut counts = vec![0.0; plan.seconds as usize + 1];
+    for at in days.iter().flat_map(|day| &day.classes[class].bad_at) {
+        counts[*at as usize] += 1.0 / days.len() as f64;
+    }
+    let texts: Vec<String> = counts.iter().map(|count| format!("{count:.1}")).collect();
+    texts.join(" ")
+}
+
+fn main() {
+    let task = command_line().run();
+    let policies =
+        [FleetPolicy::Predicting, FleetPolicy::LeastOutstanding, FleetPolicy::RoundRobin];
+    for load in &task.loads {
+        let plan = DayPlan::present("agencia", 14, *load);
+        for policy in policies {
+            let days = play(&plan, policy, task.seeds);
+            summary(&plan, policy, &days, task.json);
+        }
+    }
+}
--- /dev/null
+++ b/crates/experiment/src/fleet_day.rs
@@ -0,0 +1,178 @@
+//! Days of a deployment: what is asked when, drawn from a seed.
+
+use oriolepass_routing::EngineProfile;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+/// Prompts of one kind.
+#[derive(Debug, Clone)]
+pub struct PromptClass {
+    /// Its name.
+    pub name: &'static str,
+    /// Arrivals in a second.
+    pub per_second: f64,
+    /// Mean, spread (of the logarithm) and maximum of the prompt's tokens.
+    pub prompt_tokens: (f64, f64, f64),
+    /// The same of the answer's events.
+    pub answer_events: (f64, f64, f64),
+    /// When the first event is late, in milliseconds.
+    pub objective_ms: f64,
+    /// The longest pause that is on time, in milliseconds.
+    pub pause_ms: f64,
+    /// When its caller gives up, in milliseconds.
+    pub deadline_ms: f64,
+    /// What an answer on time and a late one are worth.
+    pub worth: (f64, f64),
+}
+
+/// A span in which the kinds come more or less often.
+#[derive(Debug, Clone)]
+pub struct Surge {
+    /// When it starts and ends, in seconds.
+    pub span: (f64, f64),
+    /// What each kind's rate is multiplied by.
+    pub factors: Vec<f64>,
+}
+
+/// A deployment's day.
+#[derive(Debug, Clone)]
+pub struct DayPlan {
+    /// Its name.
+    pub name: &'static str,
+    /// Engines.
+    pub engines: usize,
+    /// How they work.
+    pub profile: EngineProfile,
+    /// The kinds of prompts.
+    pub classes: Vec<PromptClass>,
+    /// How the rates change.
+    pub surges: Vec<Surge>,
+    /// How long the day is, in seconds.
+    pub seconds: f64,
+    /// What all rates are multiplied by.
+    pub load: f64,
+}
+
+/// A prompt of a day.
+#[derive(Debug, Clone)]
+pub struct DayPrompt {
+    /// When it comes, in milliseconds.
+    pub at_ms: f64,
+    /// Its kind.
+    pub class: usize,
+    /// Tokens of the prompt.
+    pub prompt_tokens: u64,
+    /// Events of the answer.
+    pub answer_events: u64,
+    /// The caller's guess of the answer's tokens.
+    pub expected_tokens: u64,
+}
+
+/// The spread of the callers' guesses of the answer's length.
+const GUESS_SPREAD: f64 = 0.5;
+
+fn normal(random: &mut StdRng) -> f64 {
+    let (u, v): (f64, f64) = (random.random_range(1e-12..1.0), random.random());
+    (-2.0 * u.ln()).sqrt() * (std::f64::consts::TAU * v).cos()
+}
+
+/// Draws from a logarithmic normal distribution with a given mean, cut at a maximum.
+fn draw(random: &mut StdRng, (mean, spread, max): (f64, f64, f64)) -> f64 {
+    let middle = mean.ln() - spread * spread / 2.0;
+    (middle + spread * normal(random)).exp().clamp(1.0, max)
+}
+
+impl DayPlan {
+    /// Draws the day's prompts, in order of time.
+    pub fn prompts(&self, seed: u64) -> Vec<DayPrompt> {
+        let mut random = StdRng::seed_from_u64(seed);
+        let mut prompts = Vec::new();
+        for (class, kind) in self.classes.iter().enumerate() {
+            let peak = self.surges.iter().map(|s| s.factors[class]).fold(1.0, f64::max);
+            let rate = kind.per_second * self.load * peak;
+            let mut at = 0.0;
+            loop {
+                at -= random.random_range(1e-12..1.0_f64).ln() / rate;
+                if at > self.seconds {
+                    break;
+                }
+                if random.random::<f64>() * peak > self.factor(class, at) {
+                    continue;
+                }
+                let events = draw(&mut random, kind.answer_events).round().max(1.0);
+                let tokens = events * f64::from(self.profile.steps_per_pass);
+                let guess = tokens * (GUESS_SPREAD * normal(&mut random)).exp();
+                prompts.push(DayPrompt {
+                    at_ms: at * 1_000.0,
+                    class,
+                    prompt_tokens: draw(&mut random, kind.prompt_tokens) as u64,
+                    answer_events: events as u64,
+                    expected_tokens: guess.max(1.0) as u64,
+                });
+            }
+        }
+        prompts.sort_by(|left, right| left.at_ms.total_cmp(&right.at_ms));
+        prompts
+    }
+
+    fn factor(&self, class: usize, at: f64) -> f64 {
+        let surge = self.surges.iter().find(|s| (s.span.0..s.span.1).contains(&at));
+        surge.map_or(1.0, |surge| surge.factors[class])
+    }
+
+    /// The Agência's or Magnolia's present deployment on a quiet day, or with three surges.
+    pub fn present(name: &'static str, engines: usize, load: f64) -> Self {
+        let profile = EngineProfile {
+            slots: 16,
+            memory_tokens: 450_000,
+            step_ms: 0.925,
+            step_ms_per_writer: 0.004_83,
+            step_ms_per_context_k: 0.002_54,
+            read_tokens_per_s: 256_000.0,
+            read_ms_per_million_pairs: 0.0917,
+            read_tokens_per_step: 2_048,
+            steps_per_pass: 46,
+            report_lag_ms: 200.0,
+            group_step_ms: 0.1,
+        };
+        let scale = engines as f64 / 14.0;
+        let classes = vec![
+            PromptClass {
+                name: "short",
+                per_second: 30.7 * scale,
+                prompt_tokens: (4_960.0, 0.9, 23_800.0),
+                answer_events: (34.9, 0.7, 87.0),
+                objective_ms: 300.0,
+                pause_ms: 200.0,
+                deadline_ms: 10_000.0,
+                worth: (1.3, 0.33),
+            },
+            PromptClass {
+                name: "medium",
+                per_second: 2.23 * scale,
+                prompt_tokens: (45_000.0, 0.5, 110_000.0),
+                answer_events: (20.9, 0.6, 52.0),
+                objective_ms: 1_500.0,
+                pause_ms: 500.0,
+                deadline_ms: 10_000.0,
+                worth: (3.1, 0.79),
+            },
+            PromptClass {
+                name: "long",
+                per_second: 0.924 * scale,
+                prompt_tokens: (210_000.0, 0.55, 1_000_000.0),
+                answer_events: (17.4, 0.5, 44.0),
+                objective_ms: 3_000.0,
+                pause_ms: 800.0,
+                deadline_ms: 15_000.0,
+                worth: (22.0, 5.4),
+            },
+        ];
+        let surges = vec![
+            Surge { span: (1.8, 11.3), factors: vec![0.3, 1.3, 2.7] },
+            Surge { span: (13.0, 22.5), factors: vec![2.5, 0.5, 0.05] },
+            Surge { span: (23.0, 32.5), factors: vec![0.35, 1.3, 2.8] },
+        ];
+        Self { name, engines, profile, classes, surges, seconds: 34.0, load }
+    }
+}
--- /dev/null
+++ b/crates/experiment/src/fleet_run.rs
@@ -0,0 +1,304 @@
+//! One day on engines that work in passes, under one policy.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use oriolepass_placement::{
+    AnswerEnd, EngineFacts, EngineFarm, EngineFleet, FarmEvent, PassPrompt, PromptAsk, PromptKey, PromptPlan,
+};
+use oriolepass_units::{EndpointId, MonotonicTime, ServiceName};
+
+use crate::fleet_day::{DayPlan, DayPrompt};
+
+/// From an entry to an engine or a home, in milliseconds.
+const HOP_MS: f64 = 1.5;
+
+/// Who places prompts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FleetPolicy {
+    /// The gateway's, which predicts.
+    Predicting,
+    /// Each prompt to the engine with the fewest answers, read whole.
+    LeastOutstanding,
+    /// In turn, read whole.
+    RoundRobin,
+}
+
+/// What became of the prompts of one kind.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct ClassTally {
+    /// Prompts.
+    pub asked: u32,
+    /// Answered with all events on time.
+    pub on_time: u32,
+    /// Whose first event was late.
+    pub late_first: u32,
+    /// Whose first event was on time, and some pause was not.
+    pub late_pause: u32,
+    /// Not answered.
+    pub lost: u32,
+    /// What was earned, and what was to be had.
+    pub worth: (f64, f64),
+    /// Predicted and actual time to the first event, in milliseconds.
+    pub first_ms: Vec<(f64, f64)>,
+    /// When those came that were late or lost, in seconds.
+    pub bad_at: Vec<f64>,
+}
+
+/// The result of a day.
+#[derive(Debug, Clone, Default)]
+pub struct DayResult {
+    /// By kind.
+    pub classes: Vec<ClassTally>,
+}
+
+impl DayResult {
+    /// Returns what was earned, as a part of what was to be had.
+    pub fn share(&self) -> f64 {
+        let (earned, owed) = self
+            .classes
+            .iter()
+            .fold((0.0, 0.0), |sum, class| (sum.0 + class.worth.0, sum.1 + class.worth.1));
+        earned / owed
+    }
+}
+
+struct OpenPrompt {
+    prompt: DayPrompt,
+    main: usize,
+    predicted_ms: f64,
+    first_ms: Option<f64>,
+    last_ms: f64,
+    longest_ms: f64,
+}
+
+struct DayWorld<'a> {
+    plan: &'a DayPlan,
+    farm: EngineFarm,
+    names: Vec<EndpointId>,
+    fleet: EngineFleet,
+    open: BTreeMap<u64, OpenPrompt>,
+    result: DayResult,
+    turn: usize,
+}
+
+/// Plays a day.
+pub fn run_day(plan: &DayPlan, policy: FleetPolicy, seed: u64) -> DayResult {
+    let mut world = DayWorld::new(plan);
+    let mut prompts = plan.prompts(seed).into_iter().enumerate().peekable();
+    loop {
+        let next_end = world.farm.next_end();
+        let next_prompt = prompts.peek().map(|(_, prompt)| prompt.at_ms);
+        match (next_prompt, next_end) {
+            (Some(at), end) if end.is_none_or(|end| at <= end) => {
+                if let Some((number, prompt)) = prompts.next() {
+                    world.arrive(policy, number as u64, prompt);
+                }
+            }
+            (_, Some(end)) => world.work_until(end),
+            _ => return world.result,
+        }
+    }
+}
+
+impl<'a> DayWorld<'a> {
+    fn new(plan: &'a DayPlan) -> Self {
+        let names: Vec<EndpointId> = (0..plan.engines)
+            .map(|number| format!("e{number:02}").parse().expect("a valid name"))
+            .collect();
+        let profile = Arc::new(plan.profile.clone());
+        let facts = names
+            .iter()
+            .map(|name| EngineFacts {
+                endpoint: name.clone(),
+                service: service(),
+                takes_work: true,
+                profile: Arc::clone(&profile),
+            })
+            .collect();
+        let mut fleet = EngineFleet::default();
+        fleet.update(facts);
+        let mut farm = EngineFarm::new(AnswerEnd::ByCount);
+        names.iter().for_each(|name| farm.add(name, &profile));
+        Self {
+            plan,
+            farm,
+            names,
+            fleet,
+            open: BTreeMap::new(),
+            result: DayResult { classes: vec![ClassTally::default(); plan.classes.len()] },
+            turn: 0,
+        }
+    }
+
+    fn arrive(&mut self, policy: FleetPolicy, number: u64, prompt: DayPrompt) {
+        let class = &self.plan.classes[prompt.class];
+        let weight = size_weight(&prompt, class.prompt_tokens.0);
+        let tally = &mut self.result.classes[prompt.class];
+        tally.asked += 1;
+        tally.worth.1 += class.worth.0 * weight;
+        let now_ms = prompt.at_ms + HOP_MS;
+        let Some(placed) = self.place(policy, number, &prompt) else {
+            self.result.classes[prompt.class].lost += 1;
+            return;
+        };
+        let read = PassPrompt {
+            key: key(number),
+            prompt_tokens: prompt.prompt_tokens,
+            parts: u32::try_from(placed.helpers.len() + 1).expect("a few parts"),
+            answer_tokens: prompt.answer_events * u64::from(self.plan.profile.steps_per_pass),
+            priority: placed.engine_priority,
+            kept_elsewhere: placed.helpers.iter().filter_map(|h| h.reserve_tokens).sum(),
+        };
+        self.work_until(now_ms);
+        if !self.farm.take(now_ms, &placed.main, &placed.helpers, &read) {
+            self.fleet.ended(time(now_ms), key(number));
+            self.result.classes[prompt.class].lost += 1;
+            return;
+        }
+        let main = self.names.iter().position(|name| *name == placed.main).unwrap_or(0);
+        let open = OpenPrompt {
+            main,
+            predicted_ms: placed.first_event.as_secs_f64() * 1_000.0,
+            first_ms: None,
+            last_ms: prompt.at_ms,
+            longest_ms: 0.0,
+            prompt,
+        };
+        self.open.insert(number, open);
+    }
+
+    fn place(&mut self, policy: FleetPolicy, number: u64, prompt: &DayPrompt) -> Option<PromptPlan> {
+        let class = &self.plan.classes[prompt.class];
+        let ask = PromptAsk {
+            key: key(number),
+            service: service(),
+            prompt_tokens: prompt.prompt_tokens,
+            answer_tokens: prompt.expected_tokens,
+            max_answer_tokens: prompt.expected_tokens * 2,
+            objective: millis(class.objective_ms),
+            pause: millis(class.pause_ms),
+            deadline: millis(class.deadline_ms),
+            avoid: Vec::new(),
+        };
+        let alone = |main: usize| {
+            Some(PromptPlan {
+                main: self.names[main].clone(),
+                helpers: Vec::new(),
+                engine_priority: 5,
+                first_event: Duration::ZERO,
+                whole: Duration::ZERO,
+            })
+        };
+        match policy {
+            FleetPolicy::Predicting => self.fleet.place(time(prompt.at_ms), &ask).ok(),
+            FleetPolicy::LeastOutstanding => {
+                let mut counts = vec![0; self.names.len()];
+                self.open.values().for_each(|open| counts[open.main] += 1);
+                let least = (0..counts.len()).min_by_key(|at| counts[*at])?;
+                alone(least)
+            }
+            FleetPolicy::RoundRobin => {
+                self.turn = (self.turn + 1) % self.names.len();
+                alone(self.turn)
+            }
+        }
+    }
+
+    fn work_until(&mut self, now_ms: f64) {
+        for FarmEvent { at_ms, key, is_last } in self.farm.advance(now_ms) {
+            self.event(at_ms, key.number);
+            if is_last {
+                self.ended(at_ms, key.number);
+            }
+        }
+        self.give_up(now_ms);
+    }
+
+    fn event(&mut self, now_ms: f64, number: u64) {
+        let Some(open) = self.open.get_mut(&number) else { return };
+        let seen = now_ms + HOP_MS;
+        if open.first_ms.is_some() {
+            open.longest_ms = open.longest_ms.max(seen - open.last_ms);
+        } else {
+            open.first_ms = Some(seen - open.prompt.at_ms);
+            self.fleet.first_event(time(seen), key(number));
+        }
+        open.last_ms = seen;
+    }
+
+    fn ended(&mut self, now_ms: f64, number: u64) {
+        let Some(open) = self.open.remove(&number) else { return };
+        self.fleet.ended(time(now_ms + HOP_MS), key(number));
+        self.farm.remove(key(number));
+        let class = &self.plan.classes[open.prompt.class];
+        let weight = size_weight(&open.prompt, class.prompt_tokens.0);
+        let tally = &mut self.result.classes[open.prompt.class];
+        let on_time = tally.on_time;
+        let first = open.first_ms.unwrap_or(f64::MAX);
+        tally.first_ms.push((open.predicted_ms, first));
+        if now_ms - open.prompt.at_ms > class.deadline_ms {
+            tally.lost += 1;
+        } else if first > class.objective_ms {
+            tally.late_first += 1;
+            tally.worth.0 += class.worth.1 * weight;
+        } else if open.longest_ms > class.pause_ms {
+            tally.late_pause += 1;
+            tally.worth.0 += class.worth.1 * weight;
+        } else {
+            tally.on_time += 1;
+            tally.worth.0 += class.worth.0 * weight;
+        }
+        if tally.on_time == on_time {
+            tally.bad_at.push(open.prompt.at_ms / 1_000.0);
+        }
+    }
+
+    /// Callers leave after a gap of two seconds, four objectives or eight pauses, whichever is
+    /// longest, or at their deadline.
+    fn give_up(&mut self, now_ms: f64) {
+        let classes = &self.plan.classes;
+        let left: BTreeSet<u64> = self
+            .open
+            .iter()
+            .filter(|(_, open)| {
+                let class = &classes[open.prompt.class];
+                let patience = (class.objective_ms * 4.0).max(class.pause_ms * 8.0).max(2_000.0);
+                now_ms - open.last_ms > patience
+                    || now_ms - open.prompt.at_ms > class.deadline_ms
+            })
+            .map(|(number, _)| *number)
+            .collect();
+        for number in left {
+            if let Some(open) = self.open.remove(&number) {
+                self.farm.remove(key(number));
+                self.fleet.ended(time(now_ms), key(number));
+                let tally = &mut self.result.classes[open.prompt.class];
+                tally.lost += 1;
+                tally.bad_at.push(open.prompt.at_ms / 1_000.0);
+            }
+        }
+    }
+}
+
+/// An answer is worth 0.3 + 0.7 times its size against the mean, four times at most.
+fn size_weight(prompt: &DayPrompt, mean: f64) -> f64 {
+    (0.3 + 0.7 * prompt.prompt_tokens as f64 / mean).min(4.0)
+}
+
+fn service() -> ServiceName {
+    "engines".parse().expect("a valid name")
+}
+
+fn key(number: u64) -> PromptKey {
+    PromptKey { entry: 0, number }
+}
+
+fn millis(ms: f64) -> Duration {
+    Duration::from_secs_f64(ms / 1_000.0)
+}
+
+fn time(ms: f64) -> MonotonicTime {
+    MonotonicTime(1 + (ms * 1_000.0) as u64)
+}
--- a/crates/experiment/src/lib.rs
+++ b/crates/experiment/src/lib.rs
@@ -9,15 +9,21 @@
 //! * [`LoadMix`] and [`Arrival`]: what is asked.
 //! * [`EngineFarm`]: the engines and the passing of time.
 //! * [`HomesPolicy`] and [`BaselinePolicy`]: who places what.
+//! * [`DayPlan`], [`run_day`] and [`DayResult`]: days of the users' deployments on
+//!   [`oriolepass_standin::EnginePasses`], placed by the gateway's [`oriolepass_placement`].
 //! * [`run_policy`] and [`PolicyResult`]: one run and its figures.
 
 mod baseline;
 mod farm;
+mod fleet_day;
+mod fleet_run;
 mod homes;
 mod mix;
 mod run;
 
 pub use baseline::{BaselinePolicy, BaselineRule};
+pub use fleet_day::{DayPlan, DayPrompt, PromptClass, Surge};
+pub use fleet_run::{ClassTally, DayResult, FleetPolicy, run_day};
 pub use farm::{EngineFarm, FarmEvent, engine_config};
 pub use homes::HomesPolicy;
 pub use mix::{Arrival, LoadMix};
--- a/crates/gateway/src/front/caller.rs
+++ b/crates/gateway/src/front/caller.rs
@@ -113,6 +113,9 @@
     /// The route, the account and the kind, once they are known.
     place: Option<(String, Option<String>, &'static str)>,
     first_answer: Option<Duration>,
+    last_piece: Option<Instant>,
+    longest_pause: Duration,
+    pieces: u32,
     sends: u32,
     is_over: bool,
 }
@@ -128,6 +131,9 @@
             arrived: Instant::now(),
             place: None,
             first_answer: None,
+            last_piece: None,
+            longest_pause: Duration::ZERO,
+            pieces: 0,
             sends: 0,
             is_over: false,
         }
@@ -138,6 +144,15 @@
         self.first_answer.get_or_insert_with(|| self.arrived.elapsed());
     }
 
+    /// Notes that a piece of a stream goes to the caller.
+    pub(super) fn piece(&mut self) {
+        let now = Instant::now();
+        if let Some(last) = self.last_piece.replace(now) {
+            self.longest_pause = self.longest_pause.max(now - last);
+        }
+        self.pieces += 1;
+    }
+
     /// Notes the end, with what the caller got and why.
     pub(super) fn end(mut self, status: &str, reason: &str) {
         self.write(status, reason);
@@ -161,6 +176,9 @@
         if let Some(first) = self.first_answer {
             line = line.millis("first_ms", first);
         }
+        if self.pieces > 0 {
+            line = line.number("pieces", self.pieces).millis("longest_pause_ms", self.longest_pause);
+        }
         line.millis("whole_ms", whole)
             .number("sends", self.sends)
             .text("status", status)
--- a/crates/gateway/src/front/stream.rs
+++ b/crates/gateway/src/front/stream.rs
@@ -104,8 +104,8 @@
 ) -> Response<FrontBody> {
     let (pieces, body) = mpsc::channel(PIECE_QUEUE);
     let head = open.head.clone();
-    let pump = StreamPump { gateway: Rc::clone(gateway), request, history, pieces };
-    spawn_local(pump.run(open, guard));
+    let pump = StreamPump { gateway: Rc::clone(gateway), request, history, pieces, guard };
+    spawn_local(pump.run(open));
     Response::from_parts(head, FrontBody::Pieces(body))
 }
 
@@ -114,6 +114,7 @@
     request: CallerRequest,
     history: History,
     pieces: mpsc::Sender<Result<Bytes, BodyCut>>,
+    guard: EndGuard,
 }
 
 /// How passing a stream on came to its end.
@@ -125,7 +126,7 @@
 }
 
 impl StreamPump {
-    async fn run(mut self, open: OpenStream, mut guard: EndGuard) {
+    async fn run(mut self, open: OpenStream) {
         let end = {
             let pieces = self.pieces.clone();
             let give_up = self.request.give_up;
@@ -135,7 +136,7 @@
                 () = sleep_until(give_up) => PumpEnd::TimeOver,
             }
         };
-        guard.answered(self.history.sends());
+        self.guard.answered(self.history.sends());
         let (status, reason) = match &end {
             PumpEnd::Whole => ("200", "whole"),
             // The guard says so by itself.
@@ -147,15 +148,15 @@
             // A queue that is full is dropped with the rest: the connection ends all the same.
             let _ = self.pieces.try_send(Err(BodyCut));
         }
-        guard.end(status, reason);
+        self.guard.end(status, reason);
     }
 
     async fn pass_on(&mut self, mut open: OpenStream) -> PumpEnd {
         loop {
             if let Some(first) = open.first.take()
-                && self.pieces.send(Ok(first)).await.is_err()
+                && let Err(end) = self.pass(first).await
             {
-                return PumpEnd::CallerGone;
+                return end;
             }
             open = match self.pass_on_one(open).await {
                 Ok(next) => next,
@@ -194,7 +195,8 @@
         }
     }
 
-    async fn pass(&self, piece: Bytes) -> Result<(), PumpEnd> {
+    async fn pass(&mut self, piece: Bytes) -> Result<(), PumpEnd> {
+        self.guard.piece();
         self.pieces.send(Ok(piece)).await.map_err(|_| PumpEnd::CallerGone)
     }
 
--- a/crates/gateway/src/home.rs
+++ b/crates/gateway/src/home.rs
@@ -218,7 +218,7 @@
             })
             .collect();
         let home = &mut *home;
-        home.fleet.update(now, facts);
+        home.fleet.update(facts);
         home.last_good.retain(|_, at| now.since(*at) < GOOD_ANSWER_COUNTS);
         let roster = self.roster.borrow();
         let boots: BTreeSet<u64> = roster.alive(now).map(|note| note.boot).collect();
--- a/crates/placement/src/cost.rs
+++ b/crates/placement/src/cost.rs
@@ -1,7 +1,53 @@
-//! What reading and writing cost on an engine.
+//! What a placement is expected to lose.
+//!
+//! All losses are in units of value, where a prompt is worth 1 and a little more for each
+//! millisecond that reading it takes.
+
+use std::time::Duration;
 
 use oriolepass_routing::EngineProfile;
 
+use crate::passes::EnginePasses;
+use crate::plan::PromptAsk;
+
+/// What a prompt is worth for each millisecond of reading, beside 1 for each: a long answer that
+/// is lost wastes more work, and the users' sheets price their kinds about so.
+const VALUE_PER_READ_MS: f64 = 1.0 / 150.0;
+
+/// The part of a prompt's value that lateness loses; the users' sheets give about a quarter for
+/// a late answer.
+const LATE_LOSS: f64 = 0.75;
+
+/// Predictions err by some tens of milliseconds, so lateness begins to be counted before the
+/// objective is reached, at this part of it...
+const TIGHT_FROM: f64 = 0.8;
+
+/// ...and grows to its whole until this part.
+const TIGHT_TO: f64 = 1.1;
+
+/// What one more engine in a group costs: it may fail and take the prompt with it.
+const HELPER_COST: f64 = 0.004;
+
+/// What the first short answer on an engine costs: long prompts lose a place where they disturb
+/// nobody.
+pub(crate) const FRESH_COST: f64 = 0.1;
+
+/// What each short answer costs on an engine whose places are mostly taken, in parts of all
+/// places: the next ones would wait.
+const CROWD_FROM: f64 = 0.5;
+const CROWD_COST: f64 = 1.0;
+
+/// Between equal placements the earlier first event is worth this much.
+const EARLY_WORTH: f64 = 0.02;
+
+/// An engine whose next pass is shorter than this serves a short prompt on time, in milliseconds:
+/// what is left of a present pass and the own pass then stay below the shortest objective.
+pub(crate) const CLEAR_PASS_MS: f64 = 150.0;
+
+/// A prompt that takes less than this to read is short, in milliseconds: a part of it would be
+/// shorter than the pass that reads it, so it is never split.
+pub(crate) const SHORT_READ_MS: f64 = 60.0;
+
 /// The cost of reading a prompt, in milliseconds of an engine that does nothing else.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct ReadCost {
@@ -22,20 +68,157 @@
     pub fn part_ms(self, parts: usize) -> f64 {
         self.whole_ms / parts as f64
     }
+
+    /// Returns whether the prompt is a short one.
+    pub fn is_short(self) -> bool {
+        self.whole_ms < SHORT_READ_MS
+    }
+
+    /// Returns what the prompt is worth.
+    pub fn value(self) -> f64 {
+        1.0 + self.whole_ms * VALUE_PER_READ_MS
+    }
+}
+
+/// A prompt on an engine, as far as another one may disturb it.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Neighbour {
+    pub(crate) value: f64,
+    pub(crate) pause_ms: f64,
+    /// What is left until its first event is late; none once that has come.
+    pub(crate) due_in_ms: Option<f64>,
+    pub(crate) is_spoiled: bool,
+    pub(crate) is_short: bool,
+}
+
+/// An engine as it stands now.
+#[derive(Debug, Clone)]
+pub(crate) struct EngineView {
+    pub(crate) residual_ms: f64,
+    pub(crate) unread_ms: f64,
+    pub(crate) writing_pass_ms: f64,
+    pub(crate) room_in_ms: f64,
+    pub(crate) load: usize,
+    pub(crate) slots: usize,
+    pub(crate) free_tokens: u64,
+    pub(crate) neighbours: Vec<Neighbour>,
+}
+
+impl EngineView {
+    pub(crate) fn new(
+        engine: &EnginePasses,
+        now_ms: f64,
+        slots: usize,
+        usable_tokens: u64,
+        neighbours: Vec<Neighbour>,
+    ) -> Self {
+        Self {
+            residual_ms: engine.residual_ms(now_ms),
+            unread_ms: engine.unread_ms(),
+            writing_pass_ms: engine.writing_pass_ms(),
+            room_in_ms: engine.room_in_ms(),
+            load: engine.load(),
+            slots,
+            free_tokens: usable_tokens.saturating_sub(engine.held_tokens()),
+            neighbours,
+        }
+    }
+
+    /// Returns how long the next pass takes with `part_ms` more to read, of which at most
+    /// `cap_ms` fit into a pass.
+    fn next_pass_ms(&self, part_ms: f64, cap_ms: f64) -> f64 {
+        self.writing_pass_ms + (self.unread_ms + part_ms).min(cap_ms.max(part_ms.min(cap_ms)))
+    }
+
+    /// Returns when a part would have been read, in milliseconds from now. The first event
+    /// comes with the end of the pass in which that is.
+    pub(crate) fn read_in_ms(&self, part_ms: f64, cap_ms: f64, is_main: bool) -> f64 {
+        let reading = self.unread_ms + part_ms;
+        let passes = if self.writing_pass_ms > 0.0 { (reading / cap_ms).ceil() } else { 0.0 };
+        let room = if is_main { self.room_in_ms } else { 0.0 };
+        self.residual_ms + room + reading + passes * self.writing_pass_ms
+    }
+
+    /// Returns what the prompts here lose by a part more to read.
+    pub(crate) fn damage(&self, part_ms: f64, cap_ms: f64) -> f64 {
+        let (before, after) = (self.next_pass_ms(0.0, cap_ms), self.next_pass_ms(part_ms, cap_ms));
+        let (first_before, first_after) = (self.residual_ms + before, self.residual_ms + after);
+        let lost = |neighbour: &Neighbour| match neighbour.due_in_ms {
+            _ if neighbour.is_spoiled => 0.0,
+            Some(due) => {
+                let due = due.max(1.0);
+                // A pass that is too long spoils its pauses as well.
+                let first = late_share(first_after / due) - late_share(first_before / due);
+                first * neighbour.value
+            }
+            None => {
+                let pause = neighbour.pause_ms;
+                (late_share(after / pause) - late_share(before / pause)) * neighbour.value
+            }
+        };
+        self.neighbours.iter().map(lost).sum::<f64>() * LATE_LOSS
+    }
+
+    /// Returns whether a short prompt would be on time here.
+    pub(crate) fn is_clear(&self) -> bool {
+        let full = self.load as f64 >= self.slots as f64 * 0.9;
+        !full && self.residual_ms.max(self.writing_pass_ms + self.unread_ms) < CLEAR_PASS_MS
+    }
+
+    /// Returns for how long a part more keeps short prompts away.
+    pub(crate) fn blocked_ms(&self, part_ms: f64, cap_ms: f64) -> f64 {
+        let passes = (self.unread_ms + part_ms) / cap_ms.max(1.0);
+        let blocked = self.next_pass_ms(part_ms, cap_ms) * passes.max(1.0) - CLEAR_PASS_MS;
+        blocked.max(0.0)
+    }
+
+    pub(crate) fn has_short(&self) -> bool {
+        self.neighbours.iter().any(|neighbour| neighbour.is_short)
+    }
+
+    /// Returns the cost of one more short answer: the first one here, or one of many.
+    pub(crate) fn short_cost(&self) -> f64 {
+        let fresh = if self.has_short() { 0.0 } else { FRESH_COST };
+        let taken = self.load as f64 / self.slots as f64;
+        fresh + ((taken - CROWD_FROM) / (1.0 - CROWD_FROM)).max(0.0) * CROWD_COST
+    }
+}
+
+/// Returns what a prompt loses by a first event after `first_ms`.
+pub(crate) fn lateness(first_ms: f64, objective_ms: f64, value: f64) -> f64 {
+    late_share(first_ms / objective_ms.max(1.0)) * value * LATE_LOSS
+}
+
+/// Returns the cost that only breaks ties.
+pub(crate) fn tie(first_ms: f64, ask: &PromptAsk, value: f64, helpers: usize) -> f64 {
+    first_ms / millis(ask.objective).max(1.0) * EARLY_WORTH * value + HELPER_COST * helpers as f64
 }
 
-/// Returns how long a pass takes in which `writers` requests with `context_tokens` between them
-/// write and nothing is read, in milliseconds.
-pub(crate) fn writing_pass_ms(profile: &EngineProfile, writers: usize, context_tokens: u64) -> f64 {
-    let step = profile.step_ms
-        + profile.step_ms_per_writer * writers as f64
-        + profile.step_ms_per_context_k * context_tokens as f64 / 1_000.0;
-    step * f64::from(profile.steps_per_pass)
+fn late_share(used: f64) -> f64 {
+    ((used - TIGHT_FROM) / (TIGHT_TO - TIGHT_FROM)).clamp(0.0, 1.0)
+}
+
+/// What short prompts lose for each millisecond in which a clear engine is lacking.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct ShortDemand {
+    /// Short prompts that come in a millisecond.
+    pub(crate) per_ms: f64,
+    /// Engines that they keep busy.
+    pub(crate) engines: f64,
+}
+
+impl ShortDemand {
+    /// Returns what short prompts that are yet to come lose when `taken` of `clear` engines are
+    /// not clear for `blocked_ms` altogether.
+    pub(crate) fn loss(&self, clear: usize, taken: usize, blocked_ms: f64) -> f64 {
+        // One more than the average load needs, for its ups and downs.
+        let needed = self.engines + 1.0;
+        let lacking = ((needed - (clear as f64 - taken as f64)) / needed).clamp(0.0, 1.0);
+        let each_ms = blocked_ms / taken.max(1) as f64;
+        self.per_ms * each_ms * lacking * LATE_LOSS
+    }
 }
 
-/// Returns the most milliseconds of reading that fit into one pass with writers, for reading
-/// that takes `ms_per_token`.
-pub(crate) fn reading_per_pass_ms(profile: &EngineProfile, ms_per_token: f64) -> f64 {
-    let tokens = profile.read_tokens_per_step as f64 * f64::from(profile.steps_per_pass);
-    tokens * ms_per_token
+pub(crate) fn millis(span: Duration) -> f64 {
+    span.as_secs_f64() * 1_000.0
 }
--- /dev/null
+++ b/crates/placement/src/farm.rs
@@ -0,0 +1,170 @@
+//! Engines together: a prompt that several read is written once its last part has been read.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use oriolepass_routing::EngineProfile;
+use oriolepass_units::EndpointId;
+
+use crate::passes::{AnswerEnd, EnginePasses, PassEvent, PassPrompt};
+use crate::plan::{HelperPart, PromptKey};
+
+/// What the engines have to say.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct FarmEvent {
+    /// When, in milliseconds.
+    pub at_ms: f64,
+    /// The prompt.
+    pub key: PromptKey,
+    /// Whether it was the last event of the answer.
+    pub is_last: bool,
+}
+
+#[derive(Debug, Clone)]
+struct OpenPrompt {
+    /// The engines used; the first one writes.
+    engines: Vec<EndpointId>,
+    unread_parts: usize,
+}
+
+/// Engines in logical time.
+#[derive(Debug, Default)]
+pub struct EngineFarm {
+    answer_end: AnswerEnd,
+    engines: BTreeMap<EndpointId, EnginePasses>,
+    open: BTreeMap<PromptKey, OpenPrompt>,
+}
+
+impl EngineFarm {
+    /// Creates a farm without engines.
+    pub fn new(answer_end: AnswerEnd) -> Self {
+        Self { answer_end, ..Self::default() }
+    }
+
+    /// Adds an idle engine if it is not there yet.
+    pub fn add(&mut self, endpoint: &EndpointId, profile: &Arc<EngineProfile>) {
+        if !self.engines.contains_key(endpoint) {
+            self.engines.insert(endpoint.clone(), EnginePasses::new(Arc::clone(profile), self.answer_end));
+        }
+    }
+
+    /// Removes engines.
+    pub fn retain(&mut self, is_kept: impl Fn(&EndpointId) -> bool) {
+        self.engines.retain(|endpoint, _| is_kept(endpoint));
+    }
+
+    /// Returns an engine.
+    pub fn engine(&self, endpoint: &EndpointId) -> Option<&EnginePasses> {
+        self.engines.get(endpoint)
+    }
+
+    /// Returns the engines that a prompt uses, the one that writes first.
+    pub fn engines_of(&self, key: PromptKey) -> &[EndpointId] {
+        self.open.get(&key).map_or(&[], |open| &open.engines)
+    }
+
+    /// Returns the prompts that are open.
+    pub fn open_keys(&self) -> impl Iterator<Item = PromptKey> {
+        self.open.keys().copied()
+    }
+
+    /// Gives a prompt to engines; returns whether the one that is to write it had room.
+    pub fn take(
+        &mut self,
+        now_ms: f64,
+        main: &EndpointId,
+        helpers: &[HelperPart],
+        prompt: &PassPrompt,
+    ) -> bool {
+        let Some(engine) = self.engines.get_mut(main) else { return false };
+        if !engine.take(now_ms, prompt.clone()) {
+            return false;
+        }
+        let mut engines = vec![main.clone()];
+        for helper in helpers {
+            if let Some(engine) = self.engines.get_mut(&helper.endpoint) {
+                engine.help(now_ms, prompt, helper.reserve_tokens.unwrap_or(0));
+                engines.push(helper.endpoint.clone());
+            }
+        }
+        let open = OpenPrompt { unread_parts: engines.len(), engines };
+        self.open.insert(prompt.key, open);
+        true
+    }
+
+    /// Ends a prompt, whichever way.
+    pub fn remove(&mut self, key: PromptKey) {
+        for endpoint in self.open.remove(&key).map(|open| open.engines).unwrap_or_default() {
+            if let Some(engine) = self.engines.get_mut(&endpoint) {
+                engine.cancel(key);
+            }
+        }
+    }
+
+    /// Notes that a prompt's first event has come.
+    pub fn first_event(&mut self, now_ms: f64, key: PromptKey) {
+        let Some(open) = self.open.get_mut(&key) else { return };
+        if std::mem::take(&mut open.unread_parts) == 0 {
+            return;
+        }
+        let engines = open.engines.clone();
+        for (at, endpoint) in engines.iter().enumerate() {
+            let Some(engine) = self.engines.get_mut(endpoint) else { continue };
+            if at == 0 {
+                engine.resync(now_ms, key);
+            } else {
+                engine.drop_part(key);
+            }
+        }
+    }
+
+    /// Returns when the next pass ends.
+    pub fn next_end(&self) -> Option<f64> {
+        let ends = self.engines.values().filter_map(EnginePasses::next_end);
+        ends.min_by(f64::total_cmp)
+    }
+
+    /// Lets the engines work until `now_ms`, and returns their events in order.
+    pub fn advance(&mut self, now_ms: f64) -> Vec<FarmEvent> {
+        let mut events = Vec::new();
+        loop {
+            let ends = self.engines.iter().filter_map(|(e, engine)| Some((engine.next_end()?, e)));
+            let next = ends.min_by(|left, right| left.0.total_cmp(&right.0));
+            let Some((at_ms, endpoint)) = next.filter(|(at_ms, _)| *at_ms <= now_ms) else {
+                return events;
+            };
+            let endpoint = endpoint.clone();
+            self.end_pass(at_ms, &endpoint, &mut events);
+        }
+    }
+
+    fn end_pass(&mut self, at_ms: f64, endpoint: &EndpointId, events: &mut Vec<FarmEvent>) {
+        let Some(engine) = self.engines.get_mut(endpoint) else { return };
+        for event in engine.end_pass() {
+            match event {
+                PassEvent::Event(key) => events.push(FarmEvent { at_ms, key, is_last: false }),
+                PassEvent::Ended(key) => events.push(FarmEvent { at_ms, key, is_last: true }),
+                PassEvent::PartRead(key) => self.part_read(at_ms, key, events),
+            }
+        }
+        if let Some(engine) = self.engines.get_mut(endpoint) {
+            engine.wake(at_ms);
+        }
+    }
+
+    fn part_read(&mut self, at_ms: f64, key: PromptKey, events: &mut Vec<FarmEvent>) {
+        let Some(open) = self.open.get_mut(&key) else { return };
+        if open.unread_parts == 0 {
+            return;
+        }
+        open.unread_parts -= 1;
+        if open.unread_parts > 0 {
+            return;
+        }
+        // The first event comes at the end of the pass in which the last part was read.
+        events.push(FarmEvent { at_ms, key, is_last: false });
+        if let Some(main) = open.engines.first().and_then(|main| self.engines.get_mut(main)) {
+            main.all_read(at_ms, key);
+        }
+    }
+}
--- a/crates/placement/src/fleet.rs
+++ b/crates/placement/src/fleet.rs
@@ -1,46 +1,25 @@
 //! All engines, and the choice among them.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 use std::time::Duration;
 
-use oriolepass_units::{EndpointId, MonotonicTime};
+use oriolepass_routing::EngineProfile;
+use oriolepass_units::{EndpointId, MonotonicTime, ServiceName};
 
-use crate::cost::{ReadCost, reading_per_pass_ms};
-use crate::engine::{EngineFacts, EngineState, ReadingPart, WritingAnswer, millis};
+use crate::cost::{EngineView, Neighbour, ReadCost, ShortDemand, lateness, millis, tie};
+use crate::demand::DemandMeter;
+use crate::farm::EngineFarm;
+use crate::passes::PassPrompt;
 use crate::plan::{HelperPart, PromptAsk, PromptKey, PromptPlan, SpareLack};
 
-/// Numbers of engines that may read one prompt; the most is the engines' own limit.
-const GROUP_SIZES: [usize; 9] = [1, 2, 3, 4, 6, 8, 10, 12, 16];
-
-/// A prompt that takes less than this to read is never split, in milliseconds: a part would be
-/// shorter than the pass that reads it.
-const SPLIT_FROM_MS: f64 = 60.0;
-
-/// What a prompt is worth for each millisecond of reading, beside 1 for each: long prompts are
-/// worth more in proportion to the work that would be lost.
-const VALUE_PER_READ_MS: f64 = 1.0 / 150.0;
-
-/// The part of a prompt's value that lateness loses; the users' sheets give about a quarter for
-/// a late answer.
-const LATE_LOSS: f64 = 0.75;
-
-/// Predictions are right within about this part, so lateness begins to be counted before the
-/// objective is reached.
-const TIGHT_FROM: f64 = 0.75;
-
-/// Between `TIGHT_FROM` and this part of the objective the loss grows to its whole.
-const TIGHT_TO: f64 = 1.1;
+/// Numbers of engines that may read one prompt; the most is the engines' own limit and the one
+/// that writes.
+const GROUP_SIZES: [usize; 11] = [1, 2, 3, 4, 5, 6, 8, 10, 12, 14, 16];
 
 /// The part of an engine's memory that is used; the rest is for answers longer than expected.
 const MEMORY_SHARE: f64 = 0.94;
 
-/// What one more engine in a group costs, in value: it may fail and take the prompt with it.
-const HELPER_COST: f64 = 0.01;
-
-/// What it costs to bring short streams to an engine that has none: long prompts lose a place
-/// where nothing is disturbed by them.
-const FRESH_COST: f64 = 0.12;
-
 /// The pause of an engine after its first failure; doubled with each further one.
 const SHUN_FIRST: Duration = Duration::from_millis(400);
 
@@ -50,16 +29,46 @@
 /// The part of a service's engines that may be shunned at once.
 const SHUN_SHARE: f64 = 0.5;
 
-/// Streams whose longest pause is below this are short ones, in milliseconds: two passes with a
-/// long prompt's part in them are longer.
-const SHORT_PAUSE_MS: f64 = 300.0;
+/// What is known of an engine from its own announcements.
+#[derive(Debug, Clone, PartialEq)]
+pub struct EngineFacts {
+    /// The engine.
+    pub endpoint: EndpointId,
+    /// The service that it belongs to.
+    pub service: ServiceName,
+    /// Whether it may get new work.
+    pub takes_work: bool,
+    /// How it works.
+    pub profile: Arc<EngineProfile>,
+}
+
+#[derive(Debug)]
+struct EngineEntry {
+    facts: EngineFacts,
+    /// No new work before this moment, after a failure.
+    shunned_until: MonotonicTime,
+    failures: u32,
+    /// The prompts that it writes, or will write.
+    mains: Vec<PromptKey>,
+}
+
+#[derive(Debug, Clone)]
+struct PlacedPrompt {
+    value: f64,
+    pause_ms: f64,
+    due_ms: f64,
+    has_begun: bool,
+    is_spoiled: bool,
+    is_short: bool,
+}
 
 /// The engines of all services, as one home sees them.
 #[derive(Debug, Default)]
 pub struct EngineFleet {
-    engines: BTreeMap<EndpointId, EngineState>,
-    /// The engines that each placed prompt uses.
-    placed: BTreeMap<PromptKey, Vec<EndpointId>>,
+    engines: BTreeMap<EndpointId, EngineEntry>,
+    farm: EngineFarm,
+    placed: BTreeMap<PromptKey, PlacedPrompt>,
+    demand: BTreeMap<ServiceName, DemandMeter>,
 }
 
 /// One way to place a prompt, with what it is expected to lose.
@@ -70,16 +79,47 @@
     first_ms: f64,
 }
 
+/// What is to be placed, and what it costs.
+struct Job<'a> {
+    ask: &'a PromptAsk,
+    cost: ReadCost,
+    value: f64,
+    /// The most milliseconds of reading that fit into one pass.
+    cap_ms: f64,
+    clear: usize,
+    demand: ShortDemand,
+}
+
+/// An engine with what a part of the job would do to it.
+struct Scored<'a> {
+    endpoint: &'a EndpointId,
+    view: &'a EngineView,
+    damage: f64,
+    score: f64,
+}
+
+fn time_ms(now: MonotonicTime) -> f64 {
+    now.0 as f64 / 1_000.0
+}
+
 impl EngineFleet {
     /// Takes over which engines there are.
-    pub fn update(&mut self, now: MonotonicTime, facts: Vec<EngineFacts>) {
+    pub fn update(&mut self, facts: Vec<EngineFacts>) {
         let present: BTreeSet<EndpointId> = facts.iter().map(|f| f.endpoint.clone()).collect();
         self.engines.retain(|endpoint, _| present.contains(endpoint));
+        self.farm.retain(|endpoint| present.contains(endpoint));
         for fact in facts {
+            self.farm.add(&fact.endpoint, &fact.profile);
             match self.engines.get_mut(&fact.endpoint) {
                 Some(engine) => engine.facts = fact,
                 None => {
-                    self.engines.insert(fact.endpoint.clone(), EngineState::new(fact, now));
+                    let entry = EngineEntry {
+                        shunned_until: MonotonicTime::ZERO,
+                        failures: 0,
+                        mains: Vec::new(),
+                        facts: fact,
+                    };
+                    self.engines.insert(entry.facts.endpoint.clone(), entry);
                 }
             }
         }
@@ -87,7 +127,7 @@
 
     /// Returns the engines that a placed prompt uses, the one that writes first.
     pub fn engines_of(&self, key: PromptKey) -> &[EndpointId] {
-        self.placed.get(&key).map_or(&[], Vec::as_slice)
+        self.farm.engines_of(key)
     }
 
     /// Returns the number of prompts that are placed now.
@@ -101,39 +141,79 @@
     ///
     /// Returns when to ask again where no engine of the service takes work.
     pub fn place(&mut self, now: MonotonicTime, ask: &PromptAsk) -> Result<PromptPlan, SpareLack> {
-        for engine in self.engines.values_mut() {
-            engine.advance(now);
-            engine.drop_overdue(now);
-        }
+        self.farm.advance(time_ms(now));
         let usable = self.usable(now, ask);
-        let Some(profile) = usable.first().map(|e| self.engines[e].facts.profile.clone()) else {
+        let views: Vec<(EndpointId, EngineView)> =
+            usable.into_iter().filter_map(|endpoint| self.view(now, endpoint)).collect();
+        let Some(profile) = views.first().map(|(e, _)| Arc::clone(&self.engines[e].facts.profile))
+        else {
             return Err(SpareLack { retry_after: SHUN_FIRST });
         };
-        let cost = ReadCost::new(&profile, ask.prompt_tokens);
-        let value = 1.0 + cost.whole_ms * VALUE_PER_READ_MS;
-        let best = GROUP_SIZES
+        let job = self.job(now, ask, &profile, &views);
+        let best: Candidate = GROUP_SIZES
             .into_iter()
-            .take_while(|size| {
-                *size == 1 || (*size <= usable.len() && cost.whole_ms >= SPLIT_FROM_MS)
+            .take_while(|size| *size == 1 || (*size <= views.len() && !job.cost.is_short()))
+            .filter_map(|size| best_of_size(&job, &views, size))
+            .min_by(|left, right| left.loss.total_cmp(&right.loss))
+            .ok_or(SpareLack { retry_after: SHUN_FIRST })?;
+        let plan = self.plan(&job, &views, &profile, &best);
+        if job.cost.is_short() {
+            let meter = self.demand.entry(ask.service.clone()).or_default();
+            meter.arrived(time_ms(now), millis(plan.whole));
+        }
+        self.book(now, ask, &plan);
+        Ok(plan)
+    }
+
+    fn job<'a>(
+        &mut self,
+        now: MonotonicTime,
+        ask: &'a PromptAsk,
+        profile: &EngineProfile,
+        views: &[(EndpointId, EngineView)],
+    ) -> Job<'a> {
+        let cost = ReadCost::new(profile, ask.prompt_tokens);
+        let per_pass = profile.read_tokens_per_step * u64::from(profile.steps_per_pass);
+        let ms_per_token = cost.whole_ms / ask.prompt_tokens.max(1) as f64;
+        let meter = self.demand.entry(ask.service.clone()).or_default();
+        Job {
+            value: cost.value(),
+            cap_ms: (per_pass as f64 * ms_per_token).max(1.0),
+            clear: views.iter().filter(|(_, view)| view.is_clear()).count(),
+            demand: meter.demand(time_ms(now), profile),
+            ask,
+            cost,
+        }
+    }
+
+    fn view(&self, now: MonotonicTime, endpoint: EndpointId) -> Option<(EndpointId, EngineView)> {
+        let now_ms = time_ms(now);
+        let entry = self.engines.get(&endpoint)?;
+        let engine = self.farm.engine(&endpoint)?;
+        let neighbour = |key: &PromptKey| {
+            let placed = self.placed.get(key)?;
+            Some(Neighbour {
+                value: placed.value,
+                pause_ms: placed.pause_ms.max(1.0),
+                due_in_ms: (!placed.has_begun).then_some(placed.due_ms - now_ms),
+                is_spoiled: placed.is_spoiled,
+                is_short: placed.is_short,
             })
-            .filter_map(|size| self.best_of_size(now, ask, &usable, cost, value, size))
-            .min_by(|left, right| left.loss.total_cmp(&right.loss));
-        let Some(best) = best else { return Err(SpareLack { retry_after: SHUN_FIRST }) };
-        Ok(self.commit(now, ask, cost, value, best))
+        };
+        let neighbours = entry.mains.iter().filter_map(neighbour).collect();
+        let profile = &entry.facts.profile;
+        let usable_tokens = (profile.memory_tokens as f64 * MEMORY_SHARE) as u64;
+        let slots = profile.slots as usize;
+        Some((endpoint, EngineView::new(engine, now_ms, slots, usable_tokens, neighbours)))
     }
 
     /// Takes over a prompt that another home placed, so that its engines are known to be busy.
     pub fn adopt(&mut self, now: MonotonicTime, ask: &PromptAsk, plan: &PromptPlan, begun: bool) {
-        if self.placed.contains_key(&ask.key) {
+        if self.placed.contains_key(&ask.key) || !self.engines.contains_key(&plan.main) {
             return;
         }
-        let Some(main) = self.engines.get(&plan.main) else { return };
-        let cost = ReadCost::new(&main.facts.profile, ask.prompt_tokens);
-        let value = 1.0 + cost.whole_ms * VALUE_PER_READ_MS;
-        let others = plan.helpers.iter().map(|helper| helper.endpoint.clone()).collect();
-        let first_ms = millis(plan.first_event);
-        let candidate = Candidate { main: plan.main.clone(), others, loss: 0.0, first_ms };
-        self.book(now, ask, cost, value, &candidate);
+        self.farm.advance(time_ms(now));
+        self.book(now, ask, plan);
         if begun {
             self.first_event(now, ask.key);
         }
@@ -141,10 +221,13 @@
 
     /// Notes that a prompt's first event has come.
     pub fn first_event(&mut self, now: MonotonicTime, key: PromptKey) {
-        for endpoint in self.placed.get(&key).into_iter().flatten() {
+        let Some(placed) = self.placed.get_mut(&key) else { return };
+        placed.has_begun = true;
+        let now_ms = time_ms(now);
+        self.farm.advance(now_ms);
+        self.farm.first_event(now_ms, key);
+        for endpoint in self.farm.engines_of(key) {
             if let Some(engine) = self.engines.get_mut(endpoint) {
-                engine.advance(now);
-                engine.first_event(key);
                 engine.failures = 0;
             }
         }
@@ -152,12 +235,14 @@
 
     /// Notes that a prompt has ended, whichever way.
     pub fn ended(&mut self, now: MonotonicTime, key: PromptKey) {
-        for endpoint in self.placed.remove(&key).unwrap_or_default() {
-            if let Some(engine) = self.engines.get_mut(&endpoint) {
-                engine.advance(now);
-                engine.forget(key);
-            }
+        self.farm.advance(time_ms(now));
+        if let Some(main) = self.farm.engines_of(key).first()
+            && let Some(engine) = self.engines.get_mut(main)
+        {
+            engine.mains.retain(|other| *other != key);
         }
+        self.farm.remove(key);
+        self.placed.remove(&key);
     }
 
     /// Forgets the prompts of entries that are gone.
@@ -186,257 +271,199 @@
     }
 
     fn usable(&self, now: MonotonicTime, ask: &PromptAsk) -> Vec<EndpointId> {
-        let of_service =
-            |engine: &&EngineState| engine.facts.service == ask.service && engine.takes_work(now);
-        let all: Vec<&EngineState> = self.engines.values().filter(of_service).collect();
-        let liked = all.iter().filter(|e| !ask.avoid.contains(&e.facts.endpoint));
-        let liked: Vec<EndpointId> = liked.map(|e| e.facts.endpoint.clone()).collect();
-        if !liked.is_empty() {
-            return liked;
-        }
-        all.into_iter().map(|e| e.facts.endpoint.clone()).collect()
-    }
-
-    /// Finds the best group of one size: its members are those that the part disturbs least, and
-    /// the one with the best first event among them writes the answer.
-    fn best_of_size(
-        &self,
-        now: MonotonicTime,
-        ask: &PromptAsk,
-        usable: &[EndpointId],
-        cost: ReadCost,
-        value: f64,
-        size: usize,
-    ) -> Option<Candidate> {
-        let part_ms = cost.part_ms(size);
-        let ms_per_token = cost.whole_ms / ask.prompt_tokens.max(1) as f64;
-        let mut scored: Vec<(f64, f64, &EngineState)> = usable
-            .iter()
-            .map(|endpoint| {
-                let engine = &self.engines[endpoint];
-                let damage = damage(now, engine, part_ms, ms_per_token, size > 1);
-                let busy = engine.backlog_ms() + engine.slot_wait_ms();
-                (damage + lateness(busy + part_ms, ask, value), damage, engine)
-            })
+        let takes_work = |engine: &&EngineEntry| {
+            let facts = &engine.facts;
+            facts.service == ask.service && facts.takes_work && now >= engine.shunned_until
+        };
+        let all: Vec<EndpointId> = self
+            .engines
+            .values()
+            .filter(takes_work)
+            .map(|engine| engine.facts.endpoint.clone())
             .collect();
-        scored.sort_by(|left, right| {
-            left.0.total_cmp(&right.0).then_with(|| busy_order(left.2, right.2))
-        });
-        scored.truncate(size);
-        let (main_at, main) = self.choose_main(ask, &scored)?;
-        let first_ms = scored
-            .iter()
-            .enumerate()
-            .map(|(at, (_, _, engine))| read_end_ms(engine, part_ms, at != main_at))
-            .fold(0.0, f64::max)
-            + main.idle_pass_ms();
-        let damaged: f64 = scored.iter().map(|(_, damage, _)| damage).sum();
-        let is_short = millis(ask.pause) < SHORT_PAUSE_MS;
-        let fresh = if is_short && !has_short(main) { FRESH_COST } else { 0.0 };
-        let own = lateness(first_ms, ask, value);
-        // Among equal ones the earlier first event wins.
-        let tie = first_ms / millis(ask.objective).max(1.0) * 0.02 * value;
-        let loss = damaged + own + fresh + tie + HELPER_COST * (size - 1) as f64;
-        let main_endpoint = main.facts.endpoint.clone();
-        let others = scored.iter().map(|(_, _, engine)| engine.facts.endpoint.clone());
-        let others = others.filter(|endpoint| *endpoint != main_endpoint).collect();
-        Some(Candidate { main: main_endpoint, others, loss, first_ms })
+        let liked: Vec<EndpointId> =
+            all.iter().filter(|endpoint| !ask.avoid.contains(endpoint)).cloned().collect();
+        if liked.is_empty() { all } else { liked }
     }
 
-    /// Chooses the member that writes: one with memory for the whole, and the least to do.
-    fn choose_main<'a>(
+    fn plan(
         &self,
-        ask: &PromptAsk,
-        members: &[(f64, f64, &'a EngineState)],
-    ) -> Option<(usize, &'a EngineState)> {
-        let need = ask.prompt_tokens + ask.max_answer_tokens;
-        let writes_worse = |engine: &EngineState| {
-            let lacks = need > free_tokens(engine);
-            (lacks, engine.slot_wait_ms() + engine.answers.len() as f64)
-        };
-        members
-            .iter()
-            .enumerate()
-            .min_by(|(_, left), (_, right)| {
-                let (left, right) = (writes_worse(left.2), writes_worse(right.2));
-                left.0.cmp(&right.0).then_with(|| left.1.total_cmp(&right.1))
-            })
-            .map(|(at, (_, _, engine))| (at, *engine))
-    }
-
-    fn commit(
-        &mut self,
-        now: MonotonicTime,
-        ask: &PromptAsk,
-        cost: ReadCost,
-        value: f64,
-        best: Candidate,
+        job: &Job<'_>,
+        views: &[(EndpointId, EngineView)],
+        profile: &EngineProfile,
+        best: &Candidate,
     ) -> PromptPlan {
-        let reserves = self.reserves(ask, &best);
-        self.book(now, ask, cost, value, &best);
-        let main = &self.engines[&best.main];
-        let passes = ask.answer_tokens as f64 / f64::from(main.facts.profile.steps_per_pass);
-        let whole_ms = best.first_ms + passes * main.idle_pass_ms();
+        let reserves = reserves(job.ask, views, best);
+        let main_pass_ms = views
+            .iter()
+            .find(|(endpoint, _)| *endpoint == best.main)
+            .map_or(0.0, |(_, view)| view.writing_pass_ms)
+            .max(profile.step_ms * f64::from(profile.steps_per_pass));
+        let passes = job.ask.answer_tokens as f64 / f64::from(profile.steps_per_pass);
         let helper = |endpoint: &EndpointId| HelperPart {
             endpoint: endpoint.clone(),
             reserve_tokens: reserves.get(endpoint).copied(),
         };
         PromptPlan {
-            main_reserve_tokens: reserves.get(&best.main).copied(),
+            main: best.main.clone(),
             helpers: best.others.iter().map(helper).collect(),
-            engine_priority: engine_priority(ask),
-            first_event: Duration::from_secs_f64(best.first_ms / 1_000.0),
-            whole: Duration::from_secs_f64(whole_ms / 1_000.0),
-            main: best.main,
+            engine_priority: engine_priority(job.ask),
+            first_event: Duration::from_secs_f64(best.first_ms.max(0.0) / 1_000.0),
+            whole: Duration::from_secs_f64((best.first_ms + passes * main_pass_ms) / 1_000.0),
         }
     }
 
-    /// Divides a prompt that the main engine's memory cannot hold among the group's engines, by
-    /// what they have free. What is left over goes to the main engine.
-    fn reserves(&self, ask: &PromptAsk, best: &Candidate) -> BTreeMap<EndpointId, u64> {
-        let main = &self.engines[&best.main];
-        let free = free_tokens(main).saturating_sub(ask.max_answer_tokens);
-        let Some(mut lacking) = ask.prompt_tokens.checked_sub(free).filter(|lack| *lack > 0) else {
-            return BTreeMap::new();
+    fn book(&mut self, now: MonotonicTime, ask: &PromptAsk, plan: &PromptPlan) {
+        let Some(main) = self.engines.get_mut(&plan.main) else { return };
+        let cost = ReadCost::new(&main.facts.profile, ask.prompt_tokens);
+        main.mains.push(ask.key);
+        let parts = plan.helpers.len() + 1;
+        let prompt = PassPrompt {
+            key: ask.key,
+            prompt_tokens: ask.prompt_tokens,
+            parts: u32::try_from(parts).unwrap_or(u32::MAX),
+            answer_tokens: ask.answer_tokens,
+            priority: plan.engine_priority,
+            kept_elsewhere: plan.helpers.iter().filter_map(|helper| helper.reserve_tokens).sum(),
         };
-        let mut roomy: Vec<(u64, &EndpointId)> =
-            best.others.iter().map(|e| (free_tokens(&self.engines[e]), e)).collect();
-        roomy.sort_by(|left, right| right.cmp(left));
-        let mut reserves = BTreeMap::new();
-        for (free, endpoint) in roomy {
-            let part = free.min(lacking);
-            if part > 0 {
-                reserves.insert(endpoint.clone(), part);
-                lacking -= part;
-            }
-        }
-        reserves
+        let engines: Vec<EndpointId> = std::iter::once(&plan.main)
+            .chain(plan.helpers.iter().map(|helper| &helper.endpoint))
+            .cloned()
+            .collect();
+        self.spoil(cost.part_ms(parts), &engines);
+        self.farm.take(time_ms(now), &plan.main, &plan.helpers, &prompt);
+        let placed = PlacedPrompt {
+            value: cost.value(),
+            pause_ms: millis(ask.pause),
+            due_ms: time_ms(now) + millis(ask.objective),
+            has_begun: false,
+            is_spoiled: false,
+            is_short: cost.is_short(),
+        };
+        self.placed.insert(ask.key, placed);
     }
 
-    fn book(
-        &mut self,
-        now: MonotonicTime,
-        ask: &PromptAsk,
-        cost: ReadCost,
-        value: f64,
-        best: &Candidate,
-    ) {
-        let parts = best.others.len() + 1;
-        let part_ms = cost.part_ms(parts);
-        let ms_per_token = cost.whole_ms / ask.prompt_tokens.max(1) as f64;
-        let due = now + ask.objective;
-        let mut used = vec![best.main.clone()];
-        used.extend(best.others.iter().cloned());
-        for endpoint in &used {
-            let Some(engine) = self.engines.get_mut(endpoint) else { continue };
-            let is_helper = *endpoint != best.main;
-            spoil(engine, part_ms, ms_per_token);
-            let read = ReadingPart { key: ask.key, left_ms: part_ms, is_helper, due, value };
-            let at = if is_helper { helper_place(engine) } else { engine.reads.len() };
-            engine.reads.insert(at, read);
-        }
-        if let Some(engine) = self.engines.get_mut(&best.main) {
-            engine.answers.push(WritingAnswer {
-                key: ask.key,
-                context_tokens: ask.prompt_tokens,
-                memory_tokens: ask.prompt_tokens + ask.answer_tokens,
-                pause_ms: millis(ask.pause),
-                value,
-                has_begun: false,
-                is_spoiled: false,
-                left_tokens: ask.answer_tokens as f64,
-            });
+    /// Marks the answers whose next pause is longer than they bear, so that the next prompt
+    /// may use what is lost already.
+    fn spoil(&mut self, part_ms: f64, engines: &[EndpointId]) {
+        for endpoint in engines {
+            let (Some(entry), Some(engine)) =
+                (self.engines.get(endpoint), self.farm.engine(endpoint))
+            else {
+                continue;
+            };
+            let pass_ms = engine.writing_pass_ms() + engine.unread_ms() + part_ms;
+            for key in &entry.mains {
+                if let Some(placed) = self.placed.get_mut(key).filter(|placed| placed.has_begun) {
+                    placed.is_spoiled |= pass_ms > placed.pause_ms * SPOILED_FROM;
+                }
+            }
         }
-        self.placed.insert(ask.key, used);
     }
 }
 
-/// Helpers' parts are read ahead of other prompts, behind earlier helpers' parts.
-fn helper_place(engine: &EngineState) -> usize {
-    engine.reads.iter().position(|read| !read.is_helper).unwrap_or(engine.reads.len())
+/// A pause this many times as long as it may be is sure to be late, whatever the prediction's
+/// error.
+const SPOILED_FROM: f64 = 1.2;
+
+/// Finds the best group of one size: its members are those that a part disturbs least, and the
+/// one among them that is best for writing receives the request.
+fn best_of_size(
+    job: &Job<'_>,
+    views: &[(EndpointId, EngineView)],
+    size: usize,
+) -> Option<Candidate> {
+    let part_ms = job.cost.part_ms(size);
+    let objective_ms = millis(job.ask.objective);
+    let mut scored: Vec<Scored<'_>> = views
+        .iter()
+        .map(|(endpoint, view)| {
+            let damage = view.damage(part_ms, job.cap_ms);
+            let short = if job.cost.is_short() { view.short_cost() } else { 0.0 };
+            let read_ms = view.read_in_ms(part_ms, job.cap_ms, size == 1);
+            let wait_ms = if job.cost.is_short() { lacking_wait_ms(job.ask, view) } else { 0.0 };
+            let late = lateness(read_ms + wait_ms, objective_ms, job.value);
+            let early = read_ms / objective_ms.max(1.0) * 0.02;
+            Scored { endpoint, view, damage, score: damage + short + late + early }
+        })
+        .collect();
+    scored.sort_by(|left, right| left.score.total_cmp(&right.score));
+    scored.truncate(size);
+    let main = choose_main(job.ask, &scored)?;
+    let first_ms = scored
+        .iter()
+        .map(|s| s.view.read_in_ms(part_ms, job.cap_ms, std::ptr::eq(s.endpoint, main.endpoint)))
+        .fold(0.0, f64::max)
+        + memory_wait_ms(job.ask, &scored, main);
+    let damage: f64 = scored.iter().map(|s| s.damage).sum();
+    let short = if job.cost.is_short() { main.view.short_cost() } else { 0.0 };
+    let taken = scored.iter().filter(|s| s.view.is_clear());
+    let blocked: Vec<f64> = taken.map(|s| s.view.blocked_ms(part_ms, job.cap_ms)).collect();
+    let lasting = blocked.iter().filter(|ms| **ms > 0.0).count();
+    let future = job.demand.loss(job.clear, lasting, blocked.iter().sum());
+    let loss = damage
+        + short
+        + future
+        + lateness(first_ms, objective_ms, job.value)
+        + tie(first_ms, job.ask, job.value, size - 1);
+    let others = scored.iter().map(|s| s.endpoint).filter(|e| *e != main.endpoint).cloned();
+    Some(Candidate { main: main.endpoint.clone(), others: others.collect(), loss, first_ms })
 }
 
-fn has_short(engine: &EngineState) -> bool {
-    engine.answers.iter().any(|answer| answer.pause_ms < SHORT_PAUSE_MS)
-}
+/// How long a prompt waits where its memory is not free, in milliseconds: about as long as a
+/// long answer takes, since those hold the most.
+const MEMORY_WAIT_MS: f64 = 2_000.0;
 
-fn free_tokens(engine: &EngineState) -> u64 {
-    let usable = (engine.facts.profile.memory_tokens as f64 * MEMORY_SHARE) as u64;
-    usable.saturating_sub(engine.memory_tokens())
+fn lacking_wait_ms(ask: &PromptAsk, view: &EngineView) -> f64 {
+    let need = ask.prompt_tokens + ask.answer_tokens;
+    if need > view.free_tokens { MEMORY_WAIT_MS } else { 0.0 }
 }
 
-fn busy_order(left: &EngineState, right: &EngineState) -> std::cmp::Ordering {
-    // Short prompts are packed: between equal engines, the one with more answers.
-    left.backlog_ms()
-        .total_cmp(&right.backlog_ms())
-        .then_with(|| right.answers.len().cmp(&left.answers.len()))
+/// Returns how long a prompt waits for memory in a group: what the main engine lacks can be kept
+/// by the others.
+fn memory_wait_ms(ask: &PromptAsk, members: &[Scored<'_>], main: &Scored<'_>) -> f64 {
+    if lacking_wait_ms(ask, main.view) <= 0.0 {
+        return 0.0;
+    }
+    let free: u64 = members.iter().map(|s| s.view.free_tokens).sum();
+    if ask.prompt_tokens + ask.max_answer_tokens > free { MEMORY_WAIT_MS } else { 0.0 }
 }
 
-/// Returns when an engine would be done with reading, in milliseconds from now.
-fn read_end_ms(engine: &EngineState, part_ms: f64, is_helper: bool) -> f64 {
-    let pass_ms = engine.idle_pass_ms();
-    let writes = engine.answers.iter().any(|answer| answer.has_begun);
-    let boundary = if writes { pass_ms / 2.0 } else { 0.0 };
-    let ahead: f64 = if is_helper {
-        engine.reads.iter().filter(|read| read.is_helper).map(|read| read.left_ms).sum()
-    } else {
-        engine.backlog_ms() + engine.slot_wait_ms()
+/// Chooses the member that writes: one with memory for the whole, and few answers.
+fn choose_main<'a, 'b>(ask: &PromptAsk, members: &'b [Scored<'a>]) -> Option<&'b Scored<'a>> {
+    let need = ask.prompt_tokens + ask.max_answer_tokens;
+    let badness = |s: &Scored<'_>| {
+        let lacks = if need > s.view.free_tokens { 1e6 } else { 0.0 };
+        let disturbs = s.view.neighbours.iter().filter(|n| n.is_short).count();
+        lacks + s.view.room_in_ms + (s.view.load + 4 * disturbs) as f64
     };
-    let writing = if writes { pass_ms } else { 0.0 };
-    boundary + ahead + part_ms + writing
-}
-
-/// Returns the value lost by a first event after `first_ms`.
-fn lateness(first_ms: f64, ask: &PromptAsk, value: f64) -> f64 {
-    late_share(first_ms / millis(ask.objective).max(1.0)) * value * LATE_LOSS
-}
-
-fn late_share(used: f64) -> f64 {
-    ((used - TIGHT_FROM) / (TIGHT_TO - TIGHT_FROM)).clamp(0.0, 1.0)
-}
-
-/// Returns the longest pass while `part_ms` more is read.
-fn longest_pass_ms(engine: &EngineState, part_ms: f64, ms_per_token: f64) -> f64 {
-    let most = reading_per_pass_ms(&engine.facts.profile, ms_per_token);
-    engine.idle_pass_ms() + (engine.backlog_ms() + part_ms).min(most.max(part_ms.min(most)))
-}
-
-/// Returns the value that the answers and prompts already at an engine lose by one more part.
-fn damage(
-    now: MonotonicTime,
-    engine: &EngineState,
-    part_ms: f64,
-    ms_per_token: f64,
-    goes_ahead: bool,
-) -> f64 {
-    let pass_ms = longest_pass_ms(engine, part_ms, ms_per_token);
-    let paused: f64 = engine
-        .answers
-        .iter()
-        .filter(|answer| !answer.is_spoiled)
-        .map(|answer| late_share(pass_ms / answer.pause_ms.max(1.0)) * answer.value * LATE_LOSS)
-        .sum();
-    if !goes_ahead {
-        return paused;
-    }
-    let mut end_ms = engine.idle_pass_ms();
-    let mut delayed = 0.0;
-    for read in &engine.reads {
-        end_ms += read.left_ms;
-        let left_ms = millis(read.due.since(now)).max(1.0);
-        let before = late_share(end_ms / left_ms);
-        let after = late_share((end_ms + part_ms) / left_ms);
-        delayed += (after - before) * read.value * LATE_LOSS;
-    }
-    paused + delayed
+    members.iter().min_by(|left, right| badness(left).total_cmp(&badness(right)))
 }
 
-/// Marks the answers whose next pause is longer than they bear.
-fn spoil(engine: &mut EngineState, part_ms: f64, ms_per_token: f64) {
-    let pass_ms = longest_pass_ms(engine, part_ms, ms_per_token);
-    for answer in engine.answers.iter_mut().filter(|answer| answer.has_begun) {
-        answer.is_spoiled |= pass_ms > answer.pause_ms * TIGHT_TO;
+/// Divides a prompt that the main engine's memory cannot hold among the group's engines, by
+/// what they have free. What is left over goes to the main engine.
+fn reserves(
+    ask: &PromptAsk,
+    views: &[(EndpointId, EngineView)],
+    best: &Candidate,
+) -> BTreeMap<EndpointId, u64> {
+    let free_of = |endpoint: &EndpointId| {
+        views.iter().find(|(e, _)| e == endpoint).map_or(0, |(_, view)| view.free_tokens)
+    };
+    let free = free_of(&best.main).saturating_sub(ask.max_answer_tokens);
+    let mut lacking = ask.prompt_tokens.saturating_sub(free);
+    let mut roomy: Vec<(u64, &EndpointId)> =
+        best.others.iter().map(|endpoint| (free_of(endpoint), endpoint)).collect();
+    roomy.sort_by(|left, right| right.cmp(left));
+    let mut reserves = BTreeMap::new();
+    for (free, endpoint) in roomy {
+        let part = free.min(lacking);
+        if part > 0 {
+            reserves.insert(endpoint.clone(), part);
+            lacking -= part;
+        }
     }
+    reserves
 }
 
 /// Maps the objective to the engines' ranks: what is due soon is admitted first.
--- /dev/null
+++ b/crates/placement/src/passes.rs
@@ -0,0 +1,333 @@
+//! An engine that works in passes, by its published profile, in logical time.
+//!
+//! All that waits is processed in passes. During a pass, answers that are being written advance
+//! by a fixed number of steps, and prompts are read in pieces beside those steps; without
+//! answers a pass has one step. A prompt that several engines read is read in even parts, each
+//! with its share of the whole prompt's pairs, and its first event follows the last part.
+//!
+//! The home predicts with this model, and the experiment plays days on it. How it was checked
+//! against the users' bench stands in `docs/measurements/engine-model.md`.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use oriolepass_routing::EngineProfile;
+
+use crate::plan::PromptKey;
+
+/// A prompt, or a part of one, to be read.
+#[derive(Debug, Clone, PartialEq)]
+pub struct PassPrompt {
+    /// The prompt.
+    pub key: PromptKey,
+    /// Tokens of the whole prompt.
+    pub prompt_tokens: u64,
+    /// Engines that read it, this one included.
+    pub parts: u32,
+    /// Tokens of the answer.
+    pub answer_tokens: u64,
+    /// Its rank in the queue; 0 is first.
+    pub priority: u8,
+    /// Tokens of the prompt that are kept at helpers, in memory reserved there.
+    pub kept_elsewhere: u64,
+}
+
+impl PassPrompt {
+    /// Returns the tokens of memory that it needs where its answer is written.
+    fn memory_tokens(&self) -> u64 {
+        self.prompt_tokens.saturating_sub(self.kept_elsewhere) + self.answer_tokens
+    }
+}
+
+#[derive(Debug, Clone)]
+struct PassReading {
+    key: PromptKey,
+    left_tokens: f64,
+    ms_per_token: f64,
+    is_helper: bool,
+}
+
+#[derive(Debug, Clone)]
+struct PassAnswer {
+    prompt: PassPrompt,
+    is_writing: bool,
+    left_tokens: f64,
+}
+
+/// What an engine has to say at the end of a pass.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PassEvent {
+    /// A part has been read.
+    PartRead(PromptKey),
+    /// An event of an answer.
+    Event(PromptKey),
+    /// The last event of an answer, which was told just before.
+    Ended(PromptKey),
+}
+
+/// How an answer comes to its end.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum AnswerEnd {
+    /// When it has its tokens, as at a real engine.
+    ByCount,
+    /// When it is cancelled: its length was only guessed, and its real end will be told.
+    #[default]
+    ByWord,
+}
+
+/// An engine.
+#[derive(Debug)]
+pub struct EnginePasses {
+    profile: Arc<EngineProfile>,
+    answer_end: AnswerEnd,
+    queue: VecDeque<PassPrompt>,
+    reading: Vec<PassReading>,
+    answers: Vec<PassAnswer>,
+    /// Memory reserved for prompts that are written elsewhere.
+    reserved: Vec<(PromptKey, u64)>,
+    pass_ends: Option<f64>,
+    at_end: Vec<PassEvent>,
+}
+
+/// Prompts that wait at an engine beside those that run; more are turned away.
+const QUEUE_LIMIT: usize = 32;
+
+impl PassReading {
+    fn whole_ms(&self) -> f64 {
+        self.left_tokens * self.ms_per_token
+    }
+}
+
+impl EnginePasses {
+    /// Creates an idle engine.
+    pub fn new(profile: Arc<EngineProfile>, answer_end: AnswerEnd) -> Self {
+        Self {
+            profile,
+            answer_end,
+            queue: VecDeque::new(),
+            reading: Vec::new(),
+            answers: Vec::new(),
+            reserved: Vec::new(),
+            pass_ends: None,
+            at_end: Vec::new(),
+        }
+    }
+
+    /// Returns when the present pass ends, in milliseconds; none while the engine is idle.
+    pub fn next_end(&self) -> Option<f64> {
+        self.pass_ends
+    }
+
+    /// Returns how many prompts run or wait here, parts of others not counted.
+    pub fn load(&self) -> usize {
+        self.answers.len() + self.queue.len()
+    }
+
+    /// Returns what is left of the present pass, in milliseconds.
+    pub fn residual_ms(&self, now_ms: f64) -> f64 {
+        self.pass_ends.map_or(0.0, |end| (end - now_ms).max(0.0))
+    }
+
+    /// Returns how long the reading takes that no pass has begun with yet, in milliseconds.
+    pub fn unread_ms(&self) -> f64 {
+        let begun: f64 = self.reading.iter().map(|r| r.left_tokens * r.ms_per_token).sum();
+        let waiting: f64 = self.queue.iter().map(|prompt| self.part(prompt, false).whole_ms()).sum();
+        begun + waiting
+    }
+
+    /// Returns how long a pass takes in which nothing is read, once what is being read now
+    /// writes as well; 0 where nothing would be written.
+    pub fn writing_pass_ms(&self) -> f64 {
+        if self.answers.is_empty() {
+            return 0.0;
+        }
+        self.step_ms(self.answers.iter()) * f64::from(self.profile.steps_per_pass)
+    }
+
+    /// Returns the tokens of memory that are spoken for.
+    pub fn held_tokens(&self) -> u64 {
+        let waiting: u64 = self.queue.iter().map(PassPrompt::memory_tokens).sum();
+        self.running_tokens() + waiting
+    }
+
+    fn running_tokens(&self) -> u64 {
+        let running: u64 = self.answers.iter().map(|answer| answer.prompt.memory_tokens()).sum();
+        running + self.reserved.iter().map(|(_, tokens)| tokens).sum::<u64>()
+    }
+
+    /// Returns when the next answer is expected to make room, in milliseconds from now; 0 where
+    /// there is room.
+    pub fn room_in_ms(&self) -> f64 {
+        let slots = self.profile.slots as usize;
+        let load = self.load();
+        if load < slots {
+            return 0.0;
+        }
+        let steps = f64::from(self.profile.steps_per_pass);
+        let mut passes: Vec<f64> =
+            self.answers.iter().map(|a| (a.left_tokens / steps).ceil().max(1.0)).collect();
+        passes.sort_by(f64::total_cmp);
+        let at = (load - slots).min(passes.len().saturating_sub(1));
+        passes.get(at).copied().unwrap_or(0.0) * self.writing_pass_ms()
+    }
+
+    /// Notes that a prompt's first event has come: the present pass has just ended.
+    pub fn resync(&mut self, now_ms: f64, key: PromptKey) {
+        if let Some(answer) = self.answers.iter_mut().find(|a| a.prompt.key == key) {
+            answer.is_writing = true;
+        }
+        self.drop_part(key);
+        if self.pass_ends.is_some() {
+            self.pass_ends = Some(now_ms);
+        }
+        self.wake(now_ms);
+    }
+
+    /// Notes that a part has been read.
+    pub fn drop_part(&mut self, key: PromptKey) {
+        self.reading.retain(|read| read.key != key);
+    }
+
+    /// Takes a prompt in as the engine that writes its answer; returns whether there was room.
+    pub fn take(&mut self, now_ms: f64, prompt: PassPrompt) -> bool {
+        if self.queue.len() >= QUEUE_LIMIT || prompt.memory_tokens() > self.profile.memory_tokens {
+            return false;
+        }
+        let at = self.queue.iter().position(|waiting| waiting.priority > prompt.priority);
+        self.queue.insert(at.unwrap_or(self.queue.len()), prompt);
+        self.wake(now_ms);
+        true
+    }
+
+    /// Takes a part of a prompt in as a helper, and keeps some of the prompt's memory.
+    pub fn help(&mut self, now_ms: f64, prompt: &PassPrompt, reserve_tokens: u64) {
+        if reserve_tokens > 0 {
+            self.reserved.push((prompt.key, reserve_tokens));
+        }
+        let part = self.part(prompt, true);
+        let at = self.reading.iter().position(|read| !read.is_helper);
+        self.reading.insert(at.unwrap_or(self.reading.len()), part);
+        self.wake(now_ms);
+    }
+
+    /// Lets an answer be written: the last of its parts has been read.
+    pub fn all_read(&mut self, now_ms: f64, key: PromptKey) {
+        if let Some(answer) = self.answers.iter_mut().find(|a| a.prompt.key == key) {
+            answer.is_writing = true;
+        }
+        self.wake(now_ms);
+    }
+
+    /// Drops a prompt whose caller has left.
+    pub fn cancel(&mut self, key: PromptKey) {
+        self.queue.retain(|prompt| prompt.key != key);
+        self.reading.retain(|read| read.key != key);
+        self.answers.retain(|answer| answer.prompt.key != key);
+        self.reserved.retain(|(owner, _)| *owner != key);
+    }
+
+    /// Ends the present pass and returns what it brought.
+    pub fn end_pass(&mut self) -> Vec<PassEvent> {
+        self.pass_ends = None;
+        let events = std::mem::take(&mut self.at_end);
+        let present = |key: &PromptKey| self.answers.iter().any(|a| a.prompt.key == *key);
+        // An answer that was dropped meanwhile has nothing more to say.
+        let is_due = |event: &PassEvent| match event {
+            PassEvent::Event(key) | PassEvent::Ended(key) => present(key),
+            PassEvent::PartRead(_) => true,
+        };
+        let events = events.into_iter().filter(is_due).collect();
+        if self.answer_end == AnswerEnd::ByCount {
+            self.answers.retain(|answer| !answer.is_writing || answer.left_tokens > 0.0);
+        }
+        events
+    }
+
+    /// Starts a pass if none is under way and there is work. To be called after the events of
+    /// the last one have been dealt with.
+    pub fn wake(&mut self, now_ms: f64) {
+        if self.pass_ends.is_none() {
+            self.admit();
+            self.start_pass(now_ms);
+        }
+    }
+
+    fn admit(&mut self) {
+        while self.answers.len() < self.profile.slots as usize {
+            let held = self.running_tokens();
+            let fits =
+                |prompt: &PassPrompt| held + prompt.memory_tokens() <= self.profile.memory_tokens;
+            if !self.queue.front().is_some_and(fits) {
+                return;
+            }
+            let Some(prompt) = self.queue.pop_front() else { return };
+            self.reading.push(self.part(&prompt, false));
+            self.answers.push(PassAnswer {
+                left_tokens: prompt.answer_tokens as f64,
+                is_writing: false,
+                prompt,
+            });
+        }
+    }
+
+    fn part(&self, prompt: &PassPrompt, is_helper: bool) -> PassReading {
+        let parts = f64::from(prompt.parts.max(1));
+        let whole = prompt.prompt_tokens as f64;
+        let tokens = (whole / parts).max(1.0);
+        let pairs_m = whole * whole / 2.0 / 1e6 / parts;
+        let ms = tokens / self.profile.read_tokens_per_s * 1_000.0
+            + pairs_m * self.profile.read_ms_per_million_pairs;
+        PassReading {
+            key: prompt.key,
+            left_tokens: tokens,
+            ms_per_token: ms / tokens,
+            is_helper,
+        }
+    }
+
+    fn start_pass(&mut self, now_ms: f64) {
+        let writers: Vec<&PassAnswer> = self.answers.iter().filter(|a| a.is_writing).collect();
+        if writers.is_empty() && self.reading.is_empty() {
+            return;
+        }
+        let step = self.step_ms(writers.iter().copied());
+        let steps = if writers.is_empty() { 1 } else { self.profile.steps_per_pass };
+        let read_ms = self.read((self.profile.read_tokens_per_step * u64::from(steps)) as f64);
+        for answer in self.answers.iter_mut().filter(|answer| answer.is_writing) {
+            let had_left = answer.left_tokens > 0.0;
+            answer.left_tokens -= f64::from(steps);
+            self.at_end.push(PassEvent::Event(answer.prompt.key));
+            if had_left && answer.left_tokens <= 0.0 {
+                self.at_end.push(PassEvent::Ended(answer.prompt.key));
+            }
+        }
+        self.pass_ends = Some(now_ms + step * f64::from(steps) + read_ms);
+    }
+
+    fn step_ms<'a>(&self, writers: impl Iterator<Item = &'a PassAnswer>) -> f64 {
+        let mut step = self.profile.step_ms;
+        let mut joint = false;
+        for answer in writers {
+            step += self.profile.step_ms_per_writer
+                + self.profile.step_ms_per_context_k * answer.prompt.prompt_tokens as f64 / 1_000.0;
+            joint |= answer.prompt.parts > 1;
+        }
+        step + if joint { self.profile.group_step_ms } else { 0.0 }
+    }
+
+    /// Reads up to a number of tokens; returns how long that takes.
+    fn read(&mut self, mut tokens: f64) -> f64 {
+        let mut took_ms = 0.0;
+        for read in &mut self.reading {
+            let now = read.left_tokens.min(tokens);
+            read.left_tokens -= now;
+            tokens -= now;
+            took_ms += now * read.ms_per_token;
+            if read.left_tokens <= 0.0 {
+                self.at_end.push(PassEvent::PartRead(read.key));
+            }
+        }
+        self.reading.retain(|read| read.left_tokens > 0.0);
+        took_ms
+    }
+}
--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -51,8 +51,6 @@
 pub struct PromptPlan {
     /// The engine that receives the request and writes the answer.
     pub main: EndpointId,
-    /// Memory to reserve there, in tokens, where the prompt is kept on several engines.
-    pub main_reserve_tokens: Option<u64>,
     /// The engines that read parts of the prompt beside it.
     pub helpers: Vec<HelperPart>,
     /// How urgent the engine should take it; 0 is first, 9 is last.
