--- a/crates/placement/src/cost.rs
+++ b/crates/placement/src/cost.rs
@@ -20,22 +20,26 @@
 
 /// Predictions err by some tens of milliseconds, so lateness begins to be counted before the
 /// objective is reached, at this part of it...
-const TIGHT_FROM: f64 = 0.8;
+const TIGHT_FROM: f64 = 0.6;
 
 /// ...and grows to its whole until this part.
 const TIGHT_TO: f64 = 1.1;
 
+/// The same for prompts that wait for their first event: later prompts' parts go ahead of theirs,
+/// so what is predicted for them is the least that it will take.
+const WAITING_FROM: f64 = 0.35;
+
 /// What one more engine in a group costs: it may fail and take the prompt with it.
 const HELPER_COST: f64 = 0.004;
 
 /// What the first short answer on an engine costs: long prompts lose a place where they disturb
 /// nobody.
-pub(crate) const FRESH_COST: f64 = 0.1;
+pub(crate) const FRESH_COST: f64 = 0.3;
 
 /// What each short answer costs on an engine whose places are mostly taken, in parts of all
 /// places: the next ones would wait.
-const CROWD_FROM: f64 = 0.5;
-const CROWD_COST: f64 = 1.0;
+const CROWD_FROM: f64 = 0.85;
+const CROWD_COST: f64 = 5.0;
 
 /// Between equal placements the earlier first event is worth this much.
 const EARLY_WORTH: f64 = 0.02;
@@ -148,7 +152,7 @@
             Some(due) => {
                 let due = due.max(1.0);
                 // A pass that is too long spoils its pauses as well.
-                let first = late_share(first_after / due) - late_share(first_before / due);
+                let first = waiting_share(first_after / due) - waiting_share(first_before / due);
                 first * neighbour.value
             }
             None => {
@@ -194,6 +198,10 @@
     first_ms / millis(ask.objective).max(1.0) * EARLY_WORTH * value + HELPER_COST * helpers as f64
 }
 
+fn waiting_share(used: f64) -> f64 {
+    ((used - WAITING_FROM) / (TIGHT_TO - WAITING_FROM)).clamp(0.0, 1.0)
+}
+
 fn late_share(used: f64) -> f64 {
     ((used - TIGHT_FROM) / (TIGHT_TO - TIGHT_FROM)).clamp(0.0, 1.0)
 }
@@ -219,6 +227,25 @@
     }
 }
 
+/// What long prompts that are yet to come lose while engines are busy with one.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct LongDemand {
+    /// Value of long prompts that comes in a millisecond.
+    pub(crate) value_per_ms: f64,
+    /// Their mean objective.
+    pub(crate) objective_ms: f64,
+}
+
+impl LongDemand {
+    /// Returns what is lost when `taken` of `all` engines read for `part_ms` each. Engines that
+    /// are left do the others' work, so a few matter little and all of them at once a lot.
+    pub(crate) fn loss(&self, all: usize, taken: usize, part_ms: f64) -> f64 {
+        let share = taken as f64 / all.max(1) as f64;
+        let late = (part_ms / self.objective_ms.max(1.0)).min(1.0);
+        self.value_per_ms * part_ms * share * share * late * LATE_LOSS
+    }
+}
+
 pub(crate) fn millis(span: Duration) -> f64 {
     span.as_secs_f64() * 1_000.0
 }
--- a/crates/placement/src/fleet.rs
+++ b/crates/placement/src/fleet.rs
@@ -7,7 +7,7 @@
 use oriolepass_routing::EngineProfile;
 use oriolepass_units::{EndpointId, MonotonicTime, ServiceName};
 
-use crate::cost::{EngineView, Neighbour, ReadCost, ShortDemand, lateness, millis, tie};
+use crate::cost::{EngineView, LongDemand, Neighbour, ReadCost, ShortDemand, lateness, millis, tie};
 use crate::demand::DemandMeter;
 use crate::farm::EngineFarm;
 use crate::passes::PassPrompt;
@@ -88,6 +88,7 @@
     cap_ms: f64,
     clear: usize,
     demand: ShortDemand,
+    long_demand: LongDemand,
 }
 
 /// An engine with what a part of the job would do to it.
@@ -157,9 +158,12 @@
             .min_by(|left, right| left.loss.total_cmp(&right.loss))
             .ok_or(SpareLack { retry_after: SHUN_FIRST })?;
         let plan = self.plan(&job, &views, &profile, &best);
-        if job.cost.is_short() {
-            let meter = self.demand.entry(ask.service.clone()).or_default();
+        let (is_short, value) = (job.cost.is_short(), job.value);
+        let meter = self.demand.entry(ask.service.clone()).or_default();
+        if is_short {
             meter.arrived(time_ms(now), millis(plan.whole));
+        } else {
+            meter.long_arrived(time_ms(now), value, millis(ask.objective));
         }
         self.book(now, ask, &plan);
         Ok(plan)
@@ -181,6 +185,7 @@
             cap_ms: (per_pass as f64 * ms_per_token).max(1.0),
             clear: views.iter().filter(|(_, view)| view.is_clear()).count(),
             demand: meter.demand(time_ms(now), profile),
+            long_demand: meter.long_demand(time_ms(now)),
             ask,
             cost,
         }
@@ -401,9 +406,15 @@
     let blocked: Vec<f64> = taken.map(|s| s.view.blocked_ms(part_ms, job.cap_ms)).collect();
     let lasting = blocked.iter().filter(|ms| **ms > 0.0).count();
     let future = job.demand.loss(job.clear, lasting, blocked.iter().sum());
+    let busy = if job.cost.is_short() {
+        0.0
+    } else {
+        job.long_demand.loss(views.len(), size, part_ms)
+    };
     let loss = damage
         + short
         + future
+        + busy
         + lateness(first_ms, objective_ms, job.value)
         + tie(first_ms, job.ask, job.value, size - 1);
     let others = scored.iter().map(|s| s.endpoint).filter(|e| *e != main.endpoint).cloned();
