Silence that a long pass explains is no fault

Cause: ten streams at one engine fell silent for 1.2 s together while it read a long prompt; each was sent again and the engine counted as failed ten times, so up to half of the engines got no work and the rest ran over (13,000 re-read tokens a second). Ruled out: a fault of the engine: its next pass brought all ten events. Change: the home, whose model knows the present pass, is asked whether the silence is expected before anything is moved.

--- a/crates/experiment/examples/placement.rs
+++ b/crates/experiment/examples/placement.rs
@@ -1,15 +1,18 @@
 //! Plays days of the users' deployments under the gateway's placement and under baselines.
 
+use std::path::{Path, PathBuf};
 use std::thread;
 
 use bpaf::{OptionParser, Parser, construct, long};
-use oriolepass_experiment::{DayPlan, DayResult, FleetPolicy, run_day};
+use eyre::{Result, WrapErr};
+use oriolepass_experiment::{DayPlan, DayPrompt, DayResult, FleetPolicy, run_day, run_prompts};
 
 #[derive(Debug, Clone)]
 struct PlacementTask {
     seeds: u64,
     loads: Vec<f64>,
     json: bool,
+    trace: Option<PathBuf>,
 }
 
 fn command_line() -> OptionParser<PlacementTask> {
@@ -20,7 +23,11 @@
         .some("give a load")
         .fallback(vec![0.85, 1.0, 1.25]);
     let json = long("json").help("Write JSON").switch();
-    construct!(PlacementTask { seeds, loads, json })
+    let trace = long("trace")
+        .help("Play these prompts, a JSON object a line, instead of drawn ones")
+        .argument::<PathBuf>("FILE")
+        .optional();
+    construct!(PlacementTask { seeds, loads, json, trace })
         .to_options()
         .descr("Plays days on engines that work in passes, and prices them")
 }
@@ -86,16 +93,31 @@
 fn by_second(plan: &DayPlan, days: &[DayResult], class: usize) -> String {
     let mut counts = vec![0.0; plan.seconds as usize + 1];
     for at in days.iter().flat_map(|day| &day.classes[class].bad_at) {
-        counts[*at as usize] += 1.0 / days.len() as f64;
+        let second = (*at as usize).min(counts.len() - 1);
+        counts[second] += 1.0 / days.len() as f64;
     }
     let texts: Vec<String> = counts.iter().map(|count| format!("{count:.1}")).collect();
     texts.join(" ")
 }
 
-fn main() {
+fn read_trace(file: &Path) -> Result<Vec<DayPrompt>> {
+    let text = std::fs::read_to_string(file).wrap_err("the trace cannot be read")?;
+    text.lines().map(|line| serde_json::from_str(line).wrap_err("a line of the trace")).collect()
+}
+
+fn main() -> Result<()> {
     let task = command_line().run();
     let policies =
         [FleetPolicy::Predicting, FleetPolicy::LeastOutstanding, FleetPolicy::RoundRobin];
+    if let Some(file) = &task.trace {
+        let prompts = read_trace(file)?;
+        let plan = DayPlan::present("trace", 14, 1.0);
+        for policy in policies {
+            let day = run_prompts(&plan, policy, prompts.clone());
+            summary(&plan, policy, &[day], task.json);
+        }
+        return Ok(());
+    }
     for load in &task.loads {
         let plan = DayPlan::present("agencia", 14, *load);
         for policy in policies {
@@ -103,4 +125,5 @@
             summary(&plan, policy, &days, task.json);
         }
     }
+    Ok(())
 }
--- a/crates/experiment/src/fleet_day.rs
+++ b/crates/experiment/src/fleet_day.rs
@@ -3,6 +3,7 @@
 use oriolepass_routing::EngineProfile;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
+use serde::{Deserialize, Serialize};
 
 /// Prompts of one kind.
 #[derive(Debug, Clone)]
@@ -54,7 +55,7 @@
 }
 
 /// A prompt of a day.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct DayPrompt {
     /// When it comes, in milliseconds.
     pub at_ms: f64,
--- a/crates/experiment/src/fleet_run.rs
+++ b/crates/experiment/src/fleet_run.rs
@@ -83,10 +83,15 @@
     turn: usize,
 }
 
-/// Plays a day.
+/// Plays a day drawn from a seed.
 pub fn run_day(plan: &DayPlan, policy: FleetPolicy, seed: u64) -> DayResult {
+    run_prompts(plan, policy, plan.prompts(seed))
+}
+
+/// Plays a day with given prompts, in order of time.
+pub fn run_prompts(plan: &DayPlan, policy: FleetPolicy, prompts: Vec<DayPrompt>) -> DayResult {
     let mut world = DayWorld::new(plan);
-    let mut prompts = plan.prompts(seed).into_iter().enumerate().peekable();
+    let mut prompts = prompts.into_iter().enumerate().peekable();
     loop {
         let next_end = world.farm.next_end();
         let next_prompt = prompts.peek().map(|(_, prompt)| prompt.at_ms);
--- a/crates/experiment/src/lib.rs
+++ b/crates/experiment/src/lib.rs
@@ -23,7 +23,7 @@
 
 pub use baseline::{BaselinePolicy, BaselineRule};
 pub use fleet_day::{DayPlan, DayPrompt, PromptClass, Surge};
-pub use fleet_run::{ClassTally, DayResult, FleetPolicy, run_day};
+pub use fleet_run::{ClassTally, DayResult, FleetPolicy, run_day, run_prompts};
 pub use farm::{EngineFarm, FarmEvent, engine_config};
 pub use homes::HomesPolicy;
 pub use mix::{Arrival, LoadMix};
--- a/crates/gateway/src/cluster.rs
+++ b/crates/gateway/src/cluster.rs
@@ -459,6 +459,13 @@
             PeerMessage::PlaceAnswer { token, verdict } => {
                 gateway.answer_call(token, PeerReply::Placed(verdict));
             }
+            PeerMessage::SilenceAsk { token, endpoint, silence } => {
+                let is_expected = gateway.explains_silence(&endpoint, silence);
+                gateway.mesh.send(from, &PeerMessage::SilenceAnswer { token, is_expected });
+            }
+            PeerMessage::SilenceAnswer { token, is_expected } => {
+                gateway.answer_call(token, PeerReply::SilenceExpected(is_expected));
+            }
             PeerMessage::Progress(notes) => gateway.on_progress(&notes),
             PeerMessage::Placed(prompts) => gateway.on_placed(prompts),
         }
--- a/crates/gateway/src/front/stream.rs
+++ b/crates/gateway/src/front/stream.rs
@@ -189,7 +189,7 @@
                         return Ok(next);
                     }
                     // It is worth another look only after a good while longer.
-                    silence *= 2;
+                    silence += SILENT_AT_LEAST / 2;
                 }
             }
         }
@@ -243,10 +243,10 @@
         open: &mut OpenStream,
         silence: Duration,
     ) -> Result<Option<OpenStream>, PumpEnd> {
-        if !self.can_move() {
+        let endpoint = open.placement.endpoint.clone();
+        if !self.can_move() || self.gateway.silence_is_expected(&endpoint, silence).await {
             return Ok(None);
         }
-        let endpoint = open.placement.endpoint.clone();
         open.placement.failed(&self.request.id, &endpoint, FaultKind::Silent);
         let reason = format!("no event in {} ms", silence.as_millis());
         self.begin_move(endpoint.clone(), open.source.last_id(), &reason);
--- a/crates/gateway/src/front/tries.rs
+++ b/crates/gateway/src/front/tries.rs
@@ -175,8 +175,16 @@
         let patience = self.patience(request, &placement);
         let silent = placement.endpoint.clone();
         let mut first = std::pin::pin!(send_once(gateway, request, placement, self.last_event));
-        if let Ok(end) = timeout(patience, &mut first).await {
-            return end;
+        let began = Instant::now();
+        loop {
+            if let Ok(end) = timeout(patience, &mut first).await {
+                return end;
+            }
+            let is_engine = request.service.engine.is_some();
+            let silence = began.elapsed();
+            if !is_engine || !gateway.silence_is_expected(&silent, silence).await {
+                break;
+            }
         }
         self.runs += 1;
         gateway.endpoint_fault(&request.id, &silent, FaultKind::Silent);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -30,6 +30,7 @@
     Fresh(FreshVerdict),
     Proposed(DocumentVerdict),
     Placed(PlaceVerdict),
+    SilenceExpected(bool),
 }
 
 /// What the event loop's tasks share. Each part is borrowed for the length of a call only, never
--- a/crates/gateway/src/home.rs
+++ b/crates/gateway/src/home.rs
@@ -114,6 +114,30 @@
         self.mesh.send(from, &PeerMessage::PlaceAnswer { token, verdict });
     }
 
+    pub(crate) fn explains_silence(&self, endpoint: &EndpointId, silence: Duration) -> bool {
+        self.home.borrow_mut().fleet.explains_silence(self.now(), endpoint, silence)
+    }
+
+    /// Asks the home whether an engine is silent because it reads. Without an answer it is taken
+    /// to: moving a prompt for nothing costs another reading of it.
+    pub(crate) async fn silence_is_expected(
+        &self,
+        endpoint: &EndpointId,
+        silence: Duration,
+    ) -> bool {
+        let Some(leader) = self.leader_instance().filter(|leader| *leader != self.own) else {
+            return self.explains_silence(endpoint, silence);
+        };
+        let reply = self
+            .call(&leader, HOME_PATIENCE, |token| PeerMessage::SilenceAsk {
+                token,
+                endpoint: endpoint.clone(),
+                silence,
+            })
+            .await;
+        !matches!(reply, Some(PeerReply::SilenceExpected(false)))
+    }
+
     /// Tells the home, and notes here, what became of a prompt.
     pub(crate) fn report_progress(&self, note: ProgressNote) {
         self.on_progress(std::slice::from_ref(&note));
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -1,5 +1,7 @@
 //! What daemons say to each other.
 
+use std::time::Duration;
+
 use oriolepass_consensus::Envelope;
 use oriolepass_placement::{PromptAsk, PromptKey, PromptPlan, SpareLack};
 use oriolepass_routing::{RegisterOutcome, RoutingRevision, RoutingText};
@@ -85,6 +87,10 @@
     PlaceAsk { token: u64, ask: PromptAsk },
     /// Where it goes.
     PlaceAnswer { token: u64, verdict: PlaceVerdict },
+    /// Is an engine expected to be silent for so long?
+    SilenceAsk { token: u64, endpoint: EndpointId, silence: Duration },
+    /// Whether it is.
+    SilenceAnswer { token: u64, is_expected: bool },
     /// What became of prompts that the receiver placed.
     Progress(Vec<ProgressNote>),
     /// What the sender's callers still have under way, for a new home.
--- a/crates/placement/src/fleet.rs
+++ b/crates/placement/src/fleet.rs
@@ -131,6 +131,18 @@
         self.farm.engines_of(key)
     }
 
+    /// Returns whether an engine that has been silent for a while is expected to be: it reads.
+    pub fn explains_silence(
+        &mut self,
+        now: MonotonicTime,
+        endpoint: &EndpointId,
+        silence: Duration,
+    ) -> bool {
+        self.farm.advance(time_ms(now));
+        let engine = self.farm.engine(endpoint);
+        engine.is_some_and(|engine| engine.explains_silence(time_ms(now), millis(silence)))
+    }
+
     /// Returns the number of prompts that are placed now.
     pub fn placed_count(&self) -> usize {
         self.placed.len()
--- a/crates/placement/src/passes.rs
+++ b/crates/placement/src/passes.rs
@@ -86,9 +86,18 @@
     /// Memory reserved for prompts that are written elsewhere.
     reserved: Vec<(PromptKey, u64)>,
     pass_ends: Option<f64>,
+    /// When the last long pass ends or ended, and how long it took.
+    long_pass: (f64, f64),
     at_end: Vec<PassEvent>,
 }
 
+/// A pass from this length on is remembered, in milliseconds: it may explain a silence.
+const LONG_PASS_MS: f64 = 300.0;
+
+/// How much later than predicted a long pass may end, in milliseconds and as a part of it.
+const LONG_PASS_SLACK_MS: f64 = 300.0;
+const LONG_PASS_SLACK: f64 = 0.3;
+
 /// Prompts that wait at an engine beside those that run; more are turned away.
 const QUEUE_LIMIT: usize = 32;
 
@@ -109,6 +118,7 @@
             answers: Vec::new(),
             reserved: Vec::new(),
             pass_ends: None,
+            long_pass: (f64::MIN, 0.0),
             at_end: Vec::new(),
         }
     }
@@ -144,6 +154,13 @@
         self.step_ms(self.answers.iter()) * f64::from(self.profile.steps_per_pass)
     }
 
+    /// Returns whether an engine that has been silent for `silent_ms` may well be in a long pass.
+    pub fn explains_silence(&self, now_ms: f64, silent_ms: f64) -> bool {
+        let (end, length) = self.long_pass;
+        let slack = LONG_PASS_SLACK_MS + length * LONG_PASS_SLACK;
+        now_ms <= end + slack && silent_ms <= length + (now_ms - end).max(0.0) + slack
+    }
+
     /// Returns the tokens of memory that are spoken for.
     pub fn held_tokens(&self) -> u64 {
         let waiting: u64 = self.queue.iter().map(PassPrompt::memory_tokens).sum();
@@ -301,7 +318,11 @@
                 self.at_end.push(PassEvent::Ended(answer.prompt.key));
             }
         }
-        self.pass_ends = Some(now_ms + step * f64::from(steps) + read_ms);
+        let pass_ms = step * f64::from(steps) + read_ms;
+        self.pass_ends = Some(now_ms + pass_ms);
+        if pass_ms >= LONG_PASS_MS {
+            self.long_pass = (now_ms + pass_ms, pass_ms);
+        }
     }
 
     fn step_ms<'a>(&self, writers: impl Iterator<Item = &'a PassAnswer>) -> f64 {
