Giants that one engine cannot hold get a group or an honest refusal

Cause: prompts beyond one engine's memory were sent to one engine when that looked cheapest, and rejected there four times in 8 ms; the engine at fault was read as an id, though its address is named. Ruled out: refusing all of them: the largest tenth must be served half as often as the rest. Change: groups must be able to hold the prompt; hopeless prompts are refused at once; while long prompts take a quarter of the engines' time, up to seven of ten giants are refused; a full engine is not shunned.

--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -66,8 +66,8 @@
     pub is_signed: bool,
     /// Whether it says that the request was not run and never will be.
     pub was_not_run: bool,
-    /// The endpoint that is at fault, where it is another one than was asked.
-    pub culprit: Option<String>,
+    /// Where the endpoint that is at fault listens, if it is named.
+    pub culprit: Option<SocketAddr>,
 }
 
 /// What an endpoint says to a reservation of memory.
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -170,6 +170,12 @@
         (entry.beat.phase == EndpointPhase::Serving).then_some(&entry.beat)
     }
 
+    /// Returns the endpoint at an address; where several starts are known, the one heard last.
+    pub fn at(&self, address: SocketAddr) -> Option<EndpointId> {
+        let here = self.entries.values().filter(|entry| entry.beat.address == address);
+        here.max_by_key(|entry| entry.heard).map(|entry| entry.beat.endpoint.clone())
+    }
+
     /// Returns how long an endpoint has been silent.
     pub fn silence(&self, now: MonotonicTime, endpoint: &EndpointId) -> Option<Duration> {
         self.entries.get(endpoint).map(|entry| now.since(entry.heard))
--- a/crates/gateway/src/front/placement.rs
+++ b/crates/gateway/src/front/placement.rs
@@ -150,7 +150,8 @@
     /// Notes that an endpoint failed the try.
     pub(super) fn failed(&self, request: &str, endpoint: &EndpointId, fault: FaultKind) {
         self.gateway.endpoint_fault(request, endpoint, fault);
-        if self.key.is_some() {
+        // An engine that is full, or lacks memory for one prompt, may have room for the next.
+        if self.key.is_some() && fault != FaultKind::Full {
             self.gateway.report_progress(ProgressNote::Failed(endpoint.clone()));
         }
     }
--- a/crates/gateway/src/front/tries.rs
+++ b/crates/gateway/src/front/tries.rs
@@ -54,6 +54,9 @@
 /// ...and not before this many times the objective.
 const FIRST_EVENT_OBJECTIVES: f64 = 1.2;
 
+/// With less time left than this a second endpoint would not answer either.
+const WORTH_SENDING: Duration = Duration::from_millis(150);
+
 /// Longer than any request.
 const FOREVER: Duration = Duration::from_secs(24 * 3_600);
 
@@ -192,7 +195,7 @@
         self.log_failure(gateway, request, Some(&silent), "silent", true);
         self.avoid.push(silent);
         let may_repeat = self.may_run_again(request) && self.sends < MAX_SENDS;
-        if !may_repeat || !self.take_from_budget(gateway, request) {
+        if !may_repeat || request.left() < WORTH_SENDING || !self.take_from_budget(gateway, request) {
             return first.await;
         }
         let Ok(placement) = self.begin_send(gateway, request).await else {
@@ -506,7 +509,7 @@
     facts: &AnswerFacts,
 ) -> TryEnd {
     gateway.metrics.sends.with_label_values(&["not run"]).inc();
-    let culprit = facts.culprit.as_ref().and_then(|id| id.parse::<EndpointId>().ok());
+    let culprit = facts.culprit.and_then(|address| gateway.endpoints.borrow().at(address));
     let endpoint = culprit.unwrap_or_else(|| placement.endpoint.clone());
     if status == StatusCode::MISDIRECTED_REQUEST && endpoint == placement.endpoint {
         gateway.endpoint_displaced(&endpoint);
--- a/crates/placement/src/cost.rs
+++ b/crates/placement/src/cost.rs
@@ -107,6 +107,7 @@
     pub(crate) room_in_ms: f64,
     pub(crate) load: usize,
     pub(crate) slots: usize,
+    pub(crate) usable_tokens: u64,
     pub(crate) free_tokens: u64,
     pub(crate) neighbours: Vec<Neighbour>,
 }
@@ -127,6 +128,7 @@
             room_in_ms: engine.room_in_ms(),
             load: engine.load(),
             slots,
+            usable_tokens,
             free_tokens: usable_tokens.saturating_sub(engine.held_tokens()),
             neighbours,
         }
@@ -237,6 +239,9 @@
 /// ones in turn. From the experiment; 1 to 16 were tried.
 const LONG_WEIGHT: f64 = 4.0;
 
+/// The part of the engines' time that counts as spare at least.
+const LEAST_SPARE: f64 = 0.1;
+
 /// What long prompts that are yet to come lose while engines are busy with one.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct LongDemand {
@@ -244,6 +249,8 @@
     pub(crate) value_per_ms: f64,
     /// Their mean objective.
     pub(crate) objective_ms: f64,
+    /// Engines that reading them keeps busy.
+    pub(crate) busy_engines: f64,
 }
 
 impl LongDemand {
@@ -252,7 +259,10 @@
     pub(crate) fn loss(&self, all: usize, taken: usize, part_ms: f64) -> f64 {
         let share = taken as f64 / all.max(1) as f64;
         let late = (part_ms / self.objective_ms.max(1.0)).min(1.0);
-        self.value_per_ms * part_ms * share * share * late * LATE_LOSS * LONG_WEIGHT
+        // The fuller the engines are, the longer what is delayed takes to be made up for.
+        let spare = (1.0 - self.busy_engines / all.max(1) as f64).max(LEAST_SPARE);
+        let weight = LONG_WEIGHT / spare;
+        self.value_per_ms * part_ms * share * share * late * LATE_LOSS * weight
     }
 }
 
--- a/crates/placement/src/demand.rs
+++ b/crates/placement/src/demand.rs
@@ -19,12 +19,22 @@
     seen_ms: f64,
     long_value_per_ms: f64,
     long_objective_ms: f64,
+    long_work_per_ms: f64,
+    giants_asked: f64,
+    giants_refused: f64,
     long_seen_ms: f64,
 }
 
 /// Long prompts are rarer, so they are averaged over a longer time, in milliseconds.
 const LONG_MEMORY_MS: f64 = 4_000.0;
 
+/// The part of the engines' time that long prompts take before a giant one may be refused.
+const GIANTS_BUSY_SHARE: f64 = 0.25;
+
+/// The most that are refused, as a part of all that come: the users ask that the largest tenth is
+/// served at least half as often as the rest.
+const GIANTS_REFUSED: f64 = 0.7;
+
 /// The weight of a new prompt in averages over prompts.
 const NEW_WEIGHT: f64 = 0.05;
 
@@ -37,22 +47,48 @@
     }
 
     /// Notes a long prompt.
-    pub(crate) fn long_arrived(&mut self, now_ms: f64, value: f64, objective_ms: f64) {
+    pub(crate) fn long_arrived(
+        &mut self,
+        now_ms: f64,
+        value: f64,
+        objective_ms: f64,
+        work_ms: f64,
+    ) {
         self.decay_long(now_ms);
         self.long_value_per_ms += value / LONG_MEMORY_MS;
+        self.long_work_per_ms += work_ms / LONG_MEMORY_MS;
         self.long_objective_ms = average(self.long_objective_ms, objective_ms);
     }
 
     fn decay_long(&mut self, now_ms: f64) {
         let span = (now_ms - self.long_seen_ms).max(0.0);
-        self.long_value_per_ms *= (-span / LONG_MEMORY_MS).exp();
+        let kept = (-span / LONG_MEMORY_MS).exp();
+        self.long_value_per_ms *= kept;
+        self.long_work_per_ms *= kept;
         self.long_seen_ms = now_ms;
     }
 
+    /// Decides whether a giant prompt is refused because the engines are busy. Most are taken
+    /// however busy they are: what is refused comes back, and must not be refused for ever.
+    pub(crate) fn refuses_giant(&mut self, now_ms: f64, engines: usize) -> bool {
+        self.decay_long(now_ms);
+        self.giants_asked += 1.0;
+        let busy = self.long_work_per_ms / engines.max(1) as f64 > GIANTS_BUSY_SHARE;
+        let refuses = busy && self.giants_refused + 1.0 <= self.giants_asked * GIANTS_REFUSED;
+        if refuses {
+            self.giants_refused += 1.0;
+        }
+        refuses
+    }
+
     /// Returns the present demand of long prompts.
     pub(crate) fn long_demand(&mut self, now_ms: f64) -> LongDemand {
         self.decay_long(now_ms);
-        LongDemand { value_per_ms: self.long_value_per_ms, objective_ms: self.long_objective_ms }
+        LongDemand {
+            value_per_ms: self.long_value_per_ms,
+            objective_ms: self.long_objective_ms,
+            busy_engines: self.long_work_per_ms,
+        }
     }
 
     fn decay(&mut self, now_ms: f64) {
--- a/crates/placement/src/fleet.rs
+++ b/crates/placement/src/fleet.rs
@@ -29,6 +29,14 @@
 /// The part of a service's engines that may be shunned at once.
 const SHUN_SHARE: f64 = 0.5;
 
+/// A prompt that takes longer to read is a giant, in milliseconds: at the present engines some
+/// 390,000 tokens, the largest tenth of the longest kind.
+const GIANT_READ_MS: f64 = 8_500.0;
+
+/// When a giant that was refused is worth sending again: surges of long prompts last longer, but
+/// callers do not wait for more than a third of their time.
+const GIANT_RETRY: Duration = Duration::from_millis(4_000);
+
 /// What is known of an engine from its own announcements.
 #[derive(Debug, Clone, PartialEq)]
 pub struct EngineFacts {
@@ -163,24 +171,37 @@
             return Err(SpareLack { retry_after: SHUN_FIRST });
         };
         let job = self.job(now, ask, &profile, &views);
+        if job.cost.whole_ms > GIANT_READ_MS && self.refuses_giant(now, ask, views.len()) {
+            return Err(SpareLack { retry_after: GIANT_RETRY });
+        }
         let best: Candidate = GROUP_SIZES
             .into_iter()
             .take_while(|size| *size == 1 || (*size <= views.len() && !job.cost.is_short()))
             .filter_map(|size| best_of_size(&job, &views, size))
             .min_by(|left, right| left.loss.total_cmp(&right.loss))
             .ok_or(SpareLack { retry_after: SHUN_FIRST })?;
+        if best.first_ms > millis(ask.deadline) {
+            // It would only keep engines from prompts that still have a chance.
+            let spare_ms = (best.first_ms - millis(ask.deadline)).clamp(500.0, 4_000.0);
+            return Err(SpareLack { retry_after: Duration::from_secs_f64(spare_ms / 1_000.0) });
+        }
         let plan = self.plan(&job, &views, &profile, &best);
-        let (is_short, value) = (job.cost.is_short(), job.value);
+        let (is_short, value, work_ms) = (job.cost.is_short(), job.value, job.cost.whole_ms);
         let meter = self.demand.entry(ask.service.clone()).or_default();
         if is_short {
             meter.arrived(time_ms(now), millis(plan.whole));
         } else {
-            meter.long_arrived(time_ms(now), value, millis(ask.objective));
+            meter.long_arrived(time_ms(now), value, millis(ask.objective), work_ms);
         }
         self.book(now, ask, &plan);
         Ok(plan)
     }
 
+    fn refuses_giant(&mut self, now: MonotonicTime, ask: &PromptAsk, engines: usize) -> bool {
+        let meter = self.demand.entry(ask.service.clone()).or_default();
+        meter.refuses_giant(time_ms(now), engines)
+    }
+
     fn job<'a>(
         &mut self,
         now: MonotonicTime,
@@ -407,6 +428,9 @@
     scored.sort_by(|left, right| left.score.total_cmp(&right.score));
     scored.truncate(size);
     let main = choose_main(job.ask, &scored)?;
+    if !can_hold(job.ask, &scored, main) {
+        return None;
+    }
     let first_ms = scored
         .iter()
         .map(|s| s.view.read_in_ms(part_ms, job.cap_ms, std::ptr::eq(s.endpoint, main.endpoint)))
@@ -433,6 +457,14 @@
     Some(Candidate { main: main.endpoint.clone(), others: others.collect(), loss, first_ms })
 }
 
+/// Returns whether a group has memory for a prompt at all: what its main engine can hold when it
+/// is empty, and what the others have free now.
+fn can_hold(ask: &PromptAsk, members: &[Scored<'_>], main: &Scored<'_>) -> bool {
+    let others = members.iter().filter(|s| s.endpoint != main.endpoint);
+    let kept: u64 = others.map(|s| s.view.free_tokens).sum();
+    ask.prompt_tokens + ask.answer_tokens <= main.view.usable_tokens + kept
+}
+
 /// How long a prompt waits where its memory is not free, in milliseconds: about as long as a
 /// long answer takes, since those hold the most.
 const MEMORY_WAIT_MS: f64 = 2_000.0;
