Daemons without a late proof leave the directory early; proofs from a new leader come sooner

Change: a daemon is not named to callers after 2 s without a proof (it serves on for 4 s); a question that brought no proof is asked again after 70 ms, not 400; where a service has no endpoint at all, callers come back after a heartbeat.

--- a/crates/gateway/src/documents.rs
+++ b/crates/gateway/src/documents.rs
@@ -21,6 +21,9 @@
 /// may outlive its removal.
 pub(crate) const PROVE_EVERY: Duration = Duration::from_millis(400);
 
+/// The pause after a question that brought no proof.
+const PROVE_AGAIN: Duration = Duration::from_millis(70);
+
 /// How long the leader has to answer a question; then the next one is asked.
 const ANSWER_PATIENCE: Duration = Duration::from_millis(700);
 
@@ -28,6 +31,11 @@
 /// for the request to reach its endpoint and for the acknowledgement to have been under way.
 const PROOF_SHARE: f64 = 0.8;
 
+/// A daemon that has had no proof for this long is not named to callers any more, though it still
+/// serves those that come: longer than an election, and early enough for most callers to go
+/// elsewhere before the proof runs out.
+const WELL_PROVED: Duration = Duration::from_millis(2_000);
+
 /// The part of the time for an acknowledgement that is used before the operator is told to try
 /// again.
 const ACKNOWLEDGE_SHARE: f64 = 0.75;
@@ -108,6 +116,12 @@
         self.documents.borrow().active.clone()
     }
 
+    /// Returns whether the document was proved current so lately that callers may be sent here.
+    pub(crate) fn is_well_proved(&self) -> bool {
+        let age = self.documents.borrow().proof_age(self.now());
+        age.is_some_and(|age| age < WELL_PROVED)
+    }
+
     /// Returns whether the document in force surely is no older than a removed key may work.
     pub(crate) fn is_fresh(&self) -> bool {
         let lifetime = self.settings().bounds.key_revoke.mul_f64(PROOF_SHARE);
@@ -168,27 +182,29 @@
     /// Asks the leader again and again whether the document in force is the newest.
     pub(crate) async fn keep_proving(self: Rc<Self>) {
         loop {
-            self.prove_once().await;
+            let is_answered = self.prove_once().await;
             self.note_freshness();
             self.refresh_readiness();
-            // A new leader is asked at once.
-            let _ = timeout(PROVE_EVERY, self.leader_changed.notified()).await;
+            // A new leader is asked at once, and again soon while it is not sure to lead yet.
+            let pause = if is_answered { PROVE_EVERY } else { PROVE_AGAIN };
+            let _ = timeout(pause, self.leader_changed.notified()).await;
         }
     }
 
-    async fn prove_once(&self) {
+    /// Asks once; returns whether the leader was sure.
+    async fn prove_once(&self) -> bool {
         let asked = self.now();
-        if let Some(FreshVerdict::Newest(newest)) = self.ask_newest().await {
-            let mut documents = self.documents.borrow_mut();
-            match newest {
-                Some(newest) if documents.revision() < Some(newest) => {
-                    documents.awaited = Some((asked, newest));
-                }
-                Some(_) => documents.prove(asked),
-                // No document has ever been accepted, so there is nothing to be current.
-                None => {}
+        let Some(FreshVerdict::Newest(newest)) = self.ask_newest().await else { return false };
+        let mut documents = self.documents.borrow_mut();
+        match newest {
+            Some(newest) if documents.revision() < Some(newest) => {
+                documents.awaited = Some((asked, newest));
             }
+            Some(_) => documents.prove(asked),
+            // No document has ever been accepted, so there is nothing to be current.
+            None => {}
         }
+        true
     }
 
     /// Asks the leader which document is the newest.
--- a/crates/gateway/src/front/placement.rs
+++ b/crates/gateway/src/front/placement.rs
@@ -9,7 +9,7 @@
 use oriolepass_units::EndpointId;
 use tokio::time::Instant;
 
-use super::caller::CallerRequest;
+use super::caller::{CallerRequest, SOON};
 use super::reserve::Reservations;
 use crate::balancer::FaultKind;
 use crate::dialect::HelperAddress;
@@ -81,7 +81,7 @@
             let (now, own) = (gateway.now(), &settings.data_centre);
             balancer.choose(now, own, &candidates, rand::random()).cloned()
         };
-        let beat = chosen.ok_or(NoPlace::NoEndpoint(super::caller::SOON))?;
+        let beat = chosen.ok_or_else(|| no_endpoint(gateway, request, SOON))?;
         gateway.balancer.borrow_mut().begin(&beat.endpoint);
         Ok(Self {
             gateway: Rc::clone(gateway),
@@ -103,7 +103,7 @@
     ) -> Result<Self, NoPlace> {
         let ask = ask(gateway, request, avoid);
         let (placed, by) = gateway.place_prompt(&request.id, &ask).await;
-        let plan = placed.map_err(|lack| NoPlace::NoEndpoint(lack.retry_after))?;
+        let plan = placed.map_err(|lack| no_endpoint(gateway, request, lack.retry_after))?;
         let mut placement = Self {
             gateway: Rc::clone(gateway),
             endpoint: plan.main.clone(),
@@ -119,7 +119,7 @@
             gateway.endpoints.borrow().takes_work(endpoint).map(|beat| beat.address)
         };
         placement.address =
-            registry_address(&plan.main).ok_or(NoPlace::NoEndpoint(super::caller::SOON))?;
+            registry_address(&plan.main).ok_or(NoPlace::NoEndpoint(SOON))?;
         let mut to_reserve = Vec::new();
         for helper in &plan.helpers {
             // One that has left meanwhile reads no part; the others read more.
@@ -166,6 +166,14 @@
     }
 }
 
+/// Says when to come back where a service has no endpoint. One that is not known at all is met
+/// with its next heartbeat, as after a start of all daemons.
+fn no_endpoint(gateway: &Gateway, request: &CallerRequest, otherwise: Duration) -> NoPlace {
+    let is_known = gateway.endpoints.borrow().serving(&request.service.name).next().is_some();
+    let heartbeat = gateway.settings().bounds.endpoint_heartbeat;
+    NoPlace::NoEndpoint(if is_known { otherwise } else { heartbeat })
+}
+
 fn ask(gateway: &Rc<Gateway>, request: &CallerRequest, avoid: &[EndpointId]) -> PromptAsk {
     let facts = &request.facts;
     let max_answer = facts.max_answer_tokens.unwrap_or(UNKNOWN_ANSWER_TOKENS);
