--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -34,6 +34,8 @@
     Drain { instance: InstanceId },
     Voters { wanted: Vec<InstanceId> },
     HashKey,
+    Explain { request: String, logs: Vec<PathBuf> },
+    Timeline { logs: Vec<PathBuf> },
 }
 
 /// The whole command line.
@@ -84,11 +86,30 @@
     positional::<ObjectKind>("KIND").help("team, account, model or pool")
 }
 
+fn log_files() -> impl Parser<Vec<PathBuf>> {
+    positional::<PathBuf>("LOG").help("Logs of any gateways").some("name a log")
+}
+
 fn name() -> impl Parser<String> {
     positional::<String>("NAME").help("The object's name")
 }
 
 fn command() -> impl Parser<Command> {
+    let explain = {
+        let request = positional::<String>("REQUEST-ID").help("The request's id");
+        let logs = log_files();
+        construct!(Command::Explain { request, logs })
+            .to_options()
+            .descr("Tell a request's story from the logs of gateways")
+            .command("explain")
+    };
+    let timeline = {
+        let logs = log_files();
+        construct!(Command::Timeline { logs })
+            .to_options()
+            .descr("Tell what gateways believed and when, from their logs")
+            .command("timeline")
+    };
     let apply = {
         let dry_run = long("dry-run").help("Show the differences and change nothing").switch();
         let wait = long("wait").help("Wait until the changes are in force everywhere").switch();
@@ -166,6 +187,7 @@
         .descr("Print the hash of the key, for use in objects")
         .command("hash-key");
     construct!([
-        apply, get, list, delete, history, audit, status, top, wait, drain, voters, hash_key
+        explain, timeline, apply, get, list, delete, history, audit, status, top, wait, drain,
+        voters, hash_key
     ])
 }
--- /dev/null
+++ b/crates/cli/src/commands/explain.rs
@@ -0,0 +1,118 @@
+//! What the logs of gateways say: one request's story, or what the gateways believed.
+
+use std::collections::BTreeSet;
+use std::path::{Path, PathBuf};
+
+use eyre::{Result, WrapErr, bail};
+use serde_json::{Map, Value};
+
+/// Lines about endpoints that a request used are shown from this long before its first line, in
+/// seconds: a fault that it met was often met by others just before.
+const BEFORE_SECONDS: f64 = 3.0;
+
+/// Kinds of lines that change what a gateway believes.
+const BELIEFS: [&str; 14] = [
+    "start",
+    "draining",
+    "stop",
+    "reload",
+    "readiness",
+    "peer",
+    "founding",
+    "leader",
+    "voters",
+    "replica",
+    "document",
+    "in-force",
+    "freshness",
+    "endpoint",
+];
+
+/// A line of a gateway's log.
+struct LogLine {
+    time: f64,
+    fields: Map<String, Value>,
+}
+
+impl LogLine {
+    /// Reads a line; none where it holds no event. Whatever stands before the event, such as the
+    /// name that a collector puts there, is skipped.
+    fn read(text: &str) -> Option<Self> {
+        let at = text.find('{')?;
+        let Value::Object(fields) = serde_json::from_str(&text[at..]).ok()? else { return None };
+        let time = fields.get("time")?.as_f64()?;
+        Some(Self { time, fields })
+    }
+
+    fn text(&self, key: &str) -> &str {
+        self.fields.get(key).and_then(Value::as_str).unwrap_or_default()
+    }
+
+    fn details(&self) -> String {
+        let shown = |key: &str| !["time", "instance", "event", "request"].contains(&key);
+        let pairs = self.fields.iter().filter(|(key, _)| shown(key));
+        let texts: Vec<String> = pairs
+            .map(|(key, value)| match value {
+                Value::String(text) => format!("{key}={text}"),
+                other => format!("{key}={other}"),
+            })
+            .collect();
+        texts.join("  ")
+    }
+}
+
+fn read_logs(logs: &[PathBuf]) -> Result<Vec<LogLine>> {
+    let mut lines = Vec::new();
+    for log in logs {
+        lines.extend(read_log(log)?);
+    }
+    lines.sort_by(|left, right| left.time.total_cmp(&right.time));
+    Ok(lines)
+}
+
+fn read_log(log: &Path) -> Result<Vec<LogLine>> {
+    let text = std::fs::read_to_string(log)
+        .wrap_err_with(|| format!("the log {} cannot be read", log.display()))?;
+    Ok(text.lines().filter_map(LogLine::read).collect())
+}
+
+/// Prints a request's story, in order of time, with what became known of its endpoints meanwhile.
+pub(super) fn explain(request: &str, logs: &[PathBuf], json: bool) -> Result<()> {
+    let lines = read_logs(logs)?;
+    let is_own = |line: &&LogLine| line.text("request") == request;
+    let own: Vec<&LogLine> = lines.iter().filter(is_own).collect();
+    let (Some(first), Some(last)) = (own.first(), own.last()) else {
+        bail!("no line names the request {request}; give the logs of all gateways of that time");
+    };
+    let endpoints: BTreeSet<&str> =
+        own.iter().map(|line| line.text("endpoint")).filter(|text| !text.is_empty()).collect();
+    let (from, until) = (first.time - BEFORE_SECONDS, last.time);
+    let is_told = |line: &&LogLine| {
+        is_own(line)
+            || ((from..=until).contains(&line.time)
+                && endpoints.contains(line.text("endpoint"))
+                && ["endpoint", "endpoint-fault"].contains(&line.text("event")))
+    };
+    print(lines.iter().filter(is_told), first.time, json);
+    Ok(())
+}
+
+/// Prints what the gateways believed and when that changed.
+pub(super) fn timeline(logs: &[PathBuf], json: bool) -> Result<()> {
+    let lines = read_logs(logs)?;
+    let Some(first) = lines.first() else { bail!("the logs hold no events") };
+    let start = first.time;
+    print(lines.iter().filter(|line| BELIEFS.contains(&line.text("event"))), start, json);
+    Ok(())
+}
+
+fn print<'a>(lines: impl Iterator<Item = &'a LogLine>, start: f64, json: bool) {
+    for line in lines {
+        if json {
+            println!("{}", Value::Object(line.fields.clone()));
+            continue;
+        }
+        let (instance, event) = (line.text("instance"), line.text("event"));
+        println!("{:>9.3}  {instance:<20} {event:<15} {}", line.time - start, line.details());
+    }
+}
--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -1,6 +1,7 @@
 //! What the commands do: queries in one place, changes in another.
 
 mod apply;
+mod explain;
 mod queries;
 mod status;
 
@@ -16,6 +17,11 @@
 /// Carries a command out.
 pub(crate) async fn run(arguments: Arguments) -> Result<()> {
     let Arguments { common, command } = arguments;
+    match &command {
+        Command::Explain { request, logs } => return explain::explain(request, logs, common.json),
+        Command::Timeline { logs } => return explain::timeline(logs, common.json),
+        _ => {}
+    }
     let key = read_key(&common)?;
     if matches!(command, Command::HashKey) {
         println!("{}", KeyHash::of(&key).0);
@@ -48,7 +54,7 @@
             println!("{} voters are wanted; see `oriolepass status`", call.wanted.len());
             Ok(())
         }
-        Command::HashKey => Ok(()),
+        Command::HashKey | Command::Explain { .. } | Command::Timeline { .. } => Ok(()),
     }
 }
 
