--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -32,7 +32,7 @@
         .help("Print the settings reference and exit")
         .req_flag(DaemonTask::PrintSettings);
     let gateway_config = long("config")
-        .env("ORIOLEPASS_BOOT")
+        .env(oriolepass_platform::SETTINGS_VARIABLE)
         .help("The gateway's settings file")
         .argument::<PathBuf>("FILE.ini");
     let gateway_check = long("check-config").help("Check the settings file and exit").switch();
--- a/crates/gateway/src/cluster.rs
+++ b/crates/gateway/src/cluster.rs
@@ -15,7 +15,7 @@
 use crate::gateway::{Gateway, PeerReply};
 use crate::lifecycle::Lifecycle;
 use crate::peers::{MeshEvents, PeerMessage};
-use crate::replica::{Proposer, ReplicaEffects, StorageReport};
+use crate::replica::{Proposer, ReplicaDriver, ReplicaEffects, StorageReport};
 use crate::roster::{DaemonNote, DaemonPhase, GREET_EVERY, ReplicaNote, RosterChange};
 
 /// Between two ticks of the replica: a fraction of the heartbeat of the log.
@@ -105,7 +105,7 @@
             phase: self.daemon_phase(),
             has_disk: settings.data_folder.is_some(),
             may_found: settings.seeds.may_found
-                && replica.as_ref().is_some_and(|replica| replica.is_empty()),
+                && replica.as_ref().is_some_and(ReplicaDriver::is_empty),
             replica: formed.map(|node| ReplicaNote {
                 term: node.term(),
                 leader: node.leader().map(|leader| leader.instance.clone()),
@@ -233,7 +233,7 @@
 
     /// Starts a replica with an empty disk as soon as it is clear which system it belongs to.
     fn start_empty_replica(self: &Rc<Self>, now: MonotonicTime) {
-        if !self.replica.borrow().as_ref().is_some_and(|replica| replica.is_empty()) {
+        if !self.replica.borrow().as_ref().is_some_and(ReplicaDriver::is_empty) {
             return;
         }
         let voters = self.roster.borrow().voters(now);
@@ -268,9 +268,7 @@
         self: &Rc<Self>,
         outcome: &str,
         with: &[InstanceId],
-        start: impl FnOnce(
-            &mut crate::replica::ReplicaDriver,
-        ) -> Result<(), oriolepass_storage::StorageError>,
+        start: impl FnOnce(&mut ReplicaDriver) -> Result<(), oriolepass_storage::StorageError>,
     ) {
         let started = self.replica.borrow_mut().as_mut().map(start);
         let line = self.line(EventKind::Replica).text("with", join(with));
@@ -306,7 +304,7 @@
 
     fn on_consensus(self: &Rc<Self>, envelope: Envelope) {
         let now = self.now();
-        let is_waiting = self.replica.borrow().as_ref().is_some_and(|r| r.is_empty());
+        let is_waiting = self.replica.borrow().as_ref().is_some_and(ReplicaDriver::is_empty);
         if is_waiting {
             // Another founder has chosen; only a list with this daemon in it concerns it.
             if let ConsensusMessage::Forming { first_voters, .. } = &envelope.message
@@ -353,7 +351,7 @@
             self.adopt_document(text);
         }
         for (proposer, end) in effects.ended {
-            self.end_proposal(proposer, end);
+            self.end_proposal(proposer, &end);
         }
         let known = {
             let replica = self.replica.borrow();
@@ -447,7 +445,7 @@
             PeerMessage::InForce(revision) => gateway.note_in_force(from, revision),
             PeerMessage::Propose { token, text } => {
                 let proposer = Proposer { instance: from.clone(), token };
-                gateway.propose_here(text, proposer);
+                gateway.propose_here(&text, &proposer);
             }
             PeerMessage::ProposeAnswer { token, verdict } => {
                 gateway.answer_call(token, PeerReply::Proposed(verdict));
--- a/crates/gateway/src/documents.rs
+++ b/crates/gateway/src/documents.rs
@@ -318,7 +318,7 @@
         let reply = if leader == self.own {
             self.call(&self.own.clone(), PROPOSE_PATIENCE, |token| {
                 let proposer = Proposer { instance: self.own.clone(), token };
-                self.propose_here(text, proposer);
+                self.propose_here(&text, &proposer);
                 // Nothing is sent to oneself.
                 PeerMessage::Farewell
             })
@@ -333,7 +333,7 @@
     }
 
     /// Proposes a document to the replica here, which should lead.
-    pub(crate) fn propose_here(self: &Rc<Self>, text: RoutingText, proposer: Proposer) {
+    pub(crate) fn propose_here(self: &Rc<Self>, text: &RoutingText, proposer: &Proposer) {
         let now = self.now();
         let held = {
             let replica = self.replica.borrow();
@@ -342,7 +342,7 @@
         };
         if let Some(held) = held.filter(|held| *held >= text.revision) {
             let verdict = DocumentVerdict::Done(RegisterOutcome::Superseded { held });
-            self.answer_proposer(&proposer, verdict);
+            self.answer_proposer(proposer, verdict);
             return;
         }
         let refused = match self.replica.borrow_mut().as_mut() {
@@ -351,7 +351,7 @@
         };
         match refused {
             Some(leader) => {
-                self.answer_proposer(&proposer, DocumentVerdict::NotLeader(leader));
+                self.answer_proposer(proposer, DocumentVerdict::NotLeader(leader));
             }
             None => self.step_replica(),
         }
@@ -367,8 +367,8 @@
     }
 
     /// Tells a proposer what became of its document, once the daemons in reach have it in force.
-    pub(crate) fn end_proposal(self: &Rc<Self>, proposer: Proposer, end: ProposalEnd) {
-        match end {
+    pub(crate) fn end_proposal(self: &Rc<Self>, proposer: Proposer, end: &ProposalEnd) {
+        match *end {
             ProposalEnd::Lost => self.answer_proposer(&proposer, DocumentVerdict::Lost),
             ProposalEnd::Done(outcome, revision) => {
                 let gateway = Rc::clone(self);
--- a/crates/gateway/src/front/stream.rs
+++ b/crates/gateway/src/front/stream.rs
@@ -99,7 +99,7 @@
     gateway: &Rc<Gateway>,
     request: CallerRequest,
     history: History,
-    open: OpenStream,
+    open: Box<OpenStream>,
     guard: EndGuard,
 ) -> Response<FrontBody> {
     let (pieces, body) = mpsc::channel(PIECE_QUEUE);
@@ -126,7 +126,7 @@
 }
 
 impl StreamPump {
-    async fn run(mut self, open: OpenStream) {
+    async fn run(mut self, open: Box<OpenStream>) {
         let end = {
             let pieces = self.pieces.clone();
             let give_up = self.request.give_up;
@@ -151,7 +151,7 @@
         self.guard.end(status, reason);
     }
 
-    async fn pass_on(&mut self, mut open: OpenStream) -> PumpEnd {
+    async fn pass_on(&mut self, mut open: Box<OpenStream>) -> PumpEnd {
         loop {
             if let Some(first) = open.first.take()
                 && let Err(end) = self.pass(first).await
@@ -167,7 +167,7 @@
 
     /// Passes one endpoint's events on until they end, or until the stream goes on at another
     /// endpoint, which is returned.
-    async fn pass_on_one(&mut self, mut open: OpenStream) -> Result<OpenStream, PumpEnd> {
+    async fn pass_on_one(&mut self, mut open: Box<OpenStream>) -> Result<Box<OpenStream>, PumpEnd> {
         let pause = self.request.route.pause_objective.unwrap_or(UNKNOWN_PAUSE);
         let mut silence = (pause * SILENT_PAUSES).max(SILENT_AT_LEAST);
         loop {
@@ -222,7 +222,7 @@
         endpoint: EndpointId,
         last_event: Option<u64>,
         reason: &str,
-    ) -> Result<OpenStream, PumpEnd> {
+    ) -> Result<Box<OpenStream>, PumpEnd> {
         if !self.can_move() {
             return Err(PumpEnd::Broken(reason.to_owned()));
         }
@@ -242,7 +242,7 @@
         &mut self,
         open: &mut OpenStream,
         silence: Duration,
-    ) -> Result<Option<OpenStream>, PumpEnd> {
+    ) -> Result<Option<Box<OpenStream>>, PumpEnd> {
         let endpoint = open.placement.endpoint.clone();
         if !self.can_move() || self.gateway.silence_is_expected(&endpoint, silence).await {
             return Ok(None);
--- a/crates/gateway/src/front/tries.rs
+++ b/crates/gateway/src/front/tries.rs
@@ -71,7 +71,7 @@
     /// An endpoint's answer, to be passed on as it is.
     Answer(WholeAnswer),
     /// An endpoint's stream, whose first event has come.
-    Stream(OpenStream),
+    Stream(Box<OpenStream>),
     /// An answer of the gateway's own.
     Refusal(Refusal),
 }
@@ -79,7 +79,7 @@
 /// What came of one send.
 enum TryEnd {
     Answer(WholeAnswer),
-    Stream(OpenStream),
+    Stream(Box<OpenStream>),
     /// It was not run, and never will be.
     NotRun {
         reason: String,
@@ -153,7 +153,7 @@
         request: &CallerRequest,
     ) -> Verdict {
         loop {
-            if self.sends > 0 && !self.take_from_budget(gateway, request) {
+            if self.sends > 0 && !take_from_budget(gateway, request) {
                 return self.give_up("retry budget used up", FULL_AGAIN);
             }
             let end = match self.begin_send(gateway, request).await {
@@ -195,8 +195,7 @@
         self.log_failure(gateway, request, Some(&silent), "silent", true);
         self.avoid.push(silent);
         let may_repeat = self.may_run_again(request) && self.sends < MAX_SENDS;
-        if !may_repeat || request.left() < WORTH_SENDING || !self.take_from_budget(gateway, request)
-        {
+        if !may_repeat || request.left() < WORTH_SENDING || !take_from_budget(gateway, request) {
             return first.await;
         }
         let Ok(placement) = self.begin_send(gateway, request).await else {
@@ -213,18 +212,6 @@
         if first_ended { second.await } else { first.await }
     }
 
-    fn take_from_budget(&self, gateway: &Gateway, request: &CallerRequest) -> bool {
-        let now = gateway.now();
-        let daemons = gateway.roster.borrow().alive(now).count() + 1;
-        let rule = gateway.budget_rule();
-        let service = &request.service.name;
-        let granted = gateway.budget.borrow_mut().take(now, &rule, daemons, service);
-        if !granted {
-            gateway.metrics.budget_refusals.inc();
-        }
-        granted
-    }
-
     /// Returns what the request comes to; none where it is to be sent again.
     async fn conclude(
         &mut self,
@@ -379,6 +366,19 @@
     }
 }
 
+/// Takes one repeated send out of the budget; returns whether there was one.
+fn take_from_budget(gateway: &Gateway, request: &CallerRequest) -> bool {
+    let now = gateway.now();
+    let daemons = gateway.roster.borrow().alive(now).count() + 1;
+    let rule = gateway.budget_rule();
+    let service = &request.service.name;
+    let granted = gateway.budget.borrow_mut().take(now, &rule, daemons, service);
+    if !granted {
+        gateway.metrics.budget_refusals.inc();
+    }
+    granted
+}
+
 /// Sends a request once.
 async fn send_once(
     gateway: &Rc<Gateway>,
@@ -479,7 +479,8 @@
     };
     gateway.metrics.sends.with_label_values(&["answered"]).inc();
     placement.begun();
-    TryEnd::Stream(OpenStream { head: passed_on(gateway, parts), first, source, placement })
+    let head = passed_on(gateway, parts);
+    TryEnd::Stream(Box::new(OpenStream { head, first, source, placement }))
 }
 
 /// Returns the head of an endpoint's answer as its caller gets it.
--- a/crates/gateway/src/replica/mod.rs
+++ b/crates/gateway/src/replica/mod.rs
@@ -266,13 +266,13 @@
     /// Returns the leader, if known, where this replica is not it.
     pub(crate) fn propose(
         &mut self,
-        text: RoutingText,
+        text: &RoutingText,
         proposer: Proposer,
     ) -> Result<(), Option<InstanceId>> {
         let running = self.running.as_mut().ok_or(None)?;
         let revision = text.revision;
         let command: Arc<[u8]> =
-            postcard::to_stdvec(&text).expect("a document always serialises").into();
+            postcard::to_stdvec(text).expect("a document always serialises").into();
         match running.node.propose(command) {
             Ok((index, term)) => {
                 running.proposals.insert(index, (term, revision, proposer));
--- a/crates/placement/src/fleet.rs
+++ b/crates/placement/src/fleet.rs
@@ -187,7 +187,7 @@
             let spare_ms = (best.first_ms - millis(ask.deadline)).clamp(500.0, 4_000.0);
             return Err(SpareLack { retry_after: Duration::from_secs_f64(spare_ms / 1_000.0) });
         }
-        let plan = self.plan(&job, &views, &profile, &best);
+        let plan = plan(&job, &views, &profile, &best);
         let (is_short, value, work_ms) = (job.cost.is_short(), job.value, job.cost.whole_ms);
         let meter = self.demand.entry(ask.service.clone()).or_default();
         if is_short {
@@ -326,33 +326,6 @@
         if liked.is_empty() { all } else { liked }
     }
 
-    fn plan(
-        &self,
-        job: &Job<'_>,
-        views: &[(EndpointId, EngineView)],
-        profile: &EngineProfile,
-        best: &Candidate,
-    ) -> PromptPlan {
-        let reserves = reserves(job.ask, views, best);
-        let main_pass_ms = views
-            .iter()
-            .find(|(endpoint, _)| *endpoint == best.main)
-            .map_or(0.0, |(_, view)| view.writing_pass_ms)
-            .max(profile.step_ms * f64::from(profile.steps_per_pass));
-        let passes = job.ask.answer_tokens as f64 / f64::from(profile.steps_per_pass);
-        let helper = |endpoint: &EndpointId| HelperPart {
-            endpoint: endpoint.clone(),
-            reserve_tokens: reserves.get(endpoint).copied(),
-        };
-        PromptPlan {
-            main: best.main.clone(),
-            helpers: best.others.iter().map(helper).collect(),
-            engine_priority: engine_priority(job.ask),
-            first_event: Duration::from_secs_f64(best.first_ms.max(0.0) / 1_000.0),
-            whole: Duration::from_secs_f64((best.first_ms + passes * main_pass_ms) / 1_000.0),
-        }
-    }
-
     fn book(&mut self, now: MonotonicTime, ask: &PromptAsk, plan: &PromptPlan) {
         let Some(main) = self.engines.get_mut(&plan.main) else { return };
         let cost = ReadCost::new(&main.facts.profile, ask.prompt_tokens);
@@ -402,6 +375,33 @@
     }
 }
 
+/// Writes a placement down as the entry gets it.
+fn plan(
+    job: &Job<'_>,
+    views: &[(EndpointId, EngineView)],
+    profile: &EngineProfile,
+    best: &Candidate,
+) -> PromptPlan {
+    let reserves = reserves(job.ask, views, best);
+    let main_pass_ms = views
+        .iter()
+        .find(|(endpoint, _)| *endpoint == best.main)
+        .map_or(0.0, |(_, view)| view.writing_pass_ms)
+        .max(profile.step_ms * f64::from(profile.steps_per_pass));
+    let passes = job.ask.answer_tokens as f64 / f64::from(profile.steps_per_pass);
+    let helper = |endpoint: &EndpointId| HelperPart {
+        endpoint: endpoint.clone(),
+        reserve_tokens: reserves.get(endpoint).copied(),
+    };
+    PromptPlan {
+        main: best.main.clone(),
+        helpers: best.others.iter().map(helper).collect(),
+        engine_priority: engine_priority(job.ask),
+        first_event: Duration::from_secs_f64(best.first_ms.max(0.0) / 1_000.0),
+        whole: Duration::from_secs_f64((best.first_ms + passes * main_pass_ms) / 1_000.0),
+    }
+}
+
 /// A pause this many times as long as it may be is sure to be late, whatever the prediction's
 /// error.
 const SPOILED_FROM: f64 = 1.2;
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -210,14 +210,6 @@
         Some("4096"),
         "The descriptors that the process may use.",
     ),
-    spec(
-        "log",
-        "level",
-        SettingKind::Word(&["error", "warn", "info", "debug"]),
-        "",
-        Some("info"),
-        "The least severe log lines that are written.",
-    ),
 ];
 
 /// Where a gateway listens.
@@ -303,8 +295,6 @@
     pub memory_mb: u64,
     /// The descriptors that the process may use.
     pub descriptors: u64,
-    /// The least severe log lines that are written.
-    pub log_level: String,
 }
 
 impl GatewaySettings {
@@ -325,7 +315,7 @@
     ///
     /// Returns every problem of the text at once.
     pub fn parse(name: &str, text: &str) -> Result<Self, SettingsError> {
-        reader::read(name, text, GATEWAY_SPECS, |reader| reader.gateway())
+        reader::read(name, text, GATEWAY_SPECS, SettingsReader::gateway)
     }
 
     /// Returns whether a changed settings file may be taken over without a restart: everything
@@ -367,7 +357,6 @@
             bounds: self.bounds()?,
             memory_mb: self.parsed("limits", "memory_mb")?,
             descriptors: self.parsed("limits", "descriptors")?,
-            log_level: self.text("log", "level")?.to_owned(),
         })
     }
 
--- a/crates/settings/src/reference.rs
+++ b/crates/settings/src/reference.rs
@@ -2,7 +2,8 @@
 
 use std::fmt::Write;
 
-use crate::spec::SETTING_SPECS;
+use crate::gateway::GATEWAY_SPECS;
+use crate::spec::{SETTING_SPECS, SettingSpec};
 
 /// Writes the reference page in Markdown.
 ///
@@ -12,11 +13,22 @@
 pub fn reference_page() -> String {
     let mut page = String::from(
         "# Settings reference\n\n\
-         Made from the table in `crates/settings`; a test keeps this file equal to it. Rewrite it \
+         Made from the tables in `crates/settings`; a test keeps this file equal to them. Rewrite it \
          with `cargo run -p oriolepass-daemon --bin oriolepassd -- --print-settings`.\n",
     );
+    write_table(&mut page, SETTING_SPECS);
+    page.push_str(
+        "\n# Settings of a gateway\n\n\
+         For `oriolepassd gateway`. The file is read again on SIGHUP and when it changes. Names, \
+         addresses and the data folder need a restart; all else is taken over at once.\n",
+    );
+    write_table(&mut page, GATEWAY_SPECS);
+    page
+}
+
+fn write_table(page: &mut String, specs: &[SettingSpec]) {
     let mut section = "";
-    for spec in SETTING_SPECS {
+    for spec in specs {
         if spec.section != section {
             section = spec.section;
             write!(
@@ -40,5 +52,4 @@
         )
         .expect("a string takes all");
     }
-    page
 }
--- a/crates/settings/tests/cases.rs
+++ b/crates/settings/tests/cases.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::path::Path;
 
-use oriolepass_settings::{DaemonSettings, reference_page};
+use oriolepass_settings::{DaemonSettings, GatewaySettings, reference_page};
 
 /// Stands in for the key files that the cases name.
 fn read_key(path: &Path) -> io::Result<String> {
@@ -27,6 +27,20 @@
     Ok(())
 }
 
+fn gateway_good(path: &Path) -> datatest_stable::Result<()> {
+    GatewaySettings::load(path)?;
+    Ok(())
+}
+
+fn gateway_bad(path: &Path) -> datatest_stable::Result<()> {
+    let expected = std::fs::read_to_string(path.with_extension("expected"))?;
+    let text = std::fs::read_to_string(path)?;
+    let name = path.file_name().expect("a name").to_string_lossy();
+    let error = GatewaySettings::parse(&name, &text).expect_err("a bad file is refused");
+    assert_eq!(error.to_string(), expected.trim());
+    Ok(())
+}
+
 fn bad(path: &Path) -> datatest_stable::Result<()> {
     let expected = std::fs::read_to_string(path.with_extension("expected"))?;
     let error = parse(path).expect_err("a bad file is refused");
@@ -49,5 +63,7 @@
     { test = good, root = "../../tests/settings/good", pattern = r"\.ini$" },
     { test = good, root = "../../examples", pattern = r"\.ini$" },
     { test = bad, root = "../../tests/settings/bad", pattern = r"\.ini$" },
+    { test = gateway_good, root = "../../tests/settings/gateway-good", pattern = r"\.ini$" },
+    { test = gateway_bad, root = "../../tests/settings/gateway-bad", pattern = r"\.ini$" },
     { test = committed_reference, root = "../../docs/operating", pattern = r"settings\.md$" },
 }
