One giant at a time while long prompts keep the engines busy

Change: while long prompts take a fifth of the engines' time, one giant is read at a time, by a quarter of the engines at most; the next one is told to come back.

--- a/crates/experiment/src/lib.rs
+++ b/crates/experiment/src/lib.rs
@@ -10,7 +10,7 @@
 //! * [`EngineFarm`]: the engines and the passing of time.
 //! * [`HomesPolicy`] and [`BaselinePolicy`]: who places what.
 //! * [`DayPlan`], [`run_day`] and [`DayResult`]: days of the users' deployments on
-//!   [`oriolepass_standin::EnginePasses`], placed by the gateway's [`oriolepass_placement`].
+//!   [`oriolepass_placement::EngineFarm`], placed by the gateway's [`oriolepass_placement`].
 //! * [`run_policy`] and [`PolicyResult`]: one run and its figures.
 
 mod baseline;
--- a/crates/placement/src/demand.rs
+++ b/crates/placement/src/demand.rs
@@ -20,20 +20,14 @@
     long_value_per_ms: f64,
     long_objective_ms: f64,
     long_work_per_ms: f64,
-    giants_asked: f64,
-    giants_refused: f64,
     long_seen_ms: f64,
 }
 
 /// Long prompts are rarer, so they are averaged over a longer time, in milliseconds.
 const LONG_MEMORY_MS: f64 = 4_000.0;
 
-/// The part of the engines' time that long prompts take before a giant one may be refused.
-const GIANTS_BUSY_SHARE: f64 = 0.25;
-
-/// The most that are refused, as a part of all that come: the users ask that the largest tenth is
-/// served at least half as often as the rest.
-const GIANTS_REFUSED: f64 = 0.7;
+/// The part of the engines' time that long prompts take before giants have to stand back.
+const GIANTS_BUSY_SHARE: f64 = 0.2;
 
 /// The weight of a new prompt in averages over prompts.
 const NEW_WEIGHT: f64 = 0.05;
@@ -68,17 +62,10 @@
         self.long_seen_ms = now_ms;
     }
 
-    /// Decides whether a giant prompt is refused because the engines are busy. Most are taken
-    /// however busy they are: what is refused comes back, and must not be refused for ever.
-    pub(crate) fn refuses_giant(&mut self, now_ms: f64, engines: usize) -> bool {
+    /// Returns whether long prompts keep the engines so busy that giants have to stand back.
+    pub(crate) fn is_busy(&mut self, now_ms: f64, engines: usize) -> bool {
         self.decay_long(now_ms);
-        self.giants_asked += 1.0;
-        let busy = self.long_work_per_ms / engines.max(1) as f64 > GIANTS_BUSY_SHARE;
-        let refuses = busy && self.giants_refused + 1.0 <= self.giants_asked * GIANTS_REFUSED;
-        if refuses {
-            self.giants_refused += 1.0;
-        }
-        refuses
+        self.long_work_per_ms / engines.max(1) as f64 > GIANTS_BUSY_SHARE
     }
 
     /// Returns the present demand of long prompts.
--- a/crates/placement/src/fleet.rs
+++ b/crates/placement/src/fleet.rs
@@ -35,6 +35,9 @@
 /// 390,000 tokens, the largest tenth of the longest kind.
 const GIANT_READ_MS: f64 = 8_500.0;
 
+/// While the engines are busy, one giant at a time is read, by one engine of this many.
+const GIANT_SHARE: usize = 4;
+
 /// When a giant that was refused is worth sending again: surges of long prompts last longer, but
 /// callers do not wait for more than a third of their time.
 const GIANT_RETRY: Duration = Duration::from_millis(4_000);
@@ -70,6 +73,7 @@
     has_begun: bool,
     is_spoiled: bool,
     is_short: bool,
+    is_giant: bool,
 }
 
 /// The engines of all services, as one home sees them.
@@ -101,6 +105,12 @@
     long_demand: LongDemand,
 }
 
+impl Job<'_> {
+    fn is_giant(&self) -> bool {
+        self.cost.whole_ms > GIANT_READ_MS
+    }
+}
+
 /// An engine with what a part of the job would do to it.
 struct Scored<'a> {
     endpoint: &'a EndpointId,
@@ -173,12 +183,14 @@
             return Err(SpareLack { retry_after: SHUN_FIRST });
         };
         let job = self.job(now, ask, &profile, &views);
-        if job.cost.whole_ms > GIANT_READ_MS && self.refuses_giant(now, ask, views.len()) {
+        let stands_back = job.is_giant() && self.is_busy(now, ask, views.len());
+        if stands_back && self.reads_giant() {
             return Err(SpareLack { retry_after: GIANT_RETRY });
         }
+        let most = if stands_back { views.len().div_ceil(GIANT_SHARE) } else { views.len() };
         let best: Candidate = GROUP_SIZES
             .into_iter()
-            .take_while(|size| *size == 1 || (*size <= views.len() && !job.cost.is_short()))
+            .take_while(|size| *size == 1 || (*size <= most && !job.cost.is_short()))
             .filter_map(|size| best_of_size(&job, &views, size))
             .min_by(|left, right| left.loss.total_cmp(&right.loss))
             .ok_or(SpareLack { retry_after: SHUN_FIRST })?;
@@ -199,9 +211,14 @@
         Ok(plan)
     }
 
-    fn refuses_giant(&mut self, now: MonotonicTime, ask: &PromptAsk, engines: usize) -> bool {
+    fn is_busy(&mut self, now: MonotonicTime, ask: &PromptAsk, engines: usize) -> bool {
         let meter = self.demand.entry(ask.service.clone()).or_default();
-        meter.refuses_giant(time_ms(now), engines)
+        meter.is_busy(time_ms(now), engines)
+    }
+
+    /// Returns whether a giant is being read.
+    fn reads_giant(&self) -> bool {
+        self.placed.values().any(|placed| placed.is_giant && !placed.has_begun)
     }
 
     fn job<'a>(
@@ -352,6 +369,7 @@
             has_begun: false,
             is_spoiled: false,
             is_short: cost.is_short(),
+            is_giant: cost.whole_ms > GIANT_READ_MS,
         };
         self.placed.insert(ask.key, placed);
     }
