--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -7,7 +7,7 @@
 use bpaf::{OptionParser, Parser, construct, long};
 use eyre::{Result, WrapErr};
 use oriolepass_daemon::{Daemon, DaemonListeners, init_logging};
-use oriolepass_settings::{DaemonSettings, GatewaySettings, reference_page};
+use oriolepass_settings::{DaemonSettings, GatewaySettings, SettingsError, reference_page};
 use tokio::signal::unix::{SignalKind, signal};
 
 /// The exit code for settings that were refused.
@@ -56,17 +56,10 @@
         DaemonTask::Gateway { config, check } => return run_gateway(&config, check),
         DaemonTask::Run { config, check } => (config, check),
     };
-    let settings = match DaemonSettings::load(&config) {
+    let settings = match checked(DaemonSettings::load(&config), &config, check) {
         Ok(settings) => settings,
-        Err(error) => {
-            eprintln!("{error}");
-            return ExitCode::from(EXIT_SETTINGS);
-        }
+        Err(code) => return code,
     };
-    if check {
-        println!("{}: the settings are good", config.display());
-        return ExitCode::SUCCESS;
-    }
     match run(settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
@@ -76,18 +69,30 @@
     }
 }
 
-fn run_gateway(config: &Path, check: bool) -> ExitCode {
-    let settings = match GatewaySettings::load(config) {
-        Ok(settings) => settings,
+/// Hands on settings that are good and are to be run; else prints why not.
+fn checked<T>(
+    loaded: std::result::Result<T, SettingsError>,
+    file: &Path,
+    check: bool,
+) -> std::result::Result<T, ExitCode> {
+    match loaded {
+        Ok(_) if check => {
+            println!("{}: the settings are good", file.display());
+            Err(ExitCode::SUCCESS)
+        }
+        Ok(settings) => Ok(settings),
         Err(error) => {
             eprintln!("{error}");
-            return ExitCode::from(EXIT_SETTINGS);
+            Err(ExitCode::from(EXIT_SETTINGS))
         }
-    };
-    if check {
-        println!("{}: the settings are good", config.display());
-        return ExitCode::SUCCESS;
     }
+}
+
+fn run_gateway(config: &Path, check: bool) -> ExitCode {
+    let settings = match checked(GatewaySettings::load(config), config, check) {
+        Ok(settings) => settings,
+        Err(code) => return code,
+    };
     match oriolepass_platform::run(settings, config) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -1,8 +1,8 @@
 //! Counters and gauges.
 
+use oriolepass_gateway::registered_metric;
 use oriolepass_scheduler::LengthClass;
 use oriolepass_units::AccountId;
-use prometheus::core::Collector;
 use prometheus::{
     Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
     Registry, TextEncoder,
@@ -12,20 +12,6 @@
 const FIRST_TOKEN_BOUNDS: &[f64] =
     &[0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.34, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0, 60.0, 300.0];
 
-/// Registers a metric.
-///
-/// # Panics
-///
-/// Panics when its name is not valid or was given before, which is a mistake in this file.
-fn registered<M: Collector + Clone + 'static>(
-    registry: &Registry,
-    metric: prometheus::Result<M>,
-) -> M {
-    let metric = metric.expect("a valid name");
-    registry.register(Box::new(metric.clone())).expect("a fresh name");
-    metric
-}
-
 /// Everything that the daemon counts.
 pub(crate) struct DaemonMetrics {
     registry: Registry,
@@ -57,17 +43,19 @@
     /// Panics when two metrics have one name, which is a mistake in this file.
     pub(crate) fn new() -> Self {
         let registry = Registry::new();
-        let counter = |name: &str, help: &str| registered(&registry, IntCounter::new(name, help));
-        let gauge = |name: &str, help: &str| registered(&registry, IntGauge::new(name, help));
+        let counter =
+            |name: &str, help: &str| registered_metric(&registry, IntCounter::new(name, help));
+        let gauge =
+            |name: &str, help: &str| registered_metric(&registry, IntGauge::new(name, help));
         let counters = |name: &str, help: &str, label: &str| {
-            registered(&registry, IntCounterVec::new(Opts::new(name, help), &[label]))
+            registered_metric(&registry, IntCounterVec::new(Opts::new(name, help), &[label]))
         };
         let gauges = |name: &str, help: &str, label: &str| {
-            registered(&registry, IntGaugeVec::new(Opts::new(name, help), &[label]))
+            registered_metric(&registry, IntGaugeVec::new(Opts::new(name, help), &[label]))
         };
         let histograms = |name: &str, help: &str, label: &str| {
             let options = HistogramOpts::new(name, help).buckets(FIRST_TOKEN_BOUNDS.to_vec());
-            registered(&registry, HistogramVec::new(options, &[label]))
+            registered_metric(&registry, HistogramVec::new(options, &[label]))
         };
         Self {
             requests: counters("oriolepass_requests_total", "Requests by outcome", "outcome"),
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -8,6 +8,7 @@
 mod placement;
 mod refusal;
 mod reserve;
+mod sends;
 mod stream;
 mod tries;
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -57,4 +57,5 @@
 pub use front::EventSplitter;
 pub use gateway::Gateway;
 pub use lifecycle::Lifecycle;
+pub use metrics::registered_metric;
 pub use start::{GatewayError, listen, start};
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -53,8 +53,8 @@
 ///
 /// # Panics
 ///
-/// Panics when its name is not valid or was given before, which is a mistake in this file.
-fn registered<M: Collector + Clone + 'static>(
+/// Panics when its name is not valid or was given before, which is a mistake of the caller's.
+pub fn registered_metric<M: Collector + Clone + 'static>(
     registry: &Registry,
     metric: prometheus::Result<M>,
 ) -> M {
@@ -66,14 +66,16 @@
 impl GatewayMetrics {
     pub(crate) fn new() -> Self {
         let registry = Registry::new();
-        let counter = |name: &str, help: &str| registered(&registry, IntCounter::new(name, help));
-        let gauge = |name: &str, help: &str| registered(&registry, IntGauge::new(name, help));
+        let counter =
+            |name: &str, help: &str| registered_metric(&registry, IntCounter::new(name, help));
+        let gauge =
+            |name: &str, help: &str| registered_metric(&registry, IntGauge::new(name, help));
         let counters = |name: &str, help: &str, label: &str| {
-            registered(&registry, IntCounterVec::new(Opts::new(name, help), &[label]))
+            registered_metric(&registry, IntCounterVec::new(Opts::new(name, help), &[label]))
         };
         let seconds = |name: &str, help: &str, label: &str| {
             let options = HistogramOpts::new(name, help).buckets(SECONDS.to_vec());
-            registered(&registry, HistogramVec::new(options, &[label]))
+            registered_metric(&registry, HistogramVec::new(options, &[label]))
         };
         Self {
             requests: counters("oriolepass_requests_total", "Requests by status", "status"),
--- /dev/null
+++ b/crates/placement/src/choice.rs
@@ -0,0 +1,168 @@
+//! The choice of a group of engines for one prompt: every size is priced, and the least loss wins.
+
+use std::collections::BTreeMap;
+
+use oriolepass_units::EndpointId;
+
+use crate::cost::{EngineView, LongDemand, ReadCost, ShortDemand, lateness, millis, tie};
+use crate::plan::PromptAsk;
+
+/// Numbers of engines that may read one prompt; the most is the engines' own limit and the one
+/// that writes.
+const GROUP_SIZES: [usize; 11] = [1, 2, 3, 4, 5, 6, 8, 10, 12, 14, 16];
+
+/// One way to place a prompt, with what it is expected to lose.
+pub(crate) struct Candidate {
+    pub(crate) main: EndpointId,
+    pub(crate) others: Vec<EndpointId>,
+    loss: f64,
+    pub(crate) first_ms: f64,
+}
+
+/// What is to be placed, and what it costs.
+pub(crate) struct Job<'a> {
+    pub(crate) ask: &'a PromptAsk,
+    pub(crate) cost: ReadCost,
+    pub(crate) value: f64,
+    /// The most milliseconds of reading that fit into one pass.
+    pub(crate) cap_ms: f64,
+    /// Engines that would serve a short prompt on time.
+    pub(crate) clear: usize,
+    pub(crate) demand: ShortDemand,
+    pub(crate) long_demand: LongDemand,
+}
+
+/// Chooses a group of at most `most` engines; none where no group can hold the prompt.
+pub(crate) fn best_group(
+    job: &Job<'_>,
+    views: &[(EndpointId, EngineView)],
+    most: usize,
+) -> Option<Candidate> {
+    GROUP_SIZES
+        .into_iter()
+        .take_while(|size| *size == 1 || (*size <= most && !job.cost.is_short()))
+        .filter_map(|size| best_of_size(job, views, size))
+        .min_by(|left, right| left.loss.total_cmp(&right.loss))
+}
+
+/// An engine with what a part of the job would do to it.
+struct Scored<'a> {
+    endpoint: &'a EndpointId,
+    view: &'a EngineView,
+    damage: f64,
+    score: f64,
+}
+
+/// Finds the best group of one size: its members are those that a part disturbs least, and the
+/// one among them that is best for writing receives the request.
+fn best_of_size(
+    job: &Job<'_>,
+    views: &[(EndpointId, EngineView)],
+    size: usize,
+) -> Option<Candidate> {
+    let part_ms = job.cost.part_ms(size);
+    let objective_ms = millis(job.ask.objective);
+    let mut scored: Vec<Scored<'_>> = views
+        .iter()
+        .map(|(endpoint, view)| {
+            let damage = view.damage(part_ms, job.cap_ms);
+            let short = if job.cost.is_short() { view.short_cost() } else { 0.0 };
+            let read_ms = view.read_in_ms(part_ms, job.cap_ms, size == 1);
+            let wait_ms = if job.cost.is_short() { lacking_wait_ms(job.ask, view) } else { 0.0 };
+            let late = lateness(read_ms + wait_ms, objective_ms, job.value);
+            let early = read_ms / objective_ms.max(1.0) * 0.02;
+            Scored { endpoint, view, damage, score: damage + short + late + early }
+        })
+        .collect();
+    scored.sort_by(|left, right| left.score.total_cmp(&right.score));
+    scored.truncate(size);
+    let main = choose_main(job.ask, &scored)?;
+    if !can_hold(job.ask, &scored, main) {
+        return None;
+    }
+    let first_ms = scored
+        .iter()
+        .map(|s| s.view.read_in_ms(part_ms, job.cap_ms, std::ptr::eq(s.endpoint, main.endpoint)))
+        .fold(0.0, f64::max)
+        + memory_wait_ms(job.ask, &scored, main);
+    let damage: f64 = scored.iter().map(|s| s.damage).sum();
+    let short = if job.cost.is_short() { main.view.short_cost() } else { 0.0 };
+    let taken = scored.iter().filter(|s| s.view.is_clear());
+    let blocked: Vec<f64> = taken.map(|s| s.view.blocked_ms(part_ms, job.cap_ms)).collect();
+    let lasting = blocked.iter().filter(|ms| **ms > 0.0).count();
+    let future = job.demand.loss(job.clear, lasting, blocked.iter().sum());
+    let busy =
+        if job.cost.is_short() { 0.0 } else { job.long_demand.loss(views.len(), size, part_ms) };
+    let loss = damage
+        + short
+        + future
+        + busy
+        + lateness(first_ms, objective_ms, job.value)
+        + tie(first_ms, job.ask, job.value, size - 1);
+    let others = scored.iter().map(|s| s.endpoint).filter(|e| *e != main.endpoint).cloned();
+    Some(Candidate { main: main.endpoint.clone(), others: others.collect(), loss, first_ms })
+}
+
+/// Returns whether a group has memory for a prompt at all: what its main engine can hold when it
+/// is empty, and what the others have free now.
+fn can_hold(ask: &PromptAsk, members: &[Scored<'_>], main: &Scored<'_>) -> bool {
+    let others = members.iter().filter(|s| s.endpoint != main.endpoint);
+    let kept: u64 = others.map(|s| s.view.free_tokens).sum();
+    ask.prompt_tokens + ask.answer_tokens <= main.view.usable_tokens + kept
+}
+
+/// How long a prompt waits where its memory is not free, in milliseconds: about as long as a
+/// long answer takes, since those hold the most.
+const MEMORY_WAIT_MS: f64 = 2_000.0;
+
+fn lacking_wait_ms(ask: &PromptAsk, view: &EngineView) -> f64 {
+    let need = ask.prompt_tokens + ask.answer_tokens;
+    if need > view.free_tokens { MEMORY_WAIT_MS } else { 0.0 }
+}
+
+/// Returns how long a prompt waits for memory in a group: what the main engine lacks can be kept
+/// by the others.
+fn memory_wait_ms(ask: &PromptAsk, members: &[Scored<'_>], main: &Scored<'_>) -> f64 {
+    if lacking_wait_ms(ask, main.view) <= 0.0 {
+        return 0.0;
+    }
+    let free: u64 = members.iter().map(|s| s.view.free_tokens).sum();
+    if ask.prompt_tokens + ask.max_answer_tokens > free { MEMORY_WAIT_MS } else { 0.0 }
+}
+
+/// Chooses the member that writes: one with memory for the whole, and few answers.
+fn choose_main<'a, 'b>(ask: &PromptAsk, members: &'b [Scored<'a>]) -> Option<&'b Scored<'a>> {
+    let need = ask.prompt_tokens + ask.max_answer_tokens;
+    let badness = |s: &Scored<'_>| {
+        let lacks = if need > s.view.free_tokens { 1e6 } else { 0.0 };
+        let disturbs = s.view.neighbours.iter().filter(|n| n.is_short).count();
+        lacks + s.view.room_in_ms + (s.view.load + 4 * disturbs) as f64
+    };
+    members.iter().min_by(|left, right| badness(left).total_cmp(&badness(right)))
+}
+
+/// Divides a prompt that the main engine's memory cannot hold among the group's engines, by
+/// what they have free. What is left over goes to the main engine.
+pub(crate) fn reserves(
+    ask: &PromptAsk,
+    views: &[(EndpointId, EngineView)],
+    best: &Candidate,
+) -> BTreeMap<EndpointId, u64> {
+    let free_of = |endpoint: &EndpointId| {
+        views.iter().find(|(e, _)| e == endpoint).map_or(0, |(_, view)| view.free_tokens)
+    };
+    let free = free_of(&best.main).saturating_sub(ask.max_answer_tokens);
+    let mut lacking = ask.prompt_tokens.saturating_sub(free);
+    let mut roomy: Vec<(u64, &EndpointId)> =
+        best.others.iter().map(|endpoint| (free_of(endpoint), endpoint)).collect();
+    roomy.sort_by(|left, right| right.cmp(left));
+    let mut reserves = BTreeMap::new();
+    for (free, endpoint) in roomy {
+        let part = free.min(lacking);
+        if part > 0 {
+            reserves.insert(endpoint.clone(), part);
+            lacking -= part;
+        }
+    }
+    reserves
+}
--- a/crates/placement/src/fleet.rs
+++ b/crates/placement/src/fleet.rs
@@ -7,18 +7,13 @@
 use oriolepass_routing::EngineProfile;
 use oriolepass_units::{EndpointId, MonotonicTime, ServiceName};
 
-use crate::cost::{
-    EngineView, LongDemand, Neighbour, ReadCost, ShortDemand, lateness, millis, tie,
-};
+use crate::choice::{Candidate, Job, best_group, reserves};
+use crate::cost::{EngineView, Neighbour, ReadCost, millis};
 use crate::demand::DemandMeter;
 use crate::farm::EngineFarm;
 use crate::passes::PassPrompt;
 use crate::plan::{HelperPart, PromptAsk, PromptKey, PromptPlan, SpareLack};
 
-/// Numbers of engines that may read one prompt; the most is the engines' own limit and the one
-/// that writes.
-const GROUP_SIZES: [usize; 11] = [1, 2, 3, 4, 5, 6, 8, 10, 12, 14, 16];
-
 /// The part of an engine's memory that is used; the rest is for answers longer than expected.
 const MEMORY_SHARE: f64 = 0.94;
 
@@ -31,10 +26,6 @@
 /// The part of a service's engines that may be shunned at once.
 const SHUN_SHARE: f64 = 0.5;
 
-/// A prompt that takes longer to read is a giant, in milliseconds: at the present engines some
-/// 390,000 tokens, the largest tenth of the longest kind.
-const GIANT_READ_MS: f64 = 8_500.0;
-
 /// While the engines are busy, one giant at a time is read, by one engine of this many.
 const GIANT_SHARE: usize = 4;
 
@@ -89,40 +80,6 @@
     demand: BTreeMap<ServiceName, DemandMeter>,
 }
 
-/// One way to place a prompt, with what it is expected to lose.
-struct Candidate {
-    main: EndpointId,
-    others: Vec<EndpointId>,
-    loss: f64,
-    first_ms: f64,
-}
-
-/// What is to be placed, and what it costs.
-struct Job<'a> {
-    ask: &'a PromptAsk,
-    cost: ReadCost,
-    value: f64,
-    /// The most milliseconds of reading that fit into one pass.
-    cap_ms: f64,
-    clear: usize,
-    demand: ShortDemand,
-    long_demand: LongDemand,
-}
-
-impl Job<'_> {
-    fn is_giant(&self) -> bool {
-        self.cost.whole_ms > GIANT_READ_MS
-    }
-}
-
-/// An engine with what a part of the job would do to it.
-struct Scored<'a> {
-    endpoint: &'a EndpointId,
-    view: &'a EngineView,
-    damage: f64,
-    score: f64,
-}
-
 fn time_ms(now: MonotonicTime) -> f64 {
     now.0 as f64 / 1_000.0
 }
@@ -187,17 +144,12 @@
             return Err(SpareLack { retry_after: SHUN_FIRST });
         };
         let job = self.job(now, ask, &profile, &views);
-        let stands_back = job.is_giant() && self.is_busy(now, ask, views.len());
+        let stands_back = job.cost.is_giant() && self.is_busy(now, ask, views.len());
         if stands_back && (self.reads_giant() || mean_unread_ms(&views) > GIANT_LULL_MS) {
             return Err(SpareLack { retry_after: GIANT_RETRY });
         }
         let most = if stands_back { views.len().div_ceil(GIANT_SHARE) } else { views.len() };
-        let best: Candidate = GROUP_SIZES
-            .into_iter()
-            .take_while(|size| *size == 1 || (*size <= most && !job.cost.is_short()))
-            .filter_map(|size| best_of_size(&job, &views, size))
-            .min_by(|left, right| left.loss.total_cmp(&right.loss))
-            .ok_or(SpareLack { retry_after: SHUN_FIRST })?;
+        let best = best_group(&job, &views, most).ok_or(SpareLack { retry_after: SHUN_FIRST })?;
         if best.first_ms > millis(ask.deadline) {
             // It would only keep engines from prompts that still have a chance.
             let spare_ms = (best.first_ms - millis(ask.deadline)).clamp(500.0, 4_000.0);
@@ -373,7 +325,7 @@
             has_begun: false,
             is_spoiled: false,
             is_short: cost.is_short(),
-            is_giant: cost.whole_ms > GIANT_READ_MS,
+            is_giant: cost.is_giant(),
         };
         self.placed.insert(ask.key, placed);
     }
@@ -433,120 +385,6 @@
 /// error.
 const SPOILED_FROM: f64 = 1.2;
 
-/// Finds the best group of one size: its members are those that a part disturbs least, and the
-/// one among them that is best for writing receives the request.
-fn best_of_size(
-    job: &Job<'_>,
-    views: &[(EndpointId, EngineView)],
-    size: usize,
-) -> Option<Candidate> {
-    let part_ms = job.cost.part_ms(size);
-    let objective_ms = millis(job.ask.objective);
-    let mut scored: Vec<Scored<'_>> = views
-        .iter()
-        .map(|(endpoint, view)| {
-            let damage = view.damage(part_ms, job.cap_ms);
-            let short = if job.cost.is_short() { view.short_cost() } else { 0.0 };
-            let read_ms = view.read_in_ms(part_ms, job.cap_ms, size == 1);
-            let wait_ms = if job.cost.is_short() { lacking_wait_ms(job.ask, view) } else { 0.0 };
-            let late = lateness(read_ms + wait_ms, objective_ms, job.value);
-            let early = read_ms / objective_ms.max(1.0) * 0.02;
-            Scored { endpoint, view, damage, score: damage + short + late + early }
-        })
-        .collect();
-    scored.sort_by(|left, right| left.score.total_cmp(&right.score));
-    scored.truncate(size);
-    let main = choose_main(job.ask, &scored)?;
-    if !can_hold(job.ask, &scored, main) {
-        return None;
-    }
-    let first_ms = scored
-        .iter()
-        .map(|s| s.view.read_in_ms(part_ms, job.cap_ms, std::ptr::eq(s.endpoint, main.endpoint)))
-        .fold(0.0, f64::max)
-        + memory_wait_ms(job.ask, &scored, main);
-    let damage: f64 = scored.iter().map(|s| s.damage).sum();
-    let short = if job.cost.is_short() { main.view.short_cost() } else { 0.0 };
-    let taken = scored.iter().filter(|s| s.view.is_clear());
-    let blocked: Vec<f64> = taken.map(|s| s.view.blocked_ms(part_ms, job.cap_ms)).collect();
-    let lasting = blocked.iter().filter(|ms| **ms > 0.0).count();
-    let future = job.demand.loss(job.clear, lasting, blocked.iter().sum());
-    let busy =
-        if job.cost.is_short() { 0.0 } else { job.long_demand.loss(views.len(), size, part_ms) };
-    let loss = damage
-        + short
-        + future
-        + busy
-        + lateness(first_ms, objective_ms, job.value)
-        + tie(first_ms, job.ask, job.value, size - 1);
-    let others = scored.iter().map(|s| s.endpoint).filter(|e| *e != main.endpoint).cloned();
-    Some(Candidate { main: main.endpoint.clone(), others: others.collect(), loss, first_ms })
-}
-
-/// Returns whether a group has memory for a prompt at all: what its main engine can hold when it
-/// is empty, and what the others have free now.
-fn can_hold(ask: &PromptAsk, members: &[Scored<'_>], main: &Scored<'_>) -> bool {
-    let others = members.iter().filter(|s| s.endpoint != main.endpoint);
-    let kept: u64 = others.map(|s| s.view.free_tokens).sum();
-    ask.prompt_tokens + ask.answer_tokens <= main.view.usable_tokens + kept
-}
-
-/// How long a prompt waits where its memory is not free, in milliseconds: about as long as a
-/// long answer takes, since those hold the most.
-const MEMORY_WAIT_MS: f64 = 2_000.0;
-
-fn lacking_wait_ms(ask: &PromptAsk, view: &EngineView) -> f64 {
-    let need = ask.prompt_tokens + ask.answer_tokens;
-    if need > view.free_tokens { MEMORY_WAIT_MS } else { 0.0 }
-}
-
-/// Returns how long a prompt waits for memory in a group: what the main engine lacks can be kept
-/// by the others.
-fn memory_wait_ms(ask: &PromptAsk, members: &[Scored<'_>], main: &Scored<'_>) -> f64 {
-    if lacking_wait_ms(ask, main.view) <= 0.0 {
-        return 0.0;
-    }
-    let free: u64 = members.iter().map(|s| s.view.free_tokens).sum();
-    if ask.prompt_tokens + ask.max_answer_tokens > free { MEMORY_WAIT_MS } else { 0.0 }
-}
-
-/// Chooses the member that writes: one with memory for the whole, and few answers.
-fn choose_main<'a, 'b>(ask: &PromptAsk, members: &'b [Scored<'a>]) -> Option<&'b Scored<'a>> {
-    let need = ask.prompt_tokens + ask.max_answer_tokens;
-    let badness = |s: &Scored<'_>| {
-        let lacks = if need > s.view.free_tokens { 1e6 } else { 0.0 };
-        let disturbs = s.view.neighbours.iter().filter(|n| n.is_short).count();
-        lacks + s.view.room_in_ms + (s.view.load + 4 * disturbs) as f64
-    };
-    members.iter().min_by(|left, right| badness(left).total_cmp(&badness(right)))
-}
-
-/// Divides a prompt that the main engine's memory cannot hold among the group's engines, by
-/// what they have free. What is left over goes to the main engine.
-fn reserves(
-    ask: &PromptAsk,
-    views: &[(EndpointId, EngineView)],
-    best: &Candidate,
-) -> BTreeMap<EndpointId, u64> {
-    let free_of = |endpoint: &EndpointId| {
-        views.iter().find(|(e, _)| e == endpoint).map_or(0, |(_, view)| view.free_tokens)
-    };
-    let free = free_of(&best.main).saturating_sub(ask.max_answer_tokens);
-    let mut lacking = ask.prompt_tokens.saturating_sub(free);
-    let mut roomy: Vec<(u64, &EndpointId)> =
-        best.others.iter().map(|endpoint| (free_of(endpoint), endpoint)).collect();
-    roomy.sort_by(|left, right| right.cmp(left));
-    let mut reserves = BTreeMap::new();
-    for (free, endpoint) in roomy {
-        let part = free.min(lacking);
-        if part > 0 {
-            reserves.insert(endpoint.clone(), part);
-            lacking -= part;
-        }
-    }
-    reserves
-}
-
 /// Maps the objective to the engines' ranks: what is due soon is admitted first.
 fn engine_priority(ask: &PromptAsk) -> u8 {
     match ask.objective.as_millis() {
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -11,6 +11,7 @@
 //!
 //! Sans-IO: every call takes the present time, nothing here waits.
 
+mod choice;
 mod cost;
 mod demand;
 mod farm;
