A giant is told by its objective, not by a fixed time

Cause: on the grown deployments two fifths of the longest kind counted as giants (their mean prompt is 300,000 tokens) and were refused in surges; the fixed 8.5 s fitted the present ones only. Change: a giant is a prompt whose reading takes over 2.8 times its objective, the same 8.5 s at the present ones.

--- a/crates/experiment/src/fleet_run.rs
+++ b/crates/experiment/src/fleet_run.rs
@@ -189,6 +189,7 @@
             answer_tokens: prompt.expected_tokens,
             max_answer_tokens: prompt.expected_tokens * 2,
             objective: millis(class.objective_ms),
+            whole_objective: millis(class.objective_ms),
             pause: millis(class.pause_ms),
             deadline: millis(class.deadline_ms),
             avoid: Vec::new(),
--- a/crates/gateway/src/front/placement.rs
+++ b/crates/gateway/src/front/placement.rs
@@ -184,6 +184,7 @@
         answer_tokens: facts.expected_answer_tokens.unwrap_or(max_answer).min(max_answer).max(1),
         max_answer_tokens: max_answer,
         objective: request.route.objective.saturating_sub(spent),
+        whole_objective: request.route.objective,
         pause: request.route.pause_objective.unwrap_or(UNKNOWN_PAUSE),
         deadline: request.left(),
         avoid: avoid.to_vec(),
--- a/crates/placement/src/cost.rs
+++ b/crates/placement/src/cost.rs
@@ -52,9 +52,9 @@
 /// shorter than the pass that reads it, so it is never split.
 pub(crate) const SHORT_READ_MS: f64 = 60.0;
 
-/// A prompt that takes longer to read is a giant, in milliseconds: at the present engines some
-/// 390,000 tokens, the largest tenth of the longest kind.
-const GIANT_READ_MS: f64 = 8_500.0;
+/// A prompt whose reading takes this many times its objective is a giant: on the users' present
+/// deployments about the largest tenth of the longest kind.
+const GIANT_OBJECTIVES: f64 = 2.8;
 
 /// The cost of reading a prompt, in milliseconds of an engine that does nothing else.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -84,9 +84,9 @@
         self.whole_ms < SHORT_READ_MS
     }
 
-    /// Returns whether the prompt is a giant.
-    pub fn is_giant(self) -> bool {
-        self.whole_ms > GIANT_READ_MS
+    /// Returns whether the prompt is a giant, by the objective that it came with.
+    pub fn is_giant(self, objective: Duration) -> bool {
+        self.whole_ms > GIANT_OBJECTIVES * millis(objective)
     }
 
     /// Returns what the prompt is worth.
--- a/crates/placement/src/fleet.rs
+++ b/crates/placement/src/fleet.rs
@@ -144,7 +144,8 @@
             return Err(SpareLack { retry_after: SHUN_FIRST });
         };
         let job = self.job(now, ask, &profile, &views);
-        let stands_back = job.cost.is_giant() && self.is_busy(now, ask, views.len());
+        let stands_back =
+            job.cost.is_giant(ask.whole_objective) && self.is_busy(now, ask, views.len());
         if stands_back && (self.reads_giant() || mean_unread_ms(&views) > GIANT_LULL_MS) {
             return Err(SpareLack { retry_after: GIANT_RETRY });
         }
@@ -325,7 +326,7 @@
             has_begun: false,
             is_spoiled: false,
             is_short: cost.is_short(),
-            is_giant: cost.is_giant(),
+            is_giant: cost.is_giant(ask.whole_objective),
         };
         self.placed.insert(ask.key, placed);
     }
--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -29,6 +29,8 @@
     pub max_answer_tokens: u64,
     /// What is left until the first event is late.
     pub objective: Duration,
+    /// The same when the request came.
+    pub whole_objective: Duration,
     /// The longest pause between two events that is on time.
     pub pause: Duration,
     /// What is left until the caller gives up.
--- a/crates/placement/tests/placing.rs
+++ b/crates/placement/tests/placing.rs
@@ -51,13 +51,15 @@
 
 fn ask(number: u64, prompt_tokens: u64) -> PromptAsk {
     let is_short = prompt_tokens < 20_000;
+    let objective = Duration::from_millis(if is_short { 300 } else { 3_000 });
     PromptAsk {
         key: key(number),
         service: "engines".parse().unwrap(),
         prompt_tokens,
         answer_tokens: 1_600,
         max_answer_tokens: 3_200,
-        objective: Duration::from_millis(if is_short { 300 } else { 3_000 }),
+        objective,
+        whole_objective: objective,
         pause: Duration::from_millis(if is_short { 200 } else { 800 }),
         deadline: Duration::from_secs(15),
         avoid: Vec::new(),
