Long prompts pay a price for engines' time; a net loss is refused

(1) What a prompt took from later ones was priced by its share of engines, so at some load one engine for 5 to 9 s looked cheaper than eight for 0.6 s, though the work is the same: such prompts came 6 to 13 s later, mostly after their callers had left. (2) An engine that was hopeless cost short prompts no more than one that was a little late, as lateness was the most that could be lost: 42 short prompts in a row went to an engine predicted at 6.6 s, and all their callers left.

Ruled out: errors of the model in calm times (predicted less actual of short prompts +15 ms median); processor time (0.007 cores a daemon).

--- a/crates/placement/src/choice.rs
+++ b/crates/placement/src/choice.rs
@@ -15,7 +15,7 @@
 pub(crate) struct Candidate {
     pub(crate) main: EndpointId,
     pub(crate) others: Vec<EndpointId>,
-    loss: f64,
+    pub(crate) loss: f64,
     pub(crate) first_ms: f64,
 }
 
@@ -32,15 +32,11 @@
     pub(crate) long_demand: LongDemand,
 }
 
-/// Chooses a group of at most `most` engines; none where no group can hold the prompt.
-pub(crate) fn best_group(
-    job: &Job<'_>,
-    views: &[(EndpointId, EngineView)],
-    most: usize,
-) -> Option<Candidate> {
+/// Chooses a group of engines; none where no group can hold the prompt.
+pub(crate) fn best_group(job: &Job<'_>, views: &[(EndpointId, EngineView)]) -> Option<Candidate> {
     GROUP_SIZES
         .into_iter()
-        .take_while(|size| *size == 1 || (*size <= most && !job.cost.is_short()))
+        .take_while(|size| *size == 1 || (*size <= views.len() && !job.cost.is_short()))
         .filter_map(|size| best_of_size(job, views, size))
         .min_by(|left, right| left.loss.total_cmp(&right.loss))
 }
@@ -69,7 +65,7 @@
             let short = if job.cost.is_short() { view.short_cost() } else { 0.0 };
             let read_ms = view.read_in_ms(part_ms, job.cap_ms, size == 1);
             let wait_ms = if job.cost.is_short() { lacking_wait_ms(job.ask, view) } else { 0.0 };
-            let late = lateness(read_ms + wait_ms, objective_ms, job.value);
+            let late = lateness(read_ms + wait_ms, job.ask, job.value);
             let early = read_ms / objective_ms.max(1.0) * 0.02;
             Scored { endpoint, view, damage, score: damage + short + late + early }
         })
@@ -91,13 +87,16 @@
     let blocked: Vec<f64> = taken.map(|s| s.view.blocked_ms(part_ms, job.cap_ms)).collect();
     let lasting = blocked.iter().filter(|ms| **ms > 0.0).count();
     let future = job.demand.loss(job.clear, lasting, blocked.iter().sum());
-    let busy =
-        if job.cost.is_short() { 0.0 } else { job.long_demand.loss(views.len(), size, part_ms) };
+    let busy = if job.cost.is_short() {
+        0.0
+    } else {
+        job.long_demand.price(views.len(), job.cost.whole_ms)
+    };
     let loss = damage
         + short
         + future
         + busy
-        + lateness(first_ms, objective_ms, job.value)
+        + lateness(first_ms, job.ask, job.value)
         + tie(first_ms, job.ask, job.value, size - 1);
     let others = scored.iter().map(|s| s.endpoint).filter(|e| *e != main.endpoint).cloned();
     Some(Candidate { main: main.endpoint.clone(), others: others.collect(), loss, first_ms })
--- a/crates/placement/src/cost.rs
+++ b/crates/placement/src/cost.rs
@@ -30,6 +30,12 @@
 /// so what is predicted for them is the least that it will take (experiment: 0.2 to 0.8).
 const WAITING_FROM: f64 = 0.4;
 
+/// Callers wait for an event for this many objectives, or for this many of the longest pauses that
+/// are on time, or for this many milliseconds, whichever is longest; the platform names all three.
+const PATIENCE_OBJECTIVES: f64 = 4.0;
+const PATIENCE_PAUSES: f64 = 8.0;
+const PATIENCE_LEAST_MS: f64 = 2_000.0;
+
 /// What one more engine in a group costs: it may fail and take the prompt with it (experiment: 0 to
 /// 0.05).
 const HELPER_COST: f64 = 0.004;
@@ -57,10 +63,6 @@
 /// no longer than the pass of some 45 ms that reads it, so it is never split.
 pub(crate) const SHORT_READ_MS: f64 = 60.0;
 
-/// A prompt whose reading takes this many times its objective is a giant: on the users' present
-/// deployments about the largest tenth of the longest kind, counted in the logs of real days.
-const GIANT_OBJECTIVES: f64 = 2.8;
-
 /// The cost of reading a prompt, in milliseconds of an engine that does nothing else.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct ReadCost {
@@ -89,11 +91,6 @@
         self.whole_ms < SHORT_READ_MS
     }
 
-    /// Returns whether the prompt is a giant, by the objective that it came with.
-    pub fn is_giant(self, objective: Duration) -> bool {
-        self.whole_ms > GIANT_OBJECTIVES * millis(objective)
-    }
-
     /// Returns what the prompt is worth.
     pub fn value(self) -> f64 {
         1.0 + self.tokens * VALUE_PER_TOKEN
@@ -105,6 +102,8 @@
 pub(crate) struct Neighbour {
     pub(crate) value: f64,
     pub(crate) pause_ms: f64,
+    /// How long its caller waits for the next event.
+    pub(crate) patience_ms: f64,
     /// What is left until its first event is late; none once that has come.
     pub(crate) due_in_ms: Option<f64>,
     pub(crate) is_spoiled: bool,
@@ -124,6 +123,8 @@
     pub(crate) usable_tokens: u64,
     pub(crate) free_tokens: u64,
     pub(crate) neighbours: Vec<Neighbour>,
+    /// The part of the engine's time that helpers' parts take which are yet to come.
+    pub(crate) helped_share: f64,
 }
 
 impl EngineView {
@@ -133,8 +134,10 @@
         slots: usize,
         usable_tokens: u64,
         neighbours: Vec<Neighbour>,
+        helped_share: f64,
     ) -> Self {
         Self {
+            helped_share,
             residual_ms: engine.residual_ms(now_ms),
             unread_ms: engine.unread_ms(),
             unread_helpers_ms: engine.unread_helpers_ms(),
@@ -161,28 +164,39 @@
         let ahead = if is_main { self.unread_ms } else { self.unread_helpers_ms };
         let reading = ahead + part_ms;
         let passes = if self.writing_pass_ms > 0.0 { (reading / cap_ms).ceil() } else { 0.0 };
-        let room = if is_main { self.room_in_ms } else { 0.0 };
-        self.residual_ms + room + reading + passes * self.writing_pass_ms
+        if !is_main {
+            return self.residual_ms + reading + passes * self.writing_pass_ms;
+        }
+        // Helpers' parts that come meanwhile go ahead of it as well.
+        let own_time = 1.0 - self.helped_share;
+        self.residual_ms + self.room_in_ms + (reading + passes * self.writing_pass_ms) / own_time
     }
 
     /// Returns what the prompts here lose by a part more to read.
     pub(crate) fn damage(&self, part_ms: f64, cap_ms: f64) -> f64 {
         let (before, after) = (self.next_pass_ms(0.0, cap_ms), self.next_pass_ms(part_ms, cap_ms));
         let (first_before, first_after) = (self.residual_ms + before, self.residual_ms + after);
-        let lost = |neighbour: &Neighbour| match neighbour.due_in_ms {
+        let late = |neighbour: &Neighbour| match neighbour.due_in_ms {
             _ if neighbour.is_spoiled => 0.0,
             Some(due) => {
                 let due = due.max(1.0);
                 // A pass that is too long spoils its pauses as well.
-                let first = waiting_share(first_after / due) - waiting_share(first_before / due);
-                first * neighbour.value
+                waiting_share(first_after / due) - waiting_share(first_before / due)
             }
             None => {
                 let pause = neighbour.pause_ms;
-                (late_share(after / pause) - late_share(before / pause)) * neighbour.value
+                late_share(after / pause) - late_share(before / pause)
             }
         };
-        self.neighbours.iter().map(lost).sum::<f64>() * LATE_LOSS
+        // What is late already can still be lost, when its caller leaves in a gap.
+        let left = |neighbour: &Neighbour| {
+            let patience = neighbour.patience_ms;
+            late_share(after / patience) - late_share(before / patience)
+        };
+        let loss = |neighbour: &Neighbour| {
+            (late(neighbour) * LATE_LOSS + left(neighbour) * (1.0 - LATE_LOSS)) * neighbour.value
+        };
+        self.neighbours.iter().map(loss).sum()
     }
 
     /// Returns whether a short prompt would be on time here.
@@ -210,9 +224,25 @@
     }
 }
 
-/// Returns what a prompt loses by a first event after `first_ms`.
-pub(crate) fn lateness(first_ms: f64, objective_ms: f64, value: f64) -> f64 {
-    late_share(first_ms / objective_ms.max(1.0)) * value * LATE_LOSS
+/// Returns what a prompt loses by a first event after `first_ms`: most of its value when it is
+/// late, the rest when its caller leaves before.
+pub(crate) fn lateness(first_ms: f64, ask: &PromptAsk, value: f64) -> f64 {
+    let late = late_share(first_ms / millis(ask.objective).max(1.0)) * LATE_LOSS;
+    let left = late_share(first_ms / first_patience_ms(ask)) * (1.0 - LATE_LOSS);
+    (late + left) * value
+}
+
+/// Returns how long a caller waits for an event, in milliseconds.
+pub(crate) fn patience_ms(ask: &PromptAsk) -> f64 {
+    let objectives = millis(ask.whole_objective) * PATIENCE_OBJECTIVES;
+    let pauses = millis(ask.pause) * PATIENCE_PAUSES;
+    objectives.max(pauses).max(PATIENCE_LEAST_MS)
+}
+
+/// Returns what is left until the caller leaves if no event comes, in milliseconds.
+fn first_patience_ms(ask: &PromptAsk) -> f64 {
+    let spent = millis(ask.whole_objective.saturating_sub(ask.objective));
+    (patience_ms(ask) - spent).min(millis(ask.deadline)).max(1.0)
 }
 
 /// Returns the cost that only breaks ties.
@@ -249,35 +279,28 @@
     }
 }
 
-/// How much more than the prompts that come meanwhile a long prompt delays: those delay further
-/// ones in turn. From the experiment; 1 to 16 were tried.
-const LONG_WEIGHT: f64 = 4.0;
-
-/// The part of the engines' time that counts as spare at least; it keeps the weight in bounds
-/// (experiment: 0.1 to 0.4).
-const LEAST_SPARE: f64 = 0.1;
-
-/// What long prompts that are yet to come lose while engines are busy with one.
+/// What long prompts pay for the engines' time: what others would have earned in it.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct LongDemand {
     /// Value of long prompts that comes in a millisecond.
     pub(crate) value_per_ms: f64,
-    /// Their mean objective.
-    pub(crate) objective_ms: f64,
     /// Engines that reading them keeps busy.
     pub(crate) busy_engines: f64,
 }
 
 impl LongDemand {
-    /// Returns what is lost when `taken` of `all` engines read for `part_ms` each. Engines that
-    /// are left do the others' work, so a few matter little and all of them at once a lot.
-    pub(crate) fn loss(&self, all: usize, taken: usize, part_ms: f64) -> f64 {
-        let share = taken as f64 / all.max(1) as f64;
-        let late = (part_ms / self.objective_ms.max(1.0)).min(1.0);
-        // The fuller the engines are, the longer what is delayed takes to be made up for.
-        let spare = (1.0 - self.busy_engines / all.max(1) as f64).max(LEAST_SPARE);
-        let weight = LONG_WEIGHT / spare;
-        self.value_per_ms * part_ms * share * share * late * LATE_LOSS * weight
+    /// Returns what others lose when `all` engines spend `work_ms` on one more prompt, however
+    /// many of them share it.
+    ///
+    /// Idle engines' time is free; that of busy ones costs what it earns on average. In between
+    /// the price grows with the square of the busy part, about as the chance that another
+    /// prompt has to wait for it.
+    pub(crate) fn price(&self, all: usize, work_ms: f64) -> f64 {
+        if self.busy_engines <= 0.0 {
+            return 0.0;
+        }
+        let busy = (self.busy_engines / all.max(1) as f64).min(1.0);
+        self.value_per_ms / self.busy_engines * busy * busy * work_ms
     }
 }
 
--- a/crates/placement/src/demand.rs
+++ b/crates/placement/src/demand.rs
@@ -19,7 +19,6 @@
     held_ms: f64,
     seen_ms: f64,
     long_value_per_ms: f64,
-    long_objective_ms: f64,
     long_work_per_ms: f64,
     long_seen_ms: f64,
 }
@@ -27,9 +26,8 @@
 /// Long prompts are rarer, so they are averaged over a longer time, in milliseconds.
 const LONG_MEMORY_MS: f64 = 4_000.0;
 
-/// The part of the engines' time that long prompts take before giants have to stand back:
-/// calm days stay below it, surges above (logs of real days).
-const GIANTS_BUSY_SHARE: f64 = 0.2;
+/// The most of an engine's time that is expected to go to parts that are yet to come.
+const HELPED_MOST: f64 = 0.7;
 
 /// The weight of a new prompt in averages over prompts: the last twenty count most.
 const NEW_WEIGHT: f64 = 0.05;
@@ -43,17 +41,10 @@
     }
 
     /// Notes a long prompt.
-    pub(crate) fn long_arrived(
-        &mut self,
-        now_ms: f64,
-        value: f64,
-        objective_ms: f64,
-        work_ms: f64,
-    ) {
+    pub(crate) fn long_arrived(&mut self, now_ms: f64, value: f64, work_ms: f64) {
         self.decay_long(now_ms);
         self.long_value_per_ms += value / LONG_MEMORY_MS;
         self.long_work_per_ms += work_ms / LONG_MEMORY_MS;
-        self.long_objective_ms = average(self.long_objective_ms, objective_ms);
     }
 
     fn decay_long(&mut self, now_ms: f64) {
@@ -64,20 +55,16 @@
         self.long_seen_ms = now_ms;
     }
 
-    /// Returns whether long prompts keep the engines so busy that giants have to stand back.
-    pub(crate) fn is_busy(&mut self, now_ms: f64, engines: usize) -> bool {
+    /// Returns the part of the engines' time that parts of long prompts take.
+    pub(crate) fn helped_share(&mut self, now_ms: f64, engines: usize) -> f64 {
         self.decay_long(now_ms);
-        self.long_work_per_ms / engines.max(1) as f64 > GIANTS_BUSY_SHARE
+        (self.long_work_per_ms / engines.max(1) as f64).min(HELPED_MOST)
     }
 
     /// Returns the present demand of long prompts.
     pub(crate) fn long_demand(&mut self, now_ms: f64) -> LongDemand {
         self.decay_long(now_ms);
-        LongDemand {
-            value_per_ms: self.long_value_per_ms,
-            objective_ms: self.long_objective_ms,
-            busy_engines: self.long_work_per_ms,
-        }
+        LongDemand { value_per_ms: self.long_value_per_ms, busy_engines: self.long_work_per_ms }
     }
 
     fn decay(&mut self, now_ms: f64) {
--- a/crates/placement/src/fleet.rs
+++ b/crates/placement/src/fleet.rs
@@ -8,7 +8,7 @@
 use oriolepass_units::{EndpointId, MonotonicTime, ServiceName};
 
 use crate::choice::{Candidate, Job, best_group, reserves};
-use crate::cost::{EngineView, Neighbour, ReadCost, millis};
+use crate::cost::{EngineView, Neighbour, ReadCost, millis, patience_ms};
 use crate::demand::DemandMeter;
 use crate::farm::EngineFarm;
 use crate::passes::PassPrompt;
@@ -27,17 +27,9 @@
 /// The part of a service's engines that may be shunned at once: with fewer, the rest falls over.
 const SHUN_SHARE: f64 = 0.5;
 
-/// While the engines are busy, one giant at a time is read, by one engine of this many
-/// (experiment: 2 to 7, all alike).
-const GIANT_SHARE: usize = 4;
-
-/// While the engines are busy, a giant begins only in a lull: when they have less than this to
-/// read on average, in milliseconds (experiment: 20 to 150).
-const GIANT_LULL_MS: f64 = 60.0;
-
-/// When a giant that was refused is worth sending again: surges of long prompts last longer, but
-/// callers do not wait for more than a third of their time.
-const GIANT_RETRY: Duration = Duration::from_millis(4_000);
+/// When a long prompt that was refused is worth sending again: surges last longer, but callers
+/// do not wait for more than a third of their time.
+const LULL_RETRY: Duration = Duration::from_millis(4_000);
 
 /// What is known of an engine from its own announcements.
 #[derive(Debug, Clone, PartialEq)]
@@ -66,11 +58,11 @@
 struct PlacedPrompt {
     value: f64,
     pause_ms: f64,
+    patience_ms: f64,
     due_ms: f64,
     has_begun: bool,
     is_spoiled: bool,
     is_short: bool,
-    is_giant: bool,
 }
 
 /// The engines of all services, as one home sees them.
@@ -139,20 +131,22 @@
     pub fn place(&mut self, now: MonotonicTime, ask: &PromptAsk) -> Result<PromptPlan, SpareLack> {
         self.farm.advance(time_ms(now));
         let usable = self.usable(now, ask);
-        let views: Vec<(EndpointId, EngineView)> =
-            usable.into_iter().filter_map(|endpoint| self.view(now, endpoint)).collect();
+        let meter = self.demand.entry(ask.service.clone()).or_default();
+        let helped_share = meter.helped_share(time_ms(now), usable.len());
+        let views: Vec<(EndpointId, EngineView)> = usable
+            .into_iter()
+            .filter_map(|endpoint| self.view(now, endpoint, helped_share))
+            .collect();
         let Some(profile) = views.first().map(|(e, _)| Arc::clone(&self.engines[e].facts.profile))
         else {
             return Err(SpareLack { retry_after: SHUN_FIRST });
         };
         let job = self.job(now, ask, &profile, &views);
-        let stands_back =
-            job.cost.is_giant(ask.whole_objective) && self.is_busy(now, ask, views.len());
-        if stands_back && (self.reads_giant() || mean_unread_ms(&views) > GIANT_LULL_MS) {
-            return Err(SpareLack { retry_after: GIANT_RETRY });
+        let best = best_group(&job, &views).ok_or(SpareLack { retry_after: SHUN_FIRST })?;
+        if !job.cost.is_short() && best.loss > job.value {
+            // Its engines would lose more by it than it brings.
+            return Err(SpareLack { retry_after: LULL_RETRY });
         }
-        let most = if stands_back { views.len().div_ceil(GIANT_SHARE) } else { views.len() };
-        let best = best_group(&job, &views, most).ok_or(SpareLack { retry_after: SHUN_FIRST })?;
         if best.first_ms > millis(ask.deadline) {
             // It would only keep engines from prompts that still have a chance.
             let spare_ms = (best.first_ms - millis(ask.deadline)).clamp(500.0, 4_000.0);
@@ -164,22 +158,12 @@
         if is_short {
             meter.arrived(time_ms(now), millis(plan.whole));
         } else {
-            meter.long_arrived(time_ms(now), value, millis(ask.objective), work_ms);
+            meter.long_arrived(time_ms(now), value, work_ms);
         }
         self.book(now, ask, &plan);
         Ok(plan)
     }
 
-    fn is_busy(&mut self, now: MonotonicTime, ask: &PromptAsk, engines: usize) -> bool {
-        let meter = self.demand.entry(ask.service.clone()).or_default();
-        meter.is_busy(time_ms(now), engines)
-    }
-
-    /// Returns whether a giant is being read.
-    fn reads_giant(&self) -> bool {
-        self.placed.values().any(|placed| placed.is_giant && !placed.has_begun)
-    }
-
     fn job<'a>(
         &mut self,
         now: MonotonicTime,
@@ -202,7 +186,12 @@
         }
     }
 
-    fn view(&self, now: MonotonicTime, endpoint: EndpointId) -> Option<(EndpointId, EngineView)> {
+    fn view(
+        &self,
+        now: MonotonicTime,
+        endpoint: EndpointId,
+        helped_share: f64,
+    ) -> Option<(EndpointId, EngineView)> {
         let now_ms = time_ms(now);
         let entry = self.engines.get(&endpoint)?;
         let engine = self.farm.engine(&endpoint)?;
@@ -211,6 +200,7 @@
             Some(Neighbour {
                 value: placed.value,
                 pause_ms: placed.pause_ms.max(1.0),
+                patience_ms: placed.patience_ms,
                 due_in_ms: (!placed.has_begun).then_some(placed.due_ms - now_ms),
                 is_spoiled: placed.is_spoiled,
                 is_short: placed.is_short,
@@ -220,7 +210,10 @@
         let profile = &entry.facts.profile;
         let usable_tokens = (profile.memory_tokens as f64 * MEMORY_SHARE) as u64;
         let slots = profile.slots as usize;
-        Some((endpoint, EngineView::new(engine, now_ms, slots, usable_tokens, neighbours)))
+        Some((
+            endpoint,
+            EngineView::new(engine, now_ms, slots, usable_tokens, neighbours, helped_share),
+        ))
     }
 
     /// Takes over a prompt that another home placed, so that its engines are known to be busy.
@@ -324,11 +317,11 @@
         let placed = PlacedPrompt {
             value: cost.value(),
             pause_ms: millis(ask.pause),
+            patience_ms: patience_ms(ask),
             due_ms: time_ms(now) + millis(ask.objective),
             has_begun: false,
             is_spoiled: false,
             is_short: cost.is_short(),
-            is_giant: cost.is_giant(ask.whole_objective),
         };
         self.placed.insert(ask.key, placed);
     }
@@ -379,11 +372,6 @@
     }
 }
 
-fn mean_unread_ms(views: &[(EndpointId, EngineView)]) -> f64 {
-    let unread: f64 = views.iter().map(|(_, view)| view.unread_ms).sum();
-    unread / views.len().max(1) as f64
-}
-
 /// A pause this many times as long as it may be is sure to be late, whatever the prediction's
 /// error.
 const SPOILED_FROM: f64 = 1.2;
