--- a/crates/gateway/src/peers/mesh.rs
+++ b/crates/gateway/src/peers/mesh.rs
@@ -12,7 +12,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use super::PeerMessage;
 use crate::net;
@@ -37,6 +37,17 @@
 /// often.
 const READ_PATIENCE: Duration = Duration::from_secs(12);
 
+/// How often the receiving side of a connection says that it still receives. A connection may go silent
+/// for good without an error, and what was written to it then gets nowhere.
+const RECEIPT_EVERY: Duration = Duration::from_millis(900);
+
+/// A receipt: one byte, of no further meaning.
+const RECEIPT: [u8; 1] = [1];
+
+/// How long a receipt is waited for once something was written. The next greeting brings one at the
+/// latest, so this bears one greeting lost and a daemon that stands still for a second.
+const RECEIPT_PATIENCE: Duration = Duration::from_millis(2_400);
+
 /// What the mesh tells its owner.
 pub(crate) trait MeshEvents {
     /// A message has come.
@@ -149,33 +160,41 @@
     }
 }
 
-/// Writes frames until the connection breaks; returns why it did.
+/// Writes frames until the connection breaks or goes silent; returns why it did.
 async fn write_link(
     mut stream: TcpStream,
     mut buffer: BytesMut,
     frames: &mut mpsc::Receiver<Bytes>,
 ) -> String {
+    let mut receipt_due: Option<Instant> = None;
     loop {
         while buffer.len() < WRITE_BYTES {
             let Ok(frame) = frames.try_recv() else { break };
             buffer.extend_from_slice(&frame);
         }
         match timeout(net::SILENT_LINK, stream.write_all(&buffer)).await {
-            Ok(Ok(())) => buffer.clear(),
+            Ok(Ok(())) if buffer.is_empty() => {}
+            Ok(Ok(())) => {
+                buffer.clear();
+                receipt_due.get_or_insert_with(|| Instant::now() + RECEIPT_PATIENCE);
+            }
             Ok(Err(error)) => return error.to_string(),
             Err(_) => return "the other side does not read".to_owned(),
         }
-        let mut probe = [0_u8; 1];
+        let mut receipts = [0_u8; 16];
         tokio::select! {
             frame = frames.recv() => match frame {
                 Some(frame) => buffer.extend_from_slice(&frame),
                 None => return "the daemon is not known any more".to_owned(),
             },
-            read = stream.read(&mut probe) => match read {
+            read = stream.read(&mut receipts) => match read {
                 Ok(0) => return "the other side closed".to_owned(),
-                Ok(_) => return "the other side wrote where it should not".to_owned(),
+                Ok(_) => receipt_due = None,
                 Err(error) => return error.to_string(),
             },
+            () = sleep_until(receipt_due.unwrap_or_else(Instant::now)), if receipt_due.is_some() => {
+                return "no receipt in time".to_owned();
+            }
         }
     }
 }
@@ -211,6 +230,7 @@
     let invalid = || std::io::Error::from(std::io::ErrorKind::InvalidData);
     let from: InstanceId =
         std::str::from_utf8(&id).ok().and_then(|id| id.parse().ok()).ok_or_else(invalid)?;
+    let mut receipted: Option<Instant> = None;
     loop {
         let length = timeout(READ_PATIENCE, stream.read_u32_le()).await??;
         let length = usize::try_from(length).unwrap_or(usize::MAX);
@@ -221,5 +241,10 @@
         timeout(READ_PATIENCE, stream.read_exact(&mut body)).await??;
         let message = postcard::from_bytes(&body).map_err(|_| invalid())?;
         events.on_message(&from, message);
+        if receipted.is_none_or(|at| at.elapsed() >= RECEIPT_EVERY) {
+            receipted = Some(Instant::now());
+            // One that does not fit now is followed by another; the writer ends what is broken.
+            let _ = stream.get_ref().try_write(&RECEIPT);
+        }
     }
 }
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -69,7 +69,7 @@
 ) -> Result<Rc<Gateway>, GatewayError> {
     let listen_at = settings.listen.clone();
     let callers = listen(listen_at.callers)?;
-    let peers = listen(listen_at.peers)?;
+    let peers = listen(listen_at.peers_bind)?;
     let folder = settings.data_folder.clone();
     let gateway = Gateway::new(settings, dialect, log);
     {
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -66,6 +66,14 @@
         None,
         "For other daemons; also this daemon's id in the cluster.",
     ),
+    spec(
+        "listen",
+        "peers_bind",
+        SettingKind::Address,
+        "",
+        Some(""),
+        "Where to listen for other daemons, if they reach the address above by way of something else; the same without.",
+    ),
     spec(
         "listen",
         "metrics",
@@ -223,8 +231,10 @@
     pub control: SocketAddr,
     /// For callers that ask which instance to use.
     pub directory: SocketAddr,
-    /// For other daemons.
+    /// For other daemons, as they reach it.
     pub peers: SocketAddr,
+    /// Where other daemons' connections arrive here.
+    pub peers_bind: SocketAddr,
     /// For the metrics.
     pub metrics: SocketAddr,
 }
@@ -331,6 +341,8 @@
 impl SettingsReader {
     fn gateway(&mut self) -> Option<GatewaySettings> {
         let folder = self.text("instance", "data_folder").filter(|text| !text.is_empty());
+        let peers = self.parsed("listen", "peers")?;
+        let bind = self.text("listen", "peers_bind").filter(|text| !text.is_empty());
         Some(GatewaySettings {
             name: self.parsed("instance", "name")?,
             data_centre: self.parsed("instance", "data_centre")?,
@@ -340,7 +352,8 @@
                 readiness: self.parsed("listen", "readiness")?,
                 control: self.parsed("listen", "control")?,
                 directory: self.parsed("listen", "directory")?,
-                peers: self.parsed("listen", "peers")?,
+                peers,
+                peers_bind: bind.map_or(Some(peers), |bind| bind.parse().ok())?,
                 metrics: self.parsed("listen", "metrics")?,
             },
             seeds: SeedSettings {
