--- a/crates/experiment/examples/placement.rs
+++ b/crates/experiment/examples/placement.rs
@@ -14,6 +14,7 @@
     json: bool,
     trace: Option<PathBuf>,
     engines: usize,
+    grown: bool,
 }
 
 fn command_line() -> OptionParser<PlacementTask> {
@@ -29,7 +30,8 @@
         .argument::<PathBuf>("FILE")
         .optional();
     let engines = long("engines").help("Engines of the deployment").argument("N").fallback(14);
-    construct!(PlacementTask { seeds, loads, json, trace, engines })
+    let grown = long("grown").help("Play the deployment when grown; it has 45 engines").switch();
+    construct!(PlacementTask { seeds, loads, json, trace, engines, grown })
         .to_options()
         .descr("Plays days on engines that work in passes, and prices them")
 }
@@ -124,7 +126,11 @@
         return Ok(());
     }
     for load in &task.loads {
-        let plan = DayPlan::present("present", task.engines, *load);
+        let plan = if task.grown {
+            DayPlan::grown("grown", task.engines, *load)
+        } else {
+            DayPlan::present("present", task.engines, *load)
+        };
         for policy in policies {
             let days = play(&plan, policy, task.seeds);
             summary(&plan, policy, &days, task.json);
--- a/crates/experiment/src/fleet_day.rs
+++ b/crates/experiment/src/fleet_day.rs
@@ -121,59 +121,99 @@
         surge.map_or(1.0, |surge| surge.factors[class])
     }
 
-    /// The Agência's or Magnolia's present deployment on a quiet day, or with three surges.
+    /// The Agência's or Magnolia's present deployment, with three surges.
     pub fn present(name: &'static str, engines: usize, load: f64) -> Self {
-        let profile = EngineProfile {
-            slots: 16,
-            memory_tokens: 450_000,
-            step_ms: 0.925,
-            step_ms_per_writer: 0.004_83,
-            step_ms_per_context_k: 0.002_54,
-            read_tokens_per_s: 256_000.0,
-            read_ms_per_million_pairs: 0.0917,
-            read_tokens_per_step: 2_048,
-            steps_per_pass: 46,
-            report_lag_ms: 200.0,
-            group_step_ms: 0.1,
-        };
-        let scale = engines as f64 / 14.0;
+        let scale = engines as f64 / PRESENT_ENGINES;
         let classes = vec![
-            PromptClass {
-                name: "short",
-                per_second: 30.7 * scale,
-                prompt_tokens: (4_960.0, 0.9, 23_800.0),
-                answer_events: (34.9, 0.7, 87.0),
-                objective_ms: 300.0,
-                pause_ms: 200.0,
-                deadline_ms: 10_000.0,
-                worth: (1.3, 0.33),
-            },
-            PromptClass {
-                name: "medium",
-                per_second: 2.23 * scale,
-                prompt_tokens: (45_000.0, 0.5, 110_000.0),
-                answer_events: (20.9, 0.6, 52.0),
-                objective_ms: 1_500.0,
-                pause_ms: 500.0,
-                deadline_ms: 10_000.0,
-                worth: (3.1, 0.79),
-            },
-            PromptClass {
-                name: "long",
-                per_second: 0.924 * scale,
-                prompt_tokens: (210_000.0, 0.55, 1_000_000.0),
-                answer_events: (17.4, 0.5, 44.0),
-                objective_ms: 3_000.0,
-                pause_ms: 800.0,
-                deadline_ms: 15_000.0,
-                worth: (22.0, 5.4),
-            },
+            short_class(30.7 * scale, (1.3, 0.33)),
+            medium_class(2.23 * scale, (3.1, 0.79)),
+            long_class(0.924 * scale, 210_000.0, 3_000.0, (22.0, 5.4)),
         ];
-        let surges = vec![
-            Surge { span: (1.8, 11.3), factors: vec![0.3, 1.3, 2.7] },
-            Surge { span: (13.0, 22.5), factors: vec![2.5, 0.5, 0.05] },
-            Surge { span: (23.0, 32.5), factors: vec![0.35, 1.3, 2.8] },
+        let profile = engine_profile(16, 450_000, 46);
+        Self { name, engines, profile, classes, surges: surges(), seconds: 34.0, load }
+    }
+
+    /// The same users' deployment when grown.
+    pub fn grown(name: &'static str, engines: usize, load: f64) -> Self {
+        let scale = engines as f64 / GROWN_ENGINES;
+        let classes = vec![
+            short_class(76.7 * scale, (1.4, 0.34)),
+            medium_class(7.03 * scale, (2.6, 0.66)),
+            long_class(2.08 * scale, 300_000.0, 4_000.0, (30.0, 7.5)),
         ];
-        Self { name, engines, profile, classes, surges, seconds: 34.0, load }
+        let profile = engine_profile(12, 382_500, 52);
+        Self { name, engines, profile, classes, surges: surges(), seconds: 34.0, load }
+    }
+}
+
+/// Engines of the Agência's deployments, for which its rates are given.
+const PRESENT_ENGINES: f64 = 14.0;
+const GROWN_ENGINES: f64 = 45.0;
+
+fn engine_profile(slots: u32, memory_tokens: u64, steps_per_pass: u32) -> EngineProfile {
+    EngineProfile {
+        slots,
+        memory_tokens,
+        step_ms: 0.925,
+        step_ms_per_writer: 0.004_83,
+        step_ms_per_context_k: 0.002_54,
+        read_tokens_per_s: 256_000.0,
+        read_ms_per_million_pairs: 0.0917,
+        read_tokens_per_step: 2_048,
+        steps_per_pass,
+        report_lag_ms: 200.0,
+        group_step_ms: 0.1,
+    }
+}
+
+fn short_class(per_second: f64, worth: (f64, f64)) -> PromptClass {
+    PromptClass {
+        name: "short",
+        per_second,
+        prompt_tokens: (4_960.0, 0.9, 23_800.0),
+        answer_events: (34.9, 0.7, 87.0),
+        objective_ms: 300.0,
+        pause_ms: 200.0,
+        deadline_ms: 10_000.0,
+        worth,
     }
 }
+
+fn medium_class(per_second: f64, worth: (f64, f64)) -> PromptClass {
+    PromptClass {
+        name: "medium",
+        per_second,
+        prompt_tokens: (45_000.0, 0.5, 110_000.0),
+        answer_events: (20.9, 0.6, 52.0),
+        objective_ms: 1_500.0,
+        pause_ms: 500.0,
+        deadline_ms: 10_000.0,
+        worth,
+    }
+}
+
+fn long_class(
+    per_second: f64,
+    mean_tokens: f64,
+    objective_ms: f64,
+    worth: (f64, f64),
+) -> PromptClass {
+    PromptClass {
+        name: "long",
+        per_second,
+        prompt_tokens: (mean_tokens, 0.55, 1_000_000.0),
+        answer_events: (17.4, 0.5, 44.0),
+        objective_ms,
+        pause_ms: 800.0,
+        deadline_ms: 15_000.0,
+        worth,
+    }
+}
+
+fn surges() -> Vec<Surge> {
+    vec![
+        Surge { span: (1.8, 11.3), factors: vec![0.3, 1.3, 2.7] },
+        Surge { span: (13.0, 22.5), factors: vec![2.5, 0.5, 0.05] },
+        Surge { span: (23.0, 32.5), factors: vec![0.35, 1.3, 2.8] },
+    ]
+}
--- a/crates/experiment/src/fleet_run.rs
+++ b/crates/experiment/src/fleet_run.rs
@@ -1,6 +1,6 @@
 //! One day on engines that work in passes, under one policy.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -72,8 +72,35 @@
     first_ms: Option<f64>,
     last_ms: f64,
     longest_ms: f64,
+    /// When its objective began to count.
+    began_ms: f64,
+    is_second: bool,
 }
 
+/// A prompt on its way to engines.
+#[derive(Debug, Clone)]
+struct Attempt {
+    number: u64,
+    at_ms: f64,
+    /// Until when engines are looked for.
+    waits_until: f64,
+    /// Whether it was refused before.
+    is_second: bool,
+    prompt: DayPrompt,
+}
+
+/// The part of its objective for which a gateway looks for engines.
+const WAIT_SHARE: f64 = 0.22;
+
+/// The pause before it looks again; gateways look twice as often.
+const LOOK_AGAIN_MS: f64 = 50.0;
+
+/// When a caller comes back that was refused, as it is told.
+const COMES_BACK_MS: f64 = 4_000.0;
+
+/// The part of its worth that a prompt costs which is refused again; the users' prices.
+const REFUSED_AGAIN_LOSS: f64 = 0.3;
+
 struct DayWorld<'a> {
     plan: &'a DayPlan,
     farm: EngineFarm,
@@ -81,6 +108,7 @@
     fleet: EngineFleet,
     open: BTreeMap<u64, OpenPrompt>,
     result: DayResult,
+    attempts: VecDeque<Attempt>,
     turn: usize,
 }
 
@@ -92,14 +120,23 @@
 /// Plays a day with given prompts, in order of time.
 pub fn run_prompts(plan: &DayPlan, policy: FleetPolicy, prompts: Vec<DayPrompt>) -> DayResult {
     let mut world = DayWorld::new(plan);
-    let mut prompts = prompts.into_iter().enumerate().peekable();
+    for (number, prompt) in prompts.into_iter().enumerate() {
+        let tally = &mut world.result.classes[prompt.class];
+        let class = &plan.classes[prompt.class];
+        tally.asked += 1;
+        tally.worth.1 += class.worth.0 * size_weight(&prompt, class.prompt_tokens.0);
+        let (at_ms, waits_until) = (prompt.at_ms, prompt.at_ms + class.objective_ms * WAIT_SHARE);
+        let attempt =
+            Attempt { number: number as u64, at_ms, waits_until, is_second: false, prompt };
+        world.attempts.push_back(attempt);
+    }
     loop {
         let next_end = world.farm.next_end();
-        let next_prompt = prompts.peek().map(|(_, prompt)| prompt.at_ms);
+        let next_prompt = world.attempts.front().map(|attempt| attempt.at_ms);
         match (next_prompt, next_end) {
             (Some(at), end) if end.is_none_or(|end| at <= end) => {
-                if let Some((number, prompt)) = prompts.next() {
-                    world.arrive(policy, number as u64, prompt);
+                if let Some(attempt) = world.attempts.pop_front() {
+                    world.arrive(policy, attempt);
                 }
             }
             (_, Some(end)) => world.work_until(end),
@@ -134,21 +171,18 @@
             fleet,
             open: BTreeMap::new(),
             result: DayResult { classes: vec![ClassTally::default(); plan.classes.len()] },
+            attempts: VecDeque::new(),
             turn: 0,
         }
     }
 
-    fn arrive(&mut self, policy: FleetPolicy, number: u64, prompt: DayPrompt) {
-        let class = &self.plan.classes[prompt.class];
-        let weight = size_weight(&prompt, class.prompt_tokens.0);
-        let tally = &mut self.result.classes[prompt.class];
-        tally.asked += 1;
-        tally.worth.1 += class.worth.0 * weight;
-        let now_ms = prompt.at_ms + HOP_MS;
-        let Some(placed) = self.place(policy, number, &prompt) else {
-            self.result.classes[prompt.class].lost += 1;
+    fn arrive(&mut self, policy: FleetPolicy, attempt: Attempt) {
+        let now_ms = attempt.at_ms + HOP_MS;
+        let Some(placed) = self.place(policy, &attempt) else {
+            self.refuse(attempt);
             return;
         };
+        let Attempt { number, prompt, is_second, .. } = attempt;
         let read = PassPrompt {
             key: key(number),
             prompt_tokens: prompt.prompt_tokens,
@@ -168,30 +202,55 @@
             main,
             predicted_ms: placed.first_event.as_secs_f64() * 1_000.0,
             first_ms: None,
-            last_ms: prompt.at_ms,
+            last_ms: attempt.at_ms,
             longest_ms: 0.0,
+            began_ms: if is_second { attempt.at_ms } else { prompt.at_ms },
+            is_second,
             prompt,
         };
         self.open.insert(number, open);
     }
 
-    fn place(
-        &mut self,
-        policy: FleetPolicy,
-        number: u64,
-        prompt: &DayPrompt,
-    ) -> Option<PromptPlan> {
+    /// Looks again for a while, as gateways do; then the caller comes back once.
+    fn refuse(&mut self, attempt: Attempt) {
+        let class = &self.plan.classes[attempt.prompt.class];
+        let again = if attempt.at_ms < attempt.waits_until {
+            Attempt { at_ms: attempt.at_ms + LOOK_AGAIN_MS, ..attempt }
+        } else if attempt.is_second {
+            let tally = &mut self.result.classes[attempt.prompt.class];
+            tally.lost += 1;
+            let weight = size_weight(&attempt.prompt, class.prompt_tokens.0);
+            tally.worth.0 -= class.worth.0 * weight * REFUSED_AGAIN_LOSS;
+            return;
+        } else {
+            let at_ms = attempt.at_ms + COMES_BACK_MS;
+            let waits_until = at_ms + class.objective_ms * WAIT_SHARE;
+            Attempt { at_ms, waits_until, is_second: true, ..attempt }
+        };
+        let at = self.attempts.partition_point(|other| other.at_ms <= again.at_ms);
+        self.attempts.insert(at, again);
+    }
+
+    fn place(&mut self, policy: FleetPolicy, attempt: &Attempt) -> Option<PromptPlan> {
+        let (number, prompt) = (attempt.number, &attempt.prompt);
         let class = &self.plan.classes[prompt.class];
+        let whole_ms = class.objective_ms;
+        let began_ms = if attempt.is_second {
+            attempt.waits_until - whole_ms * WAIT_SHARE
+        } else {
+            prompt.at_ms
+        };
+        let spent_ms = attempt.at_ms - began_ms;
         let ask = PromptAsk {
             key: key(number),
             service: service(),
             prompt_tokens: prompt.prompt_tokens,
             answer_tokens: prompt.expected_tokens,
             max_answer_tokens: prompt.expected_tokens * 2,
-            objective: millis(class.objective_ms),
-            whole_objective: millis(class.objective_ms),
+            objective: millis((whole_ms - spent_ms).max(0.0)),
+            whole_objective: millis(whole_ms),
             pause: millis(class.pause_ms),
-            deadline: millis(class.deadline_ms),
+            deadline: millis(class.deadline_ms - (attempt.at_ms - prompt.at_ms)),
             avoid: Vec::new(),
         };
         let alone = |main: usize| {
@@ -204,7 +263,7 @@
             })
         };
         match policy {
-            FleetPolicy::Predicting => self.fleet.place(time(prompt.at_ms), &ask).ok(),
+            FleetPolicy::Predicting => self.fleet.place(time(attempt.at_ms), &ask).ok(),
             FleetPolicy::LeastOutstanding => {
                 let mut counts = vec![0; self.names.len()];
                 self.open.values().for_each(|open| counts[open.main] += 1);
@@ -234,7 +293,7 @@
         if open.first_ms.is_some() {
             open.longest_ms = open.longest_ms.max(seen - open.last_ms);
         } else {
-            open.first_ms = Some(seen - open.prompt.at_ms);
+            open.first_ms = Some(seen - open.began_ms);
             self.fleet.first_event(time(seen), key(number));
         }
         open.last_ms = seen;
@@ -247,6 +306,9 @@
         let class = &self.plan.classes[open.prompt.class];
         let weight = size_weight(&open.prompt, class.prompt_tokens.0);
         let tally = &mut self.result.classes[open.prompt.class];
+        // The users give the mean of both where a refused caller is served in time after all.
+        let (whole, late) = class.worth;
+        let whole = if open.is_second { f64::midpoint(whole, late) } else { whole };
         let on_time = tally.on_time;
         let first = open.first_ms.unwrap_or(f64::MAX);
         tally.first_ms.push((open.predicted_ms, first));
@@ -254,13 +316,13 @@
             tally.lost += 1;
         } else if first > class.objective_ms {
             tally.late_first += 1;
-            tally.worth.0 += class.worth.1 * weight;
+            tally.worth.0 += late * weight;
         } else if open.longest_ms > class.pause_ms {
             tally.late_pause += 1;
-            tally.worth.0 += class.worth.1 * weight;
+            tally.worth.0 += late * weight;
         } else {
             tally.on_time += 1;
-            tally.worth.0 += class.worth.0 * weight;
+            tally.worth.0 += whole * weight;
         }
         if tally.on_time == on_time {
             tally.bad_at.push(open.prompt.at_ms / 1_000.0);
--- a/crates/gateway/src/front/placement.rs
+++ b/crates/gateway/src/front/placement.rs
@@ -22,11 +22,15 @@
 /// The longest pause of a stream whose route does not say.
 const UNKNOWN_PAUSE: Duration = Duration::from_millis(500);
 
+/// Why a plain service's request goes nowhere.
+const NO_ENDPOINT: &str = "no endpoint takes work";
+
 /// The reason that a try found no endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum NoPlace {
-    /// No endpoint of the service takes work.
-    NoEndpoint(Duration),
+    /// No endpoint of the service takes work, or none is worth sending this request to; why, and
+    /// when to come back.
+    NoEndpoint(&'static str, Duration),
     /// Engines' memory could not be reserved.
     NoMemory,
 }
@@ -81,7 +85,7 @@
             let (now, own) = (gateway.now(), &settings.data_centre);
             balancer.choose(now, own, &candidates, rand::random()).cloned()
         };
-        let beat = chosen.ok_or_else(|| no_endpoint(gateway, request, SOON))?;
+        let beat = chosen.ok_or_else(|| no_endpoint(gateway, request, NO_ENDPOINT, SOON))?;
         gateway.balancer.borrow_mut().begin(&beat.endpoint);
         Ok(Self {
             gateway: Rc::clone(gateway),
@@ -103,7 +107,8 @@
     ) -> Result<Self, NoPlace> {
         let ask = ask(gateway, request, avoid);
         let (placed, by) = gateway.place_prompt(&request.id, &ask).await;
-        let plan = placed.map_err(|lack| no_endpoint(gateway, request, lack.retry_after))?;
+        let plan = placed
+            .map_err(|lack| no_endpoint(gateway, request, lack.reason.name(), lack.retry_after))?;
         let mut placement = Self {
             gateway: Rc::clone(gateway),
             endpoint: plan.main.clone(),
@@ -118,7 +123,8 @@
         let registry_address = |endpoint: &EndpointId| {
             gateway.endpoints.borrow().takes_work(endpoint).map(|beat| beat.address)
         };
-        placement.address = registry_address(&plan.main).ok_or(NoPlace::NoEndpoint(SOON))?;
+        placement.address =
+            registry_address(&plan.main).ok_or(NoPlace::NoEndpoint(NO_ENDPOINT, SOON))?;
         let mut to_reserve = Vec::new();
         for helper in &plan.helpers {
             // One that has left meanwhile reads no part; the others read more.
@@ -167,10 +173,15 @@
 
 /// Says when to come back where a service has no endpoint. One that is not known at all is met
 /// with its next heartbeat, as after a start of all daemons.
-fn no_endpoint(gateway: &Gateway, request: &CallerRequest, otherwise: Duration) -> NoPlace {
+fn no_endpoint(
+    gateway: &Gateway,
+    request: &CallerRequest,
+    reason: &'static str,
+    otherwise: Duration,
+) -> NoPlace {
     let is_known = gateway.endpoints.borrow().serving(&request.service.name).next().is_some();
     let heartbeat = gateway.settings().bounds.endpoint_heartbeat;
-    NoPlace::NoEndpoint(if is_known { otherwise } else { heartbeat })
+    NoPlace::NoEndpoint(reason, if is_known { otherwise } else { heartbeat })
 }
 
 fn ask(gateway: &Rc<Gateway>, request: &CallerRequest, avoid: &[EndpointId]) -> PromptAsk {
--- a/crates/gateway/src/front/tries.rs
+++ b/crates/gateway/src/front/tries.rs
@@ -232,7 +232,7 @@
             return None;
         }
         let (reason, after) = match lack {
-            NoPlace::NoEndpoint(after) => ("no endpoint takes work", after),
+            NoPlace::NoEndpoint(reason, after) => (reason, after),
             NoPlace::NoMemory => ("no engine memory", SOON),
         };
         gateway
--- a/crates/placement/src/fleet.rs
+++ b/crates/placement/src/fleet.rs
@@ -12,7 +12,7 @@
 use crate::demand::DemandMeter;
 use crate::farm::EngineFarm;
 use crate::passes::PassPrompt;
-use crate::plan::{HelperPart, PromptAsk, PromptKey, PromptPlan, SpareLack};
+use crate::plan::{HelperPart, LackReason, PromptAsk, PromptKey, PromptPlan, SpareLack};
 
 /// The part of an engine's memory that is used; the rest is for answers longer than expected,
 /// a sixteenth as there are sixteen of them.
@@ -167,20 +167,22 @@
             .collect();
         let Some(profile) = views.first().map(|(e, _)| Arc::clone(&self.engines[e].facts.profile))
         else {
-            return Err(SpareLack { retry_after: SHUN_FIRST });
+            return Err(SpareLack { reason: LackReason::NoEngine, retry_after: SHUN_FIRST });
         };
         let job = self.job(now, ask, &profile, &views);
-        let best = best_group(&job, &views).ok_or(SpareLack { retry_after: SHUN_FIRST })?;
+        let best = best_group(&job, &views)
+            .ok_or(SpareLack { reason: LackReason::NoMemory, retry_after: SHUN_FIRST })?;
         let counts_risk = job.long_demand.counts_risk(views.len());
         let loss = if counts_risk { best.badness } else { best.loss };
         if !job.cost.is_short() && loss > job.value {
             // Its engines would lose more by it than it brings.
-            return Err(SpareLack { retry_after: LULL_RETRY });
+            return Err(SpareLack { reason: LackReason::TooDear, retry_after: LULL_RETRY });
         }
         if best.first_ms > millis(ask.deadline) {
             // It would only keep engines from prompts that still have a chance.
             let spare_ms = (best.first_ms - millis(ask.deadline)).clamp(500.0, 4_000.0);
-            return Err(SpareLack { retry_after: Duration::from_secs_f64(spare_ms / 1_000.0) });
+            let retry_after = Duration::from_secs_f64(spare_ms / 1_000.0);
+            return Err(SpareLack { reason: LackReason::TooLate, retry_after });
         }
         let plan = plan(&job, &views, &profile, &best);
         let (is_short, value, work_ms) = (job.cost.is_short(), job.value, job.cost.whole_ms);
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -23,4 +23,4 @@
 pub use farm::{EngineFarm, FarmEvent};
 pub use fleet::{EngineFacts, EngineFleet};
 pub use passes::{AnswerEnd, EnginePasses, PassEvent, PassPrompt};
-pub use plan::{HelperPart, PromptAsk, PromptKey, PromptPlan, SpareLack};
+pub use plan::{HelperPart, LackReason, PromptAsk, PromptKey, PromptPlan, SpareLack};
--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -63,9 +63,36 @@
     pub whole: Duration,
 }
 
-/// No engine can take the prompt.
+/// The reason that a prompt is not placed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum LackReason {
+    /// No engine of the service takes work.
+    NoEngine,
+    /// No group of engines has the memory for it.
+    NoMemory,
+    /// Its first event would come after its caller has left.
+    TooLate,
+    /// Other prompts would lose more by it than it brings.
+    TooDear,
+}
+
+impl LackReason {
+    /// Returns the reason in words, for logs and refusals.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::NoEngine => "no engine takes work",
+            Self::NoMemory => "no engines have the memory",
+            Self::TooLate => "engines too busy to begin in time",
+            Self::TooDear => "engines too busy for a prompt of this size",
+        }
+    }
+}
+
+/// A prompt is not placed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SpareLack {
+    /// Why not.
+    pub reason: LackReason,
     /// When it is worth asking again.
     pub retry_after: Duration,
 }
--- a/crates/placement/tests/placing.rs
+++ b/crates/placement/tests/placing.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use oriolepass_placement::{
-    AnswerEnd, EngineFacts, EngineFarm, EngineFleet, PassPrompt, PromptAsk, PromptKey, ReadCost,
+    AnswerEnd, EngineFacts, EngineFarm, EngineFleet, LackReason, PassPrompt, PromptAsk, PromptKey,
+    ReadCost,
 };
 use oriolepass_routing::EngineProfile;
 use oriolepass_units::{EndpointId, MonotonicTime};
@@ -124,7 +125,8 @@
     let plan = fleet.place(at(0), &ask(1, 700_000)).unwrap();
     let kept: u64 = plan.helpers.iter().filter_map(|helper| helper.reserve_tokens).sum();
     assert!(700_000 - kept <= 450_000, "the engine that writes keeps {}", 700_000 - kept);
-    assert!(fleet.place(at(1), &ask(2, 3_000_000)).is_err(), "no group can hold it");
+    let lack = fleet.place(at(1), &ask(2, 3_000_000)).unwrap_err();
+    assert_eq!(lack.reason, LackReason::NoMemory, "no group can hold it");
     fleet.ended(at(2), key(1));
     assert_eq!(fleet.placed_count(), 0, "nothing is left behind");
 }
@@ -143,6 +145,7 @@
         fleet.ended(now + Duration::from_millis(140), key(100 + number));
     }
     let giant = fleet.place(at(4_000), &ask(2, 430_000)).unwrap_err();
+    assert_eq!(giant.reason, LackReason::TooDear);
     assert!(giant.retry_after >= Duration::from_secs(1), "it is told when to come back");
     assert!(fleet.place(at(4_010), &ask(3, 130_000)).is_ok(), "it brings more for its time");
     assert!(fleet.place(at(4_020), &ask(4, 4_000)).is_ok(), "others are not affected");
