--- a/crates/cli/src/commands/explain.rs
+++ b/crates/cli/src/commands/explain.rs
@@ -11,7 +11,7 @@
 const BEFORE_SECONDS: f64 = 3.0;
 
 /// Kinds of lines that change what a gateway believes.
-const BELIEFS: [&str; 15] = [
+const BELIEFS: [&str; 14] = [
     "start",
     "draining",
     "stop",
@@ -25,7 +25,6 @@
     "document",
     "in-force",
     "freshness",
-    "home",
     "endpoint",
 ];
 
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -79,8 +79,6 @@
     End = "end";
     /// A prompt could not be placed; `retry_after_ms` says when to come back.
     NoPlace = "no-place";
-    /// Another daemon places prompts on engines from now on; `leader` is who should.
-    Home = "home";
     /// The home of the engines did not answer; the prompt was placed on the local view.
     HomeLost = "home-lost";
     /// Memory of an engine was reserved or released, or that failed.
--- a/crates/gateway/src/home.rs
+++ b/crates/gateway/src/home.rs
@@ -1,10 +1,9 @@
 //! Where prompts go: asking the home of the engines, being it, and doing without it.
 //!
 //! The leader of the log is the home of all engines: it alone places prompts, so that its view
-//! of what each engine has to do is whole. While it does not answer, a deputy stands in for it
-//! that all entries choose alike. An entry that reaches neither places by itself on what it knows,
-//! which is its own prompts only. When the home changes, every entry tells the new one which
-//! prompts it has under way.
+//! of what each engine has to do is whole. An entry that cannot reach it places by itself on
+//! what it knows, which is its own prompts only. When the home changes, every entry tells the
+//! new one which prompts it has under way.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
@@ -18,9 +17,7 @@
 use crate::endpoints::EndpointPhase;
 use crate::events::EventKind;
 use crate::gateway::{Gateway, PeerReply};
-use crate::home_choice::HomeChoice;
 use crate::peers::{PeerMessage, PlaceVerdict, PlacedPrompt, ProgressNote};
-use crate::roster::DaemonPhase;
 
 /// How long the home has to place a prompt: far above a hop between data centres and a decision,
 /// far below the shortest objective.
@@ -40,8 +37,6 @@
     Home,
     /// The home, on another daemon.
     RemoteHome,
-    /// This daemon or another one, in place of a home that does not answer.
-    Deputy,
     /// This daemon, because the home did not answer.
     Alone,
 }
@@ -51,7 +46,6 @@
         match self {
             Self::Home => "home",
             Self::RemoteHome => "remote home",
-            Self::Deputy => "deputy",
             Self::Alone => "alone",
         }
     }
@@ -61,7 +55,6 @@
 #[derive(Debug, Default)]
 pub(crate) struct HomeState {
     fleet: EngineFleet,
-    choice: HomeChoice,
     /// What the engines in the fleet were last taken from.
     taken_from: Option<(u64, Option<RoutingRevision>, MonotonicTime)>,
     /// The prompts of callers here.
@@ -75,48 +68,15 @@
 const REFRESH_AFTER: Duration = Duration::from_millis(200);
 
 impl Gateway {
-    /// Returns the home of the engines, as far as it can be reached; a new one is told what runs.
-    fn current_home(&self) -> InstanceId {
-        let now = self.now();
-        let leader = self.leader_instance();
-        let deputies = || self.deputies(now);
-        let chosen = self.home.borrow_mut().choice.choose(now, &self.own, leader.clone(), deputies);
-        if chosen.is_new {
-            self.line(EventKind::Home)
-                .maybe("before", chosen.before.as_ref())
-                .text("home", &chosen.home)
-                .maybe("leader", leader.as_ref())
-                .text("outcome", "changed");
-            self.tell_placed(&chosen.home);
-        }
-        chosen.home
-    }
-
-    /// Lists who may stand in for the home, in the order in which all entries try them: those
-    /// without a disk first, since what takes the leader away often takes its like.
-    fn deputies(&self, now: MonotonicTime) -> Vec<InstanceId> {
-        let roster = self.roster.borrow();
-        let ready = roster.alive(now).filter(|note| note.phase == DaemonPhase::Ready);
-        let mut deputies: Vec<(bool, InstanceId)> =
-            ready.map(|note| (note.has_disk, note.instance.clone())).collect();
-        if self.is_ready() {
-            deputies.push((self.settings().data_folder.is_some(), self.own.clone()));
-        }
-        deputies.sort();
-        deputies.into_iter().map(|(_, instance)| instance).collect()
-    }
-
     /// Places a prompt of a caller here.
     pub(crate) async fn place_prompt(
         &self,
         request: &str,
         ask: &PromptAsk,
     ) -> (Result<PromptPlan, SpareLack>, PlacedBy) {
-        let home = self.current_home();
-        let is_deputy = self.leader_instance().as_ref() != Some(&home);
-        if home != self.own {
+        if let Some(leader) = self.leader_instance().filter(|leader| *leader != self.own) {
             let reply = self
-                .call(&home, HOME_PATIENCE, |token| PeerMessage::PlaceAsk {
+                .call(&leader, HOME_PATIENCE, |token| PeerMessage::PlaceAsk {
                     token,
                     ask: ask.clone(),
                 })
@@ -127,16 +87,11 @@
                     self.home.borrow_mut().fleet.adopt(self.now(), ask, plan, false);
                     self.keep_own(ask, plan);
                 }
-                return (verdict, if is_deputy { PlacedBy::Deputy } else { PlacedBy::RemoteHome });
+                return (verdict, PlacedBy::RemoteHome);
             }
-            self.line(EventKind::HomeLost).text("request", request).text("home", &home);
-            self.home.borrow_mut().choice.lost(self.now(), &home);
+            self.line(EventKind::HomeLost).text("request", request).text("home", leader);
         }
-        let by = match (home == self.own, is_deputy) {
-            (true, false) => PlacedBy::Home,
-            (true, true) => PlacedBy::Deputy,
-            (false, _) => PlacedBy::Alone,
-        };
+        let by = if self.is_leader() { PlacedBy::Home } else { PlacedBy::Alone };
         let verdict = self.place_here(ask);
         if let Ok(plan) = &verdict {
             self.keep_own(ask, plan);
@@ -170,12 +125,11 @@
         endpoint: &EndpointId,
         silence: Duration,
     ) -> bool {
-        let home = self.current_home();
-        if home == self.own {
+        let Some(leader) = self.leader_instance().filter(|leader| *leader != self.own) else {
             return self.explains_silence(endpoint, silence);
-        }
+        };
         let reply = self
-            .call(&home, HOME_PATIENCE, |token| PeerMessage::SilenceAsk {
+            .call(&leader, HOME_PATIENCE, |token| PeerMessage::SilenceAsk {
                 token,
                 endpoint: endpoint.clone(),
                 silence,
@@ -198,9 +152,8 @@
             }
             ProgressNote::Failed(_) => {}
         }
-        let home = self.current_home();
-        if home != self.own {
-            self.mesh.send(&home, &PeerMessage::Progress(vec![note]));
+        if let Some(leader) = self.leader_instance().filter(|leader| *leader != self.own) {
+            self.mesh.send(&leader, &PeerMessage::Progress(vec![note]));
         }
     }
 
@@ -235,16 +188,14 @@
         }
     }
 
-    /// Notes that another daemon leads: it is home from now on.
-    pub(crate) fn on_new_home(&self) {
-        self.current_home();
-    }
-
     /// Tells a new home what runs.
-    fn tell_placed(&self, home: &InstanceId) {
+    pub(crate) fn on_new_home(&self) {
+        let Some(leader) = self.leader_instance().filter(|leader| *leader != self.own) else {
+            return;
+        };
         let prompts: Vec<PlacedPrompt> = self.home.borrow().own.values().cloned().collect();
-        if *home != self.own && !prompts.is_empty() {
-            self.mesh.send(home, &PeerMessage::Placed(prompts));
+        if !prompts.is_empty() {
+            self.mesh.send(&leader, &PeerMessage::Placed(prompts));
         }
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -34,9 +34,6 @@
 mod front;
 mod gateway;
 mod home;
-mod home_choice;
-#[cfg(test)]
-mod home_choice_tests;
 mod lifecycle;
 mod metrics;
 mod net;
