Requests wait for a daemon that starts; short answers gather on few engines

(2) After a flood of short prompts, 20 to 25 answers stood on 7 of 18 engines and kept standing there, since an engine with one short answer took the next at no cost and the emptier one was taken. Change: front/starting.rs bounds a wait for document, proof and endpoints during the first 1.5 s; the cost of a short answer falls with the short answers that an engine has already.

--- a/crates/experiment/examples/placement.rs
+++ b/crates/experiment/examples/placement.rs
@@ -15,6 +15,7 @@
     trace: Option<PathBuf>,
     engines: usize,
     grown: bool,
+    further: bool,
 }
 
 fn command_line() -> OptionParser<PlacementTask> {
@@ -31,7 +32,10 @@
         .optional();
     let engines = long("engines").help("Engines of the deployment").argument("N").fallback(14);
     let grown = long("grown").help("Play the deployment when grown; it has 45 engines").switch();
-    construct!(PlacementTask { seeds, loads, json, trace, engines, grown })
+    let further = long("further")
+        .help("Play the deployment with more long prompts; it has 18 engines")
+        .switch();
+    construct!(PlacementTask { seeds, loads, json, trace, engines, grown, further })
         .to_options()
         .descr("Plays days on engines that work in passes, and prices them")
 }
@@ -126,7 +130,9 @@
         return Ok(());
     }
     for load in &task.loads {
-        let plan = if task.grown {
+        let plan = if task.further {
+            DayPlan::further("further", task.engines, *load)
+        } else if task.grown {
             DayPlan::grown("grown", task.engines, *load)
         } else {
             DayPlan::present("present", task.engines, *load)
--- a/crates/experiment/src/fleet_day.rs
+++ b/crates/experiment/src/fleet_day.rs
@@ -133,6 +133,42 @@
         Self { name, engines, profile, classes, surges: surges(), seconds: 34.0, load }
     }
 
+    /// A deployment with more long prompts, shorter than those of the others, on engines with half
+    /// of the memory.
+    pub fn further(name: &'static str, engines: usize, load: f64) -> Self {
+        let scale = engines as f64 / FURTHER_ENGINES;
+        let short = PromptClass {
+            answer_events: (31.6, 0.7, 79.1),
+            pause_ms: 250.0,
+            ..short_class(38.3 * scale, (1.3, 0.33))
+        };
+        let medium = PromptClass {
+            answer_events: (19.0, 0.6, 47.5),
+            pause_ms: 600.0,
+            ..medium_class(2.09 * scale, (3.9, 0.98))
+        };
+        let long = PromptClass {
+            prompt_tokens: (133_000.0, 0.55, 600_000.0),
+            answer_events: (15.8, 0.5, 39.6),
+            pause_ms: 1_000.0,
+            ..long_class(1.76 * scale, 133_000.0, 2_500.0, (15.0, 3.7))
+        };
+        let profile = EngineProfile {
+            slots: 16,
+            memory_tokens: 232_000,
+            step_ms: 1.02,
+            step_ms_per_writer: 0.002_26,
+            step_ms_per_context_k: 0.004_31,
+            read_tokens_per_s: 206_000.0,
+            read_ms_per_million_pairs: 0.138,
+            steps_per_pass: 43,
+            group_step_ms: 0.075,
+            ..engine_profile(16, 232_000, 43)
+        };
+        let classes = vec![short, medium, long];
+        Self { name, engines, profile, classes, surges: surges(), seconds: 34.0, load }
+    }
+
     /// The same users' deployment when grown.
     pub fn grown(name: &'static str, engines: usize, load: f64) -> Self {
         let scale = engines as f64 / GROWN_ENGINES;
@@ -149,6 +185,7 @@
 /// Engines of the Agência's deployments, for which its rates are given.
 const PRESENT_ENGINES: f64 = 14.0;
 const GROWN_ENGINES: f64 = 45.0;
+const FURTHER_ENGINES: f64 = 18.0;
 
 fn engine_profile(slots: u32, memory_tokens: u64, steps_per_pass: u32) -> EngineProfile {
     EngineProfile {
--- a/crates/gateway/src/documents.rs
+++ b/crates/gateway/src/documents.rs
@@ -259,6 +259,7 @@
         self.metrics.proof_age.set(age_ms);
         let mut documents = self.documents.borrow_mut();
         if std::mem::replace(&mut documents.was_fresh, is_fresh) != is_fresh {
+            self.document_changed.notify_waiters();
             self.line(EventKind::Freshness)
                 .number("proof_age_ms", age_ms)
                 .maybe("revision", documents.revision())
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -77,6 +77,8 @@
     Resume = "resume";
     /// A request has ended; `status` is what the caller got.
     End = "end";
+    /// A request waited for this daemon to start; `outcome` says whether it had by then.
+    StartWait = "start-wait";
     /// A prompt could not be placed; `retry_after_ms` says when to come back.
     NoPlace = "no-place";
     /// The home of the engines did not answer; the prompt was placed on the local view.
--- a/crates/gateway/src/front/caller.rs
+++ b/crates/gateway/src/front/caller.rs
@@ -18,6 +18,7 @@
 use super::headers;
 use super::listener::ConnectionWatch;
 use super::refusal::Refusal;
+use super::starting;
 use super::stream;
 use super::tries::{History, Verdict};
 use crate::dialect::RequestFacts;
@@ -32,10 +33,6 @@
 /// first proof take about this long.
 pub(super) const AFTER_ELECTION: Duration = Duration::from_millis(1_000);
 
-/// A start takes about this long until the first proof, where all daemons start at once: measured
-/// 1.2 s on the users' bench.
-const SETTLED_AFTER: Duration = Duration::from_millis(1_500);
-
 /// When to come back to another instance.
 const ELSEWHERE: Duration = Duration::from_millis(50);
 
@@ -236,9 +233,10 @@
     let (mut parts, mut body) = request.into_parts();
     let facts = (gateway.dialect.read_request)(&parts.headers);
     guard.id = facts.id.clone().unwrap_or_default();
+    starting::until_serving(gateway, &guard.id, facts.deadline).await;
     let limits = gateway.active_document().map(|document| *document.table.limits());
     let Some(limits) = limits else {
-        return Err(Refusal::not_run("no document yet", until_settled(gateway)));
+        return Err(Refusal::not_run("no document yet", starting::until_settled(gateway)));
     };
     let host = match headers::check_head(&parts, limits.max_head_bytes) {
         Ok(host) => host,
@@ -279,7 +277,7 @@
     if needs_proof && gateway.settings().bounds.fail_closed && !gateway.is_fresh() {
         return Err(Refusal::not_run(
             "document not proved current",
-            until_settled(gateway).max(AFTER_ELECTION),
+            starting::until_settled(gateway).max(AFTER_ELECTION),
         ));
     }
     let deadline = facts.deadline.unwrap_or(route.timeout).min(MAX_DEADLINE).min(route.timeout);
@@ -312,11 +310,6 @@
     })
 }
 
-/// Says when to come back to a daemon that has just started.
-fn until_settled(gateway: &Gateway) -> Duration {
-    SETTLED_AFTER.saturating_sub(gateway.clock.uptime()).max(SOON)
-}
-
 /// Finds the route and the account of a request.
 fn look_up(
     gateway: &Gateway,
@@ -401,7 +394,8 @@
 ) -> Response<FrontBody> {
     let service = request.service.name.clone();
     gateway.budget.borrow_mut().count_request(gateway.now(), &gateway.budget_rule(), &service);
-    let mut history = History::new(&request);
+    let start_wait = starting::patience(gateway, Some(request.left()));
+    let mut history = History::new(&request, start_wait);
     let tried = timeout_at(request.give_up, history.try_until_answered(gateway, &request)).await;
     let verdict = tried.unwrap_or_else(|_| {
         let may_have_run = history.may_have_run();
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -9,6 +9,7 @@
 mod refusal;
 mod reserve;
 mod sends;
+mod starting;
 mod stream;
 mod tries;
 
--- a/crates/gateway/src/front/tries.rs
+++ b/crates/gateway/src/front/tries.rs
@@ -28,6 +28,9 @@
 /// The part of the objective for which a request waits for an endpoint before it is refused.
 const WAIT_SHARE: f64 = 0.22;
 
+/// The part of the objective for which a prompt waits for engines: as long as it may still be on time.
+const PROMPT_WAIT_SHARE: f64 = 0.22;
+
 /// The pause before a place is looked for again.
 const LOOK_AGAIN: Duration = Duration::from_millis(25);
 
@@ -80,15 +83,17 @@
 }
 
 impl History {
-    pub(super) fn new(request: &CallerRequest) -> Self {
-        let wait = request.route.objective.mul_f64(WAIT_SHARE);
+    pub(super) fn new(request: &CallerRequest, start_wait: Duration) -> Self {
+        let is_prompt = request.service.engine.is_some();
+        let share = if is_prompt { PROMPT_WAIT_SHARE } else { WAIT_SHARE };
+        let wait = request.route.objective.mul_f64(share).max(start_wait);
         Self {
             sends: 0,
             runs: 0,
             avoid: Vec::new(),
             last_event: request.facts.resume_after,
             failure: None,
-            wait_until: request.arrived + wait,
+            wait_until: Instant::now() + wait,
         }
     }
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -27,6 +27,8 @@
     pub(crate) budget_refusals: IntCounter,
     /// Streams that went on at another endpoint.
     pub(crate) resumes: IntCounter,
+    /// Time that requests waited for this daemon to start, by what came of it.
+    pub(crate) start_waits: HistogramVec,
     /// Requests refused, by reason.
     pub(crate) refusals: IntCounterVec,
     /// Requests under way.
@@ -92,6 +94,11 @@
                 "Repeated sends that the budget refused",
             ),
             resumes: counter("oriolepass_stream_resumes_total", "Streams that moved on"),
+            start_waits: seconds(
+                "oriolepass_start_wait_seconds",
+                "Waiting for this daemon to start",
+                "outcome",
+            ),
             refusals: counters("oriolepass_refusals_total", "Requests refused", "reason"),
             active: gauge("oriolepass_active_requests", "Requests under way"),
             revision: gauge("oriolepass_routing_revision", "Revision in force"),
--- a/crates/placement/src/cost.rs
+++ b/crates/placement/src/cost.rs
@@ -40,9 +40,14 @@
 /// 0.05).
 const HELPER_COST: f64 = 0.004;
 
-/// What the first short answer on an engine costs: long prompts lose a place where they disturb
-/// nobody (experiment: 0 to 0.6).
-pub(crate) const FRESH_COST: f64 = 0.3;
+/// What the first short answer on an engine costs, and in proportion fewer those after it: engines
+/// with few of them are left to empty, and long prompts find more engines where they disturb nobody
+/// (experiment: 0.1 to 2).
+const SPARSE_COST: f64 = 1.0;
+
+/// The part of an engine's places with short answers from which on it counts as packed (experiment:
+/// 0.6 to 0.9).
+const PACKED_SHARE: f64 = 0.75;
 
 /// From this part of an engine's places on, one more short answer makes the next ones wait
 /// (experiment: 0 to 0.9).
@@ -212,15 +217,13 @@
         blocked.max(0.0)
     }
 
-    pub(crate) fn has_short(&self) -> bool {
-        self.neighbours.iter().any(|neighbour| neighbour.is_short)
-    }
-
-    /// Returns the cost of one more short answer: the first one here, or one of many.
+    /// Returns the cost of one more short answer: one of the first here, or one of many.
     pub(crate) fn short_cost(&self) -> f64 {
-        let fresh = if self.has_short() { 0.0 } else { FRESH_COST };
+        let short = self.neighbours.iter().filter(|neighbour| neighbour.is_short).count() as f64;
+        let filled = self.slots as f64 * PACKED_SHARE;
+        let sparse = (1.0 - short / filled).max(0.0) * SPARSE_COST;
         let taken = self.load as f64 / self.slots as f64;
-        fresh + ((taken - CROWD_FROM) / (1.0 - CROWD_FROM)).max(0.0) * CROWD_COST
+        sparse + ((taken - CROWD_FROM) / (1.0 - CROWD_FROM)).max(0.0) * CROWD_COST
     }
 }
 
--- a/crates/placement/tests/placing.rs
+++ b/crates/placement/tests/placing.rs
@@ -1,5 +1,6 @@
 //! Prompts go where they lose least, on engines as the users' platform publishes them.
 
+use std::collections::{BTreeSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -111,7 +112,7 @@
         fleet.place(at(number * 30), &ask(number, 4_000)).unwrap();
         fleet.first_event(at(number * 30 + 25), key(number));
     }
-    let with_short: std::collections::BTreeSet<_> =
+    let with_short: BTreeSet<_> =
         (0..8).map(|number| fleet.engines_of(key(number))[0].clone()).collect();
     assert!(with_short.len() <= 2, "{with_short:?}");
     let plan = fleet.place(at(300), &ask(100, 200_000)).unwrap();
@@ -119,6 +120,40 @@
     assert_eq!(disturbed + usize::from(with_short.contains(&plan.main)), 0);
 }
 
+/// Places a short prompt and returns the engine that writes its answer.
+fn place_short(fleet: &mut EngineFleet, number: u64, now_ms: u64) -> EndpointId {
+    let plan = fleet.place(at(now_ms), &ask(number, 4_000)).unwrap();
+    fleet.first_event(at(now_ms + 30), key(number));
+    plan.main
+}
+
+#[test]
+fn after_a_flood_of_short_prompts_their_answers_gather_on_few_engines() {
+    let mut fleet = fleet(14);
+    let mut under_way: VecDeque<(u64, u64)> = VecDeque::new();
+    let mut number = 0;
+    let mut play = |fleet: &mut EngineFleet, span: std::ops::Range<u64>, every_ms: usize| {
+        let mut used = Vec::new();
+        for now_ms in span.step_by(every_ms) {
+            while under_way.front().is_some_and(|(_, ends)| *ends <= now_ms) {
+                let (ended, _) = under_way.pop_front().unwrap();
+                fleet.ended(at(now_ms), key(ended));
+            }
+            used.push(place_short(fleet, number, now_ms));
+            under_way.push_back((number, now_ms + 2_000));
+            number += 1;
+        }
+        used
+    };
+    // 83 a second take most engines; 20 a second, 40 at a time, fit on three.
+    let flood = play(&mut fleet, 0..5_000, 12);
+    assert!(flood.iter().collect::<BTreeSet<_>>().len() >= 9);
+    play(&mut fleet, 5_000..7_500, 50);
+    let ebb = play(&mut fleet, 7_500..10_000, 50);
+    let used: BTreeSet<_> = ebb.iter().collect();
+    assert!(used.len() <= 3, "answers are still begun on {} engines", used.len());
+}
+
 #[test]
 fn a_prompt_beyond_one_engines_memory_is_kept_by_several() {
     let mut fleet = fleet(8);
