A new home books answers under way as written

Cause: a home that took prompts over booked each one as still to be read and then noted its first event, which ended the present pass of the model's engine; parts of others that were read in that pass counted as read. After a change of home a prompt of 45,000 tokens was predicted at 164 ms and came at 2,635 ms. Ruled out: lost messages (the new home had every prompt), the frozen home's own prompts (one of 56,000 tokens).

--- a/crates/placement/src/farm.rs
+++ b/crates/placement/src/farm.rs
@@ -84,7 +84,8 @@
         let mut engines = vec![main.clone()];
         for helper in helpers {
             if let Some(engine) = self.engines.get_mut(&helper.endpoint) {
-                engine.help(now_ms, prompt, helper.reserve_tokens.unwrap_or(0));
+                engine.keep(prompt.key, helper.reserve_tokens.unwrap_or(0));
+                engine.help(now_ms, prompt);
                 engines.push(helper.endpoint.clone());
             }
         }
@@ -93,6 +94,26 @@
         true
     }
 
+    /// Takes over a prompt whose answer is being written already.
+    pub fn take_written(
+        &mut self,
+        now_ms: f64,
+        main: &EndpointId,
+        helpers: &[HelperPart],
+        prompt: &PassPrompt,
+    ) {
+        let Some(engine) = self.engines.get_mut(main) else { return };
+        engine.take_written(now_ms, prompt.clone());
+        for helper in helpers {
+            if let Some(engine) = self.engines.get_mut(&helper.endpoint) {
+                engine.keep(prompt.key, helper.reserve_tokens.unwrap_or(0));
+            }
+        }
+        let helpers = helpers.iter().map(|helper| helper.endpoint.clone());
+        let engines = std::iter::once(main.clone()).chain(helpers).collect();
+        self.open.insert(prompt.key, OpenPrompt { engines, unread_parts: 0 });
+    }
+
     /// Ends a prompt, whichever way.
     pub fn remove(&mut self, key: PromptKey) {
         for endpoint in self.open.remove(&key).map(|open| open.engines).unwrap_or_default() {
--- a/crates/placement/src/fleet.rs
+++ b/crates/placement/src/fleet.rs
@@ -192,7 +192,7 @@
         } else {
             meter.long_arrived(time_ms(now), value, work_ms);
         }
-        self.book(now, ask, &plan);
+        self.book(now, ask, &plan, false);
         Ok(plan)
     }
 
@@ -254,10 +254,7 @@
             return;
         }
         self.farm.advance(time_ms(now));
-        self.book(now, ask, plan);
-        if begun {
-            self.first_event(now, ask.key);
-        }
+        self.book(now, ask, plan, begun);
     }
 
     /// Notes that a prompt's first event has come.
@@ -327,7 +324,7 @@
         if liked.is_empty() { all } else { liked }
     }
 
-    fn book(&mut self, now: MonotonicTime, ask: &PromptAsk, plan: &PromptPlan) {
+    fn book(&mut self, now: MonotonicTime, ask: &PromptAsk, plan: &PromptPlan, begun: bool) {
         let Some(main) = self.engines.get_mut(&plan.main) else { return };
         let cost = ReadCost::new(&main.facts.profile, ask.prompt_tokens);
         main.mains.push(ask.key);
@@ -344,14 +341,20 @@
             .chain(plan.helpers.iter().map(|helper| &helper.endpoint))
             .cloned()
             .collect();
-        self.spoil(cost.part_ms(parts), &engines);
-        self.farm.take(time_ms(now), &plan.main, &plan.helpers, &prompt);
+        if begun {
+            // Its parts have been read: to read them once more here would end passes that others'
+            // parts are read in, and these would count as read.
+            self.farm.take_written(time_ms(now), &plan.main, &plan.helpers, &prompt);
+        } else {
+            self.spoil(cost.part_ms(parts), &engines);
+            self.farm.take(time_ms(now), &plan.main, &plan.helpers, &prompt);
+        }
         let placed = PlacedPrompt {
             value: cost.value(),
             pause_ms: millis(ask.pause),
             patience_ms: patience_ms(ask),
             due_ms: time_ms(now) + millis(ask.objective),
-            has_begun: false,
+            has_begun: begun,
             is_spoiled: false,
             is_short: cost.is_short(),
         };
--- a/crates/placement/src/passes.rs
+++ b/crates/placement/src/passes.rs
@@ -223,11 +223,22 @@
         true
     }
 
-    /// Takes a part of a prompt in as a helper, and keeps some of the prompt's memory.
-    pub fn help(&mut self, now_ms: f64, prompt: &PassPrompt, reserve_tokens: u64) {
+    /// Takes a prompt in whose parts have all been read and whose answer is being written.
+    pub fn take_written(&mut self, now_ms: f64, prompt: PassPrompt) {
+        let left_tokens = prompt.answer_tokens as f64;
+        self.answers.push(PassAnswer { left_tokens, is_writing: true, prompt });
+        self.wake(now_ms);
+    }
+
+    /// Keeps some of the memory of a prompt that is written elsewhere.
+    pub fn keep(&mut self, key: PromptKey, reserve_tokens: u64) {
         if reserve_tokens > 0 {
-            self.reserved.push((prompt.key, reserve_tokens));
+            self.reserved.push((key, reserve_tokens));
         }
+    }
+
+    /// Takes a part of a prompt in as a helper.
+    pub fn help(&mut self, now_ms: f64, prompt: &PassPrompt) {
         let part = self.part(prompt, true);
         let at = self.reading.iter().position(|read| !read.is_helper);
         self.reading.insert(at.unwrap_or(self.reading.len()), part);
--- a/crates/placement/tests/placing.rs
+++ b/crates/placement/tests/placing.rs
@@ -267,3 +267,20 @@
     new.forget_entries(at(60), |entry| entry == 1);
     assert_eq!(new.placed_count(), 0, "its entry has died");
 }
+
+#[test]
+fn a_new_home_does_not_take_for_read_what_answers_under_way_wait_beside() {
+    let mut old = fleet(1);
+    let answers: Vec<_> = (0..6).map(|number| ask(number, 4_000)).collect();
+    let mut placed: Vec<_> =
+        answers.iter().map(|ask| (ask.clone(), old.place(at(0), ask).unwrap(), true)).collect();
+    let long = ask(10, 150_000);
+    placed.insert(2, (long.clone(), old.place(at(200), &long).unwrap(), false));
+    let mut new = fleet(1);
+    for (ask, plan, begun) in &placed {
+        new.adopt(at(210), ask, plan, *begun);
+    }
+    // The long prompt is 1.6 s of reading for the only engine.
+    let next = new.place(at(215), &ask(20, 60_000)).unwrap();
+    assert!(next.first_event > Duration::from_millis(1_500), "{:?}", next.first_event);
+}
