A prompt that is late already is served late instead of refused

Cause: the charge for a later first event was divided by what is left of the objective, 1 ms at least. A prompt of 11,000 tokens or more whose objective was used up (its stream broke off, a send failed, it waited for a start) cost over a hundred times its value and was refused as too dear; in ordering engines the same term outweighed what others lose. Ruled out: lateness itself (three quarters of the value at most), the price of engines' time (0.1 s of reading). Change: times count against the whole objective. The no-place line says the prompt's tokens, how long it waited and what is left.

--- a/crates/gateway/src/front/tries.rs
+++ b/crates/gateway/src/front/tries.rs
@@ -244,6 +244,9 @@
             .line(EventKind::NoPlace)
             .text("request", &request.id)
             .text("service", &request.service.name)
+            .number("prompt_tokens", request.facts.prompt_tokens.unwrap_or(0))
+            .millis("waited_ms", request.arrived.elapsed())
+            .millis("left_ms", request.left())
             .millis("retry_after_ms", after)
             .text("reason", reason);
         Some(self.give_up(reason, after))
--- a/crates/placement/src/choice.rs
+++ b/crates/placement/src/choice.rs
@@ -83,7 +83,7 @@
     size: usize,
 ) -> Option<Candidate> {
     let part_ms = job.cost.part_ms(size);
-    let objective_ms = millis(job.ask.objective);
+    let objective_ms = millis(job.ask.whole_objective);
     let mut scored: Vec<Scored<'_>> = views
         .iter()
         .map(|(endpoint, view)| {
--- a/crates/placement/src/cost.rs
+++ b/crates/placement/src/cost.rs
@@ -249,9 +249,12 @@
 }
 
 /// Returns what is charged beside the expected loss: an earlier first event and fewer engines are better.
-/// It decides between groups, and while engines are busy it also counts for a refusal.
+/// It decides between groups, and while engines are busy it also counts for a refusal. Times count
+/// against the whole objective: by what is left of it, a prompt that is late already would be refused
+/// whatever the engines do.
 pub(crate) fn risk(first_ms: f64, ask: &PromptAsk, value: f64, helpers: usize) -> f64 {
-    first_ms / millis(ask.objective).max(1.0) * EARLY_WORTH * value + HELPER_COST * helpers as f64
+    first_ms / millis(ask.whole_objective).max(1.0) * EARLY_WORTH * value
+        + HELPER_COST * helpers as f64
 }
 
 fn waiting_share(used: f64) -> f64 {
--- a/crates/placement/tests/placing.rs
+++ b/crates/placement/tests/placing.rs
@@ -206,6 +206,25 @@
     assert!(fleet.place(at(910), &asked(12, 0)).is_ok(), "the last time that it asks it is taken");
 }
 
+#[test]
+fn a_prompt_that_is_late_already_is_still_served_while_engines_have_time() {
+    let mut fleet = fleet(14);
+    // Long prompts take a good part of the engines' time, and leave enough of it.
+    for number in 0..12 {
+        let now = at(number * 300);
+        fleet.place(now, &ask(number, 200_000)).unwrap();
+        fleet.ended(now + Duration::from_millis(290), key(number));
+    }
+    // Its stream broke off, or it waited for a start of all gateways: its objective is used up.
+    let late = |number, tokens, whole_ms| PromptAsk {
+        objective: Duration::ZERO,
+        whole_objective: Duration::from_millis(whole_ms),
+        ..ask(number, tokens)
+    };
+    assert!(fleet.place(at(3_600), &late(100, 15_000, 300)).is_ok());
+    assert!(fleet.place(at(3_610), &late(101, 60_000, 1_500)).is_ok());
+}
+
 #[test]
 fn a_prompt_that_engines_could_only_read_late_does_not_take_long_from_one_of_them() {
     let mut fleet = fleet(14);
