oriolepass losses: what was late, refused or cut, by route and cause, from the logs

Change: a command that reads gateways' logs only; a request's last line names its objectives; reading logs is one module for three commands; a test on a kept sample. Conclusion: the account of losses is a part of the product.

--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -36,6 +36,7 @@
     HashKey,
     Explain { request: String, logs: Vec<PathBuf> },
     Timeline { logs: Vec<PathBuf> },
+    Losses { logs: Vec<PathBuf> },
 }
 
 /// The whole command line.
@@ -110,6 +111,13 @@
             .descr("Tell what gateways believed and when, from their logs")
             .command("timeline")
     };
+    let losses = {
+        let logs = log_files();
+        construct!(Command::Losses { logs })
+            .to_options()
+            .descr("Tell which requests were late, refused or cut, and why, from logs of gateways")
+            .command("losses")
+    };
     let apply = {
         let dry_run = long("dry-run").help("Show the differences and change nothing").switch();
         let wait = long("wait").help("Wait until the changes are in force everywhere").switch();
@@ -187,7 +195,7 @@
         .descr("Print the hash of the key, for use in objects")
         .command("hash-key");
     construct!([
-        explain, timeline, apply, get, list, delete, history, audit, status, top, wait, drain,
-        voters, hash_key
+        explain, timeline, losses, apply, get, list, delete, history, audit, status, top, wait,
+        drain, voters, hash_key
     ])
 }
--- a/crates/cli/src/commands/explain.rs
+++ b/crates/cli/src/commands/explain.rs
@@ -1,10 +1,12 @@
 //! What the logs of gateways say: one request's story, or what the gateways believed.
 
 use std::collections::BTreeSet;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 
-use eyre::{Result, WrapErr, bail};
-use serde_json::{Map, Value};
+use eyre::{Result, bail};
+use serde_json::Value;
+
+use super::log_lines::{LogLine, read_logs};
 
 /// Lines about endpoints that a request used are shown from this long before its first line, in
 /// seconds: a fault that it met was often met by others just before.
@@ -28,52 +30,16 @@
     "endpoint",
 ];
 
-/// A line of a gateway's log.
-struct LogLine {
-    time: f64,
-    fields: Map<String, Value>,
-}
-
-impl LogLine {
-    /// Reads a line; none where it holds no event. Whatever stands before the event, such as the
-    /// name that a collector puts there, is skipped.
-    fn read(text: &str) -> Option<Self> {
-        let at = text.find('{')?;
-        let Value::Object(fields) = serde_json::from_str(&text[at..]).ok()? else { return None };
-        let time = fields.get("time")?.as_f64()?;
-        Some(Self { time, fields })
-    }
-
-    fn text(&self, key: &str) -> &str {
-        self.fields.get(key).and_then(Value::as_str).unwrap_or_default()
-    }
-
-    fn details(&self) -> String {
-        let shown = |key: &str| !["time", "instance", "event", "request"].contains(&key);
-        let pairs = self.fields.iter().filter(|(key, _)| shown(key));
-        let texts: Vec<String> = pairs
-            .map(|(key, value)| match value {
-                Value::String(text) => format!("{key}={text}"),
-                other => format!("{key}={other}"),
-            })
-            .collect();
-        texts.join("  ")
-    }
-}
-
-fn read_logs(logs: &[PathBuf]) -> Result<Vec<LogLine>> {
-    let mut lines = Vec::new();
-    for log in logs {
-        lines.extend(read_log(log)?);
-    }
-    lines.sort_by(|left, right| left.time.total_cmp(&right.time));
-    Ok(lines)
-}
-
-fn read_log(log: &Path) -> Result<Vec<LogLine>> {
-    let text = std::fs::read_to_string(log)
-        .wrap_err_with(|| format!("the log {} cannot be read", log.display()))?;
-    Ok(text.lines().filter_map(LogLine::read).collect())
+fn details(line: &LogLine) -> String {
+    let shown = |key: &str| !["time", "instance", "event", "request"].contains(&key);
+    let pairs = line.fields.iter().filter(|(key, _)| shown(key));
+    let texts: Vec<String> = pairs
+        .map(|(key, value)| match value {
+            Value::String(text) => format!("{key}={text}"),
+            other => format!("{key}={other}"),
+        })
+        .collect();
+    texts.join("  ")
 }
 
 /// Prints a request's story, in order of time, with what became known of its endpoints meanwhile.
@@ -113,6 +79,6 @@
             continue;
         }
         let (instance, event) = (line.text("instance"), line.text("event"));
-        println!("{:>9.3}  {instance:<20} {event:<15} {}", line.time - start, line.details());
+        println!("{:>9.3}  {instance:<20} {event:<15} {}", line.time - start, details(line));
     }
 }
--- /dev/null
+++ b/crates/cli/src/commands/log_lines.rs
@@ -0,0 +1,53 @@
+//! Lines of gateways' logs.
+
+use std::path::{Path, PathBuf};
+
+use eyre::{Result, WrapErr};
+use serde_json::{Map, Value};
+
+/// A line of a gateway's log.
+pub(super) struct LogLine {
+    pub(super) time: f64,
+    pub(super) fields: Map<String, Value>,
+}
+
+impl LogLine {
+    /// Reads a line; none where it holds no event. Whatever stands before the event, such as the
+    /// name that a collector puts there, is skipped.
+    fn read(text: &str) -> Option<Self> {
+        let at = text.find('{')?;
+        let Value::Object(fields) = serde_json::from_str(&text[at..]).ok()? else { return None };
+        let time = fields.get("time")?.as_f64()?;
+        Some(Self { time, fields })
+    }
+
+    pub(super) fn text(&self, key: &str) -> &str {
+        self.fields.get(key).and_then(Value::as_str).unwrap_or_default()
+    }
+
+    /// Returns a number, which some events write as text.
+    pub(super) fn number(&self, key: &str) -> Option<f64> {
+        let value = self.fields.get(key)?;
+        value.as_f64().or_else(|| value.as_str()?.parse().ok())
+    }
+}
+
+/// Reads logs, in order of time.
+///
+/// # Errors
+///
+/// Returns an error when a log cannot be read.
+pub(super) fn read_logs(logs: &[PathBuf]) -> Result<Vec<LogLine>> {
+    let mut lines = Vec::new();
+    for log in logs {
+        lines.extend(read_log(log)?);
+    }
+    lines.sort_by(|left, right| left.time.total_cmp(&right.time));
+    Ok(lines)
+}
+
+fn read_log(log: &Path) -> Result<Vec<LogLine>> {
+    let text = std::fs::read_to_string(log)
+        .wrap_err_with(|| format!("the log {} cannot be read", log.display()))?;
+    Ok(text.lines().filter_map(LogLine::read).collect())
+}
--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -2,6 +2,8 @@
 
 mod apply;
 mod explain;
+mod log_lines;
+mod losses;
 mod queries;
 mod status;
 
@@ -20,6 +22,7 @@
     match &command {
         Command::Explain { request, logs } => return explain::explain(request, logs, common.json),
         Command::Timeline { logs } => return explain::timeline(logs, common.json),
+        Command::Losses { logs } => return losses::losses(logs, common.json),
         _ => {}
     }
     let key = read_key(&common)?;
@@ -54,7 +57,10 @@
             println!("{} voters are wanted; see `oriolepass status`", call.wanted.len());
             Ok(())
         }
-        Command::HashKey | Command::Explain { .. } | Command::Timeline { .. } => Ok(()),
+        Command::HashKey
+        | Command::Explain { .. }
+        | Command::Timeline { .. }
+        | Command::Losses { .. } => Ok(()),
     }
 }
 
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -48,3 +48,22 @@
     assert_eq!(output.status.code(), Some(2));
     assert!(String::from_utf8_lossy(&output.stderr).contains("logs of all gateways"));
 }
+
+#[test]
+fn losses_are_told_by_route_with_their_cause() {
+    let text = good(&["losses", "losses.log"]);
+    let rows: Vec<String> =
+        text.lines().map(|row| row.split_whitespace().collect::<Vec<_>>().join(" ")).collect();
+    assert_eq!(
+        rows,
+        [
+            "dossiers",
+            "1 late first event later than predicted",
+            "1 refused engines too busy for a prompt of this size",
+            "notes",
+            "1 on time",
+            "1 late first event the gateway had just started",
+            "1 late by a pause a long prompt was read beside it",
+        ]
+    );
+}
--- a/crates/gateway/src/front/caller.rs
+++ b/crates/gateway/src/front/caller.rs
@@ -108,14 +108,21 @@
     }
 }
 
+/// What a request asked for.
+struct RequestPlace {
+    route: Arc<RouteSpec>,
+    account: Option<String>,
+    kind: &'static str,
+}
+
 /// Notes a request's end, also when its caller leaves and everything about it is dropped.
 pub(super) struct EndGuard {
     gateway: Rc<Gateway>,
     watch: Rc<ConnectionWatch>,
     id: String,
     arrived: Instant,
-    /// The route, the account and the kind, once they are known.
-    place: Option<(String, Option<String>, &'static str)>,
+    /// What was asked for, once that is known.
+    place: Option<RequestPlace>,
     first_answer: Option<Duration>,
     last_piece: Option<Instant>,
     longest_pause: Duration,
@@ -170,8 +177,14 @@
         let metrics = &self.gateway.metrics;
         metrics.requests.with_label_values(&[status]).inc();
         let mut line = self.gateway.line(EventKind::End).text("request", &self.id);
-        if let Some((route, account, kind)) = &self.place {
-            line = line.text("route", route).maybe("account", account.as_ref());
+        if let Some(RequestPlace { route, account, kind }) = &self.place {
+            line = line
+                .text("route", &route.name)
+                .maybe("account", account.as_ref())
+                .millis("objective_ms", route.objective);
+            if let Some(pause) = route.pause_objective {
+                line = line.millis("pause_objective_ms", pause);
+            }
             metrics.whole_answer.with_label_values(&[kind]).observe(whole.as_secs_f64());
             if let Some(first) = self.first_answer {
                 metrics.first_answer.with_label_values(&[kind]).observe(first.as_secs_f64());
@@ -272,7 +285,7 @@
     };
     let kind = if route.repeat.is_stream() { "stream" } else { "call" };
     let account = holder.as_ref().map(|holder| holder.account.to_string());
-    guard.place = Some((route.name.clone(), account, kind));
+    guard.place = Some(RequestPlace { route: Arc::clone(&route), account, kind });
     let needs_proof = document.table.needs_keys() && !route.is_public;
     if needs_proof && gateway.settings().bounds.fail_closed && !gateway.is_fresh() {
         return Err(Refusal::not_run(
