--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -10,6 +10,8 @@
 mod reserve;
 mod sends;
 mod starting;
+#[cfg(test)]
+mod starting_tests;
 mod stream;
 mod tries;
 
--- a/crates/gateway/src/front/starting.rs
+++ b/crates/gateway/src/front/starting.rs
@@ -29,7 +29,12 @@
 /// Returns how long a request with `deadline` may wait for what this daemon still lacks; zero once it
 /// has started.
 pub(super) fn patience(gateway: &Gateway, deadline: Option<Duration>) -> Duration {
-    let left = STARTS_FOR.saturating_sub(gateway.clock.uptime()).min(WAIT_AT_MOST);
+    patience_after(gateway.clock.uptime(), deadline)
+}
+
+/// Returns the same for a daemon that started `uptime` ago.
+pub(super) fn patience_after(uptime: Duration, deadline: Option<Duration>) -> Duration {
+    let left = STARTS_FOR.saturating_sub(uptime).min(WAIT_AT_MOST);
     deadline.map_or(left, |deadline| left.min(deadline.mul_f64(WAIT_SHARE)))
 }
 
