--- a/crates/gateway/src/cluster.rs
+++ b/crates/gateway/src/cluster.rs
@@ -29,7 +29,7 @@
 
 /// Greetings say everything this many times less often than they say that the daemon is alive, and
 /// whenever something has changed: all of it takes some 150 bytes, and with 96 daemons saying it each
-/// time was a quarter of the bytes between data centres (users' bench, 0.118 to 0.087 GB a day).
+/// time was a quarter of the bytes between data centres (measured, 0.118 to 0.087 GB a day).
 const FULL_GREETING_DIVISOR: u64 = 8;
 
 /// The most endpoints that have left that a daemon is told of when a connection comes up.
--- a/crates/placement/src/cost.rs
+++ b/crates/placement/src/cost.rs
@@ -11,11 +11,11 @@
 use crate::passes::EnginePasses;
 use crate::plan::PromptAsk;
 
-/// What a prompt is worth for each token, beside 1 for each prompt. The users' sheets price their
+/// What a prompt is worth for each token, beside 1 for each prompt. The known deployments price their
 /// kinds so: 1.3 for 5,000 tokens, 3.1 for 45,000, 22 for 210,000, and within a kind by size.
 const VALUE_PER_TOKEN: f64 = 1.0 / 10_000.0;
 
-/// The part of a prompt's value that lateness loses; the users' sheets give about a quarter for
+/// The part of a prompt's value that lateness loses; the known deployments give about a quarter for
 /// a late answer.
 const LATE_LOSS: f64 = 0.75;
 
