--- a/crates/placement/src/passes.rs
+++ b/crates/placement/src/passes.rs
@@ -6,7 +6,7 @@
 //! with its share of the whole prompt's pairs, and its first event follows the last part.
 //!
 //! The home predicts with this model, and the experiment plays days on it. How it was checked
-//! against real engines' behaviour stands in `docs/measurements/engine-model.md`.
+//! stands in `docs/measurements/engine-model.md`.
 
 use std::collections::VecDeque;
 use std::sync::Arc;
