A replica says what it found on its disk, and whom it sees while it has no leader

Cause: after a loss of power of all daemons no voter ever led again, and the record could not tell a voter that refuses its disk from one whose elections fail: a start from a whole disk wrote no line, and a voter without a leader wrote one 'lost' line and fell silent.

Hypotheses, written before this: (1) a voter refuses its disk for good, since bytes that a killed process had written and not synced were read as durable, and power was lost later; (2) the voters had changed before the last fault; (3) elections that never end.

Tests: when a replica without a leader is reported (logical time).

--- a/crates/gateway/src/cluster.rs
+++ b/crates/gateway/src/cluster.rs
@@ -244,8 +244,10 @@
             Some(replica) => replica.open(now),
             None => return,
         };
+        self.metrics.replica_runs.set(i64::from(matches!(opened, Ok(true))));
         match opened {
             Ok(true) => {
+                self.report_replica(now);
                 if let Some(replica) = self.replica.borrow_mut().as_mut() {
                     replica.tick(now);
                 }
@@ -258,6 +260,45 @@
         }
     }
 
+    /// Says what the replica's start found, and while it has no leader, whom it sees.
+    fn report_replica(&self, now: MonotonicTime) {
+        let (recovery, leaderless) = {
+            let mut replica = self.replica.borrow_mut();
+            let Some(replica) = replica.as_mut() else { return };
+            (replica.take_recovery(), replica.leaderless(now))
+        };
+        if let Some(note) = recovery {
+            self.line(EventKind::Replica)
+                .number("term", note.term)
+                .number("last_index", note.last_index)
+                .number("snapshot_index", note.snapshot_index)
+                .number("cut_bytes", note.cut_bytes)
+                .text("voters", join(&self.own_voters()))
+                .text("outcome", "recovered");
+        }
+        if let Some(time) = leaderless {
+            self.report_no_leader(now, time);
+        }
+    }
+
+    /// Tells a majority that is missing from one that does not agree.
+    fn report_no_leader(&self, now: MonotonicTime, time: Duration) {
+        let voters = self.own_voters();
+        let roster = self.roster.borrow();
+        let running = roster.alive(now).filter(|note| note.replica.is_some());
+        let replicas: Vec<&InstanceId> = running.map(|note| &note.instance).collect();
+        let replica = self.replica.borrow();
+        let Some(node) = replica.as_ref().and_then(ReplicaDriver::node) else { return };
+        self.line(EventKind::Replica)
+            .millis("for_ms", time)
+            .text("role", format!("{:?}", node.role()).to_lowercase())
+            .number("term", node.term())
+            .number("last_index", node.last_index())
+            .text("voters", join(&voters))
+            .text("other_replicas", join(replicas))
+            .text("outcome", "no leader");
+    }
+
     /// Starts a replica with an empty disk as soon as it is clear which system it belongs to.
     fn start_empty_replica(self: &Rc<Self>, now: MonotonicTime) {
         if !self.replica.borrow().as_ref().is_some_and(ReplicaDriver::is_empty) {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -39,6 +39,8 @@
     pub(crate) proof_age: IntGauge,
     /// Whether this daemon leads the log.
     pub(crate) is_leader: IntGauge,
+    /// Whether this daemon's replica of the log runs.
+    pub(crate) replica_runs: IntGauge,
     /// Daemons heard lately.
     pub(crate) peers: IntGauge,
     /// Endpoints that take work.
@@ -104,6 +106,7 @@
             revision: gauge("oriolepass_routing_revision", "Revision in force"),
             proof_age: gauge("oriolepass_routing_proof_age_ms", "Age of the proof of freshness"),
             is_leader: gauge("oriolepass_is_leader", "Whether this daemon leads the log"),
+            replica_runs: gauge("oriolepass_replica_runs", "Whether the replica of the log runs"),
             peers: gauge("oriolepass_peers", "Daemons heard lately"),
             endpoints: gauge("oriolepass_endpoints", "Endpoints that take work"),
             syncs: counter("oriolepass_log_syncs_total", "Syncs of the log"),
--- a/crates/gateway/src/replica/mod.rs
+++ b/crates/gateway/src/replica/mod.rs
@@ -2,6 +2,9 @@
 //! commits to the routing register, and starts over when the disk fails.
 
 mod storage;
+mod watch;
+#[cfg(test)]
+mod watch_tests;
 
 use std::collections::{BTreeMap, VecDeque};
 use std::path::{Path, PathBuf};
@@ -18,6 +21,7 @@
 use tokio::sync::mpsc::UnboundedSender;
 
 pub(crate) use storage::StorageReport;
+use watch::{LeaderWatch, RecoveryNote};
 
 /// The least time without a leader before an election; at most twice this. Longer than a lost
 /// packet takes to be sent again (200 ms), and several heartbeats; a replica that is slow for
@@ -103,6 +107,9 @@
     opened: Option<OpenedStore>,
     running: Option<RunningReplica>,
     reopen_at: MonotonicTime,
+    /// What the last start found, until it is taken for the log.
+    recovery: Option<RecoveryNote>,
+    watch: LeaderWatch,
 }
 
 impl ReplicaDriver {
@@ -118,6 +125,8 @@
             opened: None,
             running: None,
             reopen_at: MonotonicTime::ZERO,
+            recovery: None,
+            watch: LeaderWatch::default(),
         }
     }
 
@@ -144,6 +153,7 @@
         }
         let is_empty = self.is_empty();
         if !is_empty {
+            self.recovery = self.opened.as_ref().map(|opened| RecoveryNote::of(&opened.recovered));
             self.start(now, Vec::new())?;
         }
         Ok(!is_empty)
@@ -301,6 +311,17 @@
         self.running.as_ref().map(|running| &running.node)
     }
 
+    /// Hands out what the last start found on the disk, once.
+    pub(crate) fn take_recovery(&mut self) -> Option<RecoveryNote> {
+        self.recovery.take()
+    }
+
+    /// Returns for how long the running replica has had no leader, if that is to be reported now.
+    pub(crate) fn leaderless(&mut self, now: MonotonicTime) -> Option<Duration> {
+        let node = &self.running.as_ref()?.node;
+        self.watch.note(now, node.leader().is_some())
+    }
+
     /// Changes which instances should vote.
     pub(crate) fn want_voters(&mut self, wanted: impl IntoIterator<Item = InstanceId>) {
         if let Some(running) = &mut self.running {
