A start syncs what it reads of the log before anything is built on it

Class: what a restarted process reads is taken as durable.

Change: LogStore::open syncs the newest segment after reading it. One sync a start; only the last frame of the newest segment can lack one, as each frame is synced before the next is written and each segment before the next is begun.

Ruled out as the mend: rewriting the last frame (a loss of power could tear what was durable), taking a torn older segment as cut (it would forget what this voter has vouched for).

--- a/crates/storage/src/folder.rs
+++ b/crates/storage/src/folder.rs
@@ -105,6 +105,18 @@
         .map_err(io_error("truncate", name))
     }
 
+    /// Syncs a file that is not open for appending.
+    pub(crate) fn sync_file(&self, name: &str) -> Result<(), StorageError> {
+        match &self.0 {
+            FolderKind::Real { path, .. } => OpenOptions::new()
+                .write(true)
+                .open(path.join(name))
+                .and_then(|file| file.sync_all()),
+            FolderKind::Fake(disk) => disk.sync_file(name),
+        }
+        .map_err(io_error("sync", name))
+    }
+
     pub(crate) fn rename(&self, from: &str, to: &str) -> Result<(), StorageError> {
         match &self.0 {
             FolderKind::Real { path, .. } => fs::rename(path.join(from), path.join(to)),
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -10,6 +10,10 @@
 //!   data: an error that names file, offset and remedy. Cutting there would silently forget
 //!   entries that this voter has acknowledged.
 //!
+//! A process that is killed leaves in the kernel's memory what it had written and not synced. The
+//! next start reads that as good frames, so it syncs the newest segment before it hands anything
+//! out: what was read is as durable as what was appended.
+//!
 //! Snapshots are written to a temporary file, synced, renamed, and the folder synced; only then
 //! are the segments they cover removed.
 //!
--- a/crates/storage/src/recovery.rs
+++ b/crates/storage/src/recovery.rs
@@ -56,6 +56,11 @@
         reader.read_segment(folder, name, last)?;
         reader.ends.insert(*number, reader.last);
     }
+    if let Some((_, newest)) = segments.last() {
+        // A process killed before its sync leaves a good frame in the kernel's memory only. Others build on what is
+        // read here, and no later sync covers this file; without this one, a loss of power tears it for good.
+        folder.sync_file(newest)?;
+    }
     let next_segment = segments.last().map_or(1, |(number, _)| number + 1);
     reader.check_joined(segments.first().map(|(_, name)| name.as_str()))?;
     Ok(Recovery { log: reader.log, next_segment, segment_ends: reader.ends })
