Failing tests: the same cause at a disk whose sync fails

After a failed sync a kernel may drop the bytes and keep them readable; a second sync then succeeds without them. A gateway reads its disk again in the same process, so it builds on such bytes too, and a loss of power tears a segment that is not the newest: the replica refuses its disk at every start.

The fake disk drops what a failed sync was to cover (half of the time the length stays and the bytes are zero).

--- a/crates/storage/src/fake.rs
+++ b/crates/storage/src/fake.rs
@@ -11,6 +11,9 @@
 struct FakeFile {
     content: Vec<u8>,
     synced: usize,
+    /// From here on a failed sync has dropped what was not synced: it can be read until the power
+    /// is lost, and later syncs succeed without it.
+    dropped: Option<usize>,
 }
 
 #[derive(Debug, Default)]
@@ -63,6 +66,16 @@
         self.lock().fails_after = None;
     }
 
+    /// Lets a disk that failed as planned work again. As kernels do, it has dropped what the
+    /// failed sync was to cover.
+    pub fn work_again(&self) {
+        let mut state = self.lock();
+        state.fails_after = None;
+        for file in state.files.values_mut().filter(|file| file.content.len() > file.synced) {
+            file.dropped = file.dropped.or(Some(file.synced));
+        }
+    }
+
     /// Forgets everything, as a replaced disk has.
     pub fn wipe(&self) {
         *self.lock() = DiskState::default();
@@ -156,6 +169,7 @@
         let file = state.files.get_mut(name).ok_or(io::ErrorKind::NotFound)?;
         file.content.truncate(usize::try_from(length).expect("a short file"));
         file.synced = file.content.len();
+        file.dropped = file.dropped.filter(|from| *from < file.content.len());
         Ok(())
     }
 
@@ -184,6 +198,15 @@
 
 /// Keeps the synced part of a file and a random piece of the rest, which may be garbled.
 fn torn(mut file: FakeFile, random: &mut StdRng) -> FakeFile {
+    if let Some(from) = file.dropped.take() {
+        // The length may have reached the disk without the bytes.
+        if random.random_bool(0.5) {
+            file.content[from..].fill(0);
+        } else {
+            file.content.truncate(from);
+            file.synced = file.synced.min(from);
+        }
+    }
     let unsynced = file.content.len() - file.synced;
     let survives = if unsynced == 0 { 0 } else { random.random_range(0..=unsynced) };
     file.content.truncate(file.synced + survives);
--- a/crates/storage/src/store.rs
+++ b/crates/storage/src/store.rs
@@ -24,6 +24,14 @@
     format!("snapshot-{:016x}.bin", index.0)
 }
 
+/// Where a failed sync may have left bytes that can be read and are not durable.
+///
+/// A failed sync lets the kernel forget that the bytes have to be written: they can still be read,
+/// and a second sync succeeds without them. Only the process that saw the failure knows how far
+/// its files were synced, so it hands that on to the next opening.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct SuspectTails(BTreeMap<String, u64>);
+
 /// The durable log of one replica.
 #[derive(Debug)]
 pub struct LogStore {
@@ -67,6 +75,26 @@
         Ok((store, recovery.log))
     }
 
+    /// Opens the store in the process that saw it fail.
+    ///
+    /// # Errors
+    ///
+    /// As [`LogStore::open`]; `suspects` then says what a later try has to cut.
+    pub fn open_after(
+        folder: DiskFolder,
+        segment_bytes: u64,
+        suspects: &mut SuspectTails,
+    ) -> Result<(Self, RecoveredLog), StorageError> {
+        let _ = suspects;
+        Self::open(folder, segment_bytes)
+    }
+
+    /// Returns what may look durable and is not, once the store has failed.
+    pub fn suspect_tails(&self) -> SuspectTails {
+        let newest = segment_name(self.newest_number);
+        SuspectTails(BTreeMap::from([(newest, self.newest_length)]))
+    }
+
     /// Appends records as one frame and syncs it.
     ///
     /// # Errors
--- a/crates/storage/tests/log_store.rs
+++ b/crates/storage/tests/log_store.rs
@@ -4,7 +4,7 @@
 
 use oriolepass_storage::{
     DiskFolder, FakeDisk, HardState, LogRecord, LogStore, RecoveredLog, SnapshotMeta, StorageError,
-    StoredEntry,
+    StoredEntry, SuspectTails,
 };
 use oriolepass_units::{LeaderTerm, LogIndex};
 use rand::rngs::StdRng;
@@ -28,6 +28,13 @@
     LogStore::open(DiskFolder::fake(disk.clone()), SMALL_SEGMENT)
 }
 
+fn reopen(
+    disk: &FakeDisk,
+    suspects: &mut SuspectTails,
+) -> Result<(LogStore, RecoveredLog), StorageError> {
+    LogStore::open_after(DiskFolder::fake(disk.clone()), SMALL_SEGMENT, suspects)
+}
+
 fn indexes(log: &RecoveredLog) -> Vec<u64> {
     log.entries.iter().map(|e| e.index.0).collect()
 }
@@ -282,3 +289,46 @@
         }
     }
 }
+
+/// The same cause at a disk that fails: after a failed sync the kernel may drop the bytes, which can still be read, and a
+/// second sync succeeds without them. What was read again then is not durable, whatever is synced later.
+#[test]
+fn a_frame_whose_sync_failed_is_not_built_on() {
+    for seed in 0..50 {
+        let disk = FakeDisk::default();
+        let (mut store, _) = open(&disk).expect("an empty disk");
+        store.append(&[hard(3), entry(1, 3)]).expect("room");
+        disk.fail_after(1);
+        store.append(&[entry(2, 3)]).expect_err("the sync failed");
+        let mut suspects = store.suspect_tails();
+        reopen(&disk, &mut suspects).expect_err("the disk still fails");
+        disk.work_again();
+        let (mut store, log) = reopen(&disk, &mut suspects).expect("the disk works again");
+        let next = log.last_index().0 + 1;
+        store.append(&[entry(next, 3)]).expect("room");
+        disk.crash(&mut StdRng::seed_from_u64(seed));
+        let (_, log) = open(&disk).unwrap_or_else(|e| panic!("seed {seed}: {e}"));
+        assert_eq!(log.last_index().0, next, "seed {seed}");
+    }
+}
+
+/// The same, where the disk fails as a start begins its segment, once and again.
+#[test]
+fn a_segment_whose_first_sync_failed_is_not_built_on() {
+    for (seed, operations) in (0..50).zip([1, 2, 3].into_iter().cycle()) {
+        let disk = FakeDisk::default();
+        let (mut store, _) = open(&disk).expect("an empty disk");
+        store.append(&[hard(3), entry(1, 3)]).expect("room");
+        let mut suspects = store.suspect_tails();
+        for _ in 0..2 {
+            disk.fail_after(operations);
+            reopen(&disk, &mut suspects).expect_err("the disk fails");
+            disk.work_again();
+        }
+        let (mut store, _) = reopen(&disk, &mut suspects).expect("the disk works again");
+        store.append(&[entry(2, 3)]).expect("room");
+        disk.crash(&mut StdRng::seed_from_u64(seed));
+        let (_, log) = open(&disk).unwrap_or_else(|e| panic!("seed {seed}: {e}"));
+        assert_eq!(indexes(&log), [1, 2], "seed {seed}");
+    }
+}
