A replica that reads its disk again cuts what a failed sync has left there

Change: a failed store says how far its newest segment was synced; the next opening cuts that file there before it reads, and keeps a list of segments that it began itself until their first sync. What is cut was never acknowledged.

Not covered: a process that is killed after a failed sync; the next one cannot know. Rewriting the frame would cover it, but a loss of power could then tear what was durable. The daemon's own interface ends its duty at a failed sync and is started by hand: the same gap.

--- a/crates/gateway/src/replica/mod.rs
+++ b/crates/gateway/src/replica/mod.rs
@@ -16,7 +16,7 @@
     PersistBatch,
 };
 use oriolepass_routing::{RegisterOutcome, RoutingRegister, RoutingRevision, RoutingText};
-use oriolepass_storage::{DiskFolder, LogStore, RecoveredLog, StorageError};
+use oriolepass_storage::{DiskFolder, LogStore, RecoveredLog, StorageError, SuspectTails};
 use oriolepass_units::{InstanceId, LeaderTerm, LogIndex, MonotonicTime};
 use tokio::sync::mpsc::UnboundedSender;
 
@@ -107,6 +107,8 @@
     opened: Option<OpenedStore>,
     running: Option<RunningReplica>,
     reopen_at: MonotonicTime,
+    /// What a failed sync has left on the disk, to be cut before it is read again.
+    suspects: SuspectTails,
     /// What the last start found, until it is taken for the log.
     recovery: Option<RecoveryNote>,
     watch: LeaderWatch,
@@ -125,6 +127,7 @@
             opened: None,
             running: None,
             reopen_at: MonotonicTime::ZERO,
+            suspects: SuspectTails::default(),
             recovery: None,
             watch: LeaderWatch::default(),
         }
@@ -148,7 +151,8 @@
             }
             self.reopen_at = now + REOPEN_AFTER;
             let folder = DiskFolder::open(&self.folder)?;
-            let (store, recovered) = LogStore::open(folder, SEGMENT_BYTES)?;
+            let (store, recovered) =
+                LogStore::open_after(folder, SEGMENT_BYTES, &mut self.suspects)?;
             self.opened = Some(OpenedStore { store, recovered });
         }
         let is_empty = self.is_empty();
@@ -241,7 +245,8 @@
                 }
                 (effects, None)
             }
-            StorageReport::Failed(error) => {
+            StorageReport::Failed(error, suspects) => {
+                self.suspects = suspects;
                 if let Some(running) = self.running.take() {
                     let lost = running.proposals.into_values();
                     effects.ended.extend(lost.map(|(_, _, p)| (p, ProposalEnd::Lost)));
--- a/crates/gateway/src/replica/storage.rs
+++ b/crates/gateway/src/replica/storage.rs
@@ -4,7 +4,7 @@
 use std::thread::JoinHandle;
 
 use oriolepass_consensus::PersistBatch;
-use oriolepass_storage::{LogStore, StorageError};
+use oriolepass_storage::{LogStore, StorageError, SuspectTails};
 use tokio::sync::mpsc::UnboundedSender;
 
 /// Batches synced together at most.
@@ -15,8 +15,9 @@
 pub(crate) enum StorageReport {
     /// Everything up to this batch is synced.
     Synced(u64),
-    /// The disk failed. What it holds is not known any more, so the replica must be read again.
-    Failed(StorageError),
+    /// The disk failed. What it holds is not known any more, so the replica must be read again,
+    /// without what only looks durable.
+    Failed(StorageError, SuspectTails),
 }
 
 /// Starts the thread. It ends when the batches' sender is gone or the disk fails.
@@ -47,9 +48,9 @@
         }
         let report = match PersistBatch::write_group(&mut store, &group) {
             Ok(()) => StorageReport::Synced(group.last().map_or(0, |batch| batch.sequence)),
-            Err(error) => StorageReport::Failed(error),
+            Err(error) => StorageReport::Failed(error, store.suspect_tails()),
         };
-        let is_over = matches!(report, StorageReport::Failed(_));
+        let is_over = matches!(report, StorageReport::Failed(..));
         if reports.send(report).is_err() || is_over {
             return;
         }
--- a/crates/storage/src/store.rs
+++ b/crates/storage/src/store.rs
@@ -32,6 +32,22 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct SuspectTails(BTreeMap<String, u64>);
 
+impl SuspectTails {
+    /// Cuts each file to the length that was synced.
+    fn cut(&mut self, folder: &DiskFolder) -> Result<(), StorageError> {
+        if self.0.is_empty() {
+            return Ok(());
+        }
+        for name in folder.list()? {
+            if let Some(synced) = self.0.get(&name) {
+                folder.truncate(&name, *synced)?;
+            }
+        }
+        self.0.clear();
+        Ok(())
+    }
+}
+
 /// The durable log of one replica.
 #[derive(Debug)]
 pub struct LogStore {
@@ -58,8 +74,23 @@
         folder: DiskFolder,
         segment_bytes: u64,
     ) -> Result<(Self, RecoveredLog), StorageError> {
+        Self::open_after(folder, segment_bytes, &mut SuspectTails::default())
+    }
+
+    /// Opens the store in the process that saw it fail.
+    ///
+    /// # Errors
+    ///
+    /// As [`LogStore::open`]; `suspects` then says what a later try has to cut.
+    pub fn open_after(
+        folder: DiskFolder,
+        segment_bytes: u64,
+        suspects: &mut SuspectTails,
+    ) -> Result<(Self, RecoveredLog), StorageError> {
+        suspects.cut(&folder)?;
         let recovery = recovery::read(&folder)?;
         let number = recovery.next_segment;
+        suspects.0.insert(segment_name(number), 0);
         let mut store = Self {
             newest: folder.append_to(&segment_name(number))?,
             folder,
@@ -72,23 +103,10 @@
             poisoned: false,
         };
         store.begin_segment()?;
+        suspects.0.clear();
         Ok((store, recovery.log))
     }
 
-    /// Opens the store in the process that saw it fail.
-    ///
-    /// # Errors
-    ///
-    /// As [`LogStore::open`]; `suspects` then says what a later try has to cut.
-    pub fn open_after(
-        folder: DiskFolder,
-        segment_bytes: u64,
-        suspects: &mut SuspectTails,
-    ) -> Result<(Self, RecoveredLog), StorageError> {
-        let _ = suspects;
-        Self::open(folder, segment_bytes)
-    }
-
     /// Returns what may look durable and is not, once the store has failed.
     pub fn suspect_tails(&self) -> SuspectTails {
         let newest = segment_name(self.newest_number);
@@ -184,8 +202,8 @@
     fn roll(&mut self) -> Result<(), StorageError> {
         self.older.insert(self.newest_number, self.last_index);
         self.newest_number += 1;
-        self.newest = self.folder.append_to(&segment_name(self.newest_number))?;
         self.newest_length = 0;
+        self.newest = self.folder.append_to(&segment_name(self.newest_number))?;
         self.begin_segment()
     }
 
