The storage thread reads the disk at the start; a disk that hangs then stops only the replica

Change: the thread that syncs the log also opens it and reports what it read; the event loop starts the replica when the report has come. Errors of opening and of writing come the same way; starting a replica cannot fail any more. Syncs are counted by sync reports only.

Before: not ready in 40 s beside a disk that does not answer. After: ready, serving, and ending within its grace while the disk hangs; the replica runs once it answers (test, three runs).

--- a/crates/gateway/src/cluster.rs
+++ b/crates/gateway/src/cluster.rs
@@ -15,7 +15,7 @@
 use crate::gateway::{Gateway, PeerReply};
 use crate::lifecycle::Lifecycle;
 use crate::peers::{MeshEvents, PeerMessage};
-use crate::replica::{Proposer, ReplicaDriver, ReplicaEffects, StorageReport};
+use crate::replica::{DiskFailure, Proposer, ReplicaDriver, ReplicaEffects, StorageReport};
 use crate::roster::{DaemonNote, DaemonPhase, GREET_EVERY, ReplicaNote, RosterChange};
 
 /// Between two ticks of the replica: a fraction of the heartbeat of the log.
@@ -336,18 +336,10 @@
         self: &Rc<Self>,
         outcome: &str,
         with: &[InstanceId],
-        start: impl FnOnce(&mut ReplicaDriver) -> Result<(), oriolepass_storage::StorageError>,
+        start: impl FnOnce(&mut ReplicaDriver),
     ) {
-        let started = self.replica.borrow_mut().as_mut().map(start);
-        let line = self.line(EventKind::Replica).text("with", join(with));
-        match started {
-            Some(Err(error)) => {
-                line.text("outcome", "not started").text("reason", error);
-            }
-            _ => {
-                line.text("outcome", outcome);
-            }
-        }
+        self.replica.borrow_mut().as_mut().map(start);
+        self.line(EventKind::Replica).text("with", join(with)).text("outcome", outcome);
         self.step_replica_soon();
     }
 
@@ -358,16 +350,22 @@
 
     fn on_storage_report(self: &Rc<Self>, report: StorageReport) {
         let now = self.now();
+        let is_sync = matches!(report, StorageReport::Synced(_));
+        let is_opening = matches!(report, StorageReport::Opened(_));
         let reported = self.replica.borrow_mut().as_mut().map(|r| r.report(now, report));
         let Some((effects, failure)) = reported else { return };
-        if let Some(error) = failure {
-            self.line(EventKind::Replica).text("outcome", "stopped").text("reason", error);
+        if let Some(DiskFailure { error, was_running }) = failure {
+            let outcome = if was_running { "stopped" } else { "not started" };
+            self.line(EventKind::Replica).text("outcome", outcome).text("reason", error);
             self.look_for_leader();
-        } else {
-            self.metrics.syncs.inc();
         }
+        self.metrics.syncs.inc_by(u64::from(is_sync));
         self.carry_out(effects);
-        self.step_replica();
+        if is_opening {
+            self.tick_replica();
+        } else {
+            self.step_replica();
+        }
     }
 
     fn on_consensus(self: &Rc<Self>, envelope: Envelope) {
--- a/crates/gateway/src/replica/mod.rs
+++ b/crates/gateway/src/replica/mod.rs
@@ -16,10 +16,11 @@
     PersistBatch,
 };
 use oriolepass_routing::{RegisterOutcome, RoutingRegister, RoutingRevision, RoutingText};
-use oriolepass_storage::{DiskFolder, LogStore, RecoveredLog, StorageError, SuspectTails};
+use oriolepass_storage::{RecoveredLog, StorageError, SuspectTails};
 use oriolepass_units::{InstanceId, LeaderTerm, LogIndex, MonotonicTime};
 use tokio::sync::mpsc::UnboundedSender;
 
+use storage::StorageDuty;
 pub(crate) use storage::StorageReport;
 use watch::{LeaderWatch, RecoveryNote};
 
@@ -41,9 +42,6 @@
 /// Entries kept behind a snapshot: documents are large and a snapshot holds just one.
 const TRAILING_ENTRIES: u64 = 16;
 
-/// The size at which a segment of the log is ended; the platform's disks hold 64 MB.
-const SEGMENT_BYTES: u64 = 2 * 1024 * 1024;
-
 /// Packed bytes of documents between two snapshots.
 const SNAPSHOT_BYTES: usize = 4 * 1024 * 1024;
 
@@ -95,8 +93,16 @@
 
 /// What was read from the disk, before a node is made of it.
 struct OpenedStore {
-    store: LogStore,
     recovered: RecoveredLog,
+    batches: mpsc::Sender<PersistBatch>,
+}
+
+/// A disk that failed.
+#[derive(Debug)]
+pub(crate) struct DiskFailure {
+    pub(crate) error: StorageError,
+    /// Whether the replica was running until then.
+    pub(crate) was_running: bool,
 }
 
 /// The replica of a daemon with a disk.
@@ -104,6 +110,8 @@
     instance: InstanceId,
     folder: PathBuf,
     reports: UnboundedSender<StorageReport>,
+    /// The way to a storage thread that reads the disk.
+    opening: Option<mpsc::Sender<PersistBatch>>,
     opened: Option<OpenedStore>,
     running: Option<RunningReplica>,
     reopen_at: MonotonicTime,
@@ -124,6 +132,7 @@
             instance,
             folder: folder.to_owned(),
             reports,
+            opening: None,
             opened: None,
             running: None,
             reopen_at: MonotonicTime::ZERO,
@@ -133,34 +142,49 @@
         }
     }
 
-    /// Reads the disk if that has not been done; returns whether the replica runs now.
+    /// Lets the disk be read if that has not been done; returns whether the replica runs now.
     ///
     /// A replica whose disk is empty does not run before [`ReplicaDriver::found`] or
     /// [`ReplicaDriver::join`].
     ///
     /// # Errors
     ///
-    /// Returns the disk's error; a later call tries again.
+    /// Returns an error when no storage thread can be started; a later call tries again.
     pub(crate) fn open(&mut self, now: MonotonicTime) -> Result<bool, StorageError> {
         if self.running.is_some() {
             return Ok(true);
         }
-        if self.opened.is_none() {
-            if now < self.reopen_at {
-                return Ok(false);
-            }
-            self.reopen_at = now + REOPEN_AFTER;
-            let folder = DiskFolder::open(&self.folder)?;
-            let (store, recovered) =
-                LogStore::open_after(folder, SEGMENT_BYTES, &mut self.suspects)?;
-            self.opened = Some(OpenedStore { store, recovered });
+        let Some(opened) = &self.opened else {
+            self.begin_opening(now)?;
+            return Ok(false);
+        };
+        if self.is_empty() {
+            return Ok(false);
         }
-        let is_empty = self.is_empty();
-        if !is_empty {
-            self.recovery = self.opened.as_ref().map(|opened| RecoveryNote::of(&opened.recovered));
-            self.start(now, Vec::new())?;
+        self.recovery = Some(RecoveryNote::of(&opened.recovered));
+        self.start(now, Vec::new());
+        Ok(true)
+    }
+
+    fn begin_opening(&mut self, now: MonotonicTime) -> Result<(), StorageError> {
+        if self.opening.is_some() || now < self.reopen_at {
+            return Ok(());
         }
-        Ok(!is_empty)
+        self.reopen_at = now + REOPEN_AFTER;
+        let (batches, to_sync) = mpsc::channel();
+        let duty = StorageDuty {
+            folder: self.folder.clone(),
+            suspects: self.suspects.clone(),
+            batches: to_sync,
+            reports: self.reports.clone(),
+        };
+        duty.start().map_err(|source| StorageError::Io {
+            operation: "start the thread of",
+            file: "the log".into(),
+            source,
+        })?;
+        self.opening = Some(batches);
+        Ok(())
     }
 
     /// Returns whether the disk was read and has never held a replica.
@@ -169,23 +193,14 @@
     }
 
     /// Starts with an empty disk, to found a system with the given first voters.
-    pub(crate) fn found(
-        &mut self,
-        now: MonotonicTime,
-        first_voters: Vec<InstanceId>,
-    ) -> Result<(), StorageError> {
-        self.start(now, first_voters)
+    pub(crate) fn found(&mut self, now: MonotonicTime, first_voters: Vec<InstanceId>) {
+        self.start(now, first_voters);
     }
 
     /// Starts with an empty disk, to become a replica of the system that the contacts know.
-    pub(crate) fn join(
-        &mut self,
-        now: MonotonicTime,
-        contacts: &[InstanceId],
-    ) -> Result<(), StorageError> {
-        self.start(now, Vec::new())?;
+    pub(crate) fn join(&mut self, now: MonotonicTime, contacts: &[InstanceId]) {
+        self.start(now, Vec::new());
         self.learn_contacts(contacts);
-        Ok(())
     }
 
     /// Names replicas to ask for membership.
@@ -195,12 +210,8 @@
         }
     }
 
-    fn start(
-        &mut self,
-        now: MonotonicTime,
-        first_voters: Vec<InstanceId>,
-    ) -> Result<(), StorageError> {
-        let Some(OpenedStore { store, recovered }) = self.opened.take() else { return Ok(()) };
+    fn start(&mut self, now: MonotonicTime, first_voters: Vec<InstanceId>) {
+        let Some(OpenedStore { recovered, batches }) = self.opened.take() else { return };
         let config = ConsensusConfig {
             election: ELECTION,
             heartbeat: HEARTBEAT,
@@ -212,10 +223,6 @@
         };
         let disk = DiskId(rand::random());
         let node = ConsensusNode::new(config, self.instance.clone(), disk, recovered, now);
-        let (batches, to_sync) = mpsc::channel();
-        storage::start(store, to_sync, self.reports.clone()).map_err(|source| {
-            StorageError::Io { operation: "start the thread of", file: "the log".into(), source }
-        })?;
         self.running = Some(RunningReplica {
             node,
             batches,
@@ -225,10 +232,9 @@
             bytes_since_snapshot: 0,
             proposals: BTreeMap::new(),
         });
-        Ok(())
     }
 
-    /// Takes in the storage thread's report; returns the error of a disk that failed.
+    /// Takes in the storage thread's report; returns what is known of a disk that failed.
     ///
     /// The replica is dropped then, as in a crash: nothing that was not synced has been promised
     /// to anyone, and what the disk holds has to be read again.
@@ -236,9 +242,15 @@
         &mut self,
         now: MonotonicTime,
         report: StorageReport,
-    ) -> (ReplicaEffects, Option<StorageError>) {
+    ) -> (ReplicaEffects, Option<DiskFailure>) {
         let mut effects = ReplicaEffects::default();
         match report {
+            StorageReport::Opened(recovered) => {
+                self.suspects = SuspectTails::default();
+                let opening = self.opening.take();
+                self.opened = opening.map(|batches| OpenedStore { recovered, batches });
+                (effects, None)
+            }
             StorageReport::Synced(sequence) => {
                 if let Some(running) = &mut self.running {
                     running.synced(sequence, &mut effects);
@@ -247,12 +259,16 @@
             }
             StorageReport::Failed(error, suspects) => {
                 self.suspects = suspects;
-                if let Some(running) = self.running.take() {
+                self.opening = None;
+                self.opened = None;
+                let running = self.running.take();
+                let was_running = running.is_some();
+                if let Some(running) = running {
                     let lost = running.proposals.into_values();
                     effects.ended.extend(lost.map(|(_, _, p)| (p, ProposalEnd::Lost)));
                 }
                 self.reopen_at = now + REOPEN_AFTER;
-                (effects, Some(error))
+                (effects, Some(DiskFailure { error, was_running }))
             }
         }
     }
