--- /dev/null
+++ b/crates/gateway/src/front/presence.rs
@@ -0,0 +1,72 @@
+//! Whether an endpoint that answers nothing is still there.
+//!
+//! Silence alone says little: a long prompt is read for seconds. An endpoint whose heartbeats have
+//! stopped as well, and that takes no new connection, is gone, however long its answer was
+//! predicted to take. Until that is noticed a request waits in vain, and holds memory on engines
+//! that others need.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use oriolepass_units::EndpointId;
+use tokio::time::sleep;
+
+use crate::events::EventKind;
+use crate::gateway::Gateway;
+use crate::upstream;
+
+/// Heartbeats that must be missing before an endpoint is looked for: one may be lost, and one late.
+/// With the time for two connections, one that is gone is noticed within four heartbeats.
+const MISSING_HEARTBEATS: f64 = 2.5;
+
+/// Between two looks at the heartbeats.
+const LOOK_EVERY: Duration = Duration::from_millis(250);
+
+/// Between two connections to an endpoint whose heartbeats are missing and that takes connections.
+const CONNECT_AGAIN: Duration = Duration::from_millis(1_000);
+
+/// Waits for an answer for as long as its endpoint is there; none once it is gone.
+pub(super) async fn while_present<T>(
+    gateway: &Gateway,
+    request: &str,
+    (endpoint, address): (&EndpointId, SocketAddr),
+    answer: impl Future<Output = T>,
+) -> Option<T> {
+    tokio::select! {
+        biased;
+        answer = answer => Some(answer),
+        reason = until_gone(gateway, endpoint, address) => {
+            gateway
+                .line(EventKind::Endpoint)
+                .text("endpoint", endpoint)
+                .text("request", request)
+                .text("reason", reason)
+                .text("outcome", "gone");
+            None
+        }
+    }
+}
+
+/// Waits until an endpoint is gone; returns how that showed.
+async fn until_gone(gateway: &Gateway, endpoint: &EndpointId, address: SocketAddr) -> String {
+    loop {
+        sleep(LOOK_EVERY).await;
+        let missing = gateway.settings().bounds.endpoint_heartbeat.mul_f64(MISSING_HEARTBEATS);
+        let (silence, present) = {
+            let registry = gateway.endpoints.borrow();
+            (registry.silence(gateway.now(), endpoint), registry.at(address))
+        };
+        // One that is not known any more may still finish what it has.
+        if silence.is_some_and(|silence| silence < missing) {
+            continue;
+        }
+        if let Some(other) = present.filter(|other| other != endpoint) {
+            return format!("no heartbeats, and {other} is at its address");
+        }
+        if let Err(reason) = upstream::reach(address).await {
+            return format!("no heartbeats, and no connection: {reason}");
+        }
+        sleep(CONNECT_AGAIN).await;
+    }
+}
