The retry budget is taken from by sends, not by looks for a place

Change: a repeated send is taken out of the budget once a place is found, in one place for all ways to send again. Before: 'retry budget used up' after two looks, 50 ms (slack of 10 over three gateways).

--- a/crates/gateway/src/front/sends.rs
+++ b/crates/gateway/src/front/sends.rs
@@ -41,6 +41,8 @@
     NoPlace(NoPlace),
     /// The document is not proved current any more.
     NotProved,
+    /// The service has used up its repeated sends.
+    NoBudget,
 }
 
 /// Sends a request once.
--- a/crates/gateway/src/front/tries.rs
+++ b/crates/gateway/src/front/tries.rs
@@ -124,9 +124,6 @@
         request: &CallerRequest,
     ) -> Verdict {
         loop {
-            if self.sends > 0 && !take_from_budget(gateway, request) {
-                return self.give_up("retry budget used up", FULL_AGAIN);
-            }
             let end = match self.begin_send(gateway, request).await {
                 Ok(placement) => self.send_hedged(gateway, request, placement).await,
                 Err(end) => end,
@@ -166,7 +163,7 @@
         self.log_failure(gateway, request, Some(&silent), "silent", true);
         self.avoid.push(silent);
         let may_repeat = self.may_run_again(request) && self.sends < MAX_SENDS;
-        if !may_repeat || request.left() < WORTH_SENDING || !take_from_budget(gateway, request) {
+        if !may_repeat || request.left() < WORTH_SENDING {
             return first.await;
         }
         let Ok(placement) = self.begin_send(gateway, request).await else {
@@ -210,6 +207,7 @@
                 (!again).then(|| self.give_up("answer lost", FULL_AGAIN))
             }
             TryEnd::NotProved => Some(self.give_up("document not proved current", AFTER_ELECTION)),
+            TryEnd::NoBudget => Some(self.give_up("retry budget used up", FULL_AGAIN)),
             TryEnd::NoPlace(lack) => self.conclude_no_place(gateway, request, lack).await,
         }
     }
@@ -298,6 +296,10 @@
             let reason = "the endpoint is leaving".to_owned();
             return Err(TryEnd::NotRun { reason, endpoint: Some(placement.endpoint.clone()) });
         }
+        // Only what is sent counts: a look for a place that finds none must not use up what other requests need.
+        if self.sends > 0 && !take_from_budget(gateway, request) {
+            return Err(TryEnd::NoBudget);
+        }
         self.sends += 1;
         self.log_send(gateway, request, &placement);
         Ok(placement)
