A request that may be sent again gives up an endpoint that is gone

Cause: see the failing test. Class: a silence judged only by how long the answer was predicted to take.

Change: an answer, and a stream's next events, are waited for while their endpoint is there. One whose heartbeats have been missing for two and a half intervals, and at whose address another one is or that takes no connection, is gone; then its memory on others is released and the request looks for another place for 0.5 s. A request that must not repeat is waited for as before. A silent send without a second one beside it counts once, not twice, among those that may have run, and says why no second one was sent.

Ruled out: keep-alive probes (no effect seen).

--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -6,6 +6,7 @@
 mod headers;
 mod listener;
 mod placement;
+mod presence;
 mod refusal;
 mod reserve;
 mod sends;
--- a/crates/gateway/src/front/presence.rs
+++ b/crates/gateway/src/front/presence.rs
@@ -20,8 +20,8 @@
 /// With the time for two connections, one that is gone is noticed within four heartbeats.
 const MISSING_HEARTBEATS: f64 = 2.5;
 
-/// Between two looks at the heartbeats.
-const LOOK_EVERY: Duration = Duration::from_millis(250);
+/// The least time between two looks at the heartbeats.
+const LOOK_AT_LEAST: Duration = Duration::from_millis(250);
 
 /// Between two connections to an endpoint whose heartbeats are missing and that takes connections.
 const CONNECT_AGAIN: Duration = Duration::from_millis(1_000);
@@ -50,15 +50,17 @@
 
 /// Waits until an endpoint is gone; returns how that showed.
 async fn until_gone(gateway: &Gateway, endpoint: &EndpointId, address: SocketAddr) -> String {
+    let mut look_in = LOOK_AT_LEAST;
     loop {
-        sleep(LOOK_EVERY).await;
+        sleep(look_in).await;
         let missing = gateway.settings().bounds.endpoint_heartbeat.mul_f64(MISSING_HEARTBEATS);
         let (silence, present) = {
             let registry = gateway.endpoints.borrow();
             (registry.silence(gateway.now(), endpoint), registry.at(address))
         };
         // One that is not known any more may still finish what it has.
-        if silence.is_some_and(|silence| silence < missing) {
+        if let Some(silence) = silence.filter(|silence| *silence < missing) {
+            look_in = (missing - silence).max(LOOK_AT_LEAST);
             continue;
         }
         if let Some(other) = present.filter(|other| other != endpoint) {
@@ -67,6 +69,6 @@
         if let Err(reason) = upstream::reach(address).await {
             return format!("no heartbeats, and no connection: {reason}");
         }
-        sleep(CONNECT_AGAIN).await;
+        look_in = CONNECT_AGAIN;
     }
 }
--- a/crates/gateway/src/front/sends.rs
+++ b/crates/gateway/src/front/sends.rs
@@ -11,10 +11,12 @@
 use super::caller::CallerRequest;
 use super::headers::strip_hop_headers;
 use super::placement::{NoPlace, Placement};
+use super::presence::while_present;
 use super::stream::{EventSource, OpenStream, PieceEnd};
 use crate::balancer::FaultKind;
 use crate::dialect::{AnswerFacts, SendFacts};
 use crate::gateway::Gateway;
+use crate::peers::ProgressNote;
 use crate::upstream::{self, SendFailure, Upstream};
 
 /// The longest answer that is kept in memory before it is passed on.
@@ -45,12 +47,36 @@
     NoBudget,
 }
 
-/// Sends a request once.
+/// Sends a request once; one that may be sent again is given up as soon as its endpoint is gone.
+///
+/// Any other is waited for in any case: what has run may still answer, and nothing else can be done
+/// for it.
 pub(super) async fn send_once(
     gateway: &Rc<Gateway>,
     request: &CallerRequest,
     placement: Placement,
     last_event: Option<u64>,
+) -> TryEnd {
+    if !request.route.repeat.may_repeat() {
+        return exchange(gateway, request, placement, last_event).await;
+    }
+    let (endpoint, address) = (placement.endpoint.clone(), placement.address);
+    let exchange = exchange(gateway, request, placement, last_event);
+    let end = while_present(gateway, &request.id, (&endpoint, address), exchange).await;
+    end.unwrap_or_else(|| {
+        gateway.endpoint_fault(&request.id, &endpoint, FaultKind::Unreachable);
+        if request.service.engine.is_some() {
+            gateway.report_progress(ProgressNote::Failed(endpoint.clone()));
+        }
+        TryEnd::MayHaveRun { reason: "the endpoint is gone".to_owned(), endpoint }
+    })
+}
+
+async fn exchange(
+    gateway: &Rc<Gateway>,
+    request: &CallerRequest,
+    placement: Placement,
+    last_event: Option<u64>,
 ) -> TryEnd {
     let Some(message) = message(gateway, request, &placement, last_event) else {
         let reason = "the request cannot be written".to_owned();
--- a/crates/gateway/src/front/stream.rs
+++ b/crates/gateway/src/front/stream.rs
@@ -17,6 +17,7 @@
 use super::caller::{CallerRequest, EndGuard};
 use super::events::EventSplitter;
 use super::placement::Placement;
+use super::presence::while_present;
 use super::tries::{History, Verdict, may_resume};
 use crate::balancer::FaultKind;
 use crate::events::EventKind;
@@ -171,7 +172,7 @@
         let pause = self.request.route.pause_objective.unwrap_or(UNKNOWN_PAUSE);
         let mut silence = (pause * SILENT_PAUSES).max(SILENT_AT_LEAST);
         loop {
-            match timeout(silence, open.source.next()).await {
+            match timeout(silence, self.next_piece(&mut open)).await {
                 Ok(PieceEnd::Piece(piece)) => self.pass(piece).await?,
                 Ok(PieceEnd::Whole) => return Err(PumpEnd::Whole),
                 Ok(PieceEnd::Broken(reason)) => {
@@ -195,6 +196,18 @@
         }
     }
 
+    /// Waits for an endpoint's next events; a stream that can go on elsewhere has broken off once
+    /// its endpoint is gone.
+    async fn next_piece(&self, open: &mut OpenStream) -> PieceEnd {
+        if !self.can_move() {
+            return open.source.next().await;
+        }
+        let endpoint = (&open.placement.endpoint, open.placement.address);
+        let next = open.source.next();
+        let piece = while_present(&self.gateway, &self.request.id, endpoint, next).await;
+        piece.unwrap_or_else(|| PieceEnd::Broken("the endpoint is gone".to_owned()))
+    }
+
     async fn pass(&mut self, piece: Bytes) -> Result<(), PumpEnd> {
         self.guard.piece();
         self.pieces.send(Ok(piece)).await.map_err(|_| PumpEnd::CallerGone)
--- a/crates/gateway/src/front/tries.rs
+++ b/crates/gateway/src/front/tries.rs
@@ -5,6 +5,7 @@
 //! After anything else it may have run: then only an idempotent one, or a stream that can go on
 //! after its last event, is sent again; any other gets its failure at once.
 
+use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -33,6 +34,9 @@
 /// The pause before a place is looked for again.
 const LOOK_AGAIN: Duration = Duration::from_millis(25);
 
+/// How long another place is looked for after an endpoint was lost with the request.
+const LOOK_AFTER_LOSS: Duration = Duration::from_millis(500);
+
 /// The part of the objective after which an idempotent call that has no answer is sent to
 /// another endpoint: far above the usual time of a call, and early enough for the second answer
 /// to be on time.
@@ -107,7 +111,7 @@
     pub(super) fn stream_broke(&mut self, endpoint: EndpointId, last_event: Option<u64>) {
         self.avoid.push(endpoint);
         self.last_event = last_event;
-        self.wait_until = Instant::now() + LOOK_AGAIN * 20;
+        self.wait_until = Instant::now() + LOOK_AFTER_LOSS;
     }
 
     /// Returns whether the request may be sent once more after it may have run.
@@ -164,10 +168,14 @@
         self.avoid.push(silent);
         let may_repeat = self.may_run_again(request) && self.sends < MAX_SENDS;
         if !may_repeat || request.left() < WORTH_SENDING {
-            return first.await;
+            return self.wait_on(first).await;
         }
-        let Ok(placement) = self.begin_send(gateway, request).await else {
-            return first.await;
+        let placement = match self.begin_send(gateway, request).await {
+            Ok(placement) => placement,
+            Err(end) => {
+                log_no_second(gateway, request, &end);
+                return self.wait_on(first).await;
+            }
         };
         let mut second = std::pin::pin!(send_once(gateway, request, placement, self.last_event));
         let (end, first_ended) = tokio::select! {
@@ -180,6 +188,12 @@
         if first_ended { second.await } else { first.await }
     }
 
+    /// Waits for a silent send after all. Its end counts it as one that may have run, once.
+    async fn wait_on(&mut self, send: impl Future<Output = TryEnd>) -> TryEnd {
+        self.runs -= 1;
+        send.await
+    }
+
     /// Returns what the request comes to; none where it is to be sent again.
     async fn conclude(
         &mut self,
@@ -204,6 +218,7 @@
                 let again = self.may_run_again(request) && self.sends < MAX_SENDS;
                 self.log_failure(gateway, request, Some(&endpoint), &reason, again);
                 self.avoid.push(endpoint);
+                self.wait_until = self.wait_until.max(Instant::now() + LOOK_AFTER_LOSS);
                 (!again).then(|| self.give_up("answer lost", FULL_AGAIN))
             }
             TryEnd::NotProved => Some(self.give_up("document not proved current", AFTER_ELECTION)),
@@ -344,6 +359,24 @@
     }
 }
 
+/// Says why a silent send gets no second one beside it.
+fn log_no_second(gateway: &Gateway, request: &CallerRequest, end: &TryEnd) {
+    let reason = match end {
+        TryEnd::NoPlace(NoPlace::NoEndpoint(reason, _)) => reason,
+        TryEnd::NoPlace(NoPlace::NoMemory) => "no engine memory",
+        TryEnd::NotProved => "document not proved current",
+        TryEnd::NoBudget => "retry budget used up",
+        _ => "the endpoint is leaving",
+    };
+    gateway
+        .line(EventKind::NoPlace)
+        .text("request", &request.id)
+        .text("service", &request.service.name)
+        .millis("left_ms", request.left())
+        .text("reason", reason)
+        .text("next", "wait for the silent endpoint");
+}
+
 /// Lists the engines that read parts of a prompt; none where one engine reads it all.
 fn helped_by(placement: &Placement) -> Option<String> {
     let addresses: Vec<String> =
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -84,6 +84,11 @@
     }
 }
 
+/// Connects and says nothing; returns why that did not come about.
+pub(crate) async fn reach(to: SocketAddr) -> Result<(), String> {
+    connect(to).await.map(drop)
+}
+
 async fn connect(to: SocketAddr) -> Result<tokio::net::TcpStream, String> {
     let mut reason = String::new();
     for _ in 0..CONNECT_TRIES {
