An endpoint's start is its id and its time; announcements that cannot be read are skipped, logged and counted

A later start ends the earlier ones in any order; an older one never replaces or hides it, also at a reused address while the newer one is heard (4 s); a farewell names its start, or means the latest. Start times of another type make the announcement unreadable.

--- a/crates/experiment/src/fleet_run.rs
+++ b/crates/experiment/src/fleet_run.rs
@@ -8,7 +8,7 @@
     AnswerEnd, EngineFacts, EngineFarm, EngineFleet, FarmEvent, PassPrompt, PromptAsk, PromptKey,
     PromptPlan,
 };
-use oriolepass_units::{EndpointId, MonotonicTime, ServiceName};
+use oriolepass_units::{EndpointStart, MonotonicTime, ServiceName};
 
 use crate::fleet_day::{DayPlan, DayPrompt};
 
@@ -104,7 +104,7 @@
 struct DayWorld<'a> {
     plan: &'a DayPlan,
     farm: EngineFarm,
-    names: Vec<EndpointId>,
+    names: Vec<EndpointStart>,
     fleet: EngineFleet,
     open: BTreeMap<u64, OpenPrompt>,
     result: DayResult,
@@ -147,7 +147,7 @@
 
 impl<'a> DayWorld<'a> {
     fn new(plan: &'a DayPlan) -> Self {
-        let names: Vec<EndpointId> = (0..plan.engines)
+        let names: Vec<EndpointStart> = (0..plan.engines)
             .map(|number| format!("e{number:02}").parse().expect("a valid name"))
             .collect();
         let profile = Arc::new(plan.profile.clone());
--- a/crates/gateway/src/announce.rs
+++ b/crates/gateway/src/announce.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use oriolepass_units::{EndpointId, InstanceId, MonotonicTime};
+use oriolepass_units::{EndpointId, EndpointStart, InstanceId, MonotonicTime, StartTime};
 use tokio::time::sleep;
 
 use crate::balancer::FaultKind;
@@ -18,6 +18,12 @@
 /// An endpoint that has been silent for this many heartbeats is forgotten.
 const FORGOTTEN_HEARTBEATS: u32 = 12;
 
+/// Between two lines about skipped entries, however many come.
+const SKIPPED_EVERY: Duration = Duration::from_secs(1);
+
+/// Characters of a reason that quotes what somebody else wrote.
+const REASON_CHARACTERS: usize = 160;
+
 impl Gateway {
     /// Takes in an endpoint's heartbeat; the other daemons are told of a change at once.
     pub fn endpoint_beat(&self, beat: EndpointBeat) {
@@ -38,8 +44,15 @@
         }
     }
 
-    /// Takes in an endpoint's farewell.
-    pub fn endpoint_leaves(&self, endpoint: &EndpointId) {
+    /// Takes in the farewell of an endpoint that does not say which start it is.
+    pub fn endpoint_leaves_unnamed(&self, endpoint: &EndpointId) {
+        let known = self.endpoints.borrow().current(endpoint).cloned();
+        let unknown = || EndpointStart::new(endpoint.clone(), StartTime::default());
+        self.endpoint_leaves(&known.unwrap_or_else(unknown));
+    }
+
+    /// Takes in the farewell of a start.
+    pub fn endpoint_leaves(&self, endpoint: &EndpointStart) {
         if self.endpoints.borrow_mut().leave(endpoint) {
             self.line(EventKind::Endpoint).text("endpoint", endpoint).text("outcome", "left");
             self.tell_all(&PeerMessage::EndpointsLeft(vec![endpoint.clone()]));
@@ -68,8 +81,8 @@
         self.endpoints_changed();
     }
 
-    pub(crate) fn on_endpoints_left(&self, from: &InstanceId, endpoints: Vec<EndpointId>) {
-        let news: Vec<EndpointId> = {
+    pub(crate) fn on_endpoints_left(&self, from: &InstanceId, endpoints: Vec<EndpointStart>) {
+        let news: Vec<EndpointStart> = {
             let mut registry = self.endpoints.borrow_mut();
             endpoints.into_iter().filter(|endpoint| registry.leave(endpoint)).collect()
         };
@@ -86,8 +99,25 @@
         self.endpoints_changed();
     }
 
+    /// Notes an entry that cannot be read: it names no endpoint to use, and the others hold.
+    pub fn entry_skipped(&self, endpoint: &str, reason: &str) {
+        self.metrics.skipped_entries.inc();
+        let now = self.now();
+        let (reported, unreported) = self.skipped.get();
+        if reported.is_some_and(|at| now.since(at) < SKIPPED_EVERY) {
+            self.skipped.set((reported, unreported + 1));
+            return;
+        }
+        self.skipped.set((Some(now), 0));
+        self.line(EventKind::Endpoint)
+            .text("endpoint", endpoint)
+            .text("reason", reason.chars().take(REASON_CHARACTERS).collect::<String>())
+            .number("not_reported", unreported)
+            .text("outcome", "skipped");
+    }
+
     /// Forgets an endpoint whose address answers for another one.
-    pub(crate) fn endpoint_displaced(&self, endpoint: &EndpointId) {
+    pub(crate) fn endpoint_displaced(&self, endpoint: &EndpointStart) {
         let line = self.line(EventKind::Endpoint).text("endpoint", endpoint);
         line.text("outcome", "displaced");
         self.endpoint_leaves(endpoint);
@@ -152,7 +182,7 @@
     }
 
     /// Notes that an endpoint failed a request, and tells the others.
-    pub(crate) fn endpoint_fault(&self, request: &str, endpoint: &EndpointId, fault: FaultKind) {
+    pub(crate) fn endpoint_fault(&self, request: &str, endpoint: &EndpointStart, fault: FaultKind) {
         self.line(EventKind::EndpointFault)
             .text("request", request)
             .text("endpoint", endpoint)
@@ -165,7 +195,7 @@
         self.mesh.send_all(&to, &PeerMessage::Faults(vec![(endpoint.clone(), fault)]));
     }
 
-    pub(crate) fn on_faults(&self, faults: &[(EndpointId, FaultKind)]) {
+    pub(crate) fn on_faults(&self, faults: &[(EndpointStart, FaultKind)]) {
         let now = self.now();
         let mut balancer = self.balancer.borrow_mut();
         for (endpoint, fault) in faults {
--- a/crates/gateway/src/balancer.rs
+++ b/crates/gateway/src/balancer.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use oriolepass_units::{DataCentreId, EndpointId, MonotonicTime};
+use oriolepass_units::{DataCentreId, EndpointStart, MonotonicTime};
 use serde::{Deserialize, Serialize};
 
 use crate::endpoints::EndpointBeat;
@@ -81,7 +81,7 @@
 /// What is outstanding and what failed, by endpoint.
 #[derive(Debug, Default)]
 pub struct EndpointBalancer {
-    loads: BTreeMap<EndpointId, EndpointLoad>,
+    loads: BTreeMap<EndpointStart, EndpointLoad>,
 }
 
 impl EndpointBalancer {
@@ -111,26 +111,26 @@
     }
 
     /// Notes that a request goes to an endpoint.
-    pub fn begin(&mut self, endpoint: &EndpointId) {
+    pub fn begin(&mut self, endpoint: &EndpointStart) {
         self.loads.entry(endpoint.clone()).or_default().outstanding += 1;
     }
 
     /// Notes that a request at an endpoint has ended.
-    pub fn end(&mut self, endpoint: &EndpointId) {
+    pub fn end(&mut self, endpoint: &EndpointStart) {
         if let Some(load) = self.loads.get_mut(endpoint) {
             load.outstanding = load.outstanding.saturating_sub(1);
         }
     }
 
     /// Notes that an endpoint failed a request, here or at another daemon.
-    pub fn fault(&mut self, now: MonotonicTime, endpoint: &EndpointId, fault: FaultKind) {
+    pub fn fault(&mut self, now: MonotonicTime, endpoint: &EndpointStart, fault: FaultKind) {
         let load = self.loads.entry(endpoint.clone()).or_default();
         load.faults = load.faults_at(now) + fault.weight();
         load.counted = now;
     }
 
     /// Forgets endpoints that are not known any more and have nothing outstanding.
-    pub fn retain(&mut self, is_known: impl Fn(&EndpointId) -> bool) {
+    pub fn retain(&mut self, is_known: impl Fn(&EndpointStart) -> bool) {
         self.loads.retain(|endpoint, load| load.outstanding > 0 || is_known(endpoint));
     }
 }
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -10,7 +10,7 @@
 use hyper::HeaderMap;
 use hyper::header::HeaderName;
 use oriolepass_routing::{DocumentProblem, RoutingDocument};
-use oriolepass_units::{AccountId, EndpointId};
+use oriolepass_units::{AccountId, EndpointStart};
 
 /// What a caller says of its request.
 #[derive(Debug, Clone, Default, PartialEq)]
@@ -46,7 +46,7 @@
     /// What is left of the caller's time.
     pub deadline: Duration,
     /// The start of the endpoint that the request is meant for.
-    pub endpoint: EndpointId,
+    pub endpoint: EndpointStart,
     /// The client account that the caller's key belongs to.
     pub account: Option<AccountId>,
     /// How urgent an engine should take it; 0 is first, 9 is last.
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -1,19 +1,26 @@
 //! The endpoints that have announced themselves, at this daemon or at another.
 //!
-//! The state is soft: nothing of it is on a disk. Each endpoint names its start by an id and
-//! numbers its heartbeats, so that a late one is told from a new one whichever daemon got it.
+//! The state is soft: nothing of it is on a disk. Each endpoint names its start by an id and a time
+//! and numbers its heartbeats, so that a late one is told from a new one whichever daemon got it.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use oriolepass_units::{DataCentreId, EndpointId, MonotonicTime, ServiceName};
+use oriolepass_units::{
+    DataCentreId, EndpointId, EndpointStart, MonotonicTime, ServiceName, StartTime,
+};
 use serde::{Deserialize, Serialize};
 
 /// Ids of endpoints that have left and are remembered, so that a late heartbeat does not bring
 /// one back.
 const REMEMBERED_LEAVERS: usize = 4_096;
 
+/// An endpoint that was heard within this time keeps its address against one that says it started
+/// earlier: a heartbeat may come seconds late, after another start has taken the address. Later the
+/// clocks of the two may be at fault, and the one that is heard counts.
+const KEEPS_ADDRESS: Duration = Duration::from_secs(4);
+
 /// Whether an endpoint takes new work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum EndpointPhase {
@@ -27,7 +34,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndpointBeat {
     /// Names this start of the endpoint.
-    pub endpoint: EndpointId,
+    pub endpoint: EndpointStart,
     /// The service that it belongs to.
     pub service: ServiceName,
     /// Where it takes requests.
@@ -73,16 +80,16 @@
 /// The endpoints known here.
 #[derive(Debug, Default)]
 pub struct EndpointRegistry {
-    entries: BTreeMap<EndpointId, EndpointEntry>,
-    left: HashMap<EndpointId, ()>,
-    left_order: VecDeque<EndpointId>,
+    entries: BTreeMap<EndpointStart, EndpointEntry>,
+    left: BTreeSet<EndpointStart>,
+    left_order: VecDeque<EndpointStart>,
     generation: u64,
 }
 
 impl EndpointRegistry {
     /// Takes in a heartbeat that came `age` ago.
     pub fn take(&mut self, now: MonotonicTime, beat: EndpointBeat, age: Duration) -> BeatChange {
-        if self.left.contains_key(&beat.endpoint) {
+        if self.is_over(&beat.endpoint) {
             return BeatChange::Stale;
         }
         let heard = now - age;
@@ -101,6 +108,11 @@
                 BeatChange::Refreshed
             }
             None => {
+                if self.is_address_kept(heard, &beat) {
+                    self.leave(&beat.endpoint);
+                    return BeatChange::Stale;
+                }
+                self.end_earlier_starts(&beat.endpoint);
                 self.displace(heard, &beat);
                 self.entries.insert(beat.endpoint.clone(), EndpointEntry { beat, heard });
                 self.generation += 1;
@@ -109,6 +121,39 @@
         }
     }
 
+    /// Returns whether a start has left, or a later start of the same endpoint is known.
+    fn is_over(&self, start: &EndpointStart) -> bool {
+        let later = |other: &EndpointStart| other.id() == start.id() && other.time() > start.time();
+        let next_left = self.left.range(start..).next();
+        let has_left = next_left.is_some_and(|other| other == start || later(other));
+        has_left || self.current(start.id()).is_some_and(later)
+    }
+
+    /// Returns the latest start of an endpoint that is known.
+    pub fn current(&self, endpoint: &EndpointId) -> Option<&EndpointStart> {
+        let first = EndpointStart::new(endpoint.clone(), StartTime::default());
+        let starts = self.entries.range(first..).map(|(start, _)| start);
+        starts.take_while(|start| start.id() == endpoint).last()
+    }
+
+    fn end_earlier_starts(&mut self, start: &EndpointStart) {
+        // The later ones have been ruled out before.
+        while let Some(earlier) = self.current(start.id()).cloned() {
+            self.leave(&earlier);
+        }
+    }
+
+    /// Returns whether the address is that of a later start of another endpoint.
+    fn is_address_kept(&self, heard: MonotonicTime, beat: &EndpointBeat) -> bool {
+        let time = beat.endpoint.time();
+        self.entries.values().any(|entry| {
+            entry.beat.address == beat.address
+                && time > StartTime::default()
+                && entry.beat.endpoint.time() > time
+                && heard.since(entry.heard) < KEEPS_ADDRESS
+        })
+    }
+
     /// Forgets an older endpoint whose address is used again: it cannot be there any more.
     fn displace(&mut self, heard: MonotonicTime, beat: &EndpointBeat) {
         let older =
@@ -119,9 +164,13 @@
         }
     }
 
-    /// Notes that an endpoint has left for good; returns whether that is news.
-    pub fn leave(&mut self, endpoint: &EndpointId) -> bool {
-        if self.left.insert(endpoint.clone(), ()).is_some() {
+    /// Notes that a start has left for good; returns whether that is news. One without a time is
+    /// the latest that is known.
+    pub fn leave(&mut self, endpoint: &EndpointStart) -> bool {
+        let is_unnamed = endpoint.time() == StartTime::default();
+        let known = is_unnamed.then(|| self.current(endpoint.id()).cloned()).flatten();
+        let endpoint = &known.unwrap_or_else(|| endpoint.clone());
+        if !self.left.insert(endpoint.clone()) {
             return false;
         }
         self.left_order.push_back(endpoint.clone());
@@ -136,9 +185,9 @@
     }
 
     /// Forgets endpoints that have been silent for `silence`; returns them.
-    pub fn expire(&mut self, now: MonotonicTime, silence: Duration) -> Vec<EndpointId> {
+    pub fn expire(&mut self, now: MonotonicTime, silence: Duration) -> Vec<EndpointStart> {
         let silent = |entry: &EndpointEntry| now.since(entry.heard) > silence;
-        let expired: Vec<EndpointId> = self
+        let expired: Vec<EndpointStart> = self
             .entries
             .values()
             .filter(|entry| silent(entry))
@@ -165,19 +214,19 @@
     }
 
     /// Returns an endpoint if it takes new work.
-    pub fn takes_work(&self, endpoint: &EndpointId) -> Option<&EndpointBeat> {
+    pub fn takes_work(&self, endpoint: &EndpointStart) -> Option<&EndpointBeat> {
         let entry = self.entries.get(endpoint)?;
         (entry.beat.phase == EndpointPhase::Serving).then_some(&entry.beat)
     }
 
     /// Returns the endpoint at an address; where several starts are known, the one heard last.
-    pub fn at(&self, address: SocketAddr) -> Option<EndpointId> {
+    pub fn at(&self, address: SocketAddr) -> Option<EndpointStart> {
         let here = self.entries.values().filter(|entry| entry.beat.address == address);
         here.max_by_key(|entry| entry.heard).map(|entry| entry.beat.endpoint.clone())
     }
 
     /// Returns how long an endpoint has been silent.
-    pub fn silence(&self, now: MonotonicTime, endpoint: &EndpointId) -> Option<Duration> {
+    pub fn silence(&self, now: MonotonicTime, endpoint: &EndpointStart) -> Option<Duration> {
         self.entries.get(endpoint).map(|entry| now.since(entry.heard))
     }
 
@@ -196,7 +245,7 @@
     }
 
     /// Lists those that have left, newest first, at most `count`.
-    pub fn leavers(&self, count: usize) -> Vec<EndpointId> {
+    pub fn leavers(&self, count: usize) -> Vec<EndpointStart> {
         self.left_order.iter().rev().take(count).cloned().collect()
     }
 }
--- a/crates/gateway/src/front/placement.rs
+++ b/crates/gateway/src/front/placement.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use oriolepass_placement::{PromptAsk, PromptKey, PromptPlan};
-use oriolepass_units::EndpointId;
+use oriolepass_units::EndpointStart;
 use tokio::time::Instant;
 
 use super::caller::{CallerRequest, SOON};
@@ -38,7 +38,7 @@
 /// An endpoint that a try goes to. Dropping it tells the home, and releases what is reserved.
 pub(super) struct Placement {
     gateway: Rc<Gateway>,
-    pub(super) endpoint: EndpointId,
+    pub(super) endpoint: EndpointStart,
     pub(super) address: SocketAddr,
     pub(super) plan: Option<PromptPlan>,
     pub(super) helpers: Vec<HelperAddress>,
@@ -53,7 +53,7 @@
     pub(super) async fn find(
         gateway: &Rc<Gateway>,
         request: &CallerRequest,
-        avoid: &[EndpointId],
+        avoid: &[EndpointStart],
         patience: Duration,
     ) -> Result<Self, NoPlace> {
         let began = Instant::now();
@@ -73,7 +73,7 @@
     fn find_plain(
         gateway: &Rc<Gateway>,
         request: &CallerRequest,
-        avoid: &[EndpointId],
+        avoid: &[EndpointStart],
     ) -> Result<Self, NoPlace> {
         let chosen = {
             let registry = gateway.endpoints.borrow();
@@ -104,7 +104,7 @@
     async fn find_engine(
         gateway: &Rc<Gateway>,
         request: &CallerRequest,
-        avoid: &[EndpointId],
+        avoid: &[EndpointStart],
         patience: Duration,
     ) -> Result<Self, NoPlace> {
         let ask = ask(gateway, request, avoid, patience);
@@ -122,7 +122,7 @@
             _reservations: None,
             plan: Some(plan.clone()),
         };
-        let registry_address = |endpoint: &EndpointId| {
+        let registry_address = |endpoint: &EndpointStart| {
             gateway.endpoints.borrow().takes_work(endpoint).map(|beat| beat.address)
         };
         placement.address =
@@ -155,7 +155,7 @@
     }
 
     /// Notes that an endpoint failed the try.
-    pub(super) fn failed(&self, request: &str, endpoint: &EndpointId, fault: FaultKind) {
+    pub(super) fn failed(&self, request: &str, endpoint: &EndpointStart, fault: FaultKind) {
         self.gateway.endpoint_fault(request, endpoint, fault);
         // An engine that is full, or lacks memory for one prompt, may have room for the next.
         if self.key.is_some() && fault != FaultKind::Full {
@@ -189,7 +189,7 @@
 fn ask(
     gateway: &Rc<Gateway>,
     request: &CallerRequest,
-    avoid: &[EndpointId],
+    avoid: &[EndpointStart],
     patience: Duration,
 ) -> PromptAsk {
     let facts = &request.facts;
--- a/crates/gateway/src/front/presence.rs
+++ b/crates/gateway/src/front/presence.rs
@@ -9,7 +9,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use oriolepass_units::EndpointId;
+use oriolepass_units::EndpointStart;
 use tokio::time::sleep;
 
 use crate::events::EventKind;
@@ -30,7 +30,7 @@
 pub(super) async fn while_present<T>(
     gateway: &Gateway,
     request: &str,
-    (endpoint, address): (&EndpointId, SocketAddr),
+    (endpoint, address): (&EndpointStart, SocketAddr),
     answer: impl Future<Output = T>,
 ) -> Option<T> {
     tokio::select! {
@@ -49,7 +49,7 @@
 }
 
 /// Waits until an endpoint is gone; returns how that showed.
-async fn until_gone(gateway: &Gateway, endpoint: &EndpointId, address: SocketAddr) -> String {
+async fn until_gone(gateway: &Gateway, endpoint: &EndpointStart, address: SocketAddr) -> String {
     let mut look_in = LOOK_AT_LEAST;
     loop {
         sleep(look_in).await;
--- a/crates/gateway/src/front/sends.rs
+++ b/crates/gateway/src/front/sends.rs
@@ -6,7 +6,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::http::response::Parts;
 use hyper::{Request, Response, StatusCode};
-use oriolepass_units::EndpointId;
+use oriolepass_units::EndpointStart;
 
 use super::caller::CallerRequest;
 use super::headers::strip_hop_headers;
@@ -32,12 +32,12 @@
     /// It was not run, and never will be.
     NotRun {
         reason: String,
-        endpoint: Option<EndpointId>,
+        endpoint: Option<EndpointStart>,
     },
     /// It may have run.
     MayHaveRun {
         reason: String,
-        endpoint: EndpointId,
+        endpoint: EndpointStart,
     },
     /// There is no endpoint to send it to.
     NoPlace(NoPlace),
--- a/crates/gateway/src/front/stream.rs
+++ b/crates/gateway/src/front/stream.rs
@@ -8,7 +8,7 @@
 use hyper::Response;
 use hyper::body::Incoming;
 use hyper::http::response::Parts;
-use oriolepass_units::EndpointId;
+use oriolepass_units::EndpointStart;
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
 use tokio::time::{sleep_until, timeout};
@@ -217,7 +217,7 @@
         may_resume(&self.request) && self.history.may_run_again(&self.request)
     }
 
-    fn begin_move(&mut self, endpoint: EndpointId, last_event: Option<u64>, reason: &str) {
+    fn begin_move(&mut self, endpoint: EndpointStart, last_event: Option<u64>, reason: &str) {
         self.gateway
             .line(EventKind::Resume)
             .text("request", &self.request.id)
@@ -232,7 +232,7 @@
     /// Lets a stream that has broken off go on at another endpoint.
     async fn move_on(
         &mut self,
-        endpoint: EndpointId,
+        endpoint: EndpointStart,
         last_event: Option<u64>,
         reason: &str,
     ) -> Result<Box<OpenStream>, PumpEnd> {
--- a/crates/gateway/src/front/tries.rs
+++ b/crates/gateway/src/front/tries.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use oriolepass_routing::RepeatRule;
-use oriolepass_units::EndpointId;
+use oriolepass_units::EndpointStart;
 use tokio::time::{Instant, sleep, timeout};
 
 use super::caller::{AFTER_ELECTION, CallerRequest, SOON};
@@ -76,7 +76,7 @@
     /// Sends that may have run.
     runs: u32,
     /// Endpoints that failed this request.
-    avoid: Vec<EndpointId>,
+    avoid: Vec<EndpointStart>,
     /// The last event that the caller has.
     pub(super) last_event: Option<u64>,
     /// A failure that an endpoint answered, for want of anything better.
@@ -108,7 +108,7 @@
     }
 
     /// Notes that a stream broke off after its first event, so that it can go on elsewhere.
-    pub(super) fn stream_broke(&mut self, endpoint: EndpointId, last_event: Option<u64>) {
+    pub(super) fn stream_broke(&mut self, endpoint: EndpointStart, last_event: Option<u64>) {
         self.avoid.push(endpoint);
         self.last_event = last_event;
         self.wait_until = Instant::now() + LOOK_AFTER_LOSS;
@@ -278,7 +278,7 @@
         &self,
         gateway: &Gateway,
         request: &CallerRequest,
-        endpoint: Option<&EndpointId>,
+        endpoint: Option<&EndpointStart>,
         reason: &str,
         again: bool,
     ) {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -58,6 +58,8 @@
     pub(crate) document_changed: Notify,
     pub(crate) leader_changed: Notify,
     pub(crate) endpoints: RefCell<EndpointRegistry>,
+    /// When a skipped entry was last reported, and how many have not been since.
+    pub(crate) skipped: Cell<(Option<MonotonicTime>, u64)>,
     pub(crate) balancer: RefCell<EndpointBalancer>,
     pub(crate) budget: RefCell<RetryBudget>,
     pub(crate) home: RefCell<HomeState>,
@@ -97,6 +99,7 @@
             document_changed: Notify::new(),
             leader_changed: Notify::new(),
             endpoints: RefCell::default(),
+            skipped: Cell::default(),
             balancer: RefCell::default(),
             budget: RefCell::default(),
             home: RefCell::default(),
--- a/crates/gateway/src/home.rs
+++ b/crates/gateway/src/home.rs
@@ -12,7 +12,7 @@
 
 use oriolepass_placement::{EngineFacts, EngineFleet, PromptAsk, PromptKey, PromptPlan, SpareLack};
 use oriolepass_routing::RoutingRevision;
-use oriolepass_units::{EndpointId, InstanceId, MonotonicTime};
+use oriolepass_units::{EndpointStart, InstanceId, MonotonicTime};
 
 use crate::endpoints::EndpointPhase;
 use crate::events::EventKind;
@@ -59,9 +59,9 @@
     taken_from: Option<(u64, Option<RoutingRevision>, MonotonicTime)>,
     /// The prompts of callers here.
     own: BTreeMap<PromptKey, PlacedPrompt>,
-    last_good: BTreeMap<EndpointId, MonotonicTime>,
+    last_good: BTreeMap<EndpointStart, MonotonicTime>,
     /// Endpoints that sent a heartbeat to this daemon lately.
-    pub(crate) direct_beats: BTreeSet<EndpointId>,
+    pub(crate) direct_beats: BTreeSet<EndpointStart>,
 }
 
 /// How long the engines' liveness may be out of date in the fleet.
@@ -114,7 +114,7 @@
         self.mesh.send(from, &PeerMessage::PlaceAnswer { token, verdict });
     }
 
-    pub(crate) fn explains_silence(&self, endpoint: &EndpointId, silence: Duration) -> bool {
+    pub(crate) fn explains_silence(&self, endpoint: &EndpointStart, silence: Duration) -> bool {
         self.home.borrow_mut().fleet.explains_silence(self.now(), endpoint, silence)
     }
 
@@ -122,7 +122,7 @@
     /// to: moving a prompt for nothing costs another reading of it.
     pub(crate) async fn silence_is_expected(
         &self,
-        endpoint: &EndpointId,
+        endpoint: &EndpointStart,
         silence: Duration,
     ) -> bool {
         let Some(leader) = self.leader_instance().filter(|leader| *leader != self.own) else {
@@ -164,7 +164,7 @@
             match note {
                 ProgressNote::Begun(key) => {
                     home.fleet.first_event(now, *key);
-                    let used: Vec<EndpointId> = home.fleet.engines_of(*key).to_vec();
+                    let used: Vec<EndpointStart> = home.fleet.engines_of(*key).to_vec();
                     for endpoint in used {
                         home.last_good.insert(endpoint, now);
                     }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -45,6 +45,8 @@
     pub(crate) peers: IntGauge,
     /// Endpoints that take work.
     pub(crate) endpoints: IntGauge,
+    /// Announcements that could not be read.
+    pub(crate) skipped_entries: IntCounter,
     /// Syncs of the log.
     pub(crate) syncs: IntCounter,
     /// Reservations of engines' memory by outcome.
@@ -109,6 +111,10 @@
             replica_runs: gauge("oriolepass_replica_runs", "Whether the replica of the log runs"),
             peers: gauge("oriolepass_peers", "Daemons heard lately"),
             endpoints: gauge("oriolepass_endpoints", "Endpoints that take work"),
+            skipped_entries: counter(
+                "oriolepass_skipped_entries_total",
+                "Announcements that could not be read",
+            ),
             syncs: counter("oriolepass_log_syncs_total", "Syncs of the log"),
             reservations: counters(
                 "oriolepass_reservations_total",
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -5,7 +5,7 @@
 use oriolepass_consensus::Envelope;
 use oriolepass_placement::{PromptAsk, PromptKey, PromptPlan, SpareLack};
 use oriolepass_routing::{RegisterOutcome, RoutingRevision, RoutingText};
-use oriolepass_units::{EndpointId, InstanceId};
+use oriolepass_units::{EndpointStart, InstanceId};
 use serde::{Deserialize, Serialize};
 
 use crate::balancer::FaultKind;
@@ -43,7 +43,7 @@
     /// It has ended.
     Ended(PromptKey),
     /// An engine failed it.
-    Failed(EndpointId),
+    Failed(EndpointStart),
 }
 
 /// A prompt that another home placed.
@@ -87,15 +87,15 @@
     /// What the sender has heard of endpoints.
     Endpoints(Vec<EndpointNotice>),
     /// Endpoints that have left for good.
-    EndpointsLeft(Vec<EndpointId>),
+    EndpointsLeft(Vec<EndpointStart>),
     /// Endpoints that failed a request of the sender's.
-    Faults(Vec<(EndpointId, FaultKind)>),
+    Faults(Vec<(EndpointStart, FaultKind)>),
     /// Place this prompt.
     PlaceAsk { token: u64, ask: PromptAsk },
     /// Where it goes.
     PlaceAnswer { token: u64, verdict: PlaceVerdict },
     /// Is an engine expected to be silent for so long?
-    SilenceAsk { token: u64, endpoint: EndpointId, silence: Duration },
+    SilenceAsk { token: u64, endpoint: EndpointStart, silence: Duration },
     /// Whether it is.
     SilenceAnswer { token: u64, is_expected: bool },
     /// What became of prompts that the receiver placed.
--- a/crates/gateway/tests/parts.rs
+++ b/crates/gateway/tests/parts.rs
@@ -74,6 +74,43 @@
     assert_eq!(registry.expire(at(20_000), Duration::from_secs(10)).len(), 1);
 }
 
+#[test]
+fn a_later_start_under_the_same_id_replaces_an_earlier_one_in_any_order() {
+    let start = |time: u64, port, sequence| {
+        beat(&format!("i-1@{time}"), port, sequence, EndpointPhase::Serving)
+    };
+    let known = |registry: &EndpointRegistry| -> Vec<String> {
+        registry.all().map(|beat| beat.endpoint.to_string()).collect()
+    };
+    let mut registry = EndpointRegistry::default();
+    registry.take(at(10), start(1_000, 1, 7), Duration::ZERO);
+    assert_eq!(registry.take(at(20), start(2_000, 2, 1), Duration::ZERO), BeatChange::Met);
+    assert_eq!(known(&registry), ["i-1@2000"]);
+    assert_eq!(registry.take(at(30), start(1_000, 1, 9), Duration::ZERO), BeatChange::Stale);
+    assert!(!registry.leave(&"i-1@1000".parse().unwrap()), "it is over already");
+    assert_eq!(registry.take(at(40), start(2_000, 2, 2), Duration::ZERO), BeatChange::Refreshed);
+    // The other order: the later one is met first.
+    let mut registry = EndpointRegistry::default();
+    registry.take(at(10), start(2_000, 2, 1), Duration::ZERO);
+    assert_eq!(registry.take(at(20), start(1_000, 1, 7), Duration::ZERO), BeatChange::Stale);
+    assert_eq!(known(&registry), ["i-1@2000"]);
+    // After a farewell only a later start comes back; a farewell without a time means the latest.
+    assert!(registry.leave(&"i-1".parse().unwrap()));
+    assert_eq!(registry.take(at(30), start(2_000, 2, 9), Duration::ZERO), BeatChange::Stale);
+    assert_eq!(registry.take(at(40), start(3_000, 3, 1), Duration::ZERO), BeatChange::Met);
+    assert_eq!(registry.take(at(50), start(2_500, 3, 1), Duration::ZERO), BeatChange::Stale);
+    assert_eq!(known(&registry), ["i-1@3000"]);
+}
+
+#[test]
+fn a_late_heartbeat_does_not_take_an_address_back() {
+    let mut registry = EndpointRegistry::default();
+    registry.take(at(10), beat("i-new@2000", 1, 1, EndpointPhase::Serving), Duration::ZERO);
+    let late = beat("i-old@1000", 1, 40, EndpointPhase::Serving);
+    assert_eq!(registry.take(at(900), late, Duration::ZERO), BeatChange::Stale);
+    assert_eq!(registry.at(SocketAddr::from(([10, 0, 0, 1], 1))), "i-new@2000".parse().ok());
+}
+
 #[test]
 fn repeated_sends_stay_within_this_daemons_part_of_the_budget() {
     let mut budget = RetryBudget::default();
--- a/crates/placement/src/choice.rs
+++ b/crates/placement/src/choice.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use oriolepass_units::EndpointId;
+use oriolepass_units::EndpointStart;
 
 use crate::cost::{EngineView, LongDemand, ReadCost, ShortDemand, lateness, millis, risk};
 use crate::plan::PromptAsk;
@@ -17,8 +17,8 @@
 
 /// One way to place a prompt.
 pub(crate) struct Candidate {
-    pub(crate) main: EndpointId,
-    pub(crate) others: Vec<EndpointId>,
+    pub(crate) main: EndpointStart,
+    pub(crate) others: Vec<EndpointStart>,
     /// What the prompt and others are expected to lose.
     pub(crate) loss: f64,
     /// The loss, and what it may still lose until its first event.
@@ -50,8 +50,8 @@
 /// Returns the engines behind whose reading a prompt may be put.
 pub(crate) fn without_backlog(
     job: &Job<'_>,
-    mut views: Vec<(EndpointId, EngineView)>,
-) -> Vec<(EndpointId, EngineView)> {
+    mut views: Vec<(EndpointStart, EngineView)>,
+) -> Vec<(EndpointStart, EngineView)> {
     if !job.cost.is_short() && !job.ask.patience.is_zero() {
         let most_ms = millis(job.ask.whole_objective) * BACKLOG_SHARE;
         views.retain(|(_, view)| view.residual_ms + view.unread_ms <= most_ms);
@@ -60,7 +60,10 @@
 }
 
 /// Chooses a group of engines; none where no group can hold the prompt.
-pub(crate) fn best_group(job: &Job<'_>, views: &[(EndpointId, EngineView)]) -> Option<Candidate> {
+pub(crate) fn best_group(
+    job: &Job<'_>,
+    views: &[(EndpointStart, EngineView)],
+) -> Option<Candidate> {
     GROUP_SIZES
         .into_iter()
         .take_while(|size| *size == 1 || (*size <= views.len() && !job.cost.is_short()))
@@ -70,7 +73,7 @@
 
 /// An engine with what a part of the job would do to it.
 struct Scored<'a> {
-    endpoint: &'a EndpointId,
+    endpoint: &'a EndpointStart,
     view: &'a EngineView,
     damage: f64,
     score: f64,
@@ -80,7 +83,7 @@
 /// one among them that is best for writing receives the request.
 fn best_of_size(
     job: &Job<'_>,
-    views: &[(EndpointId, EngineView)],
+    views: &[(EndpointStart, EngineView)],
     size: usize,
 ) -> Option<Candidate> {
     let part_ms = job.cost.part_ms(size);
@@ -173,15 +176,15 @@
 /// what they have free. What is left over goes to the main engine.
 pub(crate) fn reserves(
     ask: &PromptAsk,
-    views: &[(EndpointId, EngineView)],
+    views: &[(EndpointStart, EngineView)],
     best: &Candidate,
-) -> BTreeMap<EndpointId, u64> {
-    let free_of = |endpoint: &EndpointId| {
+) -> BTreeMap<EndpointStart, u64> {
+    let free_of = |endpoint: &EndpointStart| {
         views.iter().find(|(e, _)| e == endpoint).map_or(0, |(_, view)| view.free_tokens)
     };
     let free = free_of(&best.main).saturating_sub(ask.max_answer_tokens);
     let mut lacking = ask.prompt_tokens.saturating_sub(free);
-    let mut roomy: Vec<(u64, &EndpointId)> =
+    let mut roomy: Vec<(u64, &EndpointStart)> =
         best.others.iter().map(|endpoint| (free_of(endpoint), endpoint)).collect();
     roomy.sort_by(|left, right| right.cmp(left));
     let mut reserves = BTreeMap::new();
--- a/crates/placement/src/farm.rs
+++ b/crates/placement/src/farm.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use oriolepass_routing::EngineProfile;
-use oriolepass_units::EndpointId;
+use oriolepass_units::EndpointStart;
 
 use crate::passes::{AnswerEnd, EnginePasses, PassEvent, PassPrompt};
 use crate::plan::{HelperPart, PromptKey};
@@ -23,7 +23,7 @@
 #[derive(Debug, Clone)]
 struct OpenPrompt {
     /// The engines used; the first one writes.
-    engines: Vec<EndpointId>,
+    engines: Vec<EndpointStart>,
     unread_parts: usize,
 }
 
@@ -31,7 +31,7 @@
 #[derive(Debug, Default)]
 pub struct EngineFarm {
     answer_end: AnswerEnd,
-    engines: BTreeMap<EndpointId, EnginePasses>,
+    engines: BTreeMap<EndpointStart, EnginePasses>,
     open: BTreeMap<PromptKey, OpenPrompt>,
 }
 
@@ -42,7 +42,7 @@
     }
 
     /// Adds an idle engine if it is not there yet.
-    pub fn add(&mut self, endpoint: &EndpointId, profile: &Arc<EngineProfile>) {
+    pub fn add(&mut self, endpoint: &EndpointStart, profile: &Arc<EngineProfile>) {
         if !self.engines.contains_key(endpoint) {
             self.engines
                 .insert(endpoint.clone(), EnginePasses::new(Arc::clone(profile), self.answer_end));
@@ -50,17 +50,17 @@
     }
 
     /// Removes engines.
-    pub fn retain(&mut self, is_kept: impl Fn(&EndpointId) -> bool) {
+    pub fn retain(&mut self, is_kept: impl Fn(&EndpointStart) -> bool) {
         self.engines.retain(|endpoint, _| is_kept(endpoint));
     }
 
     /// Returns an engine.
-    pub fn engine(&self, endpoint: &EndpointId) -> Option<&EnginePasses> {
+    pub fn engine(&self, endpoint: &EndpointStart) -> Option<&EnginePasses> {
         self.engines.get(endpoint)
     }
 
     /// Returns the engines that a prompt uses, the one that writes first.
-    pub fn engines_of(&self, key: PromptKey) -> &[EndpointId] {
+    pub fn engines_of(&self, key: PromptKey) -> &[EndpointStart] {
         self.open.get(&key).map_or(&[], |open| &open.engines)
     }
 
@@ -73,7 +73,7 @@
     pub fn take(
         &mut self,
         now_ms: f64,
-        main: &EndpointId,
+        main: &EndpointStart,
         helpers: &[HelperPart],
         prompt: &PassPrompt,
     ) -> bool {
@@ -98,7 +98,7 @@
     pub fn take_written(
         &mut self,
         now_ms: f64,
-        main: &EndpointId,
+        main: &EndpointStart,
         helpers: &[HelperPart],
         prompt: &PassPrompt,
     ) {
@@ -160,7 +160,7 @@
         }
     }
 
-    fn end_pass(&mut self, at_ms: f64, endpoint: &EndpointId, events: &mut Vec<FarmEvent>) {
+    fn end_pass(&mut self, at_ms: f64, endpoint: &EndpointStart, events: &mut Vec<FarmEvent>) {
         let Some(engine) = self.engines.get_mut(endpoint) else { return };
         for event in engine.end_pass() {
             match event {
--- a/crates/placement/src/fleet.rs
+++ b/crates/placement/src/fleet.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use oriolepass_routing::EngineProfile;
-use oriolepass_units::{EndpointId, MonotonicTime, ServiceName};
+use oriolepass_units::{EndpointStart, MonotonicTime, ServiceName};
 
 use crate::choice::{Candidate, Job, best_group, reserves, without_backlog};
 use crate::cost::{EngineView, Neighbour, ReadCost, millis, patience_ms};
@@ -42,7 +42,7 @@
 #[derive(Debug, Clone, PartialEq)]
 pub struct EngineFacts {
     /// The engine.
-    pub endpoint: EndpointId,
+    pub endpoint: EndpointStart,
     /// The service that it belongs to.
     pub service: ServiceName,
     /// Whether it may get new work.
@@ -77,7 +77,7 @@
 /// The engines of all services, as one home sees them.
 #[derive(Debug, Default)]
 pub struct EngineFleet {
-    engines: BTreeMap<EndpointId, EngineEntry>,
+    engines: BTreeMap<EndpointStart, EngineEntry>,
     farm: EngineFarm,
     placed: BTreeMap<PromptKey, PlacedPrompt>,
     demand: BTreeMap<ServiceName, DemandMeter>,
@@ -90,7 +90,7 @@
 impl EngineFleet {
     /// Takes over which engines there are.
     pub fn update(&mut self, facts: Vec<EngineFacts>) {
-        let present: BTreeSet<EndpointId> = facts.iter().map(|f| f.endpoint.clone()).collect();
+        let present: BTreeSet<EndpointStart> = facts.iter().map(|f| f.endpoint.clone()).collect();
         self.engines.retain(|endpoint, _| present.contains(endpoint));
         self.farm.retain(|endpoint| present.contains(endpoint));
         for fact in facts {
@@ -112,7 +112,7 @@
     }
 
     /// Returns the engines that a placed prompt uses, the one that writes first.
-    pub fn engines_of(&self, key: PromptKey) -> &[EndpointId] {
+    pub fn engines_of(&self, key: PromptKey) -> &[EndpointStart] {
         self.farm.engines_of(key)
     }
 
@@ -121,7 +121,7 @@
     pub fn explains_silence(
         &mut self,
         now: MonotonicTime,
-        endpoint: &EndpointId,
+        endpoint: &EndpointStart,
         silence: Duration,
     ) -> bool {
         self.farm.advance(time_ms(now));
@@ -161,7 +161,7 @@
         let usable = self.usable(now, ask);
         let meter = self.demand.entry(ask.service.clone()).or_default();
         let helped_share = meter.long_demand(time_ms(now)).helped_share(usable.len());
-        let views: Vec<(EndpointId, EngineView)> = usable
+        let views: Vec<(EndpointStart, EngineView)> = usable
             .into_iter()
             .filter_map(|endpoint| self.view(now, endpoint, helped_share))
             .collect();
@@ -205,7 +205,7 @@
         now: MonotonicTime,
         ask: &'a PromptAsk,
         profile: &EngineProfile,
-        views: &[(EndpointId, EngineView)],
+        views: &[(EndpointStart, EngineView)],
     ) -> Job<'a> {
         let cost = ReadCost::new(profile, ask.prompt_tokens);
         let per_pass = profile.read_tokens_per_step * u64::from(profile.steps_per_pass);
@@ -226,9 +226,9 @@
     fn view(
         &self,
         now: MonotonicTime,
-        endpoint: EndpointId,
+        endpoint: EndpointStart,
         helped_share: f64,
-    ) -> Option<(EndpointId, EngineView)> {
+    ) -> Option<(EndpointStart, EngineView)> {
         let now_ms = time_ms(now);
         let entry = self.engines.get(&endpoint)?;
         let engine = self.farm.engine(&endpoint)?;
@@ -297,7 +297,7 @@
 
     /// Notes that an engine failed a request; it gets no new work for a while, unless too many
     /// are shunned already.
-    pub fn failed(&mut self, now: MonotonicTime, endpoint: &EndpointId) {
+    pub fn failed(&mut self, now: MonotonicTime, endpoint: &EndpointStart) {
         let Some(service) = self.engines.get(endpoint).map(|e| e.facts.service.clone()) else {
             return;
         };
@@ -313,18 +313,18 @@
         }
     }
 
-    fn usable(&self, now: MonotonicTime, ask: &PromptAsk) -> Vec<EndpointId> {
+    fn usable(&self, now: MonotonicTime, ask: &PromptAsk) -> Vec<EndpointStart> {
         let takes_work = |engine: &&EngineEntry| {
             let facts = &engine.facts;
             facts.service == ask.service && facts.takes_work && now >= engine.shunned_until
         };
-        let all: Vec<EndpointId> = self
+        let all: Vec<EndpointStart> = self
             .engines
             .values()
             .filter(takes_work)
             .map(|engine| engine.facts.endpoint.clone())
             .collect();
-        let liked: Vec<EndpointId> =
+        let liked: Vec<EndpointStart> =
             all.iter().filter(|endpoint| !ask.avoid.contains(endpoint)).cloned().collect();
         if liked.is_empty() { all } else { liked }
     }
@@ -342,7 +342,7 @@
             priority: plan.engine_priority,
             kept_elsewhere: plan.helpers.iter().filter_map(|helper| helper.reserve_tokens).sum(),
         };
-        let engines: Vec<EndpointId> = std::iter::once(&plan.main)
+        let engines: Vec<EndpointStart> = std::iter::once(&plan.main)
             .chain(plan.helpers.iter().map(|helper| &helper.endpoint))
             .cloned()
             .collect();
@@ -368,7 +368,7 @@
 
     /// Marks the answers whose next pause is longer than they bear, so that the next prompt
     /// may use what is lost already.
-    fn spoil(&mut self, part_ms: f64, engines: &[EndpointId]) {
+    fn spoil(&mut self, part_ms: f64, engines: &[EndpointStart]) {
         for endpoint in engines {
             let (Some(entry), Some(engine)) =
                 (self.engines.get(endpoint), self.farm.engine(endpoint))
@@ -388,7 +388,7 @@
 /// Writes a placement down as the entry gets it.
 fn plan(
     job: &Job<'_>,
-    views: &[(EndpointId, EngineView)],
+    views: &[(EndpointStart, EngineView)],
     profile: &EngineProfile,
     best: &Candidate,
 ) -> PromptPlan {
@@ -399,7 +399,7 @@
         .map_or(0.0, |(_, view)| view.writing_pass_ms)
         .max(profile.step_ms * f64::from(profile.steps_per_pass));
     let passes = job.ask.answer_tokens as f64 / f64::from(profile.steps_per_pass);
-    let helper = |endpoint: &EndpointId| HelperPart {
+    let helper = |endpoint: &EndpointStart| HelperPart {
         endpoint: endpoint.clone(),
         reserve_tokens: reserves.get(endpoint).copied(),
     };
--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use oriolepass_units::{EndpointId, ServiceName};
+use oriolepass_units::{EndpointStart, ServiceName};
 use serde::{Deserialize, Serialize};
 
 /// Names a placed prompt: the instance that serves its caller and a number of that instance's.
@@ -38,14 +38,14 @@
     /// How long it may still wait for engines; none the last time that it asks.
     pub patience: Duration,
     /// Engines that it should not go to, such as the one that just failed it.
-    pub avoid: Vec<EndpointId>,
+    pub avoid: Vec<EndpointStart>,
 }
 
 /// An engine that reads a part of a prompt.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HelperPart {
     /// The engine.
-    pub endpoint: EndpointId,
+    pub endpoint: EndpointStart,
     /// Memory to reserve there for the prompt, in tokens; none where it is kept elsewhere.
     pub reserve_tokens: Option<u64>,
 }
@@ -54,7 +54,7 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct PromptPlan {
     /// The engine that receives the request and writes the answer.
-    pub main: EndpointId,
+    pub main: EndpointStart,
     /// The engines that read parts of the prompt beside it.
     pub helpers: Vec<HelperPart>,
     /// How urgent the engine should take it; 0 is first, 9 is last.
--- a/crates/placement/tests/placing.rs
+++ b/crates/placement/tests/placing.rs
@@ -9,7 +9,7 @@
     ReadCost,
 };
 use oriolepass_routing::EngineProfile;
-use oriolepass_units::{EndpointId, MonotonicTime};
+use oriolepass_units::{EndpointStart, MonotonicTime};
 
 fn profile() -> Arc<EngineProfile> {
     Arc::new(EngineProfile {
@@ -27,7 +27,7 @@
     })
 }
 
-fn endpoint(number: usize) -> EndpointId {
+fn endpoint(number: usize) -> EndpointStart {
     format!("e{number}").parse().unwrap()
 }
 
@@ -122,7 +122,7 @@
 }
 
 /// Places a short prompt and returns the engine that writes its answer.
-fn place_short(fleet: &mut EngineFleet, number: u64, now_ms: u64) -> EndpointId {
+fn place_short(fleet: &mut EngineFleet, number: u64, now_ms: u64) -> EndpointStart {
     let plan = fleet.place(at(now_ms), &ask(number, 4_000)).unwrap();
     fleet.first_event(at(now_ms + 30), key(number));
     plan.main
--- a/crates/units/src/lib.rs
+++ b/crates/units/src/lib.rs
@@ -7,10 +7,12 @@
 //!
 //! The package has no dependencies inside the workspace; everything else depends on it.
 
+mod endpoint_start;
 mod id;
 mod number;
 mod time;
 
+pub use endpoint_start::{EndpointStart, StartError, StartTime};
 pub use id::{
     AccountId, AttemptId, CallerKey, ChangeId, DataCentreId, EndpointId, IdError, InstanceId,
     ModelId, ServiceName, ShardId, TeamId,
