--- a/crates/gateway/src/front/presence.rs
+++ b/crates/gateway/src/front/presence.rs
@@ -14,7 +14,7 @@
 
 use crate::events::EventKind;
 use crate::gateway::Gateway;
-use crate::upstream;
+use crate::upstream::{self, AddressReach};
 
 /// Heartbeats that must be missing before an endpoint is looked for: one may be lost, and one late.
 /// With the time for two connections, one that is gone is noticed within four heartbeats.
@@ -58,7 +58,6 @@
             let registry = gateway.endpoints.borrow();
             (registry.silence(gateway.now(), endpoint), registry.at(address))
         };
-        // One that is not known any more may still finish what it has.
         if let Some(silence) = silence.filter(|silence| *silence < missing) {
             look_in = (missing - silence).max(LOOK_AT_LEAST);
             continue;
@@ -66,9 +65,14 @@
         if let Some(other) = present.filter(|other| other != endpoint) {
             return format!("no heartbeats, and {other} is at its address");
         }
-        if let Err(reason) = upstream::reach(address).await {
-            return format!("no heartbeats, and no connection: {reason}");
+        // One that has left may take no new connections and still finish what it has.
+        let has_left = silence.is_none();
+        match upstream::reach(address).await {
+            AddressReach::Nothing => return "no heartbeats, and no connection in time".to_owned(),
+            AddressReach::Refused if !has_left => {
+                return "no heartbeats, and connections are refused".to_owned();
+            }
+            AddressReach::Refused | AddressReach::Connected => look_in = CONNECT_AGAIN,
         }
-        look_in = CONNECT_AGAIN;
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,7 +6,7 @@
 //!
 //! | module | job |
 //! |---|---|
-//! | `cluster`, `roster`, `founding`, `replica`, `peers` | the daemons among themselves: who is there, who leads, who votes, the log |
+//! | `cluster`, `roster`, `founding`, `replica`, `replication`, `peers` | the daemons among themselves: who is there, who leads, who votes, the log |
 //! | `documents` | routing documents: into the log, in force, proved current |
 //! | `announce`, `endpoints` | what endpoints say of themselves |
 //! | `home` | placing prompts on engines, as the home or by asking it |
@@ -39,6 +39,7 @@
 mod net;
 mod peers;
 mod replica;
+mod replication;
 mod roster;
 #[cfg(test)]
 mod roster_tests;
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -84,9 +84,30 @@
     }
 }
 
-/// Connects and says nothing; returns why that did not come about.
-pub(crate) async fn reach(to: SocketAddr) -> Result<(), String> {
-    connect(to).await.map(drop)
+/// What came of looking for an address.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum AddressReach {
+    /// Somebody takes connections there.
+    Connected,
+    /// The machine is there, and nobody listens.
+    Refused,
+    /// No connection in time.
+    Nothing,
+}
+
+/// Connects and says nothing.
+pub(crate) async fn reach(to: SocketAddr) -> AddressReach {
+    for _ in 0..CONNECT_TRIES {
+        match timeout(CONNECT_PATIENCE, net::connect(to, None)).await {
+            Ok(Ok(_)) => return AddressReach::Connected,
+            Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
+                return AddressReach::Refused;
+            }
+            // A lost first packet, perhaps.
+            Ok(Err(_)) | Err(_) => {}
+        }
+    }
+    AddressReach::Nothing
 }
 
 async fn connect(to: SocketAddr) -> Result<tokio::net::TcpStream, String> {
