--- a/crates/gateway/src/announce.rs
+++ b/crates/gateway/src/announce.rs
@@ -18,6 +18,15 @@
 /// An endpoint that has been silent for this many heartbeats is forgotten.
 const FORGOTTEN_HEARTBEATS: u32 = 12;
 
+/// What was reported of skipped entries.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct SkippedReport {
+    /// When the last line was written.
+    last: Option<MonotonicTime>,
+    /// Entries skipped since then.
+    unreported: u64,
+}
+
 /// Between two lines about skipped entries, however many come.
 const SKIPPED_EVERY: Duration = Duration::from_secs(1);
 
@@ -103,12 +112,12 @@
     pub fn entry_skipped(&self, endpoint: &str, reason: &str) {
         self.metrics.skipped_entries.inc();
         let now = self.now();
-        let (reported, unreported) = self.skipped.get();
-        if reported.is_some_and(|at| now.since(at) < SKIPPED_EVERY) {
-            self.skipped.set((reported, unreported + 1));
+        let SkippedReport { last, unreported } = self.skipped.get();
+        if last.is_some_and(|at| now.since(at) < SKIPPED_EVERY) {
+            self.skipped.set(SkippedReport { last, unreported: unreported + 1 });
             return;
         }
-        self.skipped.set((Some(now), 0));
+        self.skipped.set(SkippedReport { last: Some(now), unreported: 0 });
         self.line(EventKind::Endpoint)
             .text("endpoint", endpoint)
             .text("reason", reason.chars().take(REASON_CHARACTERS).collect::<String>())
--- a/crates/gateway/src/front/presence.rs
+++ b/crates/gateway/src/front/presence.rs
@@ -30,7 +30,8 @@
 pub(super) async fn while_present<T>(
     gateway: &Gateway,
     request: &str,
-    (endpoint, address): (&EndpointStart, SocketAddr),
+    endpoint: &EndpointStart,
+    address: SocketAddr,
     answer: impl Future<Output = T>,
 ) -> Option<T> {
     tokio::select! {
--- a/crates/gateway/src/front/sends.rs
+++ b/crates/gateway/src/front/sends.rs
@@ -62,7 +62,7 @@
     }
     let (endpoint, address) = (placement.endpoint.clone(), placement.address);
     let exchange = exchange(gateway, request, placement, last_event);
-    let end = while_present(gateway, &request.id, (&endpoint, address), exchange).await;
+    let end = while_present(gateway, &request.id, &endpoint, address, exchange).await;
     end.unwrap_or_else(|| {
         gateway.endpoint_fault(&request.id, &endpoint, FaultKind::Unreachable);
         if request.service.engine.is_some() {
--- a/crates/gateway/src/front/stream.rs
+++ b/crates/gateway/src/front/stream.rs
@@ -202,9 +202,9 @@
         if !self.can_move() {
             return open.source.next().await;
         }
-        let endpoint = (&open.placement.endpoint, open.placement.address);
+        let (endpoint, address) = (&open.placement.endpoint, open.placement.address);
         let next = open.source.next();
-        let piece = while_present(&self.gateway, &self.request.id, endpoint, next).await;
+        let piece = while_present(&self.gateway, &self.request.id, endpoint, address, next).await;
         piece.unwrap_or_else(|| PieceEnd::Broken("the endpoint is gone".to_owned()))
     }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -10,6 +10,7 @@
 use tokio::sync::{Notify, oneshot, watch};
 use tokio::time::timeout;
 
+use crate::announce::SkippedReport;
 use crate::balancer::EndpointBalancer;
 use crate::budget::{BudgetRule, RetryBudget};
 use crate::clock::ProcessClock;
@@ -58,8 +59,7 @@
     pub(crate) document_changed: Notify,
     pub(crate) leader_changed: Notify,
     pub(crate) endpoints: RefCell<EndpointRegistry>,
-    /// When a skipped entry was last reported, and how many have not been since.
-    pub(crate) skipped: Cell<(Option<MonotonicTime>, u64)>,
+    pub(crate) skipped: Cell<SkippedReport>,
     pub(crate) balancer: RefCell<EndpointBalancer>,
     pub(crate) budget: RefCell<RetryBudget>,
     pub(crate) home: RefCell<HomeState>,
