Endpoint starts: nothing is asked of a known start that only a new one can answer; farewells are resolved once

Cause: each heartbeat looked through the starts that have left and those of its id, though a start that is known is never over: whatever ends it removes it. A farewell without a time was resolved twice, in the gateway and in the registry. StartTime wrote out by hand what the number types' macro gives. Change: only a start that is met is held against earlier and later ones (EndpointRegistry::meet); one start of an id is known at most, so no loop looks for more; leave says which start left, so one announcement and one method serve both farewells; StartTime stands with the other numbers. Conclusion: behaviour as before; the tests that named the dropped variant and the truth value now name the very start that leaves, which says more. The tests of units, gateway and of the whole path pass (17 on real processes).

--- a/crates/gateway/src/announce.rs
+++ b/crates/gateway/src/announce.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use oriolepass_units::{EndpointId, EndpointStart, InstanceId, MonotonicTime, StartTime};
+use oriolepass_units::{EndpointStart, InstanceId, MonotonicTime};
 use tokio::time::sleep;
 
 use crate::balancer::FaultKind;
@@ -53,18 +53,12 @@
         }
     }
 
-    /// Takes in the farewell of an endpoint that does not say which start it is.
-    pub fn endpoint_leaves_unnamed(&self, endpoint: &EndpointId) {
-        let known = self.endpoints.borrow().current(endpoint).cloned();
-        let unknown = || EndpointStart::new(endpoint.clone(), StartTime::default());
-        self.endpoint_leaves(&known.unwrap_or_else(unknown));
-    }
-
-    /// Takes in the farewell of a start.
+    /// Takes in the farewell of a start, or where that has no time, of the one that is known.
     pub fn endpoint_leaves(&self, endpoint: &EndpointStart) {
-        if self.endpoints.borrow_mut().leave(endpoint) {
-            self.line(EventKind::Endpoint).text("endpoint", endpoint).text("outcome", "left");
-            self.tell_all(&PeerMessage::EndpointsLeft(vec![endpoint.clone()]));
+        let leaver = self.endpoints.borrow_mut().leave(endpoint);
+        if let Some(leaver) = leaver {
+            self.line(EventKind::Endpoint).text("endpoint", &leaver).text("outcome", "left");
+            self.tell_all(&PeerMessage::EndpointsLeft(vec![leaver]));
             self.endpoints_changed();
         }
     }
@@ -90,10 +84,10 @@
         self.endpoints_changed();
     }
 
-    pub(crate) fn on_endpoints_left(&self, from: &InstanceId, endpoints: Vec<EndpointStart>) {
+    pub(crate) fn on_endpoints_left(&self, from: &InstanceId, endpoints: &[EndpointStart]) {
         let news: Vec<EndpointStart> = {
             let mut registry = self.endpoints.borrow_mut();
-            endpoints.into_iter().filter(|endpoint| registry.leave(endpoint)).collect()
+            endpoints.iter().filter_map(|endpoint| registry.leave(endpoint)).collect()
         };
         if news.is_empty() {
             return;
--- a/crates/gateway/src/cluster.rs
+++ b/crates/gateway/src/cluster.rs
@@ -246,7 +246,7 @@
                 gateway.answer_call(token, PeerReply::Proposed(verdict));
             }
             PeerMessage::Endpoints(notices) => gateway.on_endpoint_notices(from, notices),
-            PeerMessage::EndpointsLeft(endpoints) => gateway.on_endpoints_left(from, endpoints),
+            PeerMessage::EndpointsLeft(endpoints) => gateway.on_endpoints_left(from, &endpoints),
             PeerMessage::Faults(faults) => gateway.on_faults(&faults),
             PeerMessage::PlaceAsk { token, ask } => gateway.on_place_ask(from, token, &ask),
             PeerMessage::PlaceAnswer { token, verdict } => {
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -89,36 +89,42 @@
 impl EndpointRegistry {
     /// Takes in a heartbeat that came `age` ago.
     pub fn take(&mut self, now: MonotonicTime, beat: EndpointBeat, age: Duration) -> BeatChange {
+        let heard = now - age;
+        let Some(entry) = self.entries.get_mut(&beat.endpoint) else {
+            return self.meet(heard, beat);
+        };
+        if entry.beat.sequence >= beat.sequence {
+            return BeatChange::Stale;
+        }
+        let changed = entry.beat.phase != beat.phase
+            || entry.beat.address != beat.address
+            || entry.beat.service != beat.service;
+        entry.heard = entry.heard.max(heard);
+        entry.beat = beat;
+        if changed {
+            self.generation += 1;
+            return BeatChange::Changed;
+        }
+        BeatChange::Refreshed
+    }
+
+    /// Takes in the first heartbeat of a start. One that is known is never over, so only here is
+    /// that asked.
+    fn meet(&mut self, heard: MonotonicTime, beat: EndpointBeat) -> BeatChange {
         if self.is_over(&beat.endpoint) {
             return BeatChange::Stale;
         }
-        let heard = now - age;
-        match self.entries.get_mut(&beat.endpoint) {
-            Some(entry) if entry.beat.sequence >= beat.sequence => BeatChange::Stale,
-            Some(entry) => {
-                let changed = entry.beat.phase != beat.phase
-                    || entry.beat.address != beat.address
-                    || entry.beat.service != beat.service;
-                entry.heard = entry.heard.max(heard);
-                entry.beat = beat;
-                if changed {
-                    self.generation += 1;
-                    return BeatChange::Changed;
-                }
-                BeatChange::Refreshed
-            }
-            None => {
-                if self.is_address_kept(heard, &beat) {
-                    self.leave(&beat.endpoint);
-                    return BeatChange::Stale;
-                }
-                self.end_earlier_starts(&beat.endpoint);
-                self.displace(heard, &beat);
-                self.entries.insert(beat.endpoint.clone(), EndpointEntry { beat, heard });
-                self.generation += 1;
-                BeatChange::Met
-            }
+        if self.is_address_kept(heard, &beat) {
+            self.leave(&beat.endpoint);
+            return BeatChange::Stale;
+        }
+        if let Some(earlier) = self.current(beat.endpoint.id()).cloned() {
+            self.leave(&earlier);
         }
+        self.displace(heard, &beat);
+        self.entries.insert(beat.endpoint.clone(), EndpointEntry { beat, heard });
+        self.generation += 1;
+        BeatChange::Met
     }
 
     /// Returns whether a start has left, or a later start of the same endpoint is known.
@@ -129,18 +135,11 @@
         has_left || self.current(start.id()).is_some_and(later)
     }
 
-    /// Returns the latest start of an endpoint that is known.
-    pub fn current(&self, endpoint: &EndpointId) -> Option<&EndpointStart> {
-        let first = EndpointStart::new(endpoint.clone(), StartTime::default());
-        let starts = self.entries.range(first..).map(|(start, _)| start);
-        starts.take_while(|start| start.id() == endpoint).last()
-    }
-
-    fn end_earlier_starts(&mut self, start: &EndpointStart) {
-        // The later ones have been ruled out before.
-        while let Some(earlier) = self.current(start.id()).cloned() {
-            self.leave(&earlier);
-        }
+    /// Returns the start of an endpoint that is known. There is one at most: a later one ends it.
+    fn current(&self, endpoint: &EndpointId) -> Option<&EndpointStart> {
+        let first = EndpointStart::new(endpoint.clone(), StartTime::ZERO);
+        let (next, _) = self.entries.range(first..).next()?;
+        (next.id() == endpoint).then_some(next)
     }
 
     /// Returns whether the address is that of a later start of another endpoint.
@@ -148,7 +147,7 @@
         let time = beat.endpoint.time();
         self.entries.values().any(|entry| {
             entry.beat.address == beat.address
-                && time > StartTime::default()
+                && time > StartTime::ZERO
                 && entry.beat.endpoint.time() > time
                 && heard.since(entry.heard) < KEEPS_ADDRESS
         })
@@ -164,24 +163,24 @@
         }
     }
 
-    /// Notes that a start has left for good; returns whether that is news. One without a time is
-    /// the latest that is known.
-    pub fn leave(&mut self, endpoint: &EndpointStart) -> bool {
-        let is_unnamed = endpoint.time() == StartTime::default();
+    /// Notes that a start has left for good; returns which one, if that is news. A start without a
+    /// time means the one that is known.
+    pub fn leave(&mut self, endpoint: &EndpointStart) -> Option<EndpointStart> {
+        let is_unnamed = endpoint.time() == StartTime::ZERO;
         let known = is_unnamed.then(|| self.current(endpoint.id()).cloned()).flatten();
-        let endpoint = &known.unwrap_or_else(|| endpoint.clone());
-        if !self.left.insert(endpoint.clone()) {
-            return false;
+        let leaver = known.unwrap_or_else(|| endpoint.clone());
+        if !self.left.insert(leaver.clone()) {
+            return None;
         }
-        self.left_order.push_back(endpoint.clone());
+        self.left_order.push_back(leaver.clone());
         if self.left_order.len() > REMEMBERED_LEAVERS
             && let Some(oldest) = self.left_order.pop_front()
         {
             self.left.remove(&oldest);
         }
-        self.entries.remove(endpoint);
+        self.entries.remove(&leaver);
         self.generation += 1;
-        true
+        Some(leaver)
     }
 
     /// Forgets endpoints that have been silent for `silence`; returns them.
--- a/crates/gateway/tests/parts.rs
+++ b/crates/gateway/tests/parts.rs
@@ -58,7 +58,7 @@
     assert_eq!(registry.take(at(11), draining, Duration::ZERO), BeatChange::Changed);
     assert_eq!(registry.take(at(12), serving(4), Duration::ZERO), BeatChange::Stale);
     assert!(registry.takes_work(&"i-1".parse().unwrap()).is_none(), "it drains");
-    assert!(registry.leave(&"i-1".parse().unwrap()));
+    assert_eq!(registry.leave(&"i-1".parse().unwrap()), "i-1".parse().ok());
     assert_eq!(registry.take(at(13), serving(9), Duration::ZERO), BeatChange::Stale);
     assert_eq!(registry.all().count(), 0, "who has left stays away");
 }
@@ -87,7 +87,7 @@
     assert_eq!(registry.take(at(20), start(2_000, 2, 1), Duration::ZERO), BeatChange::Met);
     assert_eq!(known(&registry), ["i-1@2000"]);
     assert_eq!(registry.take(at(30), start(1_000, 1, 9), Duration::ZERO), BeatChange::Stale);
-    assert!(!registry.leave(&"i-1@1000".parse().unwrap()), "it is over already");
+    assert_eq!(registry.leave(&"i-1@1000".parse().unwrap()), None, "it is over already");
     assert_eq!(registry.take(at(40), start(2_000, 2, 2), Duration::ZERO), BeatChange::Refreshed);
     // The other order: the later one is met first.
     let mut registry = EndpointRegistry::default();
@@ -95,7 +95,7 @@
     assert_eq!(registry.take(at(20), start(1_000, 1, 7), Duration::ZERO), BeatChange::Stale);
     assert_eq!(known(&registry), ["i-1@2000"]);
     // After a farewell only a later start comes back; a farewell without a time means the latest.
-    assert!(registry.leave(&"i-1".parse().unwrap()));
+    assert_eq!(registry.leave(&"i-1".parse().unwrap()), "i-1@2000".parse().ok());
     assert_eq!(registry.take(at(30), start(2_000, 2, 9), Duration::ZERO), BeatChange::Stale);
     assert_eq!(registry.take(at(40), start(3_000, 3, 1), Duration::ZERO), BeatChange::Met);
     assert_eq!(registry.take(at(50), start(2_500, 3, 1), Duration::ZERO), BeatChange::Stale);
--- a/crates/units/src/endpoint_start.rs
+++ b/crates/units/src/endpoint_start.rs
@@ -7,27 +7,7 @@
 use thiserror::Error;
 
 use crate::id::{EndpointId, IdError};
-
-/// When an endpoint started, by its own clock, in milliseconds since 1970. Zero where the endpoint
-/// does not say.
-#[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
-pub struct StartTime(pub u64);
-
-impl fmt::Display for StartTime {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.0.fmt(f)
-    }
-}
-
-impl FromStr for StartTime {
-    type Err = std::num::ParseIntError;
-
-    fn from_str(text: &str) -> Result<Self, Self::Err> {
-        text.parse().map(Self)
-    }
-}
+use crate::number::{NumberError, StartTime};
 
 /// Names one start of an endpoint.
 ///
@@ -47,8 +27,8 @@
     #[error(transparent)]
     Id(#[from] IdError),
     /// What follows the id is no time.
-    #[error("the start time after @ is no whole number of milliseconds: {0}")]
-    Time(#[from] std::num::ParseIntError),
+    #[error(transparent)]
+    Time(#[from] NumberError),
 }
 
 impl EndpointStart {
@@ -72,7 +52,7 @@
 impl fmt::Display for EndpointStart {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self.time {
-            StartTime(0) => self.id.fmt(f),
+            StartTime::ZERO => self.id.fmt(f),
             time => write!(f, "{}@{time}", self.id),
         }
     }
--- a/crates/units/src/lib.rs
+++ b/crates/units/src/lib.rs
@@ -12,13 +12,13 @@
 mod number;
 mod time;
 
-pub use endpoint_start::{EndpointStart, StartError, StartTime};
+pub use endpoint_start::{EndpointStart, StartError};
 pub use id::{
     AccountId, AttemptId, CallerKey, ChangeId, DataCentreId, EndpointId, IdError, InstanceId,
     ModelId, ServiceName, ShardId, TeamId,
 };
 pub use number::{
     ByteCount, FencingNumber, Incarnation, LeaderTerm, LeaseEpoch, LogIndex, NumberError,
-    ObjectRevision, TokenCount, TokenRate,
+    ObjectRevision, StartTime, TokenCount, TokenRate,
 };
 pub use time::{MonotonicTime, PrefixHash};
--- a/crates/units/src/number.rs
+++ b/crates/units/src/number.rs
@@ -70,6 +70,8 @@
     LogIndex, "log index";
     /// The revision of a configuration object; 0 means that it does not exist.
     ObjectRevision, "object revision";
+    /// When an endpoint started, by its own clock, in milliseconds since 1970; 0 where it does not say.
+    StartTime, "start time";
     /// A number of tokens, of prompt, answer or engine memory.
     TokenCount, "token count";
     /// Tokens per second.
