One way each to note a failed endpoint, to connect, to tell why nothing is sent, and to read the replica's node

Change: endpoint_failed serves all five places; connect is the one loop and says whether it was refused; TryEnd::Barred carries its reason and its time to come back, NoPlace tells its own, and one line begins both reports of no place; Gateway::with_node reads the node everywhere. Conclusion: behaviour as before, but for three things that nobody reads as a decision: a silent plain endpoint is no longer reported to the home, which knows engines only and ignored it; the line of a missing second place also has prompt_tokens and waited_ms; a refused or missing connection stands in the line of one that is gone in connect's words.

--- a/crates/gateway/src/cluster.rs
+++ b/crates/gateway/src/cluster.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use oriolepass_consensus::ConsensusNode;
 use oriolepass_units::{InstanceId, LeaderTerm, MonotonicTime};
 use tokio::time::sleep;
 
@@ -101,9 +102,11 @@
     /// Returns what this daemon says of itself.
     fn note(&self) -> DaemonNote {
         let settings = self.settings();
-        let replica = self.replica.borrow();
-        let node = replica.as_ref().and_then(|replica| replica.node());
-        let formed = node.filter(|node| !node.voters().voters.is_empty());
+        let said = self.with_node(|node| ReplicaNote {
+            term: node.term(),
+            leader: node.leader().map(|leader| leader.instance.clone()),
+            voters: voters_of(node),
+        });
         let mut note = DaemonNote {
             instance: self.own.clone(),
             name: settings.name.clone(),
@@ -113,12 +116,8 @@
             phase: self.daemon_phase(),
             has_disk: settings.data_folder.is_some(),
             may_found: settings.seeds.may_found
-                && replica.as_ref().is_some_and(ReplicaDriver::is_empty),
-            replica: formed.map(|node| ReplicaNote {
-                term: node.term(),
-                leader: node.leader().map(|leader| leader.instance.clone()),
-                voters: node.voters().voters.iter().map(|v| v.instance.clone()).collect(),
-            }),
+                && self.replica.borrow().as_ref().is_some_and(ReplicaDriver::is_empty),
+            replica: said.filter(|said| !said.voters.is_empty()),
             known: u32::try_from(self.roster.borrow().known_count()).unwrap_or(u32::MAX),
             edition: 0,
         };
@@ -141,10 +140,7 @@
     }
 
     pub(crate) fn own_voters(&self) -> Vec<InstanceId> {
-        let replica = self.replica.borrow();
-        let node = replica.as_ref().and_then(|replica| replica.node());
-        node.map(|node| node.voters().voters.iter().map(|v| v.instance.clone()).collect())
-            .unwrap_or_default()
+        self.with_node(voters_of).unwrap_or_default()
     }
 
     fn on_greeting(self: &Rc<Self>, from: &InstanceId, note: DaemonNote) {
@@ -191,14 +187,10 @@
 
     /// Works out who leads, from the replica here and from what others say.
     pub(crate) fn look_for_leader(&self) {
-        let own = {
-            let replica = self.replica.borrow();
-            let node = replica.as_ref().and_then(|replica| replica.node());
-            node.and_then(|node| Some((node.term(), node.leader()?.instance.clone())))
-        };
+        let own = self.with_node(|node| Some((node.term(), node.leader()?.instance.clone())));
         let told =
             self.roster.borrow().leader(self.now()).filter(|(_, leader)| *leader != self.own);
-        let next = own.into_iter().chain(told).max_by_key(|(term, _)| *term);
+        let next = own.flatten().into_iter().chain(told).max_by_key(|(term, _)| *term);
         let before = self.leader.replace(next.clone());
         if before == next {
             return;
@@ -214,6 +206,10 @@
     }
 }
 
+fn voters_of(node: &ConsensusNode) -> Vec<InstanceId> {
+    node.voters().voters.iter().map(|voter| voter.instance.clone()).collect()
+}
+
 /// The mesh's way to the gateway.
 pub(crate) struct GatewayMesh(pub(crate) Rc<Gateway>);
 
--- a/crates/gateway/src/front/placement.rs
+++ b/crates/gateway/src/front/placement.rs
@@ -35,6 +35,16 @@
     NoMemory,
 }
 
+impl NoPlace {
+    /// Returns why, and when it is worth coming back.
+    pub(super) fn told(self) -> (&'static str, Duration) {
+        match self {
+            Self::NoEndpoint(reason, after) => (reason, after),
+            Self::NoMemory => ("no engine memory", SOON),
+        }
+    }
+}
+
 /// An endpoint that a try goes to. Dropping it tells the home, and releases what is reserved.
 pub(super) struct Placement {
     gateway: Rc<Gateway>,
@@ -153,14 +163,19 @@
             self.gateway.report_progress(ProgressNote::Begun(key));
         }
     }
+}
 
-    /// Notes that an endpoint failed the try.
-    pub(super) fn failed(&self, request: &str, endpoint: &EndpointStart, fault: FaultKind) {
-        self.gateway.endpoint_fault(request, endpoint, fault);
-        // An engine that is full, or lacks memory for one prompt, may have room for the next.
-        if self.key.is_some() && fault != FaultKind::Full {
-            self.gateway.report_progress(ProgressNote::Failed(endpoint.clone()));
-        }
+/// Notes that an endpoint failed a request.
+pub(super) fn endpoint_failed(
+    gateway: &Gateway,
+    request: &CallerRequest,
+    endpoint: &EndpointStart,
+    fault: FaultKind,
+) {
+    gateway.endpoint_fault(&request.id, endpoint, fault);
+    // An engine that is full, or lacks memory for one prompt, may have room for the next.
+    if request.service.engine.is_some() && fault != FaultKind::Full {
+        gateway.report_progress(ProgressNote::Failed(endpoint.clone()));
     }
 }
 
--- a/crates/gateway/src/front/presence.rs
+++ b/crates/gateway/src/front/presence.rs
@@ -14,7 +14,7 @@
 
 use crate::events::EventKind;
 use crate::gateway::Gateway;
-use crate::upstream::{self, AddressReach};
+use crate::upstream;
 
 /// Heartbeats that must be missing before an endpoint is looked for: one may be lost, and one late.
 /// With the time for two connections, one that is gone is noticed within four heartbeats.
@@ -68,12 +68,11 @@
         }
         // One that has left may take no new connections and still finish what it has.
         let has_left = silence.is_none();
-        match upstream::reach(address).await {
-            AddressReach::Nothing => return "no heartbeats, and no connection in time".to_owned(),
-            AddressReach::Refused if !has_left => {
-                return "no heartbeats, and connections are refused".to_owned();
+        match upstream::connect(address).await {
+            Err(failure) if !(failure.is_refusal && has_left) => {
+                return format!("no heartbeats, and no connection: {}", failure.reason);
             }
-            AddressReach::Refused | AddressReach::Connected => look_in = CONNECT_AGAIN,
+            Ok(_) | Err(_) => look_in = CONNECT_AGAIN,
         }
     }
 }
--- a/crates/gateway/src/front/sends.rs
+++ b/crates/gateway/src/front/sends.rs
@@ -1,6 +1,7 @@
 //! One send of a request to one endpoint, and what its answer says.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -10,13 +11,12 @@
 
 use super::caller::CallerRequest;
 use super::headers::strip_hop_headers;
-use super::placement::{NoPlace, Placement};
+use super::placement::{NoPlace, Placement, endpoint_failed};
 use super::presence::while_present;
 use super::stream::{EventSource, OpenStream, PieceEnd};
 use crate::balancer::FaultKind;
 use crate::dialect::{AnswerFacts, SendFacts};
 use crate::gateway::Gateway;
-use crate::peers::ProgressNote;
 use crate::upstream::{self, SendFailure, Upstream};
 
 /// The longest answer that is kept in memory before it is passed on.
@@ -41,10 +41,8 @@
     },
     /// There is no endpoint to send it to.
     NoPlace(NoPlace),
-    /// The document is not proved current any more.
-    NotProved,
-    /// The service has used up its repeated sends.
-    NoBudget,
+    /// It must not be sent now; why, and when it is worth coming back.
+    Barred(&'static str, Duration),
 }
 
 /// Sends a request once; one that may be sent again is given up as soon as its endpoint is gone.
@@ -64,10 +62,7 @@
     let exchange = exchange(gateway, request, placement, last_event);
     let end = while_present(gateway, &request.id, &endpoint, address, exchange).await;
     end.unwrap_or_else(|| {
-        gateway.endpoint_fault(&request.id, &endpoint, FaultKind::Unreachable);
-        if request.service.engine.is_some() {
-            gateway.report_progress(ProgressNote::Failed(endpoint.clone()));
-        }
+        endpoint_failed(gateway, request, &endpoint, FaultKind::Unreachable);
         TryEnd::MayHaveRun { reason: "the endpoint is gone".to_owned(), endpoint }
     })
 }
@@ -87,7 +82,7 @@
         Err(SendFailure::NotSent(reason)) => {
             gateway.metrics.sends.with_label_values(&["not sent"]).inc();
             let endpoint = placement.endpoint.clone();
-            placement.failed(&request.id, &endpoint, FaultKind::Unreachable);
+            endpoint_failed(gateway, request, &endpoint, FaultKind::Unreachable);
             TryEnd::NotRun { reason, endpoint: Some(endpoint) }
         }
         Err(SendFailure::Unknown(reason)) => lost(gateway, request, &placement, reason),
@@ -191,7 +186,7 @@
 ) -> TryEnd {
     gateway.metrics.sends.with_label_values(&[FaultKind::Broken.name()]).inc();
     let endpoint = placement.endpoint.clone();
-    placement.failed(&request.id, &endpoint, FaultKind::Broken);
+    endpoint_failed(gateway, request, &endpoint, FaultKind::Broken);
     TryEnd::MayHaveRun { reason, endpoint }
 }
 
@@ -208,7 +203,7 @@
     if status == StatusCode::MISDIRECTED_REQUEST && endpoint == placement.endpoint {
         gateway.endpoint_displaced(&endpoint);
     } else {
-        placement.failed(&request.id, &endpoint, FaultKind::Full);
+        endpoint_failed(gateway, request, &endpoint, FaultKind::Full);
     }
     TryEnd::NotRun { reason: format!("status {status}: not run"), endpoint: Some(endpoint) }
 }
--- a/crates/gateway/src/front/stream.rs
+++ b/crates/gateway/src/front/stream.rs
@@ -16,7 +16,7 @@
 use super::body::{BodyCut, FrontBody};
 use super::caller::{CallerRequest, EndGuard};
 use super::events::EventSplitter;
-use super::placement::Placement;
+use super::placement::{Placement, endpoint_failed};
 use super::presence::while_present;
 use super::tries::{History, Verdict, may_resume};
 use crate::balancer::FaultKind;
@@ -176,12 +176,8 @@
                 Ok(PieceEnd::Piece(piece)) => self.pass(piece).await?,
                 Ok(PieceEnd::Whole) => return Err(PumpEnd::Whole),
                 Ok(PieceEnd::Broken(reason)) => {
-                    open.placement.failed(
-                        &self.request.id,
-                        &open.placement.endpoint,
-                        FaultKind::Broken,
-                    );
                     let (endpoint, last) = (open.placement.endpoint.clone(), open.source.last_id());
+                    endpoint_failed(&self.gateway, &self.request, &endpoint, FaultKind::Broken);
                     drop(open);
                     return self.move_on(endpoint, last, &reason).await;
                 }
@@ -260,7 +256,7 @@
         if !self.can_move() || self.gateway.silence_is_expected(&endpoint, silence).await {
             return Ok(None);
         }
-        open.placement.failed(&self.request.id, &endpoint, FaultKind::Silent);
+        endpoint_failed(&self.gateway, &self.request, &endpoint, FaultKind::Silent);
         let reason = format!("no event in {} ms", silence.as_millis());
         self.begin_move(endpoint.clone(), open.source.last_id(), &reason);
         let mut moved = Box::pin(self.history.try_until_answered(&self.gateway, &self.request));
--- a/crates/gateway/src/front/tries.rs
+++ b/crates/gateway/src/front/tries.rs
@@ -13,15 +13,14 @@
 use oriolepass_units::EndpointStart;
 use tokio::time::{Instant, sleep, timeout};
 
-use super::caller::{AFTER_ELECTION, CallerRequest, SOON};
-use super::placement::{NoPlace, Placement};
+use super::caller::{AFTER_ELECTION, CallerRequest};
+use super::placement::{NoPlace, Placement, endpoint_failed};
 use super::refusal::Refusal;
 use super::sends::{TryEnd, WholeAnswer, send_once};
 use super::stream::OpenStream;
 use crate::balancer::FaultKind;
-use crate::events::EventKind;
+use crate::events::{EventKind, EventLine};
 use crate::gateway::Gateway;
-use crate::peers::ProgressNote;
 
 /// Sends of one request at most, those included that no endpoint ran.
 const MAX_SENDS: u32 = 4;
@@ -162,8 +161,7 @@
             }
         }
         self.runs += 1;
-        gateway.endpoint_fault(&request.id, &silent, FaultKind::Silent);
-        gateway.report_progress(ProgressNote::Failed(silent.clone()));
+        endpoint_failed(gateway, request, &silent, FaultKind::Silent);
         self.log_failure(gateway, request, Some(&silent), "silent", true);
         self.avoid.push(silent);
         let may_repeat = self.may_run_again(request) && self.sends < MAX_SENDS;
@@ -173,7 +171,12 @@
         let placement = match self.begin_send(gateway, request).await {
             Ok(placement) => placement,
             Err(end) => {
-                log_no_second(gateway, request, &end);
+                let reason = match end {
+                    TryEnd::NoPlace(lack) => lack.told().0,
+                    TryEnd::Barred(reason, _) => reason,
+                    _ => "the endpoint is leaving",
+                };
+                no_place(gateway, request, reason).text("next", "wait for the silent endpoint");
                 return self.wait_on(first).await;
             }
         };
@@ -221,8 +224,7 @@
                 self.wait_until = self.wait_until.max(Instant::now() + LOOK_AFTER_LOSS);
                 (!again).then(|| self.give_up("answer lost", FULL_AGAIN))
             }
-            TryEnd::NotProved => Some(self.give_up("document not proved current", AFTER_ELECTION)),
-            TryEnd::NoBudget => Some(self.give_up("retry budget used up", FULL_AGAIN)),
+            TryEnd::Barred(reason, after) => Some(self.give_up(reason, after)),
             TryEnd::NoPlace(lack) => self.conclude_no_place(gateway, request, lack).await,
         }
     }
@@ -247,19 +249,8 @@
             sleep(LOOK_AGAIN).await;
             return None;
         }
-        let (reason, after) = match lack {
-            NoPlace::NoEndpoint(reason, after) => (reason, after),
-            NoPlace::NoMemory => ("no engine memory", SOON),
-        };
-        gateway
-            .line(EventKind::NoPlace)
-            .text("request", &request.id)
-            .text("service", &request.service.name)
-            .number("prompt_tokens", request.facts.prompt_tokens.unwrap_or(0))
-            .millis("waited_ms", request.arrived.elapsed())
-            .millis("left_ms", request.left())
-            .millis("retry_after_ms", after)
-            .text("reason", reason);
+        let (reason, after) = lack.told();
+        no_place(gateway, request, reason).millis("retry_after_ms", after);
         Some(self.give_up(reason, after))
     }
 
@@ -305,7 +296,7 @@
         // The process may have stood still since the first checks.
         let fails_closed = request.needs_proof && gateway.settings().bounds.fail_closed;
         if fails_closed && !gateway.is_fresh() {
-            return Err(TryEnd::NotProved);
+            return Err(TryEnd::Barred("document not proved current", AFTER_ELECTION));
         }
         if gateway.endpoints.borrow().takes_work(&placement.endpoint).is_none() {
             let reason = "the endpoint is leaving".to_owned();
@@ -313,7 +304,7 @@
         }
         // Only what is sent counts: a look for a place that finds none must not use up what other requests need.
         if self.sends > 0 && !take_from_budget(gateway, request) {
-            return Err(TryEnd::NoBudget);
+            return Err(TryEnd::Barred("retry budget used up", FULL_AGAIN));
         }
         self.sends += 1;
         self.log_send(gateway, request, &placement);
@@ -359,22 +350,16 @@
     }
 }
 
-/// Says why a silent send gets no second one beside it.
-fn log_no_second(gateway: &Gateway, request: &CallerRequest, end: &TryEnd) {
-    let reason = match end {
-        TryEnd::NoPlace(NoPlace::NoEndpoint(reason, _)) => reason,
-        TryEnd::NoPlace(NoPlace::NoMemory) => "no engine memory",
-        TryEnd::NotProved => "document not proved current",
-        TryEnd::NoBudget => "retry budget used up",
-        _ => "the endpoint is leaving",
-    };
+/// Begins the line that says why a request finds no place, or no second one.
+fn no_place<'a>(gateway: &'a Gateway, request: &CallerRequest, reason: &str) -> EventLine<'a> {
     gateway
         .line(EventKind::NoPlace)
         .text("request", &request.id)
         .text("service", &request.service.name)
+        .number("prompt_tokens", request.facts.prompt_tokens.unwrap_or(0))
+        .millis("waited_ms", request.arrived.elapsed())
         .millis("left_ms", request.left())
         .text("reason", reason)
-        .text("next", "wait for the silent endpoint");
 }
 
 /// Lists the engines that read parts of a prompt; none where one engine reads it all.
--- a/crates/gateway/src/replication.rs
+++ b/crates/gateway/src/replication.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use oriolepass_consensus::{ConsensusMessage, Envelope, NodeRole};
+use oriolepass_consensus::{ConsensusMessage, ConsensusNode, Envelope, NodeRole};
 use oriolepass_units::{InstanceId, MonotonicTime};
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::time::{MissedTickBehavior, interval, sleep};
@@ -25,6 +25,11 @@
 const VOTERS_EVERY: Duration = Duration::from_millis(500);
 
 impl Gateway {
+    /// Reads the node of the replica, while that runs.
+    pub(crate) fn with_node<T>(&self, read: impl FnOnce(&ConsensusNode) -> T) -> Option<T> {
+        self.replica.borrow().as_ref().and_then(ReplicaDriver::node).map(read)
+    }
+
     /// Runs the replica: time, the storage thread's reports, founding, joining.
     pub(crate) async fn run_replica(self: Rc<Self>, mut reports: UnboundedReceiver<StorageReport>) {
         let mut ticks = interval(REPLICA_TICK);
@@ -86,19 +91,21 @@
     /// Tells a majority that is missing from one that does not agree.
     fn report_no_leader(&self, now: MonotonicTime, time: Duration) {
         let voters = self.own_voters();
-        let roster = self.roster.borrow();
-        let running = roster.alive(now).filter(|note| note.replica.is_some());
-        let replicas: Vec<&InstanceId> = running.map(|note| &note.instance).collect();
-        let replica = self.replica.borrow();
-        let Some(node) = replica.as_ref().and_then(ReplicaDriver::node) else { return };
-        self.line(EventKind::Replica)
-            .millis("for_ms", time)
-            .text("role", format!("{:?}", node.role()).to_lowercase())
-            .number("term", node.term())
-            .number("last_index", node.last_index())
-            .text("voters", join(&voters))
-            .text("other_replicas", join(replicas))
-            .text("outcome", "no leader");
+        let replicas: Vec<InstanceId> = {
+            let roster = self.roster.borrow();
+            let running = roster.alive(now).filter(|note| note.replica.is_some());
+            running.map(|note| note.instance.clone()).collect()
+        };
+        self.with_node(|node| {
+            self.line(EventKind::Replica)
+                .millis("for_ms", time)
+                .text("role", format!("{:?}", node.role()).to_lowercase())
+                .number("term", node.term())
+                .number("last_index", node.last_index())
+                .text("voters", join(&voters))
+                .text("other_replicas", join(&replicas))
+                .text("outcome", "no leader");
+        });
     }
 
     /// Starts a replica with an empty disk as soon as it is clear which system it belongs to.
@@ -204,12 +211,7 @@
             self.mesh.send(&to, &PeerMessage::Consensus(envelope));
         }
         if let Some(text) = effects.newest {
-            let leads = {
-                let replica = self.replica.borrow();
-                let node = replica.as_ref().and_then(|replica| replica.node());
-                node.is_some_and(|node| node.role() == NodeRole::Leader)
-            };
-            if leads {
+            if self.with_node(ConsensusNode::role) == Some(NodeRole::Leader) {
                 let to: Vec<InstanceId> = {
                     let roster = self.roster.borrow();
                     roster.alive(self.now()).map(|note| note.instance.clone()).collect()
@@ -221,11 +223,7 @@
         for (proposer, end) in effects.ended {
             self.end_proposal(proposer, &end);
         }
-        let known = {
-            let replica = self.replica.borrow();
-            let node = replica.as_ref().and_then(|replica| replica.node());
-            node.map(|node| (node.term(), node.leader().map(|l| l.instance.clone())))
-        };
+        let known = self.with_node(|node| (node.term(), node.leader().map(|l| l.instance.clone())));
         let believed = self.leader.borrow().clone();
         if let Some((term, leader)) = known {
             let is_news = match (&leader, &believed) {
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -14,6 +14,7 @@
 use hyper::header::{CONTENT_TYPE, HOST};
 use hyper::{Method, Request, Response};
 use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::timeout;
 
@@ -59,7 +60,8 @@
     to: SocketAddr,
     request: Request<Full<Bytes>>,
 ) -> Result<Upstream, SendFailure> {
-    let stream = connect(to).await.map_err(SendFailure::NotSent)?;
+    let connected = connect(to).await;
+    let stream = connected.map_err(|failure| SendFailure::NotSent(failure.reason))?;
     let (mut sender, connection) = http1::Builder::new()
         .handshake(TokioIo::new(stream))
         .await
@@ -84,45 +86,32 @@
     }
 }
 
-/// What came of looking for an address.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum AddressReach {
-    /// Somebody takes connections there.
-    Connected,
-    /// The machine is there, and nobody listens.
-    Refused,
-    /// No connection in time.
-    Nothing,
-}
-
-/// Connects and says nothing.
-pub(crate) async fn reach(to: SocketAddr) -> AddressReach {
-    for _ in 0..CONNECT_TRIES {
-        match timeout(CONNECT_PATIENCE, net::connect(to, None)).await {
-            Ok(Ok(_)) => return AddressReach::Connected,
-            Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
-                return AddressReach::Refused;
-            }
-            // A lost first packet, perhaps.
-            Ok(Err(_)) | Err(_) => {}
-        }
-    }
-    AddressReach::Nothing
+/// Why a connection did not come about.
+#[derive(Debug)]
+pub(crate) struct ConnectFailure {
+    /// Whether the machine is there, and nobody listens.
+    pub(crate) is_refusal: bool,
+    pub(crate) reason: String,
 }
 
-async fn connect(to: SocketAddr) -> Result<tokio::net::TcpStream, String> {
+/// Connects.
+///
+/// # Errors
+///
+/// Returns why no connection came about.
+pub(crate) async fn connect(to: SocketAddr) -> Result<TcpStream, ConnectFailure> {
     let mut reason = String::new();
     for _ in 0..CONNECT_TRIES {
         match timeout(CONNECT_PATIENCE, net::connect(to, None)).await {
             Ok(Ok(stream)) => return Ok(stream),
             Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
-                return Err(error.to_string());
+                return Err(ConnectFailure { is_refusal: true, reason: error.to_string() });
             }
             Ok(Err(error)) => reason = error.to_string(),
             Err(_) => "no connection in time".clone_into(&mut reason),
         }
     }
-    Err(reason)
+    Err(ConnectFailure { is_refusal: false, reason })
 }
 
 /// Says what went wrong together with its cause.
