--- a/crates/storage/tests/log_store.rs
+++ b/crates/storage/tests/log_store.rs
@@ -35,6 +35,20 @@
     LogStore::open_after(DiskFolder::fake(disk.clone()), SMALL_SEGMENT, suspects)
 }
 
+fn after_loss_of_power(disk: &FakeDisk, seed: u64) -> RecoveredLog {
+    disk.crash(&mut StdRng::seed_from_u64(seed));
+    let (_, log) = open(disk).unwrap_or_else(|e| panic!("seed {seed}: {e}"));
+    log
+}
+
+/// A disk with one entry, and the store that wrote it.
+fn with_one_entry() -> (FakeDisk, LogStore) {
+    let disk = FakeDisk::default();
+    let (mut store, _) = open(&disk).expect("an empty disk");
+    store.append(&[hard(3), entry(1, 3)]).expect("room");
+    (disk, store)
+}
+
 fn indexes(log: &RecoveredLog) -> Vec<u64> {
     log.entries.iter().map(|e| e.index.0).collect()
 }
@@ -225,9 +239,7 @@
 #[test]
 fn a_frame_read_after_a_kill_survives_a_later_loss_of_power() {
     for seed in 0..50 {
-        let disk = FakeDisk::default();
-        let (mut store, _) = open(&disk).expect("an empty disk");
-        store.append(&[hard(3), entry(1, 3)]).expect("room");
+        let (disk, mut store) = with_one_entry();
         // The write is done, and the process ends before the sync.
         disk.fail_after(1);
         store.append(&[entry(2, 3)]).expect_err("the sync did not come about");
@@ -235,8 +247,7 @@
         let (mut store, log) = open(&disk).unwrap_or_else(|e| panic!("seed {seed}: {e}"));
         assert_eq!(indexes(&log), [1, 2], "a kill loses nothing that was written");
         store.append(&[entry(3, 3)]).expect("room");
-        disk.crash(&mut StdRng::seed_from_u64(seed));
-        let (_, log) = open(&disk).unwrap_or_else(|e| panic!("seed {seed}: {e}"));
+        let log = after_loss_of_power(&disk, seed);
         assert_eq!(indexes(&log), [1, 2, 3], "seed {seed}");
     }
 }
@@ -245,17 +256,14 @@
 #[test]
 fn a_segment_begun_before_a_kill_survives_a_later_loss_of_power() {
     for seed in 0..50 {
-        let disk = FakeDisk::default();
-        let (mut store, _) = open(&disk).expect("an empty disk");
-        store.append(&[hard(3), entry(1, 3)]).expect("room");
+        let (disk, _) = with_one_entry();
         disk.kill_process();
         disk.fail_after(1);
         open(&disk).expect_err("the first frame's sync did not come about");
         disk.kill_process();
         let (mut store, _) = open(&disk).unwrap_or_else(|e| panic!("seed {seed}: {e}"));
         store.append(&[entry(2, 3)]).expect("room");
-        disk.crash(&mut StdRng::seed_from_u64(seed));
-        let (_, log) = open(&disk).unwrap_or_else(|e| panic!("seed {seed}: {e}"));
+        let log = after_loss_of_power(&disk, seed);
         assert_eq!(indexes(&log), [1, 2], "seed {seed}");
         assert_eq!(log.hard.term, LeaderTerm(3));
     }
@@ -295,9 +303,7 @@
 #[test]
 fn a_frame_whose_sync_failed_is_not_built_on() {
     for seed in 0..50 {
-        let disk = FakeDisk::default();
-        let (mut store, _) = open(&disk).expect("an empty disk");
-        store.append(&[hard(3), entry(1, 3)]).expect("room");
+        let (disk, mut store) = with_one_entry();
         disk.fail_after(1);
         store.append(&[entry(2, 3)]).expect_err("the sync failed");
         let mut suspects = store.suspect_tails();
@@ -306,8 +312,7 @@
         let (mut store, log) = reopen(&disk, &mut suspects).expect("the disk works again");
         let next = log.last_index().0 + 1;
         store.append(&[entry(next, 3)]).expect("room");
-        disk.crash(&mut StdRng::seed_from_u64(seed));
-        let (_, log) = open(&disk).unwrap_or_else(|e| panic!("seed {seed}: {e}"));
+        let log = after_loss_of_power(&disk, seed);
         assert_eq!(log.last_index().0, next, "seed {seed}");
     }
 }
@@ -316,9 +321,7 @@
 #[test]
 fn a_segment_whose_first_sync_failed_is_not_built_on() {
     for (seed, operations) in (0..50).zip([1, 2, 3].into_iter().cycle()) {
-        let disk = FakeDisk::default();
-        let (mut store, _) = open(&disk).expect("an empty disk");
-        store.append(&[hard(3), entry(1, 3)]).expect("room");
+        let (disk, store) = with_one_entry();
         let mut suspects = store.suspect_tails();
         for _ in 0..2 {
             disk.fail_after(operations);
@@ -327,8 +330,7 @@
         }
         let (mut store, _) = reopen(&disk, &mut suspects).expect("the disk works again");
         store.append(&[entry(2, 3)]).expect("room");
-        disk.crash(&mut StdRng::seed_from_u64(seed));
-        let (_, log) = open(&disk).unwrap_or_else(|e| panic!("seed {seed}: {e}"));
+        let log = after_loss_of_power(&disk, seed);
         assert_eq!(indexes(&log), [1, 2], "seed {seed}");
     }
 }
