Runs of a request are counted when they are sent, so that one that is given up counts

Ruled out: a refused answer of the second engine (it would have been counted as a run, and no third one sent). Change: AttemptCount, without network, counts at the send; only proof that it was not run takes it back. Conclusion: the class (counting at the end of what may be cancelled) is closed for all sends of a request.

--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -1,5 +1,6 @@
 //! The callers' listener: from a request's first byte to the last byte of its answer.
 
+mod attempts;
 mod body;
 mod caller;
 mod events;
@@ -16,5 +17,6 @@
 mod stream;
 mod tries;
 
+pub use attempts::AttemptCount;
 pub use events::EventSplitter;
 pub(crate) use listener::serve_callers;
--- a/crates/gateway/src/front/sends.rs
+++ b/crates/gateway/src/front/sends.rs
@@ -39,6 +39,8 @@
         reason: String,
         endpoint: EndpointStart,
     },
+    /// It was not sent: the endpoint found for it has said meanwhile that it leaves.
+    Leaving(EndpointStart),
     /// There is no endpoint to send it to.
     NoPlace(NoPlace),
     /// It must not be sent now; why, and when it is worth coming back.
--- a/crates/gateway/src/front/tries.rs
+++ b/crates/gateway/src/front/tries.rs
@@ -5,7 +5,6 @@
 //! After anything else it may have run: then only an idempotent one, or a stream that can go on
 //! after its last event, is sent again; any other gets its failure at once.
 
-use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -13,6 +12,7 @@
 use oriolepass_units::EndpointStart;
 use tokio::time::{Instant, sleep, timeout};
 
+use super::attempts::AttemptCount;
 use super::caller::{AFTER_ELECTION, CallerRequest};
 use super::placement::{NoPlace, Placement, endpoint_failed};
 use super::refusal::Refusal;
@@ -71,9 +71,7 @@
 
 /// The sends of one request so far.
 pub(super) struct History {
-    sends: u32,
-    /// Sends that may have run.
-    runs: u32,
+    attempts: AttemptCount,
     /// Endpoints that failed this request.
     avoid: Vec<EndpointStart>,
     /// The last event that the caller has.
@@ -89,8 +87,7 @@
     pub(super) fn new(request: &CallerRequest, start_wait: Duration) -> Self {
         let wait = request.route.objective.mul_f64(WAIT_SHARE).max(start_wait);
         Self {
-            sends: 0,
-            runs: 0,
+            attempts: AttemptCount::default(),
             avoid: Vec::new(),
             last_event: request.facts.resume_after,
             failure: None,
@@ -99,11 +96,11 @@
     }
 
     pub(super) fn sends(&self) -> u32 {
-        self.sends
+        self.attempts.sends()
     }
 
     pub(super) fn may_have_run(&self) -> bool {
-        self.runs > 0
+        self.attempts.runs() > 0
     }
 
     /// Notes that a stream broke off after its first event, so that it can go on elsewhere.
@@ -115,7 +112,11 @@
 
     /// Returns whether the request may be sent once more after it may have run.
     pub(super) fn may_run_again(&self, request: &CallerRequest) -> bool {
-        request.route.repeat.may_repeat() && self.runs < request.route.max_attempts
+        request.route.repeat.may_repeat() && self.attempts.runs() < request.route.max_attempts
+    }
+
+    fn may_send_again(&self, request: &CallerRequest) -> bool {
+        self.may_run_again(request) && self.sends() < MAX_SENDS
     }
 
     /// Sends a request until it has an answer or is given up.
@@ -160,13 +161,11 @@
                 break;
             }
         }
-        self.runs += 1;
         endpoint_failed(gateway, request, &silent, FaultKind::Silent);
         self.log_failure(gateway, request, Some(&silent), "silent", true);
         self.avoid.push(silent);
-        let may_repeat = self.may_run_again(request) && self.sends < MAX_SENDS;
-        if !may_repeat || request.left() < WORTH_SENDING {
-            return self.wait_on(first).await;
+        if !self.may_send_again(request) || request.left() < WORTH_SENDING {
+            return first.await;
         }
         let placement = match self.begin_send(gateway, request).await {
             Ok(placement) => placement,
@@ -177,7 +176,7 @@
                     _ => "the endpoint is leaving",
                 };
                 no_place(gateway, request, reason).text("next", "wait for the silent endpoint");
-                return self.wait_on(first).await;
+                return first.await;
             }
         };
         let mut second = std::pin::pin!(send_once(gateway, request, placement, self.last_event));
@@ -185,18 +184,14 @@
             end = &mut first => (end, true),
             end = &mut second => (end, false),
         };
-        if matches!(end, TryEnd::Answer(_) | TryEnd::Stream(_)) {
-            return end;
+        match end {
+            TryEnd::Answer(_) | TryEnd::Stream(_) => return end,
+            TryEnd::NotRun { .. } => self.attempts.was_not_run(),
+            _ => {}
         }
         if first_ended { second.await } else { first.await }
     }
 
-    /// Waits for a silent send after all. Its end counts it as one that may have run, once.
-    async fn wait_on(&mut self, send: impl Future<Output = TryEnd>) -> TryEnd {
-        self.runs -= 1;
-        send.await
-    }
-
     /// Returns what the request comes to; none where it is to be sent again.
     async fn conclude(
         &mut self,
@@ -205,20 +200,23 @@
         end: TryEnd,
     ) -> Option<Verdict> {
         match end {
-            TryEnd::Stream(open) => {
-                self.runs += 1;
-                Some(Verdict::Stream(open))
-            }
+            TryEnd::Stream(open) => Some(Verdict::Stream(open)),
             TryEnd::Answer(answer) => self.conclude_answer(request, answer),
             TryEnd::NotRun { reason, endpoint } => {
-                let again = self.sends < MAX_SENDS;
+                self.attempts.was_not_run();
+                let again = self.sends() < MAX_SENDS;
                 self.log_failure(gateway, request, endpoint.as_ref(), &reason, again);
                 self.avoid.extend(endpoint);
                 (!again).then(|| self.give_up("endpoints full or gone", FULL_AGAIN))
             }
+            TryEnd::Leaving(endpoint) => {
+                let reason = "the endpoint is leaving";
+                self.log_failure(gateway, request, Some(&endpoint), reason, true);
+                self.avoid.push(endpoint);
+                None
+            }
             TryEnd::MayHaveRun { reason, endpoint } => {
-                self.runs += 1;
-                let again = self.may_run_again(request) && self.sends < MAX_SENDS;
+                let again = self.may_send_again(request);
                 self.log_failure(gateway, request, Some(&endpoint), &reason, again);
                 self.avoid.push(endpoint);
                 self.wait_until = self.wait_until.max(Instant::now() + LOOK_AFTER_LOSS);
@@ -230,9 +228,8 @@
     }
 
     fn conclude_answer(&mut self, request: &CallerRequest, answer: WholeAnswer) -> Option<Verdict> {
-        self.runs += 1;
         let is_failure = answer.status().is_server_error();
-        if !is_failure || !self.may_run_again(request) || self.sends >= MAX_SENDS {
+        if !is_failure || !self.may_send_again(request) {
             return Some(Verdict::Answer(answer));
         }
         self.failure = Some(answer);
@@ -276,8 +273,8 @@
         gateway
             .line(EventKind::SendFailed)
             .text("request", &request.id)
-            .number("send", self.sends)
-            .number("may_have_run", self.runs)
+            .number("send", self.sends())
+            .number("may_have_run", self.attempts.runs())
             .maybe("endpoint", endpoint)
             .text("reason", reason)
             .millis("left_ms", request.left())
@@ -299,14 +296,13 @@
             return Err(TryEnd::Barred("document not proved current", AFTER_ELECTION));
         }
         if gateway.endpoints.borrow().takes_work(&placement.endpoint).is_none() {
-            let reason = "the endpoint is leaving".to_owned();
-            return Err(TryEnd::NotRun { reason, endpoint: Some(placement.endpoint.clone()) });
+            return Err(TryEnd::Leaving(placement.endpoint.clone()));
         }
         // Only what is sent counts: a look for a place that finds none must not use up what other requests need.
-        if self.sends > 0 && !take_from_budget(gateway, request) {
+        if self.sends() > 0 && !take_from_budget(gateway, request) {
             return Err(TryEnd::Barred("retry budget used up", FULL_AGAIN));
         }
-        self.sends += 1;
+        self.attempts.send();
         self.log_send(gateway, request, &placement);
         Ok(placement)
     }
@@ -317,7 +313,7 @@
         let mut line = gateway
             .line(EventKind::Send)
             .text("request", &request.id)
-            .number("send", self.sends)
+            .number("send", self.sends())
             .text("endpoint", &placement.endpoint)
             .text("address", placement.address)
             .text("placed_by", placement.placed_by)
@@ -337,7 +333,8 @@
 
     /// Returns how long the head of the answer, or a stream's first event, is waited for.
     fn patience(&self, request: &CallerRequest, placement: &Placement) -> Duration {
-        if !request.route.repeat.may_repeat() || self.runs + 1 >= request.route.max_attempts {
+        if !request.route.repeat.may_repeat() || self.attempts.runs() >= request.route.max_attempts
+        {
             // The request's own time ends first, and with the answer that fits that.
             return FOREVER;
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -57,7 +57,7 @@
 pub use documents::{PutError, ReadError};
 pub use endpoints::{BeatChange, EndpointBeat, EndpointNotice, EndpointPhase, EndpointRegistry};
 pub use events::{EventKind, EventLine, EventLog};
-pub use front::EventSplitter;
+pub use front::{AttemptCount, EventSplitter};
 pub use gateway::Gateway;
 pub use lifecycle::{Lifecycle, StopSignals};
 pub use metrics::registered_metric;
