Deputies place prompts while the home is away or slow; whoever places alone draws its engines

Change: up to four deputies among daemons without a disk, each for its own part of the engines, found by rank; entries tell them what runs and what becomes of it. The question for the newest document, each 0.4 s, shows whether the home answers in time. Alone: a draw of engines by chance, an eighth for a short prompt. Tests without network: 200 entries x 112 engines (all on one engine before), cells, deputies, their telling.

--- a/crates/cli/src/commands/losses.rs
+++ b/crates/cli/src/commands/losses.rs
@@ -156,6 +156,7 @@
     if predicted_ms.is_some_and(|predicted| first_ms > predicted + objective * WRONG_SHARE) {
         return match send.text("placed_by") {
             "alone" => "placed without the home, and later than predicted",
+            "deputy" => "placed by a deputy, and later than predicted",
             _ => "later than predicted",
         };
     }
--- a/crates/gateway/src/cluster.rs
+++ b/crates/gateway/src/cluster.rs
@@ -107,7 +107,7 @@
     }
 
     /// Returns what this daemon says of itself.
-    fn note(&self) -> DaemonNote {
+    pub(crate) fn note(&self) -> DaemonNote {
         let settings = self.settings();
         let said = self.with_node(|node| ReplicaNote {
             term: node.term(),
@@ -240,6 +240,9 @@
             .text("outcome", if next.is_some() { "found" } else { "lost" });
         self.metrics.is_leader.set(i64::from(self.is_leader()));
         self.leader_changed.notify_waiters();
+        if next.is_some() {
+            self.home.borrow_mut().watch.answered();
+        }
         self.on_new_home();
     }
 }
@@ -288,7 +291,9 @@
             PeerMessage::Endpoints(notices) => gateway.on_endpoint_notices(from, notices),
             PeerMessage::EndpointsLeft(endpoints) => gateway.on_endpoints_left(from, &endpoints),
             PeerMessage::Faults(faults) => gateway.on_faults(&faults),
-            PeerMessage::PlaceAsk { token, ask } => gateway.on_place_ask(from, token, &ask),
+            PeerMessage::PlaceAsk { token, ask, cell } => {
+                gateway.on_place_ask(from, token, &ask, cell);
+            }
             PeerMessage::PlaceAnswer { token, verdict } => {
                 gateway.answer_call(token, PeerReply::Placed(verdict));
             }
--- /dev/null
+++ b/crates/gateway/src/deputies_tests.rs
@@ -0,0 +1,96 @@
+//! Without a home, all entries find the same deputies, and these bear the loss of the whole core.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use oriolepass_placement::PromptKey;
+use oriolepass_units::{InstanceId, MonotonicTime};
+
+use crate::deputies::{HomeWatch, deputies, deputy_for};
+use crate::roster::{DaemonNote, DaemonPhase};
+
+fn note(number: usize, has_disk: bool) -> DaemonNote {
+    DaemonNote {
+        instance: format!("10.1.0.{number}:7000").parse().unwrap(),
+        name: format!("front-{number}").parse().unwrap(),
+        boot: 7,
+        data_centre: "recife-a".parse().unwrap(),
+        callers: format!("10.1.0.{number}:8000").parse().unwrap(),
+        phase: DaemonPhase::Ready,
+        has_disk,
+        may_found: false,
+        replica: None,
+        known: 3,
+        edition: 0,
+    }
+}
+
+fn fleet(disks: usize, others: usize) -> Vec<DaemonNote> {
+    (1..=disks + others).map(|number| note(number, number <= disks)).collect()
+}
+
+fn at(ms: u64) -> MonotonicTime {
+    MonotonicTime::ZERO + Duration::from_millis(ms)
+}
+
+#[test]
+fn deputies_are_daemons_without_a_disk_one_for_each_part_of_the_engines() {
+    let all = fleet(5, 195);
+    let chosen = deputies(all.iter(), Some(&all[0].instance), 112);
+    assert_eq!(chosen.len(), 4);
+    assert!(all[..5].iter().all(|voter| !chosen.contains(&voter.instance)));
+    assert_eq!(deputies(all.iter(), None, 18).len(), 1);
+    assert!(deputies([].iter(), None, 112).is_empty());
+}
+
+#[test]
+fn the_home_is_no_deputy_and_a_small_system_takes_what_it_has() {
+    let all = fleet(3, 0);
+    let chosen = deputies(all.iter(), Some(&all[1].instance), 18);
+    assert_eq!(chosen.len(), 1);
+    assert_ne!(chosen[0], all[1].instance);
+}
+
+#[test]
+fn entries_whose_views_differ_by_one_daemon_agree_on_most_deputies() {
+    let all = fleet(5, 195);
+    let chosen = deputies(all.iter(), None, 112);
+    for lost in &chosen {
+        let rest = all.iter().filter(|note| note.instance != *lost);
+        let next = deputies(rest, None, 112);
+        let common = chosen.iter().filter(|deputy| next.contains(deputy)).count();
+        assert_eq!(common, 3, "only the part of the lost one changes hands");
+    }
+}
+
+#[test]
+fn prompts_of_all_entries_go_to_the_parts_evenly() {
+    let all = fleet(5, 195);
+    let chosen = deputies(all.iter(), None, 112);
+    let mut counts = [0; 4];
+    for entry in 0..200_u64 {
+        for number in 0..3 {
+            let key = PromptKey { entry: entry * 7_919 + 13, number: number * 3 + 1 };
+            let (deputy, cell) = deputy_for(&chosen, key).unwrap();
+            assert_eq!(deputy, chosen[cell.index as usize]);
+            counts[cell.index as usize] += 1;
+        }
+    }
+    assert!(counts.iter().all(|count| (100..200).contains(count)), "{counts:?}");
+}
+
+#[test]
+fn each_deputy_is_told_once_what_runs_and_for_a_while_what_becomes_of_it() {
+    let names = |numbers: &[usize]| -> Vec<InstanceId> {
+        numbers.iter().map(|number| note(*number, false).instance).collect()
+    };
+    let mut watch = HomeWatch::default();
+    assert!(!watch.is_away());
+    assert_eq!(watch.missed(at(0), names(&[1, 2])), names(&[1, 2]));
+    assert_eq!(watch.missed(at(100), names(&[2, 3])), names(&[3]), "one deputy has changed");
+    assert!(watch.is_away());
+    assert!(watch.answered() && !watch.is_away() && !watch.answered());
+    let told: BTreeSet<InstanceId> = watch.told_now(at(20_000)).iter().cloned().collect();
+    assert_eq!(told, names(&[1, 2, 3]).into_iter().collect());
+    assert!(watch.told_now(at(31_000)).is_empty());
+}
--- a/crates/gateway/src/documents.rs
+++ b/crates/gateway/src/documents.rs
@@ -15,6 +15,7 @@
 use crate::events::EventKind;
 use crate::gateway::{Gateway, PeerReply};
 use crate::gossip::{DocumentSpread, RelayGroup, relay_groups};
+use crate::home::HOME_PATIENCE;
 use crate::peers::{DocumentVerdict, FreshVerdict, PeerMessage};
 use crate::replica::{ProposalEnd, Proposer};
 
@@ -243,9 +244,20 @@
             return Some(self.fresh_verdict());
         }
         let held = self.documents.borrow().revision();
-        let reply = self
-            .call(&leader, ANSWER_PATIENCE, |token| PeerMessage::FreshAsk { token, held })
-            .await;
+        let question = |token| PeerMessage::FreshAsk { token, held };
+        let mut call = std::pin::pin!(self.call(&leader, ANSWER_PATIENCE, question));
+        // The leader is the home of the engines as well: this shows whether it answers in time
+        // before a prompt has to wait for it.
+        let reply = match timeout(HOME_PATIENCE, &mut call).await {
+            Ok(reply) => {
+                self.home_answered();
+                reply
+            }
+            Err(_) => {
+                self.home_missed();
+                call.await
+            }
+        };
         match reply {
             Some(PeerReply::Fresh(verdict)) => Some(verdict),
             _ => None,
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -81,7 +81,7 @@
     StartWait = "start-wait";
     /// A prompt could not be placed; `retry_after_ms` says when to come back.
     NoPlace = "no-place";
-    /// The home of the engines did not answer; the prompt was placed on the local view.
+    /// The home of the engines, or the deputy for it, did not answer a prompt in time.
     HomeLost = "home-lost";
     /// Memory of an engine was reserved or released, or that failed.
     Reservation = "reservation";
--- a/crates/gateway/src/home.rs
+++ b/crates/gateway/src/home.rs
@@ -1,19 +1,23 @@
 //! Where prompts go: asking the home of the engines, being it, and doing without it.
 //!
 //! The leader of the log is the home of all engines: it alone places prompts, so that its view
-//! of what each engine has to do is whole. An entry that cannot reach it places by itself on
-//! what it knows, which is its own prompts only. When the home changes, every entry tells the
-//! new one which prompts it has under way.
+//! of what each engine has to do is whole. While it does not answer in time, deputies place, each
+//! on a part of the engines. An entry that cannot reach its deputy either places by itself, on what
+//! it knows, which is its own prompts only, and among engines drawn by chance. Whoever begins to
+//! place is told by every entry which prompts it has under way.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use oriolepass_placement::{EngineFacts, EngineFleet, PromptAsk, PromptKey, PromptPlan, SpareLack};
+use oriolepass_placement::{
+    EngineCell, EngineFacts, EngineFleet, EngineScope, PromptAsk, PromptKey, PromptPlan, SpareLack,
+};
 use oriolepass_routing::RoutingRevision;
 use oriolepass_units::{EndpointStart, InstanceId, MonotonicTime};
 
+use crate::deputies::{HomeWatch, deputies, deputy_for};
 use crate::endpoints::EndpointPhase;
 use crate::events::EventKind;
 use crate::gateway::{Gateway, PeerReply};
@@ -21,7 +25,10 @@
 
 /// How long the home has to place a prompt: far above a hop between data centres and a decision,
 /// far below the shortest objective.
-const HOME_PATIENCE: Duration = Duration::from_millis(90);
+pub(crate) const HOME_PATIENCE: Duration = Duration::from_millis(90);
+
+/// How long a deputy has: the prompt may have waited for the home before.
+const DEPUTY_PATIENCE: Duration = Duration::from_millis(60);
 
 /// An engine that has been silent for this many heartbeats gets no new work, unless its answers
 /// show that it lives.
@@ -37,7 +44,9 @@
     Home,
     /// The home, on another daemon.
     RemoteHome,
-    /// This daemon, because the home did not answer.
+    /// A deputy, because the home did not answer.
+    Deputy,
+    /// This daemon, because neither did.
     Alone,
 }
 
@@ -46,6 +55,7 @@
         match self {
             Self::Home => "home",
             Self::RemoteHome => "remote home",
+            Self::Deputy => "deputy",
             Self::Alone => "alone",
         }
     }
@@ -62,6 +72,7 @@
     last_good: BTreeMap<EndpointStart, MonotonicTime>,
     /// Endpoints that sent a heartbeat to this daemon lately.
     pub(crate) direct_beats: BTreeSet<EndpointStart>,
+    pub(crate) watch: HomeWatch,
 }
 
 /// How long the engines' liveness may be out of date in the fleet.
@@ -74,29 +85,82 @@
         request: &str,
         ask: &PromptAsk,
     ) -> (Result<PromptPlan, SpareLack>, PlacedBy) {
-        if let Some(leader) = self.leader_instance().filter(|leader| *leader != self.own) {
-            let reply = self
-                .call(&leader, HOME_PATIENCE, |token| PeerMessage::PlaceAsk {
-                    token,
-                    ask: ask.clone(),
-                })
-                .await;
-            if let Some(PeerReply::Placed(verdict)) = reply {
-                if let Ok(plan) = &verdict {
-                    self.refresh_fleet();
-                    self.home.borrow_mut().fleet.adopt(self.now(), ask, plan, false);
-                    self.keep_own(ask, plan);
+        if self.is_leader() {
+            return (self.place_own(ask, EngineScope::All), PlacedBy::Home);
+        }
+        if !self.home.borrow().watch.is_away() {
+            if let Some(leader) = self.leader_instance() {
+                if let Some(verdict) = self.ask_to_place(&leader, HOME_PATIENCE, ask, None).await {
+                    return (verdict, PlacedBy::RemoteHome);
                 }
-                return (verdict, PlacedBy::RemoteHome);
+                self.line(EventKind::HomeLost).text("request", request).text("home", leader);
+            }
+            self.home_missed();
+        }
+        if let Some((deputy, cell)) = deputy_for(&self.deputies(), ask.key) {
+            if deputy == self.own {
+                return (self.place_own(ask, EngineScope::Cell(cell)), PlacedBy::Deputy);
+            }
+            let verdict = self.ask_to_place(&deputy, DEPUTY_PATIENCE, ask, Some(cell)).await;
+            if let Some(verdict) = verdict {
+                return (verdict, PlacedBy::Deputy);
             }
-            self.line(EventKind::HomeLost).text("request", request).text("home", leader);
+            self.line(EventKind::HomeLost).text("request", request).text("deputy", deputy);
         }
-        let by = if self.is_leader() { PlacedBy::Home } else { PlacedBy::Alone };
-        let verdict = self.place_here(ask);
+        (self.place_own(ask, EngineScope::Drawn(rand::random())), PlacedBy::Alone)
+    }
+
+    /// Asks another daemon to place a prompt; none where it does not answer in time.
+    async fn ask_to_place(
+        &self,
+        home: &InstanceId,
+        patience: Duration,
+        ask: &PromptAsk,
+        cell: Option<EngineCell>,
+    ) -> Option<PlaceVerdict> {
+        let question = |token| PeerMessage::PlaceAsk { token, ask: ask.clone(), cell };
+        let reply = self.call(home, patience, question).await;
+        let Some(PeerReply::Placed(verdict)) = reply else { return None };
         if let Ok(plan) = &verdict {
+            self.refresh_fleet();
+            self.home.borrow_mut().fleet.adopt(self.now(), ask, plan, false);
             self.keep_own(ask, plan);
         }
-        (verdict, by)
+        Some(verdict)
+    }
+
+    fn place_own(&self, ask: &PromptAsk, scope: EngineScope) -> PlaceVerdict {
+        let verdict = self.place_here(ask, scope);
+        if let Ok(plan) = &verdict {
+            self.keep_own(ask, plan);
+        }
+        verdict
+    }
+
+    /// Returns who places while the home is away, this daemon among them if it takes callers.
+    fn deputies(&self) -> Vec<InstanceId> {
+        let engines = self.endpoints.borrow().all().count();
+        let own = self.note();
+        let home = self.leader_instance();
+        let roster = self.roster.borrow();
+        let alive = roster.alive(self.now()).chain(std::iter::once(&own));
+        deputies(alive, home.as_ref(), engines)
+    }
+
+    /// Notes that the home did not answer in time, and tells its deputies what runs.
+    pub(crate) fn home_missed(&self) {
+        let deputies = self.deputies();
+        let news = self.home.borrow_mut().watch.missed(self.now(), deputies);
+        for deputy in news.iter().filter(|deputy| **deputy != self.own) {
+            self.tell_own_prompts(deputy);
+        }
+    }
+
+    /// Notes that the home answers in time; where it did not before, it is told what runs.
+    pub(crate) fn home_answered(&self) {
+        if self.home.borrow_mut().watch.answered() {
+            self.on_new_home();
+        }
     }
 
     fn keep_own(&self, ask: &PromptAsk, plan: &PromptPlan) {
@@ -104,13 +168,19 @@
         self.home.borrow_mut().own.insert(ask.key, placed);
     }
 
-    fn place_here(&self, ask: &PromptAsk) -> PlaceVerdict {
+    fn place_here(&self, ask: &PromptAsk, scope: EngineScope) -> PlaceVerdict {
         self.refresh_fleet();
-        self.home.borrow_mut().fleet.place(self.now(), ask)
+        self.home.borrow_mut().fleet.place_among(self.now(), ask, scope)
     }
 
-    pub(crate) fn on_place_ask(&self, from: &InstanceId, token: u64, ask: &PromptAsk) {
-        let verdict = self.place_here(ask);
+    pub(crate) fn on_place_ask(
+        &self,
+        from: &InstanceId,
+        token: u64,
+        ask: &PromptAsk,
+        cell: Option<EngineCell>,
+    ) {
+        let verdict = self.place_here(ask, cell.map_or(EngineScope::All, EngineScope::Cell));
         self.mesh.send(from, &PeerMessage::PlaceAnswer { token, verdict });
     }
 
@@ -152,9 +222,13 @@
             }
             ProgressNote::Failed(_) => {}
         }
-        if let Some(leader) = self.leader_instance().filter(|leader| *leader != self.own) {
-            self.mesh.send(&leader, &PeerMessage::Progress(vec![note]));
-        }
+        let leader = self.leader_instance().filter(|leader| *leader != self.own);
+        let to: Vec<InstanceId> = {
+            let home = self.home.borrow();
+            let told = home.watch.told_now(self.now()).iter();
+            told.filter(|deputy| Some(*deputy) != leader.as_ref()).chain(&leader).cloned().collect()
+        };
+        self.mesh.send_all(&to, &PeerMessage::Progress(vec![note]));
     }
 
     pub(crate) fn on_progress(&self, notes: &[ProgressNote]) {
@@ -190,12 +264,15 @@
 
     /// Tells a new home what runs.
     pub(crate) fn on_new_home(&self) {
-        let Some(leader) = self.leader_instance().filter(|leader| *leader != self.own) else {
-            return;
-        };
+        if let Some(leader) = self.leader_instance().filter(|leader| *leader != self.own) {
+            self.tell_own_prompts(&leader);
+        }
+    }
+
+    fn tell_own_prompts(&self, home: &InstanceId) {
         let prompts: Vec<PlacedPrompt> = self.home.borrow().own.values().cloned().collect();
         if !prompts.is_empty() {
-            self.mesh.send(&leader, &PeerMessage::Placed(prompts));
+            self.mesh.send(home, &PeerMessage::Placed(prompts));
         }
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,7 +10,7 @@
 //! | `documents` | routing documents: into the log, in force, proved current |
 //! | `gossip` | who tells whom what, so that control traffic grows with the daemons, not with their square |
 //! | `announce`, `endpoints` | what endpoints say of themselves |
-//! | `home` | placing prompts on engines, as the home or by asking it |
+//! | `home`, `deputies` | placing prompts on engines, as the home or by asking it; who does it while the home is away |
 //! | `balancer`, `budget` | choosing a plain endpoint; how often a request may be sent again |
 //! | `front` | callers: from a request's first byte to the last of its answer |
 //! | `directory`, `lifecycle` | which instances callers should use; start, readiness, reload, end |
@@ -26,6 +26,9 @@
 mod calls;
 mod clock;
 mod cluster;
+mod deputies;
+#[cfg(test)]
+mod deputies_tests;
 mod dialect;
 mod directory;
 mod documents;
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use oriolepass_consensus::Envelope;
-use oriolepass_placement::{PromptAsk, PromptKey, PromptPlan, SpareLack};
+use oriolepass_placement::{EngineCell, PromptAsk, PromptKey, PromptPlan, SpareLack};
 use oriolepass_routing::{RegisterOutcome, RoutingRevision, RoutingText};
 use oriolepass_units::{EndpointStart, InstanceId};
 use serde::{Deserialize, Serialize};
@@ -92,8 +92,8 @@
     EndpointsLeft(Vec<EndpointStart>),
     /// Endpoints that failed a request of the sender's.
     Faults(Vec<(EndpointStart, FaultKind)>),
-    /// Place this prompt.
-    PlaceAsk { token: u64, ask: PromptAsk },
+    /// Place this prompt: on all engines as their home, or on a part of them as a deputy.
+    PlaceAsk { token: u64, ask: PromptAsk, cell: Option<EngineCell> },
     /// Where it goes.
     PlaceAnswer { token: u64, verdict: PlaceVerdict },
     /// Is an engine expected to be silent for so long?
--- a/crates/placement/src/fleet.rs
+++ b/crates/placement/src/fleet.rs
@@ -13,6 +13,7 @@
 use crate::farm::EngineFarm;
 use crate::passes::PassPrompt;
 use crate::plan::{HelperPart, LackReason, PromptAsk, PromptKey, PromptPlan, SpareLack};
+use crate::scope::EngineScope;
 
 /// The part of an engine's memory that is used; the rest is for answers longer than expected,
 /// a sixteenth as there are sixteen of them.
@@ -151,14 +152,28 @@
         self.placed.len()
     }
 
-    /// Places a prompt.
+    /// Places a prompt on the best of all engines.
     ///
     /// # Errors
     ///
     /// Returns when to ask again where no engine of the service takes work.
     pub fn place(&mut self, now: MonotonicTime, ask: &PromptAsk) -> Result<PromptPlan, SpareLack> {
+        self.place_among(now, ask, EngineScope::All)
+    }
+
+    /// Places a prompt on the best engines of a scope.
+    ///
+    /// # Errors
+    ///
+    /// Returns when to ask again where no engine of the service takes work.
+    pub fn place_among(
+        &mut self,
+        now: MonotonicTime,
+        ask: &PromptAsk,
+        scope: EngineScope,
+    ) -> Result<PromptPlan, SpareLack> {
         self.farm.advance(time_ms(now));
-        let usable = self.usable(now, ask);
+        let usable = scope.narrow(self.usable(now, ask), self.is_short(ask));
         let meter = self.demand.entry(ask.service.clone()).or_default();
         let helped_share = meter.long_demand(time_ms(now)).helped_share(usable.len());
         let views: Vec<(EndpointStart, EngineView)> = usable
@@ -200,6 +215,12 @@
         Ok(plan)
     }
 
+    fn is_short(&self, ask: &PromptAsk) -> bool {
+        let mut profiles = self.engines.values().filter(|e| e.facts.service == ask.service);
+        let profile = profiles.next().map(|engine| &engine.facts.profile);
+        profile.is_some_and(|profile| ReadCost::new(profile, ask.prompt_tokens).is_short())
+    }
+
     fn job<'a>(
         &mut self,
         now: MonotonicTime,
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -18,9 +18,11 @@
 mod fleet;
 mod passes;
 mod plan;
+mod scope;
 
 pub use cost::ReadCost;
 pub use farm::{EngineFarm, FarmEvent};
 pub use fleet::{EngineFacts, EngineFleet};
 pub use passes::{AnswerEnd, EnginePasses, PassEvent, PassPrompt};
 pub use plan::{HelperPart, LackReason, PromptAsk, PromptKey, PromptPlan, SpareLack};
+pub use scope::{EngineCell, EngineScope};
--- /dev/null
+++ b/crates/placement/tests/without_a_home.rs
@@ -0,0 +1,125 @@
+//! Two hundred entries place prompts at the same moment, each on its own knowledge: what they do
+//! without talking has to add up to something sensible.
+//!
+//! The pattern: all daemons that hold the log are off in a surge, and each entry has a prompt or two
+//! in a second. Figures are those of 112 engines with 10 places each.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use oriolepass_placement::{
+    EngineCell, EngineFacts, EngineFleet, EngineScope, PromptAsk, PromptKey,
+};
+use oriolepass_routing::EngineProfile;
+use oriolepass_units::{EndpointStart, MonotonicTime};
+
+const ENGINES: usize = 112;
+const ENTRIES: u64 = 200;
+
+fn fleet() -> EngineFleet {
+    let profile = Arc::new(EngineProfile {
+        slots: 10,
+        memory_tokens: 450_000,
+        step_ms: 0.925,
+        step_ms_per_writer: 0.004_83,
+        step_ms_per_context_k: 0.002_54,
+        read_tokens_per_s: 256_000.0,
+        read_ms_per_million_pairs: 0.0917,
+        read_tokens_per_step: 2_048,
+        steps_per_pass: 73,
+        report_lag_ms: 200.0,
+        group_step_ms: 0.1,
+    });
+    let facts = |number: usize| EngineFacts {
+        endpoint: format!("e{number}").parse().unwrap(),
+        service: "engines".parse().unwrap(),
+        takes_work: true,
+        profile: Arc::clone(&profile),
+    };
+    let mut fleet = EngineFleet::default();
+    fleet.update((0..ENGINES).map(facts).collect());
+    fleet
+}
+
+fn ask(entry: u64, number: u64, prompt_tokens: u64) -> PromptAsk {
+    let is_short = prompt_tokens < 20_000;
+    let objective = Duration::from_millis(if is_short { 300 } else { 4_000 });
+    PromptAsk {
+        key: PromptKey { entry, number },
+        service: "engines".parse().unwrap(),
+        prompt_tokens,
+        answer_tokens: 1_700,
+        max_answer_tokens: 3_400,
+        objective,
+        whole_objective: objective,
+        pause: Duration::from_millis(if is_short { 250 } else { 1_000 }),
+        deadline: Duration::from_secs(10),
+        patience: Duration::ZERO,
+        avoid: Vec::new(),
+    }
+}
+
+fn draw(state: &mut u64) -> u64 {
+    *state = state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+    *state ^ (*state >> 29)
+}
+
+/// Returns how many prompts each engine writes when every entry places `each` of them alone.
+fn placed_alone(each: u64, tokens: u64, seed: u64) -> BTreeMap<EndpointStart, usize> {
+    let mut state = seed;
+    let mut mains = BTreeMap::new();
+    for entry in 0..ENTRIES {
+        let mut fleet = fleet();
+        for number in 0..each {
+            let scope = EngineScope::Drawn(draw(&mut state));
+            let now = MonotonicTime(1_000_000 + number * 500_000);
+            let plan = fleet.place_among(now, &ask(entry, number, tokens), scope).unwrap();
+            *mains.entry(plan.main).or_default() += 1;
+        }
+    }
+    mains
+}
+
+#[test]
+fn entries_without_a_home_spread_short_prompts_over_all_engines() {
+    for seed in 1..=5 {
+        for each in [1, 2, 3] {
+            let mains = placed_alone(each, 5_000, seed);
+            let most = mains.values().max().copied().unwrap();
+            // A fair draw of 200, 400, 600 among 112 has 7, 11, 14 on the fullest.
+            let fair = [7, 11, 14][usize::try_from(each).unwrap() - 1];
+            assert!(most <= 2 * fair, "seed {seed}: {most} on one engine for {each} each");
+            assert!(mains.len() >= 70, "seed {seed}: on {} engines", mains.len());
+        }
+    }
+}
+
+#[test]
+fn entries_without_a_home_spread_long_prompts_and_still_read_them_together() {
+    let mains = placed_alone(1, 300_000, 3);
+    assert!(mains.values().max().is_some_and(|most| *most <= 10), "{mains:?}");
+    let plan = fleet().place_among(MonotonicTime(1), &ask(1, 1, 300_000), EngineScope::Drawn(9));
+    assert!(plan.is_ok_and(|plan| plan.helpers.len() >= 7));
+}
+
+#[test]
+fn cells_divide_all_engines_and_homes_of_cells_do_not_meet() {
+    let engines: Vec<EndpointStart> =
+        (0..ENGINES).map(|n| format!("e{n}").parse().unwrap()).collect();
+    for count in 1..=6 {
+        let cells = (0..count).map(|index| EngineCell { index, count });
+        let sizes: Vec<usize> =
+            cells.map(|cell| engines.iter().filter(|engine| cell.holds(engine)).count()).collect();
+        assert_eq!(sizes.iter().sum::<usize>(), ENGINES);
+        let fair = ENGINES / count as usize;
+        assert!(sizes.iter().all(|size| *size >= fair / 2), "{sizes:?}");
+    }
+    let cell = EngineCell { index: 2, count: 4 };
+    let mut fleet = fleet();
+    for number in 0..100 {
+        let now = MonotonicTime(1_000_000 + number * 5_000);
+        let plan = fleet.place_among(now, &ask(1, number, 5_000), EngineScope::Cell(cell)).unwrap();
+        assert!(cell.holds(&plan.main));
+    }
+}
