A lost link between daemons is made again at once, and open questions are asked again on it

Change: a link that lasted 1 s is made again at once and keeps its queue; a question that is open when a new link comes up is asked again; the home places a prompt that is asked for again once (test).

--- a/crates/gateway/src/cluster.rs
+++ b/crates/gateway/src/cluster.rs
@@ -313,6 +313,7 @@
         let gateway = &self.0;
         gateway.line(EventKind::PeerLink).text("peer", to).text("outcome", "up");
         let lost = gateway.links_lost.borrow_mut().remove(to);
+        gateway.note_link(to);
         let mut messages = vec![PeerMessage::Greeting(gateway.note())];
         messages.extend(gateway.endpoint_news(to, lost));
         messages
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -72,6 +72,9 @@
     pub(crate) active_requests: Cell<u64>,
     pub(crate) buffered_bytes: Cell<usize>,
     calls: RefCell<HashMap<u64, oneshot::Sender<PeerReply>>>,
+    /// How many links to each daemon there have been.
+    links_made: RefCell<HashMap<InstanceId, u64>>,
+    link_up: Notify,
     next_number: Cell<u64>,
 }
 
@@ -112,6 +115,8 @@
             active_requests: Cell::new(0),
             buffered_bytes: Cell::new(0),
             calls: RefCell::default(),
+            links_made: RefCell::default(),
+            link_up: Notify::new(),
             next_number: Cell::new(1),
         })
     }
@@ -159,10 +164,45 @@
         let token = self.next_number();
         let (reply, answer) = oneshot::channel();
         self.calls.borrow_mut().insert(token, reply);
-        self.mesh.send(to, &question(token));
-        let answer = timeout(patience, answer).await;
+        let question = question(token);
+        let answer = timeout(patience, self.ask_again_on_new_link(to, &question, answer)).await;
         self.calls.borrow_mut().remove(&token);
-        answer.ok()?.ok()
+        answer.ok()?
+    }
+
+    /// Asks, and asks once more on each new link: the question, or its answer, may have been lost
+    /// with the one before.
+    async fn ask_again_on_new_link(
+        &self,
+        to: &InstanceId,
+        question: &PeerMessage,
+        mut answer: oneshot::Receiver<PeerReply>,
+    ) -> Option<PeerReply> {
+        let mut links = self.links_made(to);
+        self.mesh.send(to, question);
+        loop {
+            let link_up = self.link_up.notified();
+            tokio::select! {
+                answer = &mut answer => return answer.ok(),
+                () = link_up => {}
+            }
+            let made = self.links_made(to);
+            // The first link of all carries what waited for it.
+            if links > 0 && made > links {
+                self.mesh.send(to, question);
+            }
+            links = made;
+        }
+    }
+
+    fn links_made(&self, to: &InstanceId) -> u64 {
+        self.links_made.borrow().get(to).copied().unwrap_or(0)
+    }
+
+    /// Notes that a new link to a daemon is up.
+    pub(crate) fn note_link(&self, to: &InstanceId) {
+        *self.links_made.borrow_mut().entry(to.clone()).or_default() += 1;
+        self.link_up.notify_waiters();
     }
 
     /// Hands an answer to whoever waits for it, if somebody still does.
--- a/crates/gateway/src/peers/mesh.rs
+++ b/crates/gateway/src/peers/mesh.rs
@@ -27,6 +27,11 @@
 /// The pause after a failed connection.
 const RECONNECT_AFTER: Duration = Duration::from_millis(150);
 
+/// A connection that lasted this long and is lost is made again at once, and what waits for it goes
+/// out: whoever waits for an answer has 90 ms. Any other daemon that closes what it has just accepted
+/// is left alone for a while.
+const LASTED: Duration = Duration::from_millis(1_000);
+
 /// Bytes written at a time.
 const WRITE_BYTES: usize = 64 * 1024;
 
@@ -129,9 +134,15 @@
 async fn run_link(mesh: Rc<PeerMesh>, to: InstanceId, mut frames: mpsc::Receiver<Bytes>) {
     let Ok(address) = to.as_str().parse::<SocketAddr>() else { return };
     let mut was_up = true;
+    let mut is_resumed = false;
     loop {
-        // Wait for something to say.
-        let Some(first) = frames.recv().await else { return };
+        let first = if std::mem::take(&mut is_resumed) {
+            Bytes::new()
+        } else {
+            // Wait for something to say.
+            let Some(first) = frames.recv().await else { return };
+            first
+        };
         let connected = timeout(CONNECT_PATIENCE, net::connect(address, Some(mesh.source))).await;
         let reason = match connected {
             Ok(Ok(stream)) => {
@@ -144,7 +155,10 @@
                     }
                 }
                 greeting.extend_from_slice(&first);
-                write_link(stream, greeting, &mut frames).await
+                let began = Instant::now();
+                let reason = write_link(stream, greeting, &mut frames).await;
+                is_resumed = began.elapsed() >= LASTED;
+                reason
             }
             Ok(Err(error)) => error.to_string(),
             Err(_) => "no connection in time".to_owned(),
@@ -154,6 +168,12 @@
         {
             events.on_link_down(&to, &reason);
         }
+        if frames.is_closed() {
+            return;
+        }
+        if is_resumed {
+            continue;
+        }
         sleep(RECONNECT_AFTER).await;
         // What waited is stale by now; its senders repeat what still matters.
         while frames.try_recv().is_ok() {}
--- a/crates/placement/src/fleet.rs
+++ b/crates/placement/src/fleet.rs
@@ -172,6 +172,10 @@
         ask: &PromptAsk,
         scope: EngineScope,
     ) -> Result<PromptPlan, SpareLack> {
+        // One that is asked for again has lost its answer, and goes where it is told now.
+        if self.placed.contains_key(&ask.key) {
+            self.ended(now, ask.key);
+        }
         self.farm.advance(time_ms(now));
         let usable = scope.narrow(self.usable(now, ask), self.is_short(ask));
         let meter = self.demand.entry(ask.service.clone()).or_default();
--- a/crates/placement/tests/placing.rs
+++ b/crates/placement/tests/placing.rs
@@ -322,3 +322,14 @@
     let next = new.place(at(215), &ask(20, 60_000)).unwrap();
     assert!(next.first_event > Duration::from_millis(1_500), "{:?}", next.first_event);
 }
+
+#[test]
+fn a_prompt_that_is_asked_for_again_is_placed_once() {
+    let mut fleet = fleet(4);
+    let first = fleet.place(at(0), &ask(1, 200_000)).unwrap();
+    let second = fleet.place(at(5), &ask(1, 200_000)).unwrap();
+    assert_eq!(fleet.placed_count(), 1);
+    assert!(second.first_event < first.first_event * 2, "it does not wait behind itself");
+    fleet.ended(at(10), key(1));
+    assert_eq!(fleet.placed_count(), 0);
+}
