A home that answered too late learns where the prompt went instead

Cause: a home that takes over 90 ms to answer has placed the prompt all the same, and the entry went to a deputy: the home took places for taken that were free, until the prompt ended, just when it had most to do. Change: after placing without the home, the entry tells it where the prompt went; a home that hears of a prompt on other engines than it placed it on believes the teller. Before and after: test red before (the home kept its own engine), green after.

--- a/crates/gateway/src/home.rs
+++ b/crates/gateway/src/home.rs
@@ -97,6 +97,14 @@
             }
             self.home_missed();
         }
+        let placed = self.place_without_home(request, ask).await;
+        if let Ok(plan) = &placed.0 {
+            self.correct_home(ask, plan);
+        }
+        placed
+    }
+
+    async fn place_without_home(&self, request: &str, ask: &PromptAsk) -> (PlaceVerdict, PlacedBy) {
         if let Some((deputy, cell)) = deputy_for(&self.deputies(), ask.key) {
             if deputy == self.own {
                 return (self.place_own(ask, EngineScope::Cell(cell)), PlacedBy::Deputy);
@@ -110,6 +118,15 @@
         (self.place_own(ask, EngineScope::Drawn(rand::random())), PlacedBy::Alone)
     }
 
+    /// Tells the home where a prompt went without it: it may be merely slow, have placed the prompt as
+    /// well, and take engines for busy that are not.
+    fn correct_home(&self, ask: &PromptAsk, plan: &PromptPlan) {
+        if let Some(leader) = self.leader_instance() {
+            let placed = PlacedPrompt { ask: ask.clone(), plan: plan.clone(), has_begun: false };
+            self.mesh.send(&leader, &PeerMessage::Placed(vec![placed]));
+        }
+    }
+
     /// Asks another daemon to place a prompt; none where it does not answer in time.
     async fn ask_to_place(
         &self,
--- a/crates/placement/src/fleet.rs
+++ b/crates/placement/src/fleet.rs
@@ -282,11 +282,16 @@
         ))
     }
 
-    /// Takes over a prompt that another home placed, so that its engines are known to be busy.
+    /// Takes over a prompt that another home placed, so that its engines are known to be busy. One
+    /// that was placed elsewhere here was answered too late, and went where the other one said.
     pub fn adopt(&mut self, now: MonotonicTime, ask: &PromptAsk, plan: &PromptPlan, begun: bool) {
-        if self.placed.contains_key(&ask.key) || !self.engines.contains_key(&plan.main) {
+        let is_placed_so = self.farm.engines_of(ask.key).first() == Some(&plan.main);
+        if is_placed_so || !self.engines.contains_key(&plan.main) {
             return;
         }
+        if self.placed.contains_key(&ask.key) {
+            self.ended(now, ask.key);
+        }
         self.farm.advance(time_ms(now));
         self.book(now, ask, plan, begun);
     }
--- a/crates/placement/tests/placing.rs
+++ b/crates/placement/tests/placing.rs
@@ -392,3 +392,17 @@
     assert!(on_time * 10 >= all * 6, "{on_time} on time, {late} late, {refused} refused");
     assert!(refused * 3 <= all, "{on_time} on time, {late} late, {refused} refused");
 }
+
+#[test]
+fn a_home_that_answered_too_late_learns_where_the_prompt_went_instead() {
+    let mut slow_home = fleet(8);
+    let prompt = ask(1, 4_000);
+    let answered_late = slow_home.place(at(0), &prompt).unwrap();
+    let mut deputy = fleet(8);
+    deputy.failed(at(0), &answered_late.main);
+    let went = deputy.place(at(100), &prompt).unwrap();
+    assert_ne!(went.main, answered_late.main);
+    slow_home.adopt(at(110), &prompt, &went, false);
+    assert_eq!(slow_home.engines_of(key(1)), [went.main]);
+    assert_eq!(slow_home.placed_count(), 1, "not on both");
+}
