Logs: changes of links and daemons are counted where there are many

Change: from 24 daemons on, such changes are one line each 0.6 s at most, with counts and the first five names; voters and the leader keep lines of their own, and small systems all. Conclusion: bounded, nothing about requests changes. Also: what is known of the links to a forgotten daemon is dropped with it.

--- a/crates/cli/src/commands/explain.rs
+++ b/crates/cli/src/commands/explain.rs
@@ -13,13 +13,14 @@
 const BEFORE_SECONDS: f64 = 3.0;
 
 /// Kinds of lines that change what a gateway believes.
-const BELIEFS: [&str; 14] = [
+const BELIEFS: [&str; 15] = [
     "start",
     "draining",
     "stop",
     "reload",
     "readiness",
     "peer",
+    "peers",
     "founding",
     "leader",
     "voters",
--- a/crates/gateway/src/cluster.rs
+++ b/crates/gateway/src/cluster.rs
@@ -13,6 +13,7 @@
 use crate::gateway::{Gateway, PeerReply};
 use crate::gossip::{is_sponsor, tells_whom_it_knows};
 use crate::lifecycle::Lifecycle;
+use crate::peer_changes::{ChangeCount, PeerChange, PeerChanges};
 use crate::peers::{MeshEvents, PeerMessage};
 use crate::replica::{Proposer, ReplicaDriver};
 use crate::roster::{DaemonNote, DaemonPhase, GREET_EVERY, ReplicaNote, RosterChange};
@@ -64,15 +65,44 @@
             (to, forgotten)
         };
         for daemon in forgotten {
-            self.mesh.forget(&daemon);
-            self.links_lost.borrow_mut().remove(&daemon);
-            self.line(EventKind::Peer).text("peer", &daemon).text("outcome", "forgotten");
+            self.forget_links(&daemon);
+            if !self.is_counted(PeerChange::Forgotten, &daemon) {
+                self.line(EventKind::Peer).text("peer", &daemon).text("outcome", "forgotten");
+            }
         }
+        self.tell_peer_changes();
         self.mesh.send_all(&to, &self.greeting(round));
         let alive = self.roster.borrow().alive(now).count();
         self.metrics.peers.set(i64::try_from(alive).unwrap_or(i64::MAX));
     }
 
+    /// Returns whether a change of a daemon, or of the link to it, is counted instead of having a line of
+    /// its own, and counts it if so.
+    fn is_counted(&self, change: PeerChange, peer: &InstanceId) -> bool {
+        let is_dependency =
+            self.leader_instance().as_ref() == Some(peer) || self.own_voters().contains(peer);
+        let known = self.roster.borrow().known_count();
+        let is_counted = !is_dependency && PeerChanges::are_counted(known);
+        if is_counted {
+            self.peer_changes.borrow_mut().note(change, peer);
+        }
+        is_counted
+    }
+
+    /// Writes what was counted since the last such line.
+    fn tell_peer_changes(&self) {
+        let changes = self.peer_changes.borrow_mut().take();
+        if changes.is_empty() {
+            return;
+        }
+        let mut line = self.line(EventKind::Peers);
+        for (change, ChangeCount { count, names }) in &changes {
+            let names: Vec<&str> = names.iter().map(InstanceId::as_str).collect();
+            line = line.number(change.name(), *count);
+            line = line.text(&format!("{}_first", change.name()), names.join(","));
+        }
+    }
+
     /// Returns what this round's greeting says: everything, or that nothing has changed.
     fn greeting(&self, round: u64) -> PeerMessage {
         let note = self.note();
@@ -163,15 +193,17 @@
             (change, list, is_new)
         };
         if change == RosterChange::Met {
-            self.line(EventKind::Peer)
-                .text("peer", from)
-                .text("name", name)
-                .number("boot", boot)
-                .text("outcome", "met");
+            if !self.is_counted(PeerChange::Met, from) {
+                self.line(EventKind::Peer)
+                    .text("peer", from)
+                    .text("name", name)
+                    .number("boot", boot)
+                    .text("outcome", "met");
+            }
             self.tell_endpoints(from, None);
         }
         if change != RosterChange::Refreshed {
-            if phase == DaemonPhase::Leaving {
+            if phase == DaemonPhase::Leaving && !self.is_counted(PeerChange::Leaving, from) {
                 self.line(EventKind::Peer).text("peer", from).text("outcome", "leaving");
             }
             self.look_for_leader();
@@ -272,7 +304,9 @@
             PeerMessage::Known(instances) => gateway.on_known(&instances),
             PeerMessage::Farewell => {
                 gateway.roster.borrow_mut().left(from);
-                gateway.line(EventKind::Peer).text("peer", from).text("outcome", "left");
+                if !gateway.is_counted(PeerChange::Left, from) {
+                    gateway.line(EventKind::Peer).text("peer", from).text("outcome", "left");
+                }
             }
             PeerMessage::Consensus(envelope) => gateway.on_consensus(envelope),
             PeerMessage::FreshAsk { token, held } => gateway.on_fresh_ask(from, token, held),
@@ -311,7 +345,9 @@
 
     fn on_link_up(&self, to: &InstanceId) -> Vec<PeerMessage> {
         let gateway = &self.0;
-        gateway.line(EventKind::PeerLink).text("peer", to).text("outcome", "up");
+        if !gateway.is_counted(PeerChange::LinkUp, to) {
+            gateway.line(EventKind::PeerLink).text("peer", to).text("outcome", "up");
+        }
         let lost = gateway.links_lost.borrow_mut().remove(to);
         gateway.note_link(to);
         let mut messages = vec![PeerMessage::Greeting(gateway.note())];
@@ -320,8 +356,10 @@
     }
 
     fn on_link_down(&self, to: &InstanceId, reason: &str) {
-        let line = self.0.line(EventKind::PeerLink).text("peer", to).text("outcome", "down");
-        line.text("reason", reason);
+        if !self.0.is_counted(PeerChange::LinkDown, to) {
+            let line = self.0.line(EventKind::PeerLink).text("peer", to).text("outcome", "down");
+            line.text("reason", reason);
+        }
         let unsure_since = self.0.now() - UNSURE_BEFORE_LOSS;
         self.0.links_lost.borrow_mut().insert(to.clone(), unsure_since);
     }
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -51,6 +51,8 @@
     PeerLink = "peer-link";
     /// Another daemon was met, has left, or was forgotten.
     Peer = "peer";
+    /// How many links and other daemons changed since the last such line, where there are many.
+    Peers = "peers";
     /// The set of first voters was chosen for a new system.
     Founding = "founding";
     /// The leader of the log that this process believes in has changed.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -22,6 +22,7 @@
 use crate::home::HomeState;
 use crate::lifecycle::Lifecycle;
 use crate::metrics::GatewayMetrics;
+use crate::peer_changes::PeerChanges;
 use crate::peers::{DocumentVerdict, FreshVerdict, PeerMesh, PeerMessage, PlaceVerdict};
 use crate::replica::ReplicaDriver;
 use crate::roster::{DaemonNote, DaemonRoster};
@@ -50,6 +51,8 @@
     pub(crate) roster: RefCell<DaemonRoster>,
     /// Since when what was sent to daemons whose links are down may be lost.
     pub(crate) links_lost: RefCell<HashMap<InstanceId, MonotonicTime>>,
+    /// Changes of links and daemons that no line has told yet.
+    pub(crate) peer_changes: RefCell<PeerChanges>,
     /// What this daemon said of itself last.
     pub(crate) last_note: RefCell<Option<DaemonNote>>,
     /// The edition of what it greeted the others with last.
@@ -96,6 +99,7 @@
             own,
             roster: RefCell::default(),
             links_lost: RefCell::default(),
+            peer_changes: RefCell::default(),
             last_note: RefCell::default(),
             greeted_edition: Cell::new(0),
             replica: RefCell::new(None),
@@ -199,6 +203,13 @@
         self.links_made.borrow().get(to).copied().unwrap_or(0)
     }
 
+    /// Forgets what is known of the links to a daemon.
+    pub(crate) fn forget_links(&self, to: &InstanceId) {
+        self.mesh.forget(to);
+        self.links_lost.borrow_mut().remove(to);
+        self.links_made.borrow_mut().remove(to);
+    }
+
     /// Notes that a new link to a daemon is up.
     pub(crate) fn note_link(&self, to: &InstanceId) {
         *self.links_made.borrow_mut().entry(to.clone()).or_default() += 1;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 //! | `balancer`, `budget` | choosing a plain endpoint; how often a request may be sent again |
 //! | `front` | callers: from a request's first byte to the last of its answer |
 //! | `directory`, `lifecycle` | which instances callers should use; start, readiness, reload, end |
+//! | `peer_changes` | changes of links and daemons, counted where there are many |
 //! | `events`, `metrics` | what the process tells those who run it |
 //!
 //! A face of the product hands in a [`WireDialect`], which says where in an HTTP message each
@@ -44,6 +45,9 @@
 mod lifecycle;
 mod metrics;
 mod net;
+mod peer_changes;
+#[cfg(test)]
+mod peer_changes_tests;
 mod peers;
 mod replica;
 mod replication;
