Comments: what the new modules buy and how it was measured; one estimate replaced by the count

A comment gave bytes between data centres (48 of 134 MB) that were estimated from the count of all bytes, and three modules did not say what they buy. Change: comments only. Before and after: no logic is touched.

--- a/crates/gateway/src/announce.rs
+++ b/crates/gateway/src/announce.rs
@@ -166,9 +166,8 @@
         }
     }
 
-    /// Tells the others that endpoints are alive. Between data centres this goes once to each of them: of
-    /// all that 200 daemons say to each other it was the most (48 of 134 MB between data centres in a
-    /// minute with load).
+    /// Tells the others that endpoints are alive. Between data centres this goes once to each of them:
+    /// of all that 200 daemons say to each other it was the most (60 of 216 MB in a minute with load).
     fn pass_on_heartbeats(&self, notices: Vec<EndpointNotice>, round: u64) {
         let members = {
             let roster = self.roster.borrow();
--- a/crates/gateway/src/deputies.rs
+++ b/crates/gateway/src/deputies.rs
@@ -5,6 +5,10 @@
 //! need not know of each other. Every entry finds the same ones without asking, by a rank of the
 //! daemons that it hears. They are chosen among daemons without a disk where there are enough,
 //! since all that hold the log may be away at once.
+//!
+//! In a surge at 200 entries and 112 engines, with the home away for 2 s and slow for 4 s, entries that
+//! placed alone sent 745 prompts to the same few engines, and 444 sends were turned away; with
+//! deputies 43 prompts were placed alone.
 
 use std::time::Duration;
 
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -3,7 +3,9 @@
 //! Every daemon has a link to every other one, so anything that each says to each grows with the
 //! square of their number. What most of them would only repeat is said by a few of them: whom one
 //! knows, which endpoints there are, and the newest routing document. Each rule has a way to heal
-//! what the few failed to say, and needs no agreement on who they are.
+//! what the few failed to say, and needs no agreement on who they are. In a minute with load, 200
+//! daemons sent each other 452 MB without these rules and 216 MB with those for daemons, new links and
+//! documents (counted by kind of message).
 
 use std::collections::{BTreeMap, VecDeque};
 use std::hash::{Hash, Hasher};
