Failing tests: surges of long prompts whose parts lie on the same engines

Cause: on the shifted deployment long prompts predicted at 0.3 to 2.4 s begin after 5 to 9 s. Change: three tests. Red on this code: an engine reads the part that came last first; long answers gather and leave engines to long parts (15 engines write 15 answers). Green already: a prompt that is nearly due is not put behind later parts.

--- /dev/null
+++ b/crates/placement/tests/long_surges.rs
@@ -0,0 +1,115 @@
+//! Surges of long prompts that many engines read in parts.
+//!
+//! The pattern: prompts of 45,000 to 500,000 tokens come faster than each is read, so the parts of several
+//! lie on the same engines. An engine reads the part that came last first, so each later prompt delays the
+//! earlier ones wherever they share an engine, and each part makes a pause for whatever is written there.
+
+mod common;
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use oriolepass_placement::{
+    AnswerEnd, EngineFarm, EngineFleet, HelperPart, PassPrompt, PromptAsk, PromptKey, PromptPlan,
+};
+use oriolepass_units::MonotonicTime;
+
+/// Engines of the deployment that this load is taken from.
+const ENGINES: usize = 45;
+
+/// The most engines that read one prompt.
+const MOST_PARTS: usize = 16;
+
+/// Engines that may write, so that two prompts find the most engines where nothing is written.
+const LEFT_OVER: usize = ENGINES - 2 * MOST_PARTS;
+
+fn fleet() -> EngineFleet {
+    common::fleet(ENGINES, &common::profile(12, 52))
+}
+
+fn at(ms: u64) -> MonotonicTime {
+    MonotonicTime(1_000_000 + ms * 1_000)
+}
+
+fn key(number: u64) -> PromptKey {
+    PromptKey { entry: 1, number }
+}
+
+/// A prompt of middle size, 500 ms between events, or a long one, 800 ms.
+fn ask(number: u64, prompt_tokens: u64) -> PromptAsk {
+    let is_long = prompt_tokens > 100_000;
+    let objective = Duration::from_millis(if is_long { 4_000 } else { 1_500 });
+    PromptAsk {
+        key: key(number),
+        service: "engines".parse().unwrap(),
+        prompt_tokens,
+        answer_tokens: 1_000,
+        max_answer_tokens: 2_000,
+        objective,
+        whole_objective: objective,
+        pause: Duration::from_millis(if is_long { 800 } else { 500 }),
+        deadline: Duration::from_secs(10),
+        patience: Duration::ZERO,
+        avoid: Vec::new(),
+        is_suspect: false,
+    }
+}
+
+fn place(fleet: &mut EngineFleet, now_ms: u64, number: u64, prompt_tokens: u64) -> PromptPlan {
+    fleet.place(at(now_ms), &ask(number, prompt_tokens)).expect("a place")
+}
+
+#[test]
+fn an_engine_reads_the_part_that_came_last_first() {
+    let profile = common::profile(12, 52);
+    let mut farm = EngineFarm::new(AnswerEnd::ByCount);
+    (0..3).for_each(|number| farm.add(&common::endpoint(number), &profile));
+    let helped = [HelperPart { endpoint: common::endpoint(0), reserve_tokens: None }];
+    let prompt = |number| PassPrompt {
+        key: key(number),
+        prompt_tokens: 200_000,
+        parts: 2,
+        answer_tokens: 100,
+        priority: 6,
+        kept_elsewhere: 0,
+    };
+    // Both are read by the first engine beside one of their own.
+    assert!(farm.take(0.0, &common::endpoint(1), &helped, &prompt(1)));
+    assert!(farm.take(5.0, &common::endpoint(2), &helped, &prompt(2)));
+    let events = farm.advance(10_000.0);
+    let first = |number| events.iter().find(|event| event.key == key(number)).unwrap().at_ms;
+    assert!(first(2) < first(1), "{} and {}", first(2), first(1));
+}
+
+#[test]
+fn a_prompt_that_is_nearly_due_is_not_put_behind_later_parts() {
+    let mut fleet = fleet();
+    let first = Duration::from_millis(1_200);
+    let tight = PromptAsk { objective: first, whole_objective: first, ..ask(1, 480_000) };
+    let early = fleet.place(at(0), &tight).expect("a place");
+    let reads: BTreeSet<_> = early.helpers.iter().map(|h| h.endpoint.clone()).collect();
+    let mut shared = 0;
+    for number in 2..4 {
+        let plan = place(&mut fleet, 600, number, 300_000);
+        shared += plan.helpers.iter().filter(|h| reads.contains(&h.endpoint)).count();
+    }
+    assert_eq!(shared, 0, "29 other engines have nothing to read");
+}
+
+#[test]
+fn long_answers_gather_and_leave_engines_to_long_parts() {
+    let mut fleet = fleet();
+    let mut writers = BTreeSet::new();
+    // Fifteen answers of middle size at a time, as in a surge.
+    for number in 0..15 {
+        let now_ms = number * 60;
+        let plan = place(&mut fleet, now_ms, number, 45_000);
+        fleet.first_event(at(now_ms + 50), key(number));
+        writers.insert(plan.main);
+    }
+    assert!(writers.len() <= LEFT_OVER, "they are written by {} engines", writers.len());
+    let long = place(&mut fleet, 1_000, 100, 300_000);
+    let disturbed = long.helpers.iter().filter(|h| writers.contains(&h.endpoint)).count();
+    assert_eq!(disturbed, 0, "no part is read beside an answer");
+    assert!(long.helpers.len() >= 7, "{} helpers", long.helpers.len());
+}
