Engines read the part that came last first: the home's model says so, and prices whom a part delays

So a later prompt's parts delay each earlier prompt on the engines that they share, which no price told. A prompt's own reading goes behind and delays nobody; it makes pauses for who begins before it, which is charged as before. Comments lose the story of their figures.

--- a/crates/placement/src/choice.rs
+++ b/crates/placement/src/choice.rs
@@ -5,14 +5,14 @@
 use oriolepass_units::EndpointStart;
 
 use crate::cost::{EngineView, LongDemand, ReadCost, ShortDemand, lateness, millis, risk};
-use crate::plan::PromptAsk;
+use crate::plan::{PromptAsk, PromptKey};
 
 /// Numbers of engines that may read one prompt; the most is the engines' own limit and the one
 /// that writes.
 const GROUP_SIZES: [usize; 11] = [1, 2, 3, 4, 5, 6, 8, 10, 12, 14, 16];
 
 /// Between engines that lose equally little, the one that reads a part sooner is better by this much for
-/// a whole objective: less than any loss that counts (experiment: 0 is 0.005 worse, 0.2 no better).
+/// a whole objective: less than any loss that counts.
 const EARLY_TIE: f64 = 0.02;
 
 /// One way to place a prompt.
@@ -43,8 +43,7 @@
 
 /// A long prompt that may wait is not put behind more reading than this part of its objective: what is
 /// placed later goes ahead of it there, since helpers' parts are read first, so it keeps its turn better
-/// here. Earns 0.012 of what is owed on days with surges (60 paired days, standard error 0.004;
-/// experiment: 0.3 to 0.5 of the objective are alike).
+/// here.
 const BACKLOG_SHARE: f64 = 0.4;
 
 /// Returns the engines behind whose reading a prompt may be put.
@@ -91,13 +90,16 @@
     let mut scored: Vec<Scored<'_>> = views
         .iter()
         .map(|(endpoint, view)| {
-            let damage = view.damage(part_ms, job.cap_ms);
-            let short = if job.cost.is_short() { view.short_cost() } else { 0.0 };
+            let is_helper = size > 1;
+            let damage = view.damage(part_ms, job.cap_ms, is_helper);
+            let delays: f64 =
+                if is_helper { view.delays(part_ms).map(|(_, loss)| loss).sum() } else { 0.0 };
+            let short = if job.cost.is_short() { view.short_answer_cost() } else { 0.0 };
             let read_ms = view.read_in_ms(part_ms, job.cap_ms, size == 1);
             let wait_ms = if job.cost.is_short() { lacking_wait_ms(job.ask, view) } else { 0.0 };
             let late = lateness(read_ms + wait_ms, job.ask, job.value);
             let early = read_ms / objective_ms.max(1.0) * EARLY_TIE;
-            Scored { endpoint, view, damage, score: damage + short + late + early }
+            Scored { endpoint, view, damage, score: damage + delays + short + late + early }
         })
         .collect();
     scored.sort_by(|left, right| left.score.total_cmp(&right.score));
@@ -112,7 +114,8 @@
         .fold(0.0, f64::max)
         + memory_wait_ms(job.ask, &scored, main);
     let damage: f64 = scored.iter().map(|s| s.damage).sum();
-    let short = if job.cost.is_short() { main.view.short_cost() } else { 0.0 };
+    let delays = delays(part_ms, scored.iter().filter(|s| s.endpoint != main.endpoint));
+    let short = if job.cost.is_short() { main.view.short_answer_cost() } else { 0.0 };
     let taken = scored.iter().filter(|s| s.view.is_clear());
     let blocked: Vec<f64> = taken.map(|s| s.view.blocked_ms(part_ms, job.cap_ms)).collect();
     let lasting = blocked.iter().filter(|ms| **ms > 0.0).count();
@@ -122,7 +125,7 @@
     } else {
         job.long_demand.price(job.engines, job.cost.whole_ms)
     };
-    let loss = damage + short + future + busy + lateness(first_ms, job.ask, job.value);
+    let loss = damage + delays + short + future + busy + lateness(first_ms, job.ask, job.value);
     let badness = loss + risk(first_ms, job.ask, job.value, size - 1);
     let others = scored.iter().map(|s| s.endpoint).filter(|e| *e != main.endpoint).cloned();
     Some(Candidate {
@@ -134,6 +137,17 @@
     })
 }
 
+/// Returns what prompts that wait for their first event lose by the parts of helpers. A prompt's first event
+/// follows the last of its parts, so the longest delay counts and not each.
+fn delays<'a, 'b: 'a>(part_ms: f64, helpers: impl Iterator<Item = &'a Scored<'b>>) -> f64 {
+    let mut longest: BTreeMap<PromptKey, f64> = BTreeMap::new();
+    for (key, loss) in helpers.flat_map(|helper| helper.view.delays(part_ms)) {
+        let most = longest.entry(key).or_default();
+        *most = most.max(loss);
+    }
+    longest.values().sum()
+}
+
 /// Returns whether a group has memory for a prompt at all: what its main engine can hold when it
 /// is empty, and what the others have free now.
 fn can_hold(ask: &PromptAsk, members: &[Scored<'_>], main: &Scored<'_>) -> bool {
--- a/crates/placement/src/cost.rs
+++ b/crates/placement/src/cost.rs
@@ -1,15 +1,14 @@
 //! What a placement is expected to lose.
 //!
 //! All losses are in units of value, where a prompt is worth 1 and more in proportion to its
-//! tokens. Where a figure's comment says "experiment", it was the best of those tried on arrivals of
-//! real days (`docs/measurements/platform.md`); none of them is sharp.
+//! tokens.
 
 use std::time::Duration;
 
 use oriolepass_routing::EngineProfile;
 
 use crate::passes::EnginePasses;
-use crate::plan::PromptAsk;
+use crate::plan::{PromptAsk, PromptKey};
 
 /// What a prompt is worth for each token, beside 1 for each prompt. The known deployments price their
 /// kinds so: 1.3 for 5,000 tokens, 3.1 for 45,000, 22 for 210,000, and within a kind by size.
@@ -20,14 +19,14 @@
 const LATE_LOSS: f64 = 0.75;
 
 /// Predictions err by some tens of milliseconds, so lateness begins to be counted before the
-/// objective is reached, at this part of it (experiment: 0.3 to 0.9)...
+/// objective is reached, at this part of it...
 const TIGHT_FROM: f64 = 0.6;
 
-/// ...and grows to its whole until this part (experiment: 0.9 to 1.1).
+/// ...and grows to its whole until this part.
 const TIGHT_TO: f64 = 1.1;
 
 /// The same for prompts that wait for their first event: later prompts' parts go ahead of theirs,
-/// so what is predicted for them is the least that it will take (experiment: 0.2 to 0.8).
+/// so what is predicted for them is the least that it will take.
 const WAITING_FROM: f64 = 0.4;
 
 /// Callers wait for an event for this many objectives, or for this many of the longest pauses that
@@ -36,29 +35,24 @@
 const PATIENCE_PAUSES: f64 = 8.0;
 const PATIENCE_LEAST_MS: f64 = 2_000.0;
 
-/// What one more engine in a group costs: it may fail and take the prompt with it (experiment: 0 to
-/// 0.05).
+/// What one more engine in a group costs: it may fail and take the prompt with it.
 const HELPER_COST: f64 = 0.004;
 
-/// What the first short answer on an engine costs, and in proportion fewer those after it: engines
-/// with few of them are left to empty, and long prompts find more engines where they disturb nobody.
-/// Earns 0.010 of what is owed on days with surges (60 paired days, standard error 0.004; experiment: 0.1
-/// to 2 are alike).
+/// What the first answer on an engine costs, and in proportion fewer those after it: engines with few of
+/// them are left to empty, and long prompts find more engines where they disturb nobody.
 const SPARSE_COST: f64 = 1.0;
 
-/// The part of an engine's places with short answers from which on it counts as packed (experiment:
-/// 0.6 to 0.9).
+/// The part of an engine's places with answers from which on it counts as packed.
 const PACKED_SHARE: f64 = 0.75;
 
-/// From this part of an engine's places on, one more short answer makes the next ones wait
-/// (experiment: 0 to 0.9).
+/// From this part of an engine's places on, one more answer makes the next ones wait.
 const CROWD_FROM: f64 = 0.85;
 
-/// What the last place of an engine costs; fewer for those before it (experiment: 0.12 to 5).
+/// What the last place of an engine costs, and in proportion fewer those before it.
 const CROWD_COST: f64 = 5.0;
 
 /// Between equal placements the earlier first event is worth this much, as a part of the prompt's
-/// value (experiment: 0.02 to 0.2).
+/// value.
 const EARLY_WORTH: f64 = 0.1;
 
 /// An engine whose next pass is shorter than this serves a short prompt on time, in milliseconds:
@@ -110,20 +104,42 @@
     pub(crate) pause_ms: f64,
     /// How long its caller waits for the next event.
     pub(crate) patience_ms: f64,
-    /// What is left until its first event is late; none once that has come.
-    pub(crate) due_in_ms: Option<f64>,
+    pub(crate) has_begun: bool,
     pub(crate) is_spoiled: bool,
     pub(crate) is_short: bool,
     /// Whether engines have ended under it.
     pub(crate) is_suspect: bool,
 }
 
+/// What an engine has to read of a prompt whose first event has not come.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct WaitingPart {
+    pub(crate) key: PromptKey,
+    pub(crate) value: f64,
+    /// When it has been read.
+    pub(crate) read_in_ms: f64,
+    /// When the last part of the prompt has been read, wherever that is.
+    pub(crate) first_in_ms: f64,
+    /// What is left until its first event is late.
+    pub(crate) due_in_ms: f64,
+}
+
+impl WaitingPart {
+    /// Returns what the prompt loses where `part_ms` more are read before.
+    fn delay_loss(&self, part_ms: f64) -> f64 {
+        let due = self.due_in_ms.max(1.0);
+        let after = self.first_in_ms.max(self.read_in_ms + part_ms);
+        (waiting_share(after / due) - waiting_share(self.first_in_ms / due))
+            * LATE_LOSS
+            * self.value
+    }
+}
+
 /// An engine as it stands now.
 #[derive(Debug, Clone)]
 pub(crate) struct EngineView {
     pub(crate) residual_ms: f64,
     pub(crate) unread_ms: f64,
-    pub(crate) unread_helpers_ms: f64,
     pub(crate) writing_pass_ms: f64,
     pub(crate) room_in_ms: f64,
     pub(crate) load: usize,
@@ -131,6 +147,8 @@
     pub(crate) usable_tokens: u64,
     pub(crate) free_tokens: u64,
     pub(crate) neighbours: Vec<Neighbour>,
+    /// Prompts that wait for what is to be read here, in its order.
+    pub(crate) waiting: Vec<WaitingPart>,
     /// The part of the engine's time that helpers' parts take which are yet to come.
     pub(crate) helped_share: f64,
 }
@@ -142,13 +160,13 @@
         slots: usize,
         usable_tokens: u64,
         neighbours: Vec<Neighbour>,
+        waiting: Vec<WaitingPart>,
         helped_share: f64,
     ) -> Self {
         Self {
             helped_share,
             residual_ms: engine.residual_ms(now_ms),
             unread_ms: engine.unread_ms(),
-            unread_helpers_ms: engine.unread_helpers_ms(),
             writing_pass_ms: engine.writing_pass_ms(),
             room_in_ms: engine.room_in_ms(),
             load: engine.load(),
@@ -156,6 +174,7 @@
             usable_tokens,
             free_tokens: usable_tokens.saturating_sub(engine.held_tokens()),
             neighbours,
+            waiting,
         }
     }
 
@@ -168,8 +187,8 @@
     /// Returns when a part would have been read, in milliseconds from now. The first event
     /// comes with the end of the pass in which that is.
     pub(crate) fn read_in_ms(&self, part_ms: f64, cap_ms: f64, is_main: bool) -> f64 {
-        // Helpers' parts go ahead of other reading.
-        let ahead = if is_main { self.unread_ms } else { self.unread_helpers_ms };
+        // Helpers' parts go ahead of all other reading.
+        let ahead = if is_main { self.unread_ms } else { 0.0 };
         let reading = ahead + part_ms;
         let passes = if self.writing_pass_ms > 0.0 { (reading / cap_ms).ceil() } else { 0.0 };
         if !is_main {
@@ -180,20 +199,18 @@
         self.residual_ms + self.room_in_ms + (reading + passes * self.writing_pass_ms) / own_time
     }
 
-    /// Returns what the prompts here lose by a part more to read.
-    pub(crate) fn damage(&self, part_ms: f64, cap_ms: f64) -> f64 {
+    /// Returns what the answers here lose by the pauses that a part more to read makes, which is a helper's
+    /// or a prompt's own.
+    pub(crate) fn damage(&self, part_ms: f64, cap_ms: f64, is_helper: bool) -> f64 {
         let (before, after) = (self.next_pass_ms(0.0, cap_ms), self.next_pass_ms(part_ms, cap_ms));
-        let (first_before, first_after) = (self.residual_ms + before, self.residual_ms + after);
-        let late = |neighbour: &Neighbour| match neighbour.due_in_ms {
-            _ if neighbour.is_spoiled => 0.0,
-            Some(due) => {
-                let due = due.max(1.0);
-                // A pass that is too long spoils its pauses as well.
-                waiting_share(first_after / due) - waiting_share(first_before / due)
-            }
-            None => {
-                let pause = neighbour.pause_ms;
-                late_share(after / pause) - late_share(before / pause)
+        let late = |neighbour: &Neighbour| {
+            let pause = neighbour.pause_ms;
+            match neighbour.has_begun {
+                _ if neighbour.is_spoiled => 0.0,
+                true => late_share(after / pause) - late_share(before / pause),
+                // A helper's part has been read before it begins; a prompt's own is read while it writes.
+                false if is_helper => 0.0,
+                false => late_share((self.writing_pass_ms + part_ms.min(cap_ms)) / pause),
             }
         };
         // What is late already can still be lost, when its caller leaves in a gap.
@@ -207,6 +224,11 @@
         self.neighbours.iter().map(loss).sum()
     }
 
+    /// Returns what each of the prompts that wait here loses by a helper's part, which goes ahead of them.
+    pub(crate) fn delays(&self, part_ms: f64) -> impl Iterator<Item = (PromptKey, f64)> {
+        self.waiting.iter().map(move |part| (part.key, part.delay_loss(part_ms)))
+    }
+
     /// Returns whether a short prompt would be on time here.
     pub(crate) fn is_clear(&self) -> bool {
         let full = self.load as f64 >= self.slots as f64 * 0.9;
@@ -220,11 +242,20 @@
         blocked.max(0.0)
     }
 
+    /// Returns the cost of one more long answer: one of the first here, or one of many. Whatever is written
+    /// here already is disturbed by long parts as well.
+    pub(crate) fn long_answer_cost(&self) -> f64 {
+        self.answer_cost(self.neighbours.len())
+    }
+
     /// Returns the cost of one more short answer: one of the first here, or one of many.
-    pub(crate) fn short_cost(&self) -> f64 {
-        let short = self.neighbours.iter().filter(|neighbour| neighbour.is_short).count() as f64;
+    pub(crate) fn short_answer_cost(&self) -> f64 {
+        self.answer_cost(self.neighbours.iter().filter(|neighbour| neighbour.is_short).count())
+    }
+
+    fn answer_cost(&self, gathered: usize) -> f64 {
         let filled = self.slots as f64 * PACKED_SHARE;
-        let sparse = (1.0 - short / filled).max(0.0) * SPARSE_COST;
+        let sparse = (1.0 - gathered as f64 / filled).max(0.0) * SPARSE_COST;
         let taken = self.load as f64 / self.slots as f64;
         sparse + ((taken - CROWD_FROM) / (1.0 - CROWD_FROM)).max(0.0) * CROWD_COST
     }
--- a/crates/placement/src/demand.rs
+++ b/crates/placement/src/demand.rs
@@ -8,8 +8,7 @@
 /// or two, and the gap between two prompts is not taken for a lull.
 const MEMORY_MS: f64 = 1_500.0;
 
-/// The part of an engine's places that short prompts fill before the next engine is needed
-/// (experiment: 0.45 to 0.85).
+/// The part of an engine's places that short prompts fill before the next engine is needed.
 const FILLED: f64 = 0.65;
 
 /// Averages over the short prompts of one service.
--- a/crates/placement/src/farm.rs
+++ b/crates/placement/src/farm.rs
@@ -140,6 +140,19 @@
         }
     }
 
+    /// Returns when the last part of each prompt has been read that waits for its first event, in
+    /// milliseconds from now.
+    pub fn first_events(&self, now_ms: f64) -> BTreeMap<PromptKey, f64> {
+        let mut firsts: BTreeMap<PromptKey, f64> = BTreeMap::new();
+        for engine in self.engines.values() {
+            for (key, read_ms) in engine.unread_parts() {
+                let last = firsts.entry(key).or_default();
+                *last = last.max(engine.residual_ms(now_ms) + read_ms);
+            }
+        }
+        firsts
+    }
+
     /// Returns when the next pass ends.
     pub fn next_end(&self) -> Option<f64> {
         let ends = self.engines.values().filter_map(EnginePasses::next_end);
--- a/crates/placement/src/fleet.rs
+++ b/crates/placement/src/fleet.rs
@@ -8,7 +8,7 @@
 use oriolepass_units::{EndpointStart, MonotonicTime, ServiceName};
 
 use crate::choice::{Candidate, Job, best_group, reserves, without_backlog};
-use crate::cost::{EngineView, Neighbour, ReadCost, millis, patience_ms};
+use crate::cost::{EngineView, Neighbour, ReadCost, WaitingPart, millis, patience_ms};
 use crate::crowd::is_crowded_out;
 use crate::demand::DemandMeter;
 use crate::farm::EngineFarm;
@@ -182,9 +182,12 @@
         let usable = scope.narrow(self.usable(now, ask), self.is_short(ask));
         let meter = self.demand.entry(ask.service.clone()).or_default();
         let helped_share = meter.long_demand(time_ms(now)).helped_share(usable.len());
+        // Short prompts are never helped, so they delay nobody's reading.
+        let firsts =
+            if self.is_short(ask) { BTreeMap::new() } else { self.farm.first_events(time_ms(now)) };
         let views: Vec<(EndpointStart, EngineView)> = usable
             .into_iter()
-            .filter_map(|endpoint| self.view(now, endpoint, helped_share))
+            .filter_map(|endpoint| self.view(now, endpoint, helped_share, &firsts))
             .collect();
         let Some(profile) = views.first().map(|(e, _)| Arc::clone(&self.engines[e].facts.profile))
         else {
@@ -260,6 +263,7 @@
         now: MonotonicTime,
         endpoint: EndpointStart,
         helped_share: f64,
+        firsts: &BTreeMap<PromptKey, f64>,
     ) -> Option<(EndpointStart, EngineView)> {
         let now_ms = time_ms(now);
         let entry = self.engines.get(&endpoint)?;
@@ -270,19 +274,39 @@
                 value: placed.value,
                 pause_ms: placed.pause_ms.max(1.0),
                 patience_ms: placed.patience_ms,
-                due_in_ms: (!placed.has_begun).then_some(placed.due_ms - now_ms),
+                has_begun: placed.has_begun,
                 is_spoiled: placed.is_spoiled,
                 is_short: placed.is_short,
                 is_suspect: placed.is_suspect,
             })
         };
         let neighbours = entry.mains.iter().filter_map(neighbour).collect();
+        let residual_ms = engine.residual_ms(now_ms);
+        let waiting_part = |(key, read_ms): (PromptKey, f64)| {
+            let placed = self.placed.get(&key)?;
+            Some(WaitingPart {
+                key,
+                value: placed.value,
+                read_in_ms: residual_ms + read_ms,
+                first_in_ms: *firsts.get(&key)?,
+                due_in_ms: placed.due_ms - now_ms,
+            })
+        };
+        let waiting = engine.unread_parts().filter_map(waiting_part).collect();
         let profile = &entry.facts.profile;
         let usable_tokens = (profile.memory_tokens as f64 * MEMORY_SHARE) as u64;
         let slots = profile.slots as usize;
         Some((
             endpoint,
-            EngineView::new(engine, now_ms, slots, usable_tokens, neighbours, helped_share),
+            EngineView::new(
+                engine,
+                now_ms,
+                slots,
+                usable_tokens,
+                neighbours,
+                waiting,
+                helped_share,
+            ),
         ))
     }
 
--- a/crates/placement/src/passes.rs
+++ b/crates/placement/src/passes.rs
@@ -44,7 +44,6 @@
     key: PromptKey,
     left_tokens: f64,
     ms_per_token: f64,
-    is_helper: bool,
 }
 
 #[derive(Debug, Clone)]
@@ -141,15 +140,19 @@
     /// Returns how long the reading takes that no pass has begun with yet, in milliseconds.
     pub fn unread_ms(&self) -> f64 {
         let begun: f64 = self.reading.iter().map(|r| r.left_tokens * r.ms_per_token).sum();
-        let waiting: f64 =
-            self.queue.iter().map(|prompt| self.part(prompt, false).whole_ms()).sum();
+        let waiting: f64 = self.queue.iter().map(|prompt| self.part(prompt).whole_ms()).sum();
         begun + waiting
     }
 
-    /// Returns the part of that which helpers' parts take.
-    pub fn unread_helpers_ms(&self) -> f64 {
-        let helpers = self.reading.iter().filter(|read| read.is_helper);
-        helpers.map(PassReading::whole_ms).sum()
+    /// Returns the prompts of which something is to be read here, and when that has been read, in
+    /// milliseconds of reading from now.
+    pub fn unread_parts(&self) -> impl Iterator<Item = (PromptKey, f64)> {
+        let waiting = self.queue.iter().map(|prompt| self.part(prompt));
+        let parts = self.reading.iter().cloned().chain(waiting);
+        parts.scan(0.0, |read_ms, part| {
+            *read_ms += part.whole_ms();
+            Some((part.key, *read_ms))
+        })
     }
 
     /// Returns how long a pass takes in which nothing is read, once what is being read now
@@ -239,9 +242,8 @@
 
     /// Takes a part of a prompt in as a helper.
     pub fn help(&mut self, now_ms: f64, prompt: &PassPrompt) {
-        let part = self.part(prompt, true);
-        let at = self.reading.iter().position(|read| !read.is_helper);
-        self.reading.insert(at.unwrap_or(self.reading.len()), part);
+        // An engine reads a part ahead of all other reading, earlier parts included.
+        self.reading.insert(0, self.part(prompt));
         self.wake(now_ms);
     }
 
@@ -296,7 +298,7 @@
                 return;
             }
             let Some(prompt) = self.queue.pop_front() else { return };
-            self.reading.push(self.part(&prompt, false));
+            self.reading.push(self.part(&prompt));
             self.answers.push(PassAnswer {
                 left_tokens: prompt.answer_tokens as f64,
                 is_writing: false,
@@ -305,14 +307,14 @@
         }
     }
 
-    fn part(&self, prompt: &PassPrompt, is_helper: bool) -> PassReading {
+    fn part(&self, prompt: &PassPrompt) -> PassReading {
         let parts = f64::from(prompt.parts.max(1));
         let whole = prompt.prompt_tokens as f64;
         let tokens = (whole / parts).max(1.0);
         let pairs_m = whole * whole / 2.0 / 1e6 / parts;
         let ms = tokens / self.profile.read_tokens_per_s * 1_000.0
             + pairs_m * self.profile.read_ms_per_million_pairs;
-        PassReading { key: prompt.key, left_tokens: tokens, ms_per_token: ms / tokens, is_helper }
+        PassReading { key: prompt.key, left_tokens: tokens, ms_per_token: ms / tokens }
     }
 
     fn start_pass(&mut self, now_ms: f64) {
