--- a/crates/placement/src/choice.rs
+++ b/crates/placement/src/choice.rs
@@ -78,8 +78,8 @@
     score: f64,
 }
 
-/// Finds the best group of one size: its members are those that a part disturbs least, and the
-/// one among them that is best for writing receives the request.
+/// Finds the best group of one size: the engine that is best for writing, which receives the request, and
+/// helpers among those that a part disturbs least.
 fn best_of_size(
     job: &Job<'_>,
     views: &[(EndpointStart, EngineView)],
@@ -103,8 +103,11 @@
         })
         .collect();
     scored.sort_by(|left, right| left.score.total_cmp(&right.score));
+    // The one that writes, then those that a part disturbs least.
+    let main_at = choose_main(job, &scored)?;
+    scored[..=main_at].rotate_right(1);
     scored.truncate(size);
-    let main = choose_main(job.ask, &scored)?;
+    let main = scored.first()?;
     if !can_hold(job.ask, &scored, main) {
         return None;
     }
@@ -114,7 +117,7 @@
         .fold(0.0, f64::max)
         + memory_wait_ms(job.ask, &scored, main);
     let damage: f64 = scored.iter().map(|s| s.damage).sum();
-    let delays = delays(part_ms, scored.iter().filter(|s| s.endpoint != main.endpoint));
+    let delays = delays(part_ms, &scored[1..]);
     let short = if job.cost.is_short() { main.view.short_answer_cost() } else { 0.0 };
     let taken = scored.iter().filter(|s| s.view.is_clear());
     let blocked: Vec<f64> = taken.map(|s| s.view.blocked_ms(part_ms, job.cap_ms)).collect();
@@ -139,9 +142,9 @@
 
 /// Returns what prompts that wait for their first event lose by the parts of helpers. A prompt's first event
 /// follows the last of its parts, so the longest delay counts and not each.
-fn delays<'a, 'b: 'a>(part_ms: f64, helpers: impl Iterator<Item = &'a Scored<'b>>) -> f64 {
+fn delays(part_ms: f64, helpers: &[Scored<'_>]) -> f64 {
     let mut longest: BTreeMap<PromptKey, f64> = BTreeMap::new();
-    for (key, loss) in helpers.flat_map(|helper| helper.view.delays(part_ms)) {
+    for (key, loss) in helpers.iter().flat_map(|helper| helper.view.delays(part_ms)) {
         let most = longest.entry(key).or_default();
         *most = most.max(loss);
     }
@@ -175,15 +178,24 @@
     if ask.prompt_tokens + ask.max_answer_tokens > free { MEMORY_WAIT_MS } else { 0.0 }
 }
 
-/// Chooses the member that writes: one with memory for the whole, and few answers.
-fn choose_main<'a, 'b>(ask: &PromptAsk, members: &'b [Scored<'a>]) -> Option<&'b Scored<'a>> {
-    let need = ask.prompt_tokens + ask.max_answer_tokens;
+/// What an engine is worse by that lacks the memory to write, beyond any loss.
+const LACKS_MEMORY: f64 = 1e6;
+
+/// Chooses the engine that writes, and returns its index: one with memory for the whole, where most answers
+/// are written already. Answers gather on few engines, so that long parts are read where they disturb nobody.
+fn choose_main(job: &Job<'_>, engines: &[Scored<'_>]) -> Option<usize> {
+    let need = job.ask.prompt_tokens + job.ask.max_answer_tokens;
     let badness = |s: &Scored<'_>| {
-        let lacks = if need > s.view.free_tokens { 1e6 } else { 0.0 };
-        let disturbs = s.view.neighbours.iter().filter(|n| n.is_short).count();
-        lacks + s.view.room_in_ms + (s.view.load + 4 * disturbs) as f64
+        let lacks = if need > s.view.free_tokens { LACKS_MEMORY } else { 0.0 };
+        // The score of a short prompt counts it already.
+        let answer = if job.cost.is_short() { 0.0 } else { s.view.long_answer_cost() };
+        let wait = s.view.room_in_ms / millis(job.ask.whole_objective).max(1.0);
+        lacks + s.score + answer + wait
+    };
+    let least = |(_, left): &(usize, &Scored<'_>), (_, right): &(usize, &Scored<'_>)| {
+        badness(left).total_cmp(&badness(right))
     };
-    members.iter().min_by(|left, right| badness(left).total_cmp(&badness(right)))
+    engines.iter().enumerate().min_by(least).map(|(at, _)| at)
 }
 
 /// Divides a prompt that the main engine's memory cannot hold among the group's engines, by
