Failing test: parts are put before a prompt that is about to write

What is not read by then makes the first pause of the answer. Figures: the test puts a part of 770 ms on an engine that writes 80 ms later.

--- a/crates/placement/tests/long_surges.rs
+++ b/crates/placement/tests/long_surges.rs
@@ -113,3 +113,18 @@
     assert_eq!(disturbed, 0, "no part is read beside an answer");
     assert!(long.helpers.len() >= 7, "{} helpers", long.helpers.len());
 }
+
+/// Engines of which a third is idle while the others read a long prompt.
+const FEW_ENGINES: usize = 24;
+
+#[test]
+fn a_prompt_that_is_about_to_write_is_not_put_behind_parts_that_come_meanwhile() {
+    let mut fleet = common::fleet(FEW_ENGINES, &common::profile(12, 52));
+    let first = place(&mut fleet, 0, 1, 300_000);
+    assert_eq!(first.helpers.len() + 1, MOST_PARTS, "many engines read it");
+    // Its first event is due in some 80 ms; a part of the next one takes 770 ms, nearly a whole pause.
+    let next = place(&mut fleet, 250, 2, 480_000);
+    let disturbs = next.helpers.iter().any(|helper| helper.endpoint == first.main);
+    assert!(next.main != first.main && !disturbs, "it writes on {}", first.main);
+    assert_eq!(next.helpers.len() + 1, MOST_PARTS, "there are enough others");
+}
