--- a/crates/gateway/src/front/sends.rs
+++ b/crates/gateway/src/front/sends.rs
@@ -222,9 +222,6 @@
     let endpoint = culprit.unwrap_or_else(|| placement.endpoint.clone());
     if status == StatusCode::MISDIRECTED_REQUEST && endpoint == placement.endpoint {
         gateway.endpoint_displaced(&endpoint);
-    } else if endpoint != placement.endpoint {
-        // A helper that cannot help is gone or leaving: until that is heard, each long prompt would try it.
-        endpoint_failed(gateway, request, &endpoint, FaultKind::Unreachable);
     } else {
         endpoint_failed(gateway, request, &endpoint, FaultKind::Full);
     }
