Parts that are left when a prompt begins to write make its first pause

In a surge of long prompts parts come faster than they are read; what is left when the prompt begins is read in its first pause, 0.8 to 1.9 s where 0.8 s are allowed. Change: for a prompt that has not begun, the price is by the pause from its expected first event on: what the engine still has to read then, the new part among it, and a pass.

--- a/crates/placement/src/cost.rs
+++ b/crates/placement/src/cost.rs
@@ -105,6 +105,8 @@
     /// How long its caller waits for the next event.
     pub(crate) patience_ms: f64,
     pub(crate) has_begun: bool,
+    /// When its first event is expected, in milliseconds from now; 0 where it has come or all is read.
+    pub(crate) begins_in_ms: f64,
     pub(crate) is_spoiled: bool,
     pub(crate) is_short: bool,
     /// Whether engines have ended under it.
@@ -199,27 +201,50 @@
         self.residual_ms + self.room_in_ms + (reading + passes * self.writing_pass_ms) / own_time
     }
 
+    /// Returns the first pause of an answer that begins `from_ms` from now, with `part_ms` more to read here:
+    /// it lasts until all has been read that is left then, and a pass is written.
+    fn first_pause_ms(&self, from_ms: f64, part_ms: f64, cap_ms: f64) -> f64 {
+        let left_ms = (self.residual_ms + self.unread_ms + part_ms - from_ms).max(0.0);
+        self.writing_pass_ms + left_ms.min(cap_ms)
+    }
+
+    /// Returns by how much a part more to read, a helper's or a prompt's own, makes a pause of a neighbour
+    /// later.
+    fn pause_lateness(
+        &self,
+        neighbour: &Neighbour,
+        part_ms: f64,
+        cap_ms: f64,
+        is_helper: bool,
+    ) -> f64 {
+        let late = |pass_ms: f64| late_share(pass_ms / neighbour.pause_ms);
+        if neighbour.is_spoiled {
+            return 0.0;
+        }
+        if neighbour.has_begun {
+            return late(self.next_pass_ms(part_ms, cap_ms)) - late(self.next_pass_ms(0.0, cap_ms));
+        }
+        // A prompt's own part is read last, while the others write.
+        if !is_helper {
+            return late(self.writing_pass_ms + part_ms.min(cap_ms));
+        }
+        let from_ms = neighbour.begins_in_ms;
+        late(self.first_pause_ms(from_ms, part_ms, cap_ms))
+            - late(self.first_pause_ms(from_ms, 0.0, cap_ms))
+    }
+
     /// Returns what the answers here lose by the pauses that a part more to read makes, which is a helper's
     /// or a prompt's own.
     pub(crate) fn damage(&self, part_ms: f64, cap_ms: f64, is_helper: bool) -> f64 {
         let (before, after) = (self.next_pass_ms(0.0, cap_ms), self.next_pass_ms(part_ms, cap_ms));
-        let late = |neighbour: &Neighbour| {
-            let pause = neighbour.pause_ms;
-            match neighbour.has_begun {
-                _ if neighbour.is_spoiled => 0.0,
-                true => late_share(after / pause) - late_share(before / pause),
-                // A helper's part has been read before it begins; a prompt's own is read while it writes.
-                false if is_helper => 0.0,
-                false => late_share((self.writing_pass_ms + part_ms.min(cap_ms)) / pause),
-            }
-        };
         // What is late already can still be lost, when its caller leaves in a gap.
         let left = |neighbour: &Neighbour| {
             let patience = neighbour.patience_ms;
             late_share(after / patience) - late_share(before / patience)
         };
         let loss = |neighbour: &Neighbour| {
-            (late(neighbour) * LATE_LOSS + left(neighbour) * (1.0 - LATE_LOSS)) * neighbour.value
+            let late = self.pause_lateness(neighbour, part_ms, cap_ms, is_helper);
+            (late * LATE_LOSS + left(neighbour) * (1.0 - LATE_LOSS)) * neighbour.value
         };
         self.neighbours.iter().map(loss).sum()
     }
--- a/crates/placement/src/fleet.rs
+++ b/crates/placement/src/fleet.rs
@@ -275,6 +275,7 @@
                 pause_ms: placed.pause_ms.max(1.0),
                 patience_ms: placed.patience_ms,
                 has_begun: placed.has_begun,
+                begins_in_ms: firsts.get(key).copied().unwrap_or_default(),
                 is_spoiled: placed.is_spoiled,
                 is_short: placed.is_short,
                 is_suspect: placed.is_suspect,
