--- a/crates/placement/tests/common/mod.rs
+++ b/crates/placement/tests/common/mod.rs
@@ -1,8 +1,9 @@
-//! Engines as the users' platform publishes them.
+//! Engines as the users' platform publishes them, and prompts for them.
 
 use std::sync::Arc;
+use std::time::Duration;
 
-use oriolepass_placement::{EngineFacts, EngineFleet};
+use oriolepass_placement::{EngineFacts, EngineFleet, PromptAsk, PromptKey};
 use oriolepass_routing::EngineProfile;
 use oriolepass_units::EndpointStart;
 
@@ -39,3 +40,22 @@
     fleet.update((0..engines).map(facts).collect());
     fleet
 }
+
+/// A prompt that has just come and does not wait for engines, with the longest pause between its events.
+pub fn prompt(key: PromptKey, prompt_tokens: u64, objective_ms: u64, pause_ms: u64) -> PromptAsk {
+    let objective = Duration::from_millis(objective_ms);
+    PromptAsk {
+        key,
+        service: "engines".parse().unwrap(),
+        prompt_tokens,
+        answer_tokens: 1_600,
+        max_answer_tokens: 3_200,
+        objective,
+        whole_objective: objective,
+        pause: Duration::from_millis(pause_ms),
+        deadline: Duration::from_secs(10),
+        patience: Duration::ZERO,
+        avoid: Vec::new(),
+        is_suspect: false,
+    }
+}
--- a/crates/placement/tests/long_surges.rs
+++ b/crates/placement/tests/long_surges.rs
@@ -37,22 +37,10 @@
 
 /// A prompt of middle size, 500 ms between events, or a long one, 800 ms.
 fn ask(number: u64, prompt_tokens: u64) -> PromptAsk {
-    let is_long = prompt_tokens > 100_000;
-    let objective = Duration::from_millis(if is_long { 4_000 } else { 1_500 });
-    PromptAsk {
-        key: key(number),
-        service: "engines".parse().unwrap(),
-        prompt_tokens,
-        answer_tokens: 1_000,
-        max_answer_tokens: 2_000,
-        objective,
-        whole_objective: objective,
-        pause: Duration::from_millis(if is_long { 800 } else { 500 }),
-        deadline: Duration::from_secs(10),
-        patience: Duration::ZERO,
-        avoid: Vec::new(),
-        is_suspect: false,
-    }
+    let (objective_ms, pause_ms) =
+        if prompt_tokens > 100_000 { (4_000, 800) } else { (1_500, 500) };
+    let prompt = common::prompt(key(number), prompt_tokens, objective_ms, pause_ms);
+    PromptAsk { answer_tokens: 1_000, max_answer_tokens: 2_000, ..prompt }
 }
 
 fn place(fleet: &mut EngineFleet, now_ms: u64, number: u64, prompt_tokens: u64) -> PromptPlan {
--- a/crates/placement/tests/placing.rs
+++ b/crates/placement/tests/placing.rs
@@ -31,22 +31,9 @@
 }
 
 fn ask(number: u64, prompt_tokens: u64) -> PromptAsk {
-    let is_short = prompt_tokens < 20_000;
-    let objective = Duration::from_millis(if is_short { 300 } else { 3_000 });
-    PromptAsk {
-        key: key(number),
-        service: "engines".parse().unwrap(),
-        prompt_tokens,
-        answer_tokens: 1_600,
-        max_answer_tokens: 3_200,
-        objective,
-        whole_objective: objective,
-        pause: Duration::from_millis(if is_short { 200 } else { 800 }),
-        deadline: Duration::from_secs(15),
-        patience: Duration::ZERO,
-        avoid: Vec::new(),
-        is_suspect: false,
-    }
+    let (objective_ms, pause_ms) = if prompt_tokens < 20_000 { (300, 200) } else { (3_000, 800) };
+    let prompt = common::prompt(key(number), prompt_tokens, objective_ms, pause_ms);
+    PromptAsk { deadline: Duration::from_secs(15), ..prompt }
 }
 
 #[test]
--- a/crates/placement/tests/suspects.rs
+++ b/crates/placement/tests/suspects.rs
@@ -22,20 +22,8 @@
 }
 
 fn ask(number: u64, prompt_tokens: u64, is_suspect: bool) -> PromptAsk {
-    PromptAsk {
-        key: PromptKey { entry: 1, number },
-        service: "engines".parse().unwrap(),
-        prompt_tokens,
-        answer_tokens: 1_600,
-        max_answer_tokens: 3_200,
-        objective: Duration::from_millis(300),
-        whole_objective: Duration::from_millis(300),
-        pause: Duration::from_millis(200),
-        deadline: Duration::from_secs(10),
-        patience: Duration::ZERO,
-        avoid: Vec::new(),
-        is_suspect,
-    }
+    let key = PromptKey { entry: 1, number };
+    PromptAsk { is_suspect, ..common::prompt(key, prompt_tokens, 300, 200) }
 }
 
 fn place(
--- a/crates/placement/tests/without_a_home.rs
+++ b/crates/placement/tests/without_a_home.rs
@@ -7,7 +7,6 @@
 mod common;
 
 use std::collections::BTreeMap;
-use std::time::Duration;
 
 use oriolepass_placement::{EngineCell, EngineFleet, EngineScope, PromptAsk, PromptKey};
 use oriolepass_units::{EndpointStart, MonotonicTime};
@@ -20,22 +19,10 @@
 }
 
 fn ask(entry: u64, number: u64, prompt_tokens: u64) -> PromptAsk {
-    let is_short = prompt_tokens < 20_000;
-    let objective = Duration::from_millis(if is_short { 300 } else { 4_000 });
-    PromptAsk {
-        key: PromptKey { entry, number },
-        service: "engines".parse().unwrap(),
-        prompt_tokens,
-        answer_tokens: 1_700,
-        max_answer_tokens: 3_400,
-        objective,
-        whole_objective: objective,
-        pause: Duration::from_millis(if is_short { 250 } else { 1_000 }),
-        deadline: Duration::from_secs(10),
-        patience: Duration::ZERO,
-        avoid: Vec::new(),
-        is_suspect: false,
-    }
+    let (objective_ms, pause_ms) = if prompt_tokens < 20_000 { (300, 250) } else { (4_000, 1_000) };
+    let key = PromptKey { entry, number };
+    let prompt = common::prompt(key, prompt_tokens, objective_ms, pause_ms);
+    PromptAsk { answer_tokens: 1_700, max_answer_tokens: 3_400, ..prompt }
 }
 
 fn draw(state: &mut u64) -> u64 {
