Let operators drain and restore data centres

The leader sends the drained data centres to all daemons when they change. Each proof that the routing document is current also carries them, so a daemon that missed the message is as up to date as its document. A command is acknowledged if the data centre is in the requested state already. A delayed command does not undo a later one: it carries the newest revision at the time of its arrival, and is dropped if the data centre has changed since.

--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -7,7 +7,7 @@
 use bpaf::{OptionParser, Parser, construct, long, positional};
 use oriolepass_quarantine::RequestDigest;
 use oriolepass_schema::operator::ObjectKind;
-use oriolepass_units::{InstanceId, ObjectRevision};
+use oriolepass_units::{DataCentreId, InstanceId, ObjectRevision};
 
 /// What every command needs.
 #[derive(Debug, Clone)]
@@ -39,6 +39,14 @@
     Timeline { logs: Vec<PathBuf> },
     Losses { logs: Vec<PathBuf> },
     Quarantine { release: Option<RequestDigest> },
+    DataCentres { action: Option<DrainAction> },
+}
+
+/// A change to the set of drained data centres.
+#[derive(Debug, Clone)]
+pub(crate) enum DrainAction {
+    Drain(DataCentreId),
+    Restore(DataCentreId),
 }
 
 /// The whole command line.
@@ -130,6 +138,21 @@
             .descr("List requests that end their endpoints; --daemon names a gateway's metrics address")
             .command("quarantine")
     };
+    let data_centres = {
+        let drain = long("drain")
+            .help("Stop sending requests to the endpoints of this data centre")
+            .argument::<DataCentreId>("DATA-CENTRE")
+            .map(DrainAction::Drain);
+        let restore = long("restore")
+            .help("Send requests to the endpoints of this data centre again")
+            .argument::<DataCentreId>("DATA-CENTRE")
+            .map(DrainAction::Restore);
+        let action = construct!([drain, restore]).optional();
+        construct!(Command::DataCentres { action })
+            .to_options()
+            .descr("List drained data centres, or drain or restore one; --daemon names a gateway's metrics address")
+            .command("data-centres")
+    };
     let apply = {
         let dry_run = long("dry-run").help("Show the differences and change nothing").switch();
         let wait = long("wait").help("Wait until the changes are in force everywhere").switch();
@@ -207,7 +230,22 @@
         .descr("Print the hash of the key, for use in objects")
         .command("hash-key");
     construct!([
-        explain, timeline, losses, quarantine, apply, get, list, delete, history, audit, status,
-        top, wait, drain, voters, hash_key
+        explain,
+        timeline,
+        losses,
+        quarantine,
+        data_centres,
+        apply,
+        get,
+        list,
+        delete,
+        history,
+        audit,
+        status,
+        top,
+        wait,
+        drain,
+        voters,
+        hash_key
     ])
 }
--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -1,6 +1,7 @@
 //! What the commands do: queries in one place, changes in another.
 
 mod apply;
+mod data_centres;
 mod explain;
 mod log_lines;
 mod losses;
@@ -28,6 +29,10 @@
             let client = OperatorClient::new(common.daemons, String::new());
             return quarantine::quarantine(&client, *release, common.json).await;
         }
+        Command::DataCentres { action } => {
+            let client = OperatorClient::new(common.daemons, String::new());
+            return data_centres::data_centres(&client, action.as_ref(), common.json).await;
+        }
         _ => {}
     }
     let key = read_key(&common)?;
@@ -66,7 +71,8 @@
         | Command::Explain { .. }
         | Command::Timeline { .. }
         | Command::Losses { .. }
-        | Command::Quarantine { .. } => Ok(()),
+        | Command::Quarantine { .. }
+        | Command::DataCentres { .. } => Ok(()),
     }
 }
 
--- a/crates/gateway/src/cluster.rs
+++ b/crates/gateway/src/cluster.rs
@@ -333,6 +333,14 @@
             PeerMessage::ProposeAnswer { token, verdict } => {
                 gateway.answer_call(token, PeerReply::Proposed(verdict));
             }
+            PeerMessage::ProposeDrain { token, command } => {
+                let proposer = Proposer { instance: from.clone(), token };
+                gateway.propose_drain_here(command, &proposer);
+            }
+            PeerMessage::ProposeDrainAnswer { token, verdict } => {
+                gateway.answer_call(token, PeerReply::Drained(verdict));
+            }
+            PeerMessage::Drains(drains) => gateway.adopt_drains(&drains),
             PeerMessage::Endpoints(notices) => gateway.on_endpoint_notices(from, notices),
             PeerMessage::EndpointsRelayed(notices) => gateway.on_relayed_notices(from, notices),
             PeerMessage::EndpointsLeft(endpoints) => gateway.on_endpoints_left(from, &endpoints),
--- a/crates/gateway/src/documents.rs
+++ b/crates/gateway/src/documents.rs
@@ -16,8 +16,8 @@
 use crate::gateway::{Gateway, PeerReply};
 use crate::gossip::{DocumentSpread, RelayGroup, relay_groups};
 use crate::home::HOME_PATIENCE;
-use crate::peers::{DocumentVerdict, FreshVerdict, PeerMessage};
-use crate::replica::{ProposalEnd, Proposer};
+use crate::peers::{DocumentVerdict, DrainVerdict, FreshVerdict, PeerMessage};
+use crate::replica::{CommandOutcome, LogCommand, ProposalEnd, Proposer};
 
 /// Between two questions whether the document is current: several fit into the time that a key
 /// may outlive its removal.
@@ -40,7 +40,7 @@
 
 /// The part of the time for an acknowledgement that is used before the operator is told to try
 /// again.
-const ACKNOWLEDGE_SHARE: f64 = 0.75;
+pub(crate) const ACKNOWLEDGE_SHARE: f64 = 0.75;
 
 /// The leader acknowledges a document at the latest this long after the log holds it, whoever
 /// has not confirmed it; far below the time in which it has to be in force everywhere.
@@ -50,10 +50,10 @@
 const CONFIRMED_BY: Duration = Duration::from_millis(1_300);
 
 /// The pause before a proposal is tried again.
-const PROPOSE_AGAIN: Duration = Duration::from_millis(80);
+pub(crate) const PROPOSE_AGAIN: Duration = Duration::from_millis(80);
 
 /// How long one try of a proposal may take.
-const PROPOSE_PATIENCE: Duration = Duration::from_millis(1_500);
+pub(crate) const PROPOSE_PATIENCE: Duration = Duration::from_millis(1_500);
 
 /// How long a reader of the document is kept waiting before it is told to try again.
 const READ_PATIENCE: Duration = Duration::from_millis(900);
@@ -223,7 +223,10 @@
     /// Asks once; returns whether the leader was sure.
     async fn prove_once(&self) -> bool {
         let asked = self.now();
-        let Some(FreshVerdict::Newest(newest)) = self.ask_newest().await else { return false };
+        let Some(FreshVerdict::Newest(newest, drains)) = self.ask_newest().await else {
+            return false;
+        };
+        self.adopt_drains(&drains);
         let mut documents = self.documents.borrow_mut();
         match newest {
             Some(newest) if documents.revision() < Some(newest) => {
@@ -237,7 +240,7 @@
     }
 
     /// Asks the leader which document is the newest.
-    async fn ask_newest(&self) -> Option<FreshVerdict> {
+    pub(crate) async fn ask_newest(&self) -> Option<FreshVerdict> {
         let leader = self.leader_instance()?;
         if leader == self.own {
             return Some(self.fresh_verdict());
@@ -266,8 +269,11 @@
     /// Answers, as the leader, which document is the newest.
     pub(crate) fn fresh_verdict(&self) -> FreshVerdict {
         let replica = self.replica.borrow();
-        match replica.as_ref().and_then(|replica| replica.newest_as_leader(self.now())) {
-            Some(newest) => FreshVerdict::Newest(newest.map(|text| text.revision)),
+        match replica.as_ref().and_then(|replica| replica.state_as_leader(self.now())) {
+            Some(state) => {
+                let newest = state.newest_document().map(|text| text.revision);
+                FreshVerdict::Newest(newest, state.drains().clone())
+            }
             None => FreshVerdict::NotLeader,
         }
     }
@@ -280,7 +286,7 @@
         held: Option<RoutingRevision>,
     ) {
         let verdict = self.fresh_verdict();
-        if let FreshVerdict::Newest(newest) = verdict {
+        if let FreshVerdict::Newest(newest, _) = verdict {
             if let Some(held) = held {
                 self.note_in_force(from, held);
             }
@@ -381,8 +387,8 @@
         let now = self.now();
         let held = {
             let replica = self.replica.borrow();
-            let newest = replica.as_ref().and_then(|replica| replica.newest_as_leader(now));
-            newest.flatten().map(|newest| newest.revision)
+            let state = replica.as_ref().and_then(|replica| replica.state_as_leader(now));
+            state.and_then(|state| state.newest_document()).map(|newest| newest.revision)
         };
         if let Some(held) = held.filter(|held| *held >= text.revision) {
             let verdict = DocumentVerdict::Done(RegisterOutcome::Superseded { held });
@@ -390,7 +396,9 @@
             return;
         }
         let refused = match self.replica.borrow_mut().as_mut() {
-            Some(replica) => replica.propose(text, proposer.clone()).err(),
+            Some(replica) => {
+                replica.propose(&LogCommand::Document(text.clone()), proposer.clone()).err()
+            }
             None => Some(None),
         };
         match refused {
@@ -410,11 +418,15 @@
         }
     }
 
-    /// Tells a proposer what became of its document, once the daemons in reach have it in force.
+    /// Reports the outcome of a command to its proposer; for an accepted document, once the
+    /// reachable daemons have it in force or `CONFIRM_PATIENCE` has passed.
     pub(crate) fn end_proposal(self: &Rc<Self>, proposer: Proposer, end: &ProposalEnd) {
         match *end {
             ProposalEnd::Lost => self.answer_proposer(&proposer, DocumentVerdict::Lost),
-            ProposalEnd::Done(outcome, revision) => {
+            ProposalEnd::Done(CommandOutcome::Drain(outcome)) => {
+                self.answer_drain(&proposer, DrainVerdict::Done(outcome));
+            }
+            ProposalEnd::Done(CommandOutcome::Document(outcome, revision)) => {
                 let gateway = Rc::clone(self);
                 tokio::task::spawn_local(async move {
                     if outcome == RegisterOutcome::Accepted {
@@ -465,7 +477,7 @@
     async fn read_newest(&self) -> Option<RoutingText> {
         let newest = loop {
             match self.ask_newest().await {
-                Some(FreshVerdict::Newest(newest)) => break newest?,
+                Some(FreshVerdict::Newest(newest, _)) => break newest?,
                 _ => sleep(PROPOSE_AGAIN).await,
             }
         };
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -91,6 +91,8 @@
     entries: BTreeMap<EndpointStart, EndpointEntry>,
     left: BTreeSet<EndpointStart>,
     left_order: VecDeque<(MonotonicTime, EndpointStart)>,
+    /// Data centres whose endpoints get no new requests.
+    drained: BTreeSet<DataCentreId>,
     generation: u64,
     /// The time of the last heartbeat taken in, which changes are dated by.
     latest: MonotonicTime,
@@ -217,7 +219,7 @@
         &'a self,
         service: &'a ServiceName,
     ) -> impl Iterator<Item = &'a EndpointBeat> {
-        self.all().filter(move |b| b.service == *service && b.phase == EndpointPhase::Serving)
+        self.all().filter(move |beat| beat.service == *service && self.is_eligible(beat))
     }
 
     /// Returns all endpoints.
@@ -228,7 +230,23 @@
     /// Returns an endpoint if it takes new work.
     pub fn takes_work(&self, endpoint: &EndpointStart) -> Option<&EndpointBeat> {
         let entry = self.entries.get(endpoint)?;
-        (entry.beat.phase == EndpointPhase::Serving).then_some(&entry.beat)
+        self.is_eligible(&entry.beat).then_some(&entry.beat)
+    }
+
+    fn is_eligible(&self, beat: &EndpointBeat) -> bool {
+        beat.phase == EndpointPhase::Serving && !self.drained.contains(&beat.data_centre)
+    }
+
+    /// Returns whether an endpoint is known and serving, also in a drained data centre.
+    pub fn is_serving(&self, endpoint: &EndpointStart) -> bool {
+        let entry = self.entries.get(endpoint);
+        entry.is_some_and(|entry| entry.beat.phase == EndpointPhase::Serving)
+    }
+
+    /// Replaces the set of data centres whose endpoints get no new requests.
+    pub fn set_drained(&mut self, drained: BTreeSet<DataCentreId>) {
+        self.drained = drained;
+        self.generation += 1;
     }
 
     /// Returns the endpoint at an address; where several starts are known, the one heard last.
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -67,6 +67,8 @@
     Document = "document";
     /// A routing document is in force here.
     InForce = "in-force";
+    /// An operator asked to drain or restore a data centre, or the drained data centres in force here have changed.
+    DataCentreDrain = "data-centre-drain";
     /// Proof that the routing document is current was lost or regained.
     Freshness = "freshness";
     /// An endpoint was met, changed its state, left, or was forgotten.
--- a/crates/gateway/src/front/ends.rs
+++ b/crates/gateway/src/front/ends.rs
@@ -66,7 +66,7 @@
 }
 
 async fn look(gateway: &Gateway, endpoint: &EndpointStart, address: SocketAddr) -> EndLook {
-    if gateway.endpoints.borrow().takes_work(endpoint).is_none() {
+    if !gateway.endpoints.borrow().is_serving(endpoint) {
         return EndLook::Left;
     }
     match timeout(LOOK_PATIENCE, net::connect(address, None)).await {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use oriolepass_routing::DrainRegister;
 use oriolepass_settings::GatewaySettings;
 use oriolepass_units::{InstanceId, LeaderTerm, MonotonicTime};
 use tokio::sync::{Notify, oneshot, watch};
@@ -23,7 +24,9 @@
 use crate::lifecycle::Lifecycle;
 use crate::metrics::GatewayMetrics;
 use crate::peer_changes::PeerChanges;
-use crate::peers::{DocumentVerdict, FreshVerdict, PeerMesh, PeerMessage, PlaceVerdict};
+use crate::peers::{
+    DocumentVerdict, DrainVerdict, FreshVerdict, PeerMesh, PeerMessage, PlaceVerdict,
+};
 use crate::quarantine::QuarantineState;
 use crate::replica::ReplicaDriver;
 use crate::roster::{DaemonNote, DaemonRoster};
@@ -32,6 +35,7 @@
 pub(crate) enum PeerReply {
     Fresh(FreshVerdict),
     Proposed(DocumentVerdict),
+    Drained(DrainVerdict),
     Placed(PlaceVerdict),
     SilenceExpected(bool),
 }
@@ -62,6 +66,7 @@
     pub(crate) survey: RefCell<FoundingSurvey>,
     pub(crate) leader: RefCell<Option<(LeaderTerm, InstanceId)>>,
     pub(crate) documents: RefCell<DocumentState>,
+    pub(crate) drains: RefCell<DrainRegister>,
     pub(crate) document_changed: Notify,
     pub(crate) leader_changed: Notify,
     pub(crate) endpoints: RefCell<EndpointRegistry>,
@@ -119,6 +124,7 @@
             survey: RefCell::new(FoundingSurvey::new(clock.now())),
             leader: RefCell::new(None),
             documents: RefCell::default(),
+            drains: RefCell::default(),
             document_changed: Notify::new(),
             leader_changed: Notify::new(),
             endpoints: RefCell::default(),
--- a/crates/gateway/src/home.rs
+++ b/crates/gateway/src/home.rs
@@ -18,7 +18,6 @@
 use oriolepass_units::{EndpointStart, InstanceId, MonotonicTime};
 
 use crate::deputies::{HomeWatch, deputies, deputy_for};
-use crate::endpoints::EndpointPhase;
 use crate::events::EventKind;
 use crate::gateway::{Gateway, PeerReply};
 use crate::peers::{PeerMessage, PlaceVerdict, PlacedPrompt, ProgressNote};
@@ -330,7 +329,8 @@
                 Some(EngineFacts {
                     endpoint: beat.endpoint.clone(),
                     service: beat.service.clone(),
-                    takes_work: beat.phase == EndpointPhase::Serving && (is_heard || is_good),
+                    takes_work: registry.takes_work(&beat.endpoint).is_some()
+                        && (is_heard || is_good),
                     profile: Arc::clone(profiles.get(&beat.service)?),
                 })
             })
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -37,6 +37,7 @@
 mod dialect;
 mod directory;
 mod documents;
+mod drains;
 mod endpoints;
 mod events;
 mod founding;
@@ -73,6 +74,7 @@
 };
 pub use directory::AddressAnswer;
 pub use documents::{PutError, ReadError};
+pub use drains::DrainError;
 pub use endpoints::{BeatChange, EndpointBeat, EndpointNotice, EndpointPhase, EndpointRegistry};
 pub use events::{EventKind, EventLine, EventLog};
 pub use front::{AttemptCount, EventSplitter};
--- a/crates/gateway/src/operators.rs
+++ b/crates/gateway/src/operators.rs
@@ -1,10 +1,11 @@
-//! Calls on the address for operators: metrics, and the requests that are quarantined.
+//! Calls on the address for operators: metrics, quarantined requests, drained data centres.
 
 use std::rc::Rc;
 
 use bytes::Bytes;
 use hyper::Method;
 use oriolepass_quarantine::{CaseSummary, RequestDigest, Standing};
+use oriolepass_units::DataCentreId;
 use serde_json::{Value, json};
 
 use crate::calls::{WholeAnswer, WholeCall, answer};
@@ -17,11 +18,19 @@
 /// Releases the request whose digest is the call's body.
 const RELEASE: &str = "/quarantine/release";
 
+/// Lists the drained data centres; followed by an id, drains or restores that data centre.
+const DRAINED: &str = "/data-centres/drained";
+
 /// Answers a call. Any other than these gets the metrics, whatever its path.
-pub(crate) fn answer_operator(gateway: &Rc<Gateway>, call: &WholeCall) -> WholeAnswer {
-    match (call.method(), call.uri().path()) {
-        (&Method::GET, LIST) => answer(200, list(gateway)),
-        (&Method::POST, RELEASE) => release(gateway, call.body()),
+pub(crate) async fn answer_operator(gateway: Rc<Gateway>, call: WholeCall) -> WholeAnswer {
+    let path = call.uri().path();
+    if let Some(data_centre) = path.strip_prefix(DRAINED).and_then(|rest| rest.strip_prefix('/')) {
+        return change_drain(&gateway, call.method(), data_centre).await;
+    }
+    match (call.method(), path) {
+        (&Method::GET, LIST) => answer(200, list(&gateway)),
+        (&Method::POST, RELEASE) => release(&gateway, call.body()),
+        (&Method::GET, DRAINED) => answer(200, drained_list(&gateway)),
         _ => {
             let dropped = i64::try_from(gateway.log.dropped()).unwrap_or(i64::MAX);
             gateway.metrics.lines_dropped.set(dropped);
@@ -64,3 +73,29 @@
         .text("outcome", if is_released { "released by an operator" } else { "not known" });
     answer(200, json!({ "released": is_released }).to_string())
 }
+
+fn drained_list(gateway: &Gateway) -> String {
+    let names: Vec<String> =
+        gateway.drained_data_centres().iter().map(ToString::to_string).collect();
+    json!({ "drained": names }).to_string()
+}
+
+async fn change_drain(gateway: &Rc<Gateway>, method: &Method, data_centre: &str) -> WholeAnswer {
+    let is_drained = match *method {
+        Method::POST => true,
+        Method::DELETE => false,
+        _ => return refusal(405, "use POST to drain a data centre and DELETE to restore it"),
+    };
+    let data_centre: DataCentreId = match data_centre.parse() {
+        Ok(data_centre) => data_centre,
+        Err(error) => return refusal(400, &format!("{error}")),
+    };
+    match gateway.set_data_centre_drained(&data_centre, is_drained).await {
+        Ok(()) => answer(200, drained_list(gateway)),
+        Err(error) => refusal(503, &error.to_string()),
+    }
+}
+
+fn refusal(status: u16, reason: &str) -> WholeAnswer {
+    answer(status, json!({ "error": reason }).to_string())
+}
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -5,7 +5,9 @@
 use oriolepass_consensus::Envelope;
 use oriolepass_placement::{EngineCell, PromptAsk, PromptKey, PromptPlan, SpareLack};
 use oriolepass_quarantine::CaseNews;
-use oriolepass_routing::{RegisterOutcome, RoutingRevision, RoutingText};
+use oriolepass_routing::{
+    DrainCommand, DrainOutcome, DrainRegister, RegisterOutcome, RoutingRevision, RoutingText,
+};
 use oriolepass_units::{EndpointStart, InstanceId};
 use serde::{Deserialize, Serialize};
 
@@ -14,10 +16,11 @@
 use crate::roster::DaemonNote;
 
 /// The leader's answer to a question whether a routing document is current.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum FreshVerdict {
-    /// At the time of the answer this was the newest accepted one.
-    Newest(Option<RoutingRevision>),
+    /// The revision of the newest accepted document and the drained data centres, at the time of
+    /// the answer.
+    Newest(Option<RoutingRevision>, DrainRegister),
     /// The one asked is not sure to lead.
     NotLeader,
 }
@@ -33,6 +36,15 @@
     Lost,
 }
 
+/// The leader's answer to a proposal to drain or restore a data centre.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum DrainVerdict {
+    /// The log holds it.
+    Done(DrainOutcome),
+    /// The one asked does not lead, or does not know the outcome.
+    Unknown,
+}
+
 /// A home's answer to a prompt.
 pub(crate) type PlaceVerdict = Result<PromptPlan, SpareLack>;
 
@@ -111,4 +123,10 @@
     Cases(Vec<CaseNews>),
     /// Does the receiver know the same of such requests? If not, it says what it knows.
     CaseHash { hash: u64, is_answer: bool },
+    /// Asks the leader to append this command to the log.
+    ProposeDrain { token: u64, command: DrainCommand },
+    /// The outcome of `ProposeDrain`.
+    ProposeDrainAnswer { token: u64, verdict: DrainVerdict },
+    /// The data centres that are drained.
+    Drains(DrainRegister),
 }
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -9,5 +9,6 @@
 
 pub(crate) use mesh::{MeshEvents, PeerMesh};
 pub(crate) use message::{
-    DocumentVerdict, FreshVerdict, PeerMessage, PlaceVerdict, PlacedPrompt, ProgressNote,
+    DocumentVerdict, DrainVerdict, FreshVerdict, PeerMessage, PlaceVerdict, PlacedPrompt,
+    ProgressNote,
 };
--- a/crates/gateway/src/replica/mod.rs
+++ b/crates/gateway/src/replica/mod.rs
@@ -1,6 +1,9 @@
 //! The replica of the log on a daemon with a disk: feeds the consensus node, applies what it
-//! commits to the routing register, and starts over when the disk fails.
+//! commits to the replicated state, and starts over when the disk fails.
 
+mod state;
+#[cfg(test)]
+mod state_tests;
 mod storage;
 mod watch;
 #[cfg(test)]
@@ -15,11 +18,13 @@
     ConsensusConfig, ConsensusNode, DiskId, EntryPayload, Envelope, LogEntry, NodeOutput, NodeRole,
     PersistBatch,
 };
-use oriolepass_routing::{RegisterOutcome, RoutingRegister, RoutingRevision, RoutingText};
+use oriolepass_routing::{DrainRegister, RoutingText};
 use oriolepass_storage::{RecoveredLog, StorageError, SuspectTails};
 use oriolepass_units::{InstanceId, LeaderTerm, LogIndex, MonotonicTime};
 use tokio::sync::mpsc::UnboundedSender;
 
+use state::ReplicatedState;
+pub(crate) use state::{CommandOutcome, LogCommand};
 use storage::StorageDuty;
 pub(crate) use storage::StorageReport;
 use watch::{LeaderWatch, RecoveryNote};
@@ -66,7 +71,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum ProposalEnd {
     /// The log holds it.
-    Done(RegisterOutcome, RoutingRevision),
+    Done(CommandOutcome),
     /// This replica leads no more, and cannot tell.
     Lost,
 }
@@ -77,6 +82,8 @@
     pub(crate) send: Vec<Envelope>,
     /// The newest document, if it has changed.
     pub(crate) newest: Option<RoutingText>,
+    /// The drained data centres, if they have changed.
+    pub(crate) drains: Option<DrainRegister>,
     pub(crate) ended: Vec<(Proposer, ProposalEnd)>,
 }
 
@@ -85,10 +92,10 @@
     batches: mpsc::Sender<PersistBatch>,
     /// What may be sent once a batch is synced, and when the batch was handed over.
     unsynced: VecDeque<(u64, Vec<Envelope>, MonotonicTime)>,
-    register: RoutingRegister,
+    state: ReplicatedState,
     applied: LogIndex,
     bytes_since_snapshot: usize,
-    proposals: BTreeMap<LogIndex, (LeaderTerm, RoutingRevision, Proposer)>,
+    proposals: BTreeMap<LogIndex, (LeaderTerm, Proposer)>,
 }
 
 /// What was read from the disk, before a node is made of it.
@@ -227,7 +234,7 @@
             node,
             batches,
             unsynced: VecDeque::new(),
-            register: RoutingRegister::default(),
+            state: ReplicatedState::default(),
             applied: LogIndex::ZERO,
             bytes_since_snapshot: 0,
             proposals: BTreeMap::new(),
@@ -265,7 +272,7 @@
                 let was_running = running.is_some();
                 if let Some(running) = running {
                     let lost = running.proposals.into_values();
-                    effects.ended.extend(lost.map(|(_, _, p)| (p, ProposalEnd::Lost)));
+                    effects.ended.extend(lost.map(|(_, p)| (p, ProposalEnd::Lost)));
                 }
                 self.reopen_at = now + REOPEN_AFTER;
                 (effects, Some(DiskFailure { error, was_running }))
@@ -290,23 +297,21 @@
         }
     }
 
-    /// Proposes a document; what became of it comes with a later step's effects.
+    /// Proposes a command; the outcome is among the effects of a later step.
     ///
     /// # Errors
     ///
     /// Returns the leader, if known, where this replica is not it.
     pub(crate) fn propose(
         &mut self,
-        text: &RoutingText,
+        command: &LogCommand,
         proposer: Proposer,
     ) -> Result<(), Option<InstanceId>> {
         let running = self.running.as_mut().ok_or(None)?;
-        let revision = text.revision;
-        let command: Arc<[u8]> =
-            postcard::to_stdvec(text).expect("a document always serialises").into();
+        let command: Arc<[u8]> = command.encode().into();
         match running.node.propose(command) {
             Ok((index, term)) => {
-                running.proposals.insert(index, (term, revision, proposer));
+                running.proposals.insert(index, (term, proposer));
                 Ok(())
             }
             Err(error) => Err(error.leader.map(|leader| leader.instance)),
@@ -351,26 +356,30 @@
         }
     }
 
-    /// Returns the newest document if this replica surely leads and has applied everything that
-    /// any leader has acknowledged.
-    pub(crate) fn newest_as_leader(&self, now: MonotonicTime) -> Option<Option<&RoutingText>> {
+    /// Returns the newest state if this replica holds the leader's lease and has applied everything
+    /// that any leader has acknowledged.
+    pub(crate) fn state_as_leader(&self, now: MonotonicTime) -> Option<&ReplicatedState> {
         let running = self.running.as_ref()?;
         let is_sure = running.node.holds_lease(now) && running.applied >= running.node.commit();
-        is_sure.then(|| running.register.newest())
+        is_sure.then_some(&running.state)
     }
 }
 
 impl RunningReplica {
     fn step(&mut self, now: MonotonicTime, effects: &mut ReplicaEffects) {
-        let before = self.register.revision();
+        let before = self.state.revision();
         // A snapshot taken on the way gives rise to another output.
         while self.carry_out(now, effects) {}
-        if self.register.revision() != before {
-            effects.newest = self.register.newest().cloned();
+        let after = self.state.revision();
+        if after.document != before.document {
+            effects.newest = self.state.newest_document().cloned();
+        }
+        if after.drains != before.drains {
+            effects.drains = Some(self.state.drains().clone());
         }
         if self.node.role() != NodeRole::Leader {
             let lost = std::mem::take(&mut self.proposals).into_values();
-            effects.ended.extend(lost.map(|(_, _, p)| (p, ProposalEnd::Lost)));
+            effects.ended.extend(lost.map(|(_, p)| (p, ProposalEnd::Lost)));
         }
     }
 
@@ -379,7 +388,7 @@
         let NodeOutput { send, persist, restore, committed, .. } = self.node.take_output();
         effects.send.extend(send);
         if let Some(held) = restore {
-            self.register = postcard::from_bytes(&held.data).expect("a state encoded here");
+            self.state = ReplicatedState::decode(&held.data).expect("a state encoded here");
             self.applied = self.applied.max(held.index);
         }
         for entry in committed {
@@ -392,8 +401,7 @@
         let is_due = self.bytes_since_snapshot > SNAPSHOT_BYTES || entries > SNAPSHOT_ENTRIES;
         if is_due && self.applied > self.node.base_index() {
             self.bytes_since_snapshot = 0;
-            let data = postcard::to_stdvec(&self.register).expect("a state always serialises");
-            self.node.take_snapshot(self.applied, data);
+            self.node.take_snapshot(self.applied, self.state.encode());
         }
         is_due
     }
@@ -431,16 +439,11 @@
         self.applied = entry.index;
         let EntryPayload::Command(bytes) = &entry.payload else { return };
         self.bytes_since_snapshot += bytes.len();
-        let text: RoutingText =
-            postcard::from_bytes(bytes).expect("an entry that a leader encoded");
-        let revision = text.revision;
-        let outcome = self.register.apply(text);
-        if let Some((term, _, proposer)) = self.proposals.remove(&entry.index) {
-            let end = if term == entry.term {
-                ProposalEnd::Done(outcome, revision)
-            } else {
-                ProposalEnd::Lost
-            };
+        let command = LogCommand::decode(bytes).expect("an entry that a leader encoded");
+        let outcome = self.state.apply(command);
+        if let Some((term, proposer)) = self.proposals.remove(&entry.index) {
+            let end =
+                if term == entry.term { ProposalEnd::Done(outcome) } else { ProposalEnd::Lost };
             effects.ended.push((proposer, end));
         }
     }
--- a/crates/gateway/src/replication.rs
+++ b/crates/gateway/src/replication.rs
@@ -216,6 +216,12 @@
             }
             self.adopt_document(text);
         }
+        if let Some(drains) = effects.drains {
+            if self.with_node(ConsensusNode::role) == Some(NodeRole::Leader) {
+                self.spread_drains(&drains);
+            }
+            self.adopt_drains(&drains);
+        }
         for (proposer, end) in effects.ended {
             self.end_proposal(proposer, &end);
         }
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -108,8 +108,7 @@
         Ok(listener) => {
             let gateway = Rc::clone(gateway);
             spawn_local(serve_calls(listener, OPERATOR_BODY, move |call| {
-                let answer = answer_operator(&gateway, &call);
-                async move { answer }
+                answer_operator(Rc::clone(&gateway), call)
             }));
         }
         // Serving goes before being watched.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -6,9 +6,12 @@
 //! that every request is looked up in, and replicated as the text that the operator sent
 //! ([`RoutingRegister`]): the highest version wins, and a lower one never comes back.
 //!
+//! Operators drain and restore data centres independently of the document ([`DrainRegister`]).
+//!
 //! The package holds no clock, socket or thread.
 
 mod document;
+mod drains;
 mod register;
 mod table;
 
@@ -16,5 +19,6 @@
     AccountKeys, DocumentProblem, EngineProfile, IngressLimits, RepeatRule, RouteSpec,
     RoutingDocument, ServiceSpec, WeightedService,
 };
+pub use drains::{DrainCommand, DrainOutcome, DrainRegister, DrainRevision};
 pub use register::{RegisterOutcome, RoutingRegister, RoutingRevision, RoutingText, TextError};
 pub use table::{KeyHolder, RoutingTable};
