Limit the requests a second sent to cold endpoints

Cause: an endpoint that has just started, or that comes back cold, can take only a few requests a second and crashes above that. Nothing read how long it stays cold (`coldRemainingMs`) or how many requests it can take (`coldPerS`). Change: heartbeats now carry how long the endpoint stays cold, and the routing document carries the limit. A home sends a cold engine at most a third of the limit in any second, since the home, its deputy and the next home may all place prompts there within the same second. A deputy uses cold engines of its own cell only, and an entry that places by itself uses none. Endpoints of a restored data centre count as cold until a heartbeat says otherwise. Cold plain endpoints get requests only where all are cold. Ruled out: a fixed share for each instance, which would leave each of 90 instances 0.3 requests a second.

--- a/crates/experiment/src/fleet_run.rs
+++ b/crates/experiment/src/fleet_run.rs
@@ -157,6 +157,7 @@
                 endpoint: name.clone(),
                 service: service(),
                 takes_work: true,
+                max_prompts_per_s: None,
                 profile: Arc::clone(&profile),
             })
             .collect();
--- a/crates/gateway/src/drains.rs
+++ b/crates/gateway/src/drains.rs
@@ -161,7 +161,7 @@
             .number("revision", drains.revision())
             .text("drained", names.join(","))
             .text("outcome", "in force");
-        self.endpoints.borrow_mut().set_drained(drained);
+        self.endpoints.borrow_mut().set_drained(self.now(), drained);
         self.drains.replace(drains.clone());
     }
 }
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -47,6 +47,8 @@
     pub phase: EndpointPhase,
     /// Counts its heartbeats.
     pub sequence: u64,
+    /// How long it stays cold, counted from the heartbeat.
+    pub cold_remaining: Duration,
 }
 
 /// What one daemon tells another of an endpoint.
@@ -93,6 +95,8 @@
     left_order: VecDeque<(MonotonicTime, EndpointStart)>,
     /// Data centres whose endpoints get no new requests.
     drained: BTreeSet<DataCentreId>,
+    /// When each data centre was last restored after a drain.
+    restored_at: BTreeMap<DataCentreId, MonotonicTime>,
     generation: u64,
     /// The time of the last heartbeat taken in, which changes are dated by.
     latest: MonotonicTime,
@@ -111,7 +115,8 @@
         }
         let changed = entry.beat.phase != beat.phase
             || entry.beat.address != beat.address
-            || entry.beat.service != beat.service;
+            || entry.beat.service != beat.service
+            || entry.beat.cold_remaining.is_zero() != beat.cold_remaining.is_zero();
         entry.heard = entry.heard.max(heard);
         entry.beat = beat;
         if changed {
@@ -243,8 +248,24 @@
         entry.is_some_and(|entry| entry.beat.phase == EndpointPhase::Serving)
     }
 
+    /// Returns whether an endpoint is cold.
+    ///
+    /// An endpoint may become cold while its data centre is drained. After the data centre is
+    /// restored, the endpoint therefore counts as cold until its next heartbeat, but for no longer
+    /// than `span`.
+    pub fn is_cold(&self, now: MonotonicTime, endpoint: &EndpointStart, span: Duration) -> bool {
+        let Some(EndpointEntry { beat, heard, .. }) = self.entries.get(endpoint) else {
+            return false;
+        };
+        let restored_at = self.restored_at.get(&beat.data_centre);
+        let is_unconfirmed = restored_at.is_some_and(|at| *heard <= *at && now.since(*at) < span);
+        is_unconfirmed || now.since(*heard) < beat.cold_remaining
+    }
+
     /// Replaces the set of data centres whose endpoints get no new requests.
-    pub fn set_drained(&mut self, drained: BTreeSet<DataCentreId>) {
+    pub fn set_drained(&mut self, now: MonotonicTime, drained: BTreeSet<DataCentreId>) {
+        let restored = self.drained.difference(&drained).cloned();
+        self.restored_at.extend(restored.map(|data_centre| (data_centre, now)));
         self.drained = drained;
         self.generation += 1;
     }
--- a/crates/gateway/src/front/placement.rs
+++ b/crates/gateway/src/front/placement.rs
@@ -14,6 +14,7 @@
 use super::reserve::Reservations;
 use crate::balancer::FaultKind;
 use crate::dialect::HelperAddress;
+use crate::endpoints::EndpointBeat;
 use crate::gateway::Gateway;
 use crate::peers::ProgressNote;
 
@@ -91,13 +92,15 @@
         let chosen = {
             let registry = gateway.endpoints.borrow();
             let all: Vec<_> = registry.serving(&request.service.name).collect();
-            let liked: Vec<_> =
-                all.iter().filter(|beat| !avoid.contains(&beat.endpoint)).copied().collect();
-            let candidates = if liked.is_empty() { all } else { liked };
+            let (now, cold_start) = (gateway.now(), request.service.cold_start);
+            let is_cold = |beat: &EndpointBeat| {
+                cold_start.is_some_and(|cold| registry.is_cold(now, &beat.endpoint, cold.span))
+            };
+            let warm = preferred_or_all(all, |beat| !is_cold(beat));
+            let candidates = preferred_or_all(warm, |beat| !avoid.contains(&beat.endpoint));
             let settings = gateway.settings();
             let balancer = gateway.balancer.borrow();
-            let (now, own) = (gateway.now(), &settings.data_centre);
-            balancer.choose(now, own, &candidates, rand::random()).cloned()
+            balancer.choose(now, &settings.data_centre, &candidates, rand::random()).cloned()
         };
         let beat = chosen.ok_or_else(|| no_endpoint(gateway, request, NO_ENDPOINT, SOON))?;
         gateway.balancer.borrow_mut().begin(&beat.endpoint);
@@ -197,6 +200,15 @@
     }
 }
 
+/// Returns the endpoints for which `is_preferred` holds, or all of them where it holds for none.
+fn preferred_or_all(
+    all: Vec<&EndpointBeat>,
+    is_preferred: impl Fn(&EndpointBeat) -> bool,
+) -> Vec<&EndpointBeat> {
+    let matching: Vec<_> = all.iter().filter(|beat| is_preferred(beat)).copied().collect();
+    if matching.is_empty() { all } else { matching }
+}
+
 /// Says when to come back where a service has no endpoint. One that is not known at all is met
 /// with its next heartbeat, as after a start of all daemons.
 fn no_endpoint(
--- a/crates/gateway/src/home.rs
+++ b/crates/gateway/src/home.rs
@@ -14,7 +14,7 @@
 use oriolepass_placement::{
     EngineCell, EngineFacts, EngineFleet, EngineScope, PromptAsk, PromptKey, PromptPlan, SpareLack,
 };
-use oriolepass_routing::RoutingRevision;
+use oriolepass_routing::{ColdStart, RoutingRevision};
 use oriolepass_units::{EndpointStart, InstanceId, MonotonicTime};
 
 use crate::deputies::{HomeWatch, deputies, deputy_for};
@@ -36,6 +36,15 @@
 /// How long a good answer shows that an engine lives.
 const GOOD_ANSWER_COUNTS: Duration = Duration::from_secs(2);
 
+/// The share of a cold engine's request limit that one placer may use. Within one second, the home,
+/// a deputy that replaces it and the next home may all place prompts on the same engine.
+const COLD_LIMIT_SHARE: f64 = 1.0 / 3.0;
+
+/// Returns how many prompts a second one placer may send to a cold engine, at least 1.
+fn max_cold_prompts_per_s(cold_start: &ColdStart) -> u32 {
+    (cold_start.max_requests_per_s * COLD_LIMIT_SHARE).max(1.0) as u32
+}
+
 /// Who placed a prompt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum PlacedBy {
@@ -313,7 +322,10 @@
         let profiles: BTreeMap<_, _> = document
             .table
             .services()
-            .filter_map(|service| Some((service.name.clone(), Arc::new(service.engine.clone()?))))
+            .filter_map(|service| {
+                let profile = Arc::new(service.engine.clone()?);
+                Some((service.name.clone(), (profile, service.cold_start)))
+            })
             .collect();
         let silent_after = self.settings().bounds.endpoint_heartbeat * SILENT_HEARTBEATS;
         let facts = registry
@@ -326,12 +338,15 @@
                     .last_good
                     .get(&beat.endpoint)
                     .is_some_and(|at| now.since(*at) < GOOD_ANSWER_COUNTS);
+                let (profile, cold_start) = profiles.get(&beat.service)?;
+                let cold = cold_start.filter(|c| registry.is_cold(now, &beat.endpoint, c.span));
                 Some(EngineFacts {
+                    max_prompts_per_s: cold.map(|cold| max_cold_prompts_per_s(&cold)),
                     endpoint: beat.endpoint.clone(),
                     service: beat.service.clone(),
                     takes_work: registry.takes_work(&beat.endpoint).is_some()
                         && (is_heard || is_good),
-                    profile: Arc::clone(profiles.get(&beat.service)?),
+                    profile: Arc::clone(profile),
                 })
             })
             .collect();
--- a/crates/gateway/tests/parts.rs
+++ b/crates/gateway/tests/parts.rs
@@ -1,5 +1,6 @@
 //! The parts that decide: events of streams, endpoints, the budget, the balancer, the log.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::mpsc;
 use std::time::Duration;
@@ -23,6 +24,7 @@
         slots: 4,
         phase,
         sequence,
+        cold_remaining: Duration::ZERO,
     }
 }
 
@@ -192,3 +194,44 @@
     assert!(registry.leavers(9, at(5_500)).is_empty());
     assert_eq!(registry.changed_notices(at(6_000), MonotonicTime::ZERO).len(), 3, "all of them");
 }
+
+#[test]
+fn an_endpoint_is_cold_for_the_time_given_in_its_heartbeat() {
+    let span = Duration::from_secs(3);
+    let mut registry = EndpointRegistry::default();
+    let cold = |sequence, ms| EndpointBeat {
+        cold_remaining: Duration::from_millis(ms),
+        ..beat("a", 1, sequence, EndpointPhase::Serving)
+    };
+    let endpoint = cold(1, 0).endpoint;
+    registry.take(at(10_000), cold(1, 0), Duration::ZERO);
+    assert!(!registry.is_cold(at(10_000), &endpoint, span));
+    // Relayed by another instance, 200 ms after the heartbeat.
+    assert_eq!(
+        registry.take(at(11_000), cold(2, 2_500), Duration::from_millis(200)),
+        BeatChange::Changed
+    );
+    assert!(registry.is_cold(at(13_200), &endpoint, span));
+    assert!(!registry.is_cold(at(13_300), &endpoint, span));
+}
+
+#[test]
+fn an_endpoint_of_a_restored_data_centre_counts_as_cold_until_its_next_heartbeat() {
+    let span = Duration::from_secs(3);
+    let mut registry = EndpointRegistry::default();
+    let warm = |sequence| beat("a", 1, sequence, EndpointPhase::Serving);
+    let (endpoint, data_centre) = (warm(1).endpoint, warm(1).data_centre);
+    registry.take(at(10_000), warm(1), Duration::ZERO);
+    registry.set_drained(at(10_100), [data_centre].into());
+    assert!(registry.takes_work(&endpoint).is_none(), "a drained data centre gets no work");
+    assert!(registry.is_serving(&endpoint));
+    registry.set_drained(at(12_000), BTreeSet::new());
+    assert!(registry.takes_work(&endpoint).is_some());
+    assert!(registry.is_cold(at(12_500), &endpoint, span));
+    assert!(
+        !registry.is_cold(at(15_000), &endpoint, span),
+        "an endpoint stays cold for `span` at most"
+    );
+    registry.take(at(12_600), warm(2), Duration::ZERO);
+    assert!(!registry.is_cold(at(12_700), &endpoint, span));
+}
--- a/crates/placement/src/fleet.rs
+++ b/crates/placement/src/fleet.rs
@@ -1,6 +1,6 @@
 //! All engines, and the choice among them.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -49,6 +49,8 @@
     pub service: ServiceName,
     /// Whether it may get new work.
     pub takes_work: bool,
+    /// The most prompts that may be placed on it within a second, where that is limited.
+    pub max_prompts_per_s: Option<u32>,
     /// How it works.
     pub profile: Arc<EngineProfile>,
 }
@@ -63,8 +65,29 @@
     silent_at: Option<MonotonicTime>,
     /// The prompts that it writes, or will write.
     mains: Vec<PromptKey>,
+    /// When prompts were placed on it lately; older times are dropped with the next placement.
+    recent_placements: VecDeque<MonotonicTime>,
 }
 
+impl EngineEntry {
+    /// Records a placement and drops those that no longer count towards the limit.
+    fn record_placement(&mut self, now: MonotonicTime) {
+        self.recent_placements.push_back(now);
+        while self.recent_placements.front().is_some_and(|at| now.since(*at) >= ONE_SECOND) {
+            self.recent_placements.pop_front();
+        }
+    }
+
+    /// Returns whether fewer than `max_per_s` prompts were placed within the last second.
+    fn is_below_limit(&self, now: MonotonicTime, max_per_s: u32) -> bool {
+        let recent =
+            self.recent_placements.iter().filter(|at| now.since(**at) < ONE_SECOND).count();
+        recent < max_per_s as usize
+    }
+}
+
+const ONE_SECOND: Duration = Duration::from_secs(1);
+
 #[derive(Debug, Clone)]
 struct PlacedPrompt {
     value: f64,
@@ -106,6 +129,7 @@
                         failures: 0,
                         silent_at: None,
                         mains: Vec::new(),
+                        recent_placements: VecDeque::new(),
                         facts: fact,
                     };
                     self.engines.insert(entry.facts.endpoint.clone(), entry);
@@ -179,7 +203,7 @@
             self.ended(now, ask.key);
         }
         self.farm.advance(time_ms(now));
-        let usable = scope.narrow(self.usable(now, ask), self.is_short(ask));
+        let usable = scope.narrow(self.usable(now, ask, scope), self.is_short(ask));
         let meter = self.demand.entry(ask.service.clone()).or_default();
         let helped_share = meter.long_demand(time_ms(now)).helped_share(usable.len());
         // Short prompts are never helped, so they delay nobody's reading.
@@ -392,10 +416,21 @@
         }
     }
 
-    fn usable(&self, now: MonotonicTime, ask: &PromptAsk) -> Vec<EndpointStart> {
+    fn usable(
+        &self,
+        now: MonotonicTime,
+        ask: &PromptAsk,
+        scope: EngineScope,
+    ) -> Vec<EndpointStart> {
         let takes_work = |engine: &&EngineEntry| {
             let facts = &engine.facts;
-            facts.service == ask.service && facts.takes_work && now >= engine.shunned_until
+            let is_within_limit = |max_per_s| {
+                scope.allows_limited(&facts.endpoint) && engine.is_below_limit(now, max_per_s)
+            };
+            facts.service == ask.service
+                && facts.takes_work
+                && now >= engine.shunned_until
+                && facts.max_prompts_per_s.is_none_or(is_within_limit)
         };
         let all: Vec<EndpointStart> = self
             .engines
@@ -412,6 +447,7 @@
         let Some(main) = self.engines.get_mut(&plan.main) else { return };
         let cost = ReadCost::new(&main.facts.profile, ask.prompt_tokens);
         main.mains.push(ask.key);
+        main.record_placement(now);
         let parts = plan.helpers.len() + 1;
         let prompt = PassPrompt {
             key: ask.key,
--- a/crates/placement/src/scope.rs
+++ b/crates/placement/src/scope.rs
@@ -52,6 +52,16 @@
 }
 
 impl EngineScope {
+    /// Returns whether this scope may use an engine with a limit on prompts per second. Each placer
+    /// counts only its own prompts, so the engine must be one that no other places on concurrently.
+    pub(crate) fn allows_limited(self, endpoint: &EndpointStart) -> bool {
+        match self {
+            Self::All => true,
+            Self::Cell(cell) => cell.holds(endpoint),
+            Self::Drawn(_) => false,
+        }
+    }
+
     /// Returns the engines to choose among, the first of equally good ones in front. Where a part
     /// has none, all are.
     pub(crate) fn narrow(
--- a/crates/placement/tests/common/mod.rs
+++ b/crates/placement/tests/common/mod.rs
@@ -34,6 +34,7 @@
         endpoint: endpoint(number),
         service: "engines".parse().unwrap(),
         takes_work: true,
+        max_prompts_per_s: None,
         profile: Arc::clone(profile),
     };
     let mut fleet = EngineFleet::default();
--- a/crates/routing/src/document.rs
+++ b/crates/routing/src/document.rs
@@ -108,6 +108,17 @@
     pub max_connections: u32,
     /// How its engines work, where its endpoints are engines.
     pub engine: Option<EngineProfile>,
+    /// The limit on requests to its cold endpoints, if any.
+    pub cold_start: Option<ColdStart>,
+}
+
+/// The limit on requests to an endpoint that is cold, as after its start.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ColdStart {
+    /// How long an endpoint stays cold.
+    pub span: Duration,
+    /// Requests a second that it can take, from all instances together.
+    pub max_requests_per_s: f64,
 }
 
 /// What a caller may send, and how long it may take.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -16,7 +16,7 @@
 mod table;
 
 pub use document::{
-    AccountKeys, DocumentProblem, EngineProfile, IngressLimits, RepeatRule, RouteSpec,
+    AccountKeys, ColdStart, DocumentProblem, EngineProfile, IngressLimits, RepeatRule, RouteSpec,
     RoutingDocument, ServiceSpec, WeightedService,
 };
 pub use drains::{DrainCommand, DrainOutcome, DrainRegister, DrainRevision};
--- a/crates/routing/tests/documents.rs
+++ b/crates/routing/tests/documents.rs
@@ -38,6 +38,7 @@
             health_path: "/health".into(),
             max_connections: 10,
             engine: None,
+            cold_start: None,
         }],
         limits: IngressLimits {
             max_head_bytes: 16_384,
