From 48 daemons on, attach daemons without a disk to hubs only

Cause: every daemon had a link to every other one, greeted each of them every 0.6 s, sent heartbeats to all, and asked the leader for proof every 0.4 s, so the number of messages grew with the square of the number of daemons. Change: from `tiers_from` daemons on (48 by default), those with a disk are hubs and the others leaves. Hubs have links to each other and to their leaves; a leaf has links to two hubs, of its own data centre where they answer. One of the two, its primary, answers its questions for proof, reports which endpoints are silent and whether the home is away, provides the addresses for callers, and sends it documents and endpoint changes. The age of a leaf's proof is the age of its hub's proof plus the time of the exchange with the hub. A change is sent from hub to hub once. A hash of a leaf's view shows whether the leaf may have missed changes; if so, it is sent the whole view. Endpoints are given the address of a hub for their heartbeats. Addresses for callers are taken from a ring, so that each instance is returned equally often. Ruled out: control as a separate role on the instances with a disk, which doubles the processes there and changes the topology of small deployments; a longer interval between greetings, which only moves the size at which the design breaks.

--- a/crates/gateway/src/announce.rs
+++ b/crates/gateway/src/announce.rs
@@ -11,6 +11,7 @@
 use crate::events::EventKind;
 use crate::gateway::Gateway;
 use crate::gossip::{HeartbeatRoute, heartbeat_route};
+use crate::hubs::Tier;
 use crate::peers::PeerMessage;
 
 /// Heartbeats are passed on together, this often; changes are passed on at once.
@@ -66,22 +67,21 @@
 
     pub(crate) fn on_endpoint_notices(&self, from: &InstanceId, notices: Vec<EndpointNotice>) {
         let now = self.now();
+        let is_from_leaf = self.tier() == Tier::Hub && !self.roster.borrow().is_hub(from);
         let mut news = Vec::new();
         for notice in notices {
             let change = self.endpoints.borrow_mut().take(now, notice.beat.clone(), notice.age);
             if matches!(change, BeatChange::Met | BeatChange::Changed) {
                 self.log_endpoint(&notice.beat, change, Some(from));
                 news.push(notice);
+            } else if is_from_leaf && change == BeatChange::Refreshed {
+                self.home.borrow_mut().direct_beats.insert(notice.beat.endpoint);
             }
         }
         if news.is_empty() {
             return;
         }
-        // The leader is in reach of every daemon that counts, also of those that are cut off
-        // from the one that heard the news.
-        if self.is_leader() {
-            self.tell_all(&PeerMessage::Endpoints(news));
-        }
+        self.mesh.send_all(&self.forward_targets(from), &PeerMessage::Endpoints(news));
         self.endpoints_changed();
     }
 
@@ -97,9 +97,7 @@
             let line = self.line(EventKind::Endpoint).text("endpoint", endpoint);
             line.text("told_by", from).text("outcome", "left");
         }
-        if self.is_leader() {
-            self.tell_all(&PeerMessage::EndpointsLeft(news));
-        }
+        self.mesh.send_all(&self.forward_targets(from), &PeerMessage::EndpointsLeft(news));
         self.endpoints_changed();
     }
 
@@ -143,21 +141,17 @@
     }
 
     fn tell_all(&self, message: &PeerMessage) {
-        let to: Vec<InstanceId> = self.roster.borrow().known().cloned().collect();
-        self.mesh.send_all(&to, message);
+        self.mesh.send_all(&self.news_targets(), message);
     }
 
     /// Passes heartbeats on, and forgets endpoints that have been silent for long.
     pub(crate) async fn keep_passing_on(self: Rc<Self>) {
-        let mut since = MonotonicTime::ZERO;
         let mut round = 0_u64;
         loop {
             sleep(PASS_ON_EVERY).await;
             let now = self.now();
             let direct = std::mem::take(&mut self.home.borrow_mut().direct_beats);
-            let mut notices = self.endpoints.borrow().notices(now, since);
-            notices.retain(|notice| direct.contains(&notice.beat.endpoint));
-            since = now;
+            let notices = self.endpoints.borrow().notices_of(now, &direct);
             if !notices.is_empty() {
                 self.pass_on_heartbeats(notices, round);
             }
@@ -169,6 +163,18 @@
     /// Tells the others that endpoints are alive. Between data centres this goes once to each of them:
     /// of all that 200 daemons say to each other it was the most (60 of 216 MB in a minute with load).
     fn pass_on_heartbeats(&self, notices: Vec<EndpointNotice>, round: u64) {
+        match self.tier() {
+            Tier::Mesh => {}
+            Tier::Leaf => {
+                let primary: Vec<InstanceId> = self.attached_hubs().into_iter().take(1).collect();
+                self.mesh.send_all(&primary, &PeerMessage::Endpoints(notices));
+                return;
+            }
+            Tier::Hub => {
+                self.mesh.send_all(&self.other_hubs(), &PeerMessage::Endpoints(notices));
+                return;
+            }
+        }
         let HeartbeatRoute { direct, relays } =
             heartbeat_route(self.alive_with_centres(), &self.settings().data_centre, round);
         self.mesh.send_all(&direct, &PeerMessage::Endpoints(notices.clone()));
@@ -201,7 +207,7 @@
         }
     }
 
-    fn endpoints_changed(&self) {
+    pub(crate) fn endpoints_changed(&self) {
         let registry = self.endpoints.borrow();
         let serving = registry.all().filter(|b| b.phase == EndpointPhase::Serving).count();
         self.metrics.endpoints.set(i64::try_from(serving).unwrap_or(i64::MAX));
@@ -215,14 +221,15 @@
             .text("endpoint", endpoint)
             .text("fault", fault.name());
         self.balancer.borrow_mut().fault(self.now(), endpoint, fault);
-        let to: Vec<InstanceId> = {
-            let roster = self.roster.borrow();
-            roster.alive(self.now()).map(|note| note.instance.clone()).collect()
-        };
-        self.mesh.send_all(&to, &PeerMessage::Faults(vec![(endpoint.clone(), fault)]));
+        let faults = PeerMessage::Faults(vec![(endpoint.clone(), fault)]);
+        self.mesh.send_all(&self.news_targets(), &faults);
     }
 
-    pub(crate) fn on_faults(&self, faults: &[(EndpointStart, FaultKind)]) {
+    pub(crate) fn on_faults(&self, from: &InstanceId, faults: &[(EndpointStart, FaultKind)]) {
+        if self.tier() == Tier::Hub {
+            let copy = PeerMessage::Faults(faults.to_vec());
+            self.mesh.send_all(&self.forward_targets(from), &copy);
+        }
         let now = self.now();
         let mut balancer = self.balancer.borrow_mut();
         for (endpoint, fault) in faults {
--- a/crates/gateway/src/cluster.rs
+++ b/crates/gateway/src/cluster.rs
@@ -12,6 +12,7 @@
 use crate::events::EventKind;
 use crate::gateway::{Gateway, PeerReply};
 use crate::gossip::{is_sponsor, tells_whom_it_knows};
+use crate::hubs::Tier;
 use crate::lifecycle::Lifecycle;
 use crate::peer_changes::{ChangeCount, PeerChange, PeerChanges};
 use crate::peers::{MeshEvents, PeerMessage};
@@ -47,8 +48,11 @@
     }
 
     fn greet(&self, round: u64) {
+        self.update_tier(round);
         let now = self.now();
         let seeds = self.seed_instances();
+        let tier = self.tier();
+        let attached = self.attached_hubs();
         let (to, forgotten) = {
             let mut roster = self.roster.borrow_mut();
             for seed in &seeds {
@@ -62,7 +66,19 @@
                     || roster.silence(now, daemon) < crate::roster::SILENT_AFTER
                     || round < SILENT_GREETING_DIVISOR
             };
-            let to: Vec<InstanceId> = roster.known().filter(is_due).cloned().collect();
+            let is_in_tier_scope = |daemon: &&InstanceId| match tier {
+                Tier::Mesh => true,
+                Tier::Hub => {
+                    roster.is_hub(daemon)
+                        || seeds.contains(daemon)
+                        || voters.contains(daemon)
+                        || roster.silence(now, daemon) < crate::roster::SILENT_AFTER
+                }
+                // With no hub known, any daemon may report one.
+                Tier::Leaf => attached.contains(daemon) || attached.is_empty(),
+            };
+            let to: Vec<InstanceId> =
+                roster.known().filter(is_in_tier_scope).filter(is_due).cloned().collect();
             (to, forgotten)
         };
         for daemon in forgotten {
@@ -156,7 +172,8 @@
             may_found: settings.seeds.may_found
                 && self.replica.borrow().as_ref().is_some_and(ReplicaDriver::is_empty),
             replica: said.filter(|said| !said.voters.is_empty()),
-            known: u32::try_from(self.roster.borrow().known_count()).unwrap_or(u32::MAX),
+            known: u32::try_from(self.reported_known_count()).unwrap_or(u32::MAX),
+            is_tiered: self.tier.borrow().is_tiered_hub(),
             edition: 0,
         };
         let mut last = self.last_note.borrow_mut();
@@ -169,6 +186,15 @@
         note
     }
 
+    /// Returns the count of known daemons that greetings report. In tiers it covers only hubs, so
+    /// that a change of leaves does not change the note.
+    fn reported_known_count(&self) -> usize {
+        match self.tier() {
+            Tier::Mesh => self.roster.borrow().known_count(),
+            Tier::Hub | Tier::Leaf => self.known_hubs().len(),
+        }
+    }
+
     fn daemon_phase(&self) -> DaemonPhase {
         match *self.lifecycle.borrow() {
             Lifecycle::Serving if self.was_ready.get() => DaemonPhase::Ready,
@@ -184,13 +210,22 @@
     fn on_greeting(self: &Rc<Self>, from: &InstanceId, note: DaemonNote) {
         let now = self.now();
         let (boot, known, name, phase) = (note.boot, note.known, note.name.clone(), note.phase);
+        if note.has_disk {
+            self.add_hub(from, &note.data_centre);
+        }
+        let hubs = (self.tier() != Tier::Mesh).then(|| self.known_hubs());
         let (change, more, is_new) = {
             let mut roster = self.roster.borrow_mut();
             let is_new = roster.get(from).is_none();
             let change = roster.take(now, note);
             let known = usize::try_from(known).unwrap_or(usize::MAX);
-            let tells = tells_whom_it_knows(roster.known_count(), known, rand::random());
-            let list = tells.then(|| roster.known().cloned().collect::<Vec<InstanceId>>());
+            let list = match hubs {
+                Some(hubs) => (known < hubs.len()).then_some(hubs),
+                None => {
+                    let tells = tells_whom_it_knows(roster.known_count(), known, rand::random());
+                    tells.then(|| roster.known().cloned().collect::<Vec<InstanceId>>())
+                }
+            };
             (change, list, is_new)
         };
         if change == RosterChange::Met {
@@ -223,6 +258,21 @@
     /// what may have been lost with the link to it, and everything where it is new and this daemon is
     /// one of those that say so.
     fn news_for(&self, to: &InstanceId, lost: Option<MonotonicTime>) -> Vec<PeerMessage> {
+        let is_to_hub = self.roster.borrow().is_hub(to);
+        match self.tier() {
+            // A leaf gets missing state in reply to its `LeafAsk`.
+            Tier::Hub if !is_to_hub => return Vec::new(),
+            Tier::Hub => {
+                let mut news = vec![self.all_attached_leaves()];
+                news.extend(self.endpoint_news_since(lost.unwrap_or(MonotonicTime::ZERO)));
+                news.extend(self.cases_for(to, true));
+                return news;
+            }
+            Tier::Leaf => {
+                return lost.map_or_else(Vec::new, |since| self.endpoint_news_since(since));
+            }
+            Tier::Mesh => {}
+        }
         let mut news = self.endpoint_news(to, lost);
         news.extend(self.cases_for(to, lost.is_some()));
         news
@@ -242,7 +292,12 @@
             is_sponsor(&self.own, to, roster.alive(now).map(|note| &note.instance))
         };
         let since = if tells_all { Some(MonotonicTime::ZERO) } else { lost };
-        let Some(since) = since else { return Vec::new() };
+        since.map_or_else(Vec::new, |since| self.endpoint_news_since(since))
+    }
+
+    /// Returns the endpoint changes since a point in time.
+    fn endpoint_news_since(&self, since: MonotonicTime) -> Vec<PeerMessage> {
+        let now = self.now();
         let endpoints = self.endpoints.borrow();
         let leavers = endpoints.leavers(TOLD_LEAVERS, since);
         let notices = endpoints.changed_notices(now, since);
@@ -340,11 +395,20 @@
             PeerMessage::ProposeDrainAnswer { token, verdict } => {
                 gateway.answer_call(token, PeerReply::Drained(verdict));
             }
+            PeerMessage::LeafAsk { token, state } => gateway.on_leaf_ask(from, token, &state),
+            PeerMessage::LeafAnswer { token, status } => {
+                gateway.answer_call(token, PeerReply::Hub(status));
+            }
+            PeerMessage::EndpointView { notices, left } => gateway.on_endpoint_view(notices, &left),
+            PeerMessage::AttachedLeaves { is_all, leaves, detached } => {
+                let mut roster = gateway.roster.borrow_mut();
+                roster.update_attached_leaves(from, is_all, leaves, &detached);
+            }
             PeerMessage::Drains(drains) => gateway.adopt_drains(&drains),
             PeerMessage::Endpoints(notices) => gateway.on_endpoint_notices(from, notices),
             PeerMessage::EndpointsRelayed(notices) => gateway.on_relayed_notices(from, notices),
             PeerMessage::EndpointsLeft(endpoints) => gateway.on_endpoints_left(from, &endpoints),
-            PeerMessage::Faults(faults) => gateway.on_faults(&faults),
+            PeerMessage::Faults(faults) => gateway.on_faults(from, &faults),
             PeerMessage::PlaceAsk { token, ask, cell } => {
                 gateway.on_place_ask(from, token, &ask, cell);
             }
--- a/crates/gateway/src/deputies.rs
+++ b/crates/gateway/src/deputies.rs
@@ -33,13 +33,18 @@
     engines: usize,
 ) -> Vec<InstanceId> {
     let ready = alive.filter(|note| note.phase == DaemonPhase::Ready);
-    let others: Vec<&DaemonNote> = ready.filter(|note| Some(&note.instance) != home).collect();
+    let others = ready.filter(|note| Some(&note.instance) != home);
+    choose_deputies(others.map(|note| (&note.instance, note.has_disk)).collect(), engines)
+}
+
+/// Chooses deputies among ready daemons, each given with whether it has a disk.
+pub(crate) fn choose_deputies(others: Vec<(&InstanceId, bool)>, engines: usize) -> Vec<InstanceId> {
     let cells = (engines / CELL_ENGINES).clamp(1, MOST_CELLS);
-    let without_disk: Vec<&DaemonNote> =
-        others.iter().filter(|note| !note.has_disk).copied().collect();
+    let without_disk: Vec<(&InstanceId, bool)> =
+        others.iter().filter(|(_, has_disk)| !has_disk).copied().collect();
     let candidates = if without_disk.len() >= 2 * cells { without_disk } else { others };
-    let best = |cell: usize| candidates.iter().min_by_key(|note| rank(&note.instance, &cell));
-    (0..cells).filter_map(best).map(|note| note.instance.clone()).collect()
+    let best = |cell: usize| candidates.iter().min_by_key(|(instance, _)| rank(instance, &cell));
+    (0..cells).filter_map(best).map(|(instance, _)| (*instance).clone()).collect()
 }
 
 /// Returns the part of the engines that a prompt is placed on, and the deputy for it.
--- a/crates/gateway/src/deputies_tests.rs
+++ b/crates/gateway/src/deputies_tests.rs
@@ -21,6 +21,7 @@
         may_found: false,
         replica: None,
         known: 3,
+        is_tiered: false,
         edition: 0,
     }
 }
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -6,6 +6,7 @@
 use oriolepass_units::DataCentreId;
 
 use crate::gateway::Gateway;
+use crate::hubs::Tier;
 use crate::lifecycle::ADDRESS_KEEP;
 use crate::roster::DaemonPhase;
 
@@ -29,8 +30,13 @@
     /// Returns the instances that are ready, those in the caller's data centre if there are
     /// enough of them; none where no instance is ready.
     pub fn addresses(&self, data_centre: Option<&DataCentreId>) -> Option<AddressAnswer> {
-        let now = self.now();
         let settings = self.settings();
+        let keep = ADDRESS_KEEP.min(settings.bounds.address_keep_max);
+        if self.tier() != Tier::Mesh {
+            let addresses = self.addresses_in_tiers(data_centre);
+            return (!addresses.is_empty()).then_some(AddressAnswer { addresses, keep });
+        }
+        let now = self.now();
         let roster = self.roster.borrow();
         let mut ready: Vec<(DataCentreId, SocketAddr)> = roster
             .alive(now)
@@ -48,7 +54,20 @@
         let all = || ready.iter().map(|(_, address)| *address).collect();
         let mut addresses = if near.len() >= ENOUGH_NEAR { near } else { all() };
         addresses.truncate(MAX_ADDRESSES);
-        let keep = ADDRESS_KEEP.min(settings.bounds.address_keep_max);
         (!addresses.is_empty()).then_some(AddressAnswer { addresses, keep })
     }
+
+    fn addresses_in_tiers(&self, data_centre: Option<&DataCentreId>) -> Vec<SocketAddr> {
+        let by_centre = self.ready_addresses();
+        let near = by_centre.iter().find(|(centre, _)| Some(centre) == data_centre);
+        let mut addresses = match near {
+            Some((_, near)) if near.len() >= ENOUGH_NEAR => near.clone(),
+            _ => by_centre.iter().flat_map(|(_, addresses)| addresses).copied().collect(),
+        };
+        if addresses.is_empty() && self.is_ready() {
+            addresses.push(self.settings().listen.callers);
+        }
+        addresses.truncate(MAX_ADDRESSES);
+        addresses
+    }
 }
--- a/crates/gateway/src/documents.rs
+++ b/crates/gateway/src/documents.rs
@@ -16,6 +16,7 @@
 use crate::gateway::{Gateway, PeerReply};
 use crate::gossip::{DocumentSpread, RelayGroup, relay_groups};
 use crate::home::HOME_PATIENCE;
+use crate::hubs::Tier;
 use crate::peers::{DocumentVerdict, DrainVerdict, FreshVerdict, PeerMessage};
 use crate::replica::{CommandOutcome, LogCommand, ProposalEnd, Proposer};
 
@@ -171,7 +172,14 @@
             }
         }
         self.document_changed.notify_waiters();
-        if let Some(leader) = self.leader_instance().filter(|leader| *leader != self.own) {
+        let tier = self.tier();
+        if tier == Tier::Hub {
+            let text = self.active_document().map(|active| active.text.clone());
+            let copy = text.map(|text| PeerMessage::Document { text, pass_on: Vec::new() });
+            copy.iter().for_each(|copy| self.mesh.send_all(&self.own_leaves(), copy));
+        }
+        let leader = self.leader_instance().filter(|leader| *leader != self.own);
+        if let Some(leader) = leader.filter(|_| tier != Tier::Leaf) {
             self.mesh.send(&leader, &PeerMessage::InForce(revision));
         }
         self.refresh_readiness();
@@ -184,6 +192,12 @@
     pub(crate) fn spread_document(&self, text: &RoutingText) {
         let now = self.now();
         self.documents.borrow_mut().spread.begin(now, text.revision);
+        if self.tier() == Tier::Hub {
+            // Each hub forwards the document to its leaves.
+            let copy = PeerMessage::Document { text: text.clone(), pass_on: Vec::new() };
+            self.mesh.send_all(&self.other_hubs(), &copy);
+            return;
+        }
         let groups = relay_groups(self.alive_with_centres(), text.revision);
         for RelayGroup { relay, pass_on } in groups {
             self.mesh.send(&relay, &PeerMessage::Document { text: text.clone(), pass_on });
@@ -222,21 +236,34 @@
 
     /// Asks once; returns whether the leader was sure.
     async fn prove_once(&self) -> bool {
+        if self.tier() == Tier::Leaf {
+            return self.prove_by_hub().await;
+        }
         let asked = self.now();
         let Some(FreshVerdict::Newest(newest, drains)) = self.ask_newest().await else {
             return false;
         };
         self.adopt_drains(&drains);
+        self.prove_newest(asked, newest);
+        true
+    }
+
+    /// Records `newest` as the newest revision at `at`.
+    pub(crate) fn prove_newest(&self, at: MonotonicTime, newest: Option<RoutingRevision>) {
         let mut documents = self.documents.borrow_mut();
         match newest {
             Some(newest) if documents.revision() < Some(newest) => {
-                documents.awaited = Some((asked, newest));
+                documents.awaited = Some((at, newest));
             }
-            Some(_) => documents.prove(asked),
+            Some(_) => documents.prove(at),
             // No document has ever been accepted, so there is nothing to be current.
             None => {}
         }
-        true
+    }
+
+    /// Returns the revision of the document in force.
+    pub(crate) fn held_revision(&self) -> Option<RoutingRevision> {
+        self.documents.borrow().revision()
     }
 
     /// Asks the leader which document is the newest.
@@ -290,17 +317,27 @@
             if let Some(held) = held {
                 self.note_in_force(from, held);
             }
-            let active = self.active_document().filter(|_| newest > held);
-            if let Some(active) = active
-                && self.documents.borrow_mut().spread.needs_copy(self.now(), from, held)
-            {
-                let text = active.text.clone();
-                self.mesh.send(from, &PeerMessage::Document { text, pass_on: Vec::new() });
-            }
+            self.send_missing_document(from, newest, held);
         }
         self.mesh.send(from, &PeerMessage::FreshAnswer { token, verdict });
     }
 
+    /// Sends the document in force to a daemon that holds an older revision than the newest one.
+    pub(crate) fn send_missing_document(
+        &self,
+        to: &InstanceId,
+        newest: Option<RoutingRevision>,
+        held: Option<RoutingRevision>,
+    ) {
+        let active = self.active_document().filter(|_| newest > held);
+        if let Some(active) = active
+            && self.documents.borrow_mut().spread.needs_copy(self.now(), to, held)
+        {
+            let text = active.text.clone();
+            self.mesh.send(to, &PeerMessage::Document { text, pass_on: Vec::new() });
+        }
+    }
+
     fn note_freshness(&self) {
         let is_fresh = self.is_fresh();
         let age = self.documents.borrow().proof_age(self.now());
@@ -444,14 +481,16 @@
     async fn until_in_force(&self, revision: RoutingRevision) {
         loop {
             let changed = self.document_changed.notified();
+            let is_hub = self.tier() == Tier::Hub;
             let all = {
                 let documents = self.documents.borrow();
                 let has = |instance: &InstanceId| {
                     documents.in_force.get(instance).is_some_and(|held| *held >= revision)
                 };
                 let roster = self.roster.borrow();
-                let mut near = roster.heard_within(self.now(), CONFIRMED_BY);
-                near.all(|note| has(&note.instance))
+                let near = roster.heard_within(self.now(), CONFIRMED_BY);
+                let mut confirming = near.filter(|note| !is_hub || note.has_disk);
+                confirming.all(|note| has(&note.instance))
             };
             if all {
                 return;
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -3,7 +3,9 @@
 //! The state is soft: nothing of it is on a disk. Each endpoint names its start by an id and a time
 //! and numbers its heartbeats, so that a late one is told from a new one whichever daemon got it.
 
+use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -98,6 +100,8 @@
     /// When each data centre was last restored after a drain.
     restored_at: BTreeMap<DataCentreId, MonotonicTime>,
     generation: u64,
+    /// The generation and view hash computed last.
+    cached_view_hash: Cell<(u64, u64)>,
     /// The time of the last heartbeat taken in, which changes are dated by.
     latest: MonotonicTime,
 }
@@ -286,6 +290,84 @@
         self.generation
     }
 
+    /// Replaces all entries with those of a hub's registry.
+    pub fn replace(&mut self, now: MonotonicTime, notices: Vec<EndpointNotice>) {
+        let known: BTreeSet<EndpointStart> =
+            notices.iter().map(|notice| notice.beat.endpoint.clone()).collect();
+        let before = self.entries.len();
+        self.entries.retain(|endpoint, _| known.contains(endpoint));
+        self.generation += u64::from(self.entries.len() != before);
+        for EndpointNotice { beat, age } in notices {
+            self.take(now, beat, age);
+        }
+    }
+
+    /// Updates when endpoints were last heard from a hub's report.
+    ///
+    /// Endpoints that `silent` does not list count as heard one heartbeat ago.
+    pub fn update_heard(
+        &mut self,
+        now: MonotonicTime,
+        silent: &[(EndpointStart, Duration)],
+        heartbeat: Duration,
+    ) {
+        let silent: BTreeMap<&EndpointStart, Duration> =
+            silent.iter().map(|(endpoint, silence)| (endpoint, *silence)).collect();
+        for (endpoint, entry) in &mut self.entries {
+            let silence = silent.get(endpoint).copied();
+            entry.heard = entry.heard.max(now - silence.unwrap_or(heartbeat));
+        }
+    }
+
+    /// Lists up to `count` endpoints that have been silent for longer than `span`.
+    pub fn silent(
+        &self,
+        now: MonotonicTime,
+        span: Duration,
+        count: usize,
+    ) -> Vec<(EndpointStart, Duration)> {
+        let silence = |(endpoint, entry): (&EndpointStart, &EndpointEntry)| {
+            (endpoint.clone(), now.since(entry.heard))
+        };
+        self.entries.iter().map(silence).filter(|(_, s)| *s > span).take(count).collect()
+    }
+
+    /// Returns a hash that is equal on daemons that know the same endpoints in the same state.
+    pub fn view_hash(&self) -> u64 {
+        let (generation, hash) = self.cached_view_hash.get();
+        if generation == self.generation {
+            return hash;
+        }
+        let hash = self.compute_view_hash();
+        self.cached_view_hash.set((self.generation, hash));
+        hash
+    }
+
+    fn compute_view_hash(&self) -> u64 {
+        let mut hasher = xxhash_rust::xxh3::Xxh3Default::new();
+        for EndpointEntry { beat, .. } in self.entries.values() {
+            beat.endpoint.hash(&mut hasher);
+            beat.address.hash(&mut hasher);
+            (beat.phase == EndpointPhase::Serving).hash(&mut hasher);
+        }
+        hasher.finish()
+    }
+
+    /// Lists all endpoints as notices.
+    pub fn all_notices(&self, now: MonotonicTime) -> Vec<EndpointNotice> {
+        self.entries.values().map(|entry| entry.notice(now)).collect()
+    }
+
+    /// Lists the given endpoints as notices, without those that are unknown.
+    pub fn notices_of<'a>(
+        &self,
+        now: MonotonicTime,
+        endpoints: impl IntoIterator<Item = &'a EndpointStart>,
+    ) -> Vec<EndpointNotice> {
+        let known = endpoints.into_iter().filter_map(|endpoint| self.entries.get(endpoint));
+        known.map(|entry| entry.notice(now)).collect()
+    }
+
     /// Lists what is known, for another daemon; with `since`, only what was heard after it.
     pub fn notices(&self, now: MonotonicTime, since: MonotonicTime) -> Vec<EndpointNotice> {
         let heard = self.entries.values().filter(|entry| entry.heard > since);
--- a/crates/gateway/src/front/tries.rs
+++ b/crates/gateway/src/front/tries.rs
@@ -367,7 +367,7 @@
 /// Takes one repeated send out of the budget; returns whether there was one.
 fn take_from_budget(gateway: &Gateway, request: &CallerRequest) -> bool {
     let now = gateway.now();
-    let daemons = gateway.roster.borrow().alive(now).count() + 1;
+    let daemons = gateway.daemon_count();
     let rule = gateway.budget_rule();
     let service = &request.service.name;
     let granted = gateway.budget.borrow_mut().take(now, &rule, daemons, service);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -21,11 +21,12 @@
 use crate::events::{EventKind, EventLine, EventLog};
 use crate::founding::FoundingSurvey;
 use crate::home::HomeState;
+use crate::hubs::TierState;
 use crate::lifecycle::Lifecycle;
 use crate::metrics::GatewayMetrics;
 use crate::peer_changes::PeerChanges;
 use crate::peers::{
-    DocumentVerdict, DrainVerdict, FreshVerdict, PeerMesh, PeerMessage, PlaceVerdict,
+    DocumentVerdict, DrainVerdict, FreshVerdict, HubStatus, PeerMesh, PeerMessage, PlaceVerdict,
 };
 use crate::quarantine::QuarantineState;
 use crate::replica::ReplicaDriver;
@@ -38,6 +39,7 @@
     Drained(DrainVerdict),
     Placed(PlaceVerdict),
     SilenceExpected(bool),
+    Hub(HubStatus),
 }
 
 /// What the event loop's tasks share. Each part is borrowed for the length of a call only, never
@@ -63,6 +65,7 @@
     /// The edition of what it greeted the others with last.
     pub(crate) greeted_edition: Cell<u32>,
     pub(crate) replica: RefCell<Option<ReplicaDriver>>,
+    pub(crate) tier: RefCell<TierState>,
     pub(crate) survey: RefCell<FoundingSurvey>,
     pub(crate) leader: RefCell<Option<(LeaderTerm, InstanceId)>>,
     pub(crate) documents: RefCell<DocumentState>,
@@ -121,6 +124,7 @@
             last_note: RefCell::default(),
             greeted_edition: Cell::new(0),
             replica: RefCell::new(None),
+            tier: RefCell::default(),
             survey: RefCell::new(FoundingSurvey::new(clock.now())),
             leader: RefCell::new(None),
             documents: RefCell::default(),
--- a/crates/gateway/src/home.rs
+++ b/crates/gateway/src/home.rs
@@ -20,6 +20,7 @@
 use crate::deputies::{HomeWatch, deputies, deputy_for};
 use crate::events::EventKind;
 use crate::gateway::{Gateway, PeerReply};
+use crate::hubs::Tier;
 use crate::peers::{PeerMessage, PlaceVerdict, PlacedPrompt, ProgressNote};
 
 /// How long the home has to place a prompt: far above a hop between data centres and a decision,
@@ -164,6 +165,9 @@
 
     /// Returns who places while the home is away, this daemon among them if it takes callers.
     fn deputies(&self) -> Vec<InstanceId> {
+        if self.tier() == Tier::Leaf {
+            return self.deputies_from_hub();
+        }
         let engines = self.endpoints.borrow().all().count();
         let own = self.note();
         let home = self.leader_instance();
@@ -327,12 +331,13 @@
                 Some((service.name.clone(), (profile, service.cold_start)))
             })
             .collect();
+        let heartbeats_known_until = self.heartbeats_known_until();
         let silent_after = self.settings().bounds.endpoint_heartbeat * SILENT_HEARTBEATS;
         let facts = registry
             .all()
             .filter_map(|beat| {
                 let is_heard = registry
-                    .silence(now, &beat.endpoint)
+                    .silence(heartbeats_known_until, &beat.endpoint)
                     .is_some_and(|silence| silence < silent_after);
                 let is_good = home
                     .last_good
@@ -353,9 +358,11 @@
         let home = &mut *home;
         home.fleet.update(facts);
         home.last_good.retain(|_, at| now.since(*at) < GOOD_ANSWER_COUNTS);
-        let roster = self.roster.borrow();
-        let boots: BTreeSet<u64> = roster.alive(now).map(|note| note.boot).collect();
-        home.fleet.forget_entries(now, |entry| entry != self.boot && !boots.contains(&entry));
+        // A leaf acting as deputy has no full list of live entries.
+        if self.tier() != Tier::Leaf {
+            let boots = self.roster.borrow().alive_boots(now);
+            home.fleet.forget_entries(now, |entry| entry != self.boot && !boots.contains(&entry));
+        }
     }
 
     /// Returns the name of a fresh prompt.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -47,6 +47,7 @@
 #[cfg(test)]
 mod gossip_tests;
 mod home;
+mod hubs;
 mod lifecycle;
 mod metrics;
 mod net;
@@ -63,6 +64,9 @@
 #[cfg(test)]
 mod roster_tests;
 mod start;
+mod tiers;
+#[cfg(test)]
+mod tiers_tests;
 mod upstream;
 
 pub use balancer::{EndpointBalancer, FaultKind};
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -168,8 +168,7 @@
     fn stop(&self) {
         self.line(EventKind::Stop).number("active", self.active_requests.get());
         self.lifecycle.send_replace(Lifecycle::Stopped);
-        let known: Vec<_> = self.roster.borrow().known().cloned().collect();
-        self.mesh.send_all(&known, &PeerMessage::Farewell);
+        self.mesh.send_all(&self.news_targets(), &PeerMessage::Farewell);
         self.log.flush(LOG_PATIENCE);
     }
 
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -1,5 +1,6 @@
 //! What daemons say to each other.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use oriolepass_consensus::Envelope;
@@ -8,12 +9,12 @@
 use oriolepass_routing::{
     DrainCommand, DrainOutcome, DrainRegister, RegisterOutcome, RoutingRevision, RoutingText,
 };
-use oriolepass_units::{EndpointStart, InstanceId};
+use oriolepass_units::{DataCentreId, EndpointStart, InstanceId};
 use serde::{Deserialize, Serialize};
 
 use crate::balancer::FaultKind;
 use crate::endpoints::EndpointNotice;
-use crate::roster::DaemonNote;
+use crate::roster::{DaemonNote, LeafNote};
 
 /// The leader's answer to a question whether a routing document is current.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -67,6 +68,44 @@
     pub(crate) has_begun: bool,
 }
 
+/// The state that a leaf reports, from which its primary hub finds what is missing.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct LeafState {
+    /// The revision of the document in force.
+    pub(crate) document: Option<RoutingRevision>,
+    /// The hash of its endpoint view.
+    pub(crate) endpoints_hash: u64,
+    /// The hash of the member lists that it received last.
+    pub(crate) lists_hash: u64,
+}
+
+/// The hubs, deputies and caller addresses that a hub sends to a leaf.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub(crate) struct MemberLists {
+    /// The hubs that are alive.
+    pub(crate) hubs: Vec<(InstanceId, DataCentreId)>,
+    /// Who places prompts while the home is away.
+    pub(crate) deputies: Vec<InstanceId>,
+    /// Addresses for callers, by data centre.
+    pub(crate) addresses: Vec<(DataCentreId, Vec<SocketAddr>)>,
+}
+
+/// A hub's answer to a leaf.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct HubStatus {
+    /// The newest revision and the age of its proof; absent without a proof.
+    pub(crate) proof: Option<(Option<RoutingRevision>, Duration)>,
+    pub(crate) drains: DrainRegister,
+    /// Whether the home of the engines did not answer the hub in time.
+    pub(crate) is_home_away: bool,
+    /// The number of live daemons.
+    pub(crate) daemons: u32,
+    /// Endpoints with missed heartbeats, each with the duration of its silence.
+    pub(crate) silent: Vec<(EndpointStart, Duration)>,
+    /// Absent if the leaf's lists are current.
+    pub(crate) lists: Option<MemberLists>,
+}
+
 /// A message.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub(crate) enum PeerMessage {
@@ -129,4 +168,12 @@
     ProposeDrainAnswer { token: u64, verdict: DrainVerdict },
     /// The data centres that are drained.
     Drains(DrainRegister),
+    /// A leaf's question to its primary hub.
+    LeafAsk { token: u64, state: LeafState },
+    /// The answer to `LeafAsk`.
+    LeafAnswer { token: u64, status: HubStatus },
+    /// All endpoints known to the sending hub and those that left recently.
+    EndpointView { notices: Vec<EndpointNotice>, left: Vec<EndpointStart> },
+    /// The leaves attached to the sending hub: all of them, or the changes.
+    AttachedLeaves { is_all: bool, leaves: Vec<LeafNote>, detached: Vec<InstanceId> },
 }
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -9,6 +9,6 @@
 
 pub(crate) use mesh::{MeshEvents, PeerMesh};
 pub(crate) use message::{
-    DocumentVerdict, DrainVerdict, FreshVerdict, PeerMessage, PlaceVerdict, PlacedPrompt,
-    ProgressNote,
+    DocumentVerdict, DrainVerdict, FreshVerdict, HubStatus, LeafState, MemberLists, PeerMessage,
+    PlaceVerdict, PlacedPrompt, ProgressNote,
 };
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -18,6 +18,7 @@
 use crate::events::EventKind;
 use crate::gateway::Gateway;
 use crate::gossip::{is_sponsor, rank};
+use crate::hubs::Tier;
 use crate::peers::PeerMessage;
 use crate::quarantine_disk::QuarantineDisk;
 
@@ -99,9 +100,12 @@
     pub(crate) fn begins_trial(&self, digest: RequestDigest) -> bool {
         let now = self.now();
         let own_rank = rank(&self.own, &digest);
-        let is_first = {
+        // Leaves do not know each other, so only hubs run trials in tiers.
+        let tier = self.tier();
+        let is_first = tier != Tier::Leaf && {
             let roster = self.roster.borrow();
-            roster.alive(now).all(|note| rank(&note.instance, &digest) >= own_rank)
+            let mut others = roster.alive(now).filter(|note| tier == Tier::Mesh || note.has_disk);
+            others.all(|note| rank(&note.instance, &digest) >= own_rank)
         };
         if is_first {
             self.quarantine.borrow_mut().table.begin_trial(self.case_time(), digest);
@@ -116,10 +120,9 @@
             let table = &mut self.quarantine.borrow_mut().table;
             news.iter().filter(|case| table.merge(now, case)).cloned().collect()
         };
-        // The leader is in reach of every daemon that counts, also of those that are cut off from
-        // the one that saw it.
-        if self.is_leader() {
-            self.tell_cases(&fresh);
+        let to = self.forward_targets(from);
+        for message in in_messages(&fresh) {
+            self.mesh.send_all(&to, &message);
         }
         if !fresh.is_empty() {
             self.quarantine_judged(Some(from));
@@ -250,13 +253,13 @@
     }
 
     fn tell_cases(&self, news: &[CaseNews]) {
-        let to: Vec<InstanceId> = self.roster.borrow().known().cloned().collect();
+        let to = self.news_targets();
         for message in in_messages(news) {
             self.mesh.send_all(&to, &message);
         }
     }
 
-    fn all_cases(&self) -> Vec<PeerMessage> {
+    pub(crate) fn all_cases(&self) -> Vec<PeerMessage> {
         in_messages(&self.quarantine.borrow().table.news(self.case_time()))
     }
 
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -3,7 +3,7 @@
 //! A daemon starts with nothing but a few seeds. It greets them, they tell whom they know, and
 //! it greets those in turn. Greetings repeat, so that the roster heals by itself after a cut.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -55,10 +55,35 @@
     pub(crate) replica: Option<ReplicaNote>,
     /// How many daemons it knows.
     pub(crate) known: u32,
+    /// Whether it is a hub with tiers enabled.
+    pub(crate) is_tiered: bool,
     /// Grows with each change of what stands above.
     pub(crate) edition: u32,
 }
 
+/// A leaf as its hub describes it to the other hubs.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct LeafNote {
+    pub(crate) instance: InstanceId,
+    pub(crate) boot: u64,
+    pub(crate) data_centre: DataCentreId,
+    pub(crate) callers: SocketAddr,
+    pub(crate) is_ready: bool,
+}
+
+impl LeafNote {
+    /// Creates a leaf note from a daemon's own note.
+    pub(crate) fn of(note: &DaemonNote) -> Self {
+        Self {
+            instance: note.instance.clone(),
+            boot: note.boot,
+            data_centre: note.data_centre.clone(),
+            callers: note.callers,
+            is_ready: note.phase == DaemonPhase::Ready,
+        }
+    }
+}
+
 #[derive(Debug, Clone)]
 pub(crate) struct RosterEntry {
     pub(crate) note: Option<DaemonNote>,
@@ -81,6 +106,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct DaemonRoster {
     entries: BTreeMap<InstanceId, RosterEntry>,
+    /// The leaves attached to other hubs, by hub.
+    attached_leaves: BTreeMap<InstanceId, BTreeMap<InstanceId, LeafNote>>,
 }
 
 impl DaemonRoster {
@@ -158,10 +185,63 @@
             .collect();
         for instance in &gone {
             self.entries.remove(instance);
+            self.attached_leaves.remove(instance);
         }
         gone
     }
 
+    /// Updates the leaves attached to another hub; with `is_all`, replaces them.
+    pub(crate) fn update_attached_leaves(
+        &mut self,
+        hub: &InstanceId,
+        is_all: bool,
+        leaves: Vec<LeafNote>,
+        detached: &[InstanceId],
+    ) {
+        let attached = self.attached_leaves.entry(hub.clone()).or_default();
+        if is_all {
+            attached.clear();
+        }
+        attached.retain(|leaf, _| !detached.contains(leaf));
+        attached.extend(leaves.into_iter().map(|leaf| (leaf.instance.clone(), leaf)));
+    }
+
+    /// Returns the daemons that this one hears, or that a hub heard here reports as attached.
+    pub(crate) fn all_alive(&self, now: MonotonicTime) -> BTreeMap<&InstanceId, LeafNote> {
+        let is_heard = |hub: &InstanceId| self.silence(now, hub) <= SILENT_AFTER;
+        let reported = self.attached_leaves.iter().filter(|(hub, _)| is_heard(hub));
+        let mut alive: BTreeMap<&InstanceId, LeafNote> = reported
+            .flat_map(|(_, leaves)| leaves.iter().map(|(leaf, note)| (leaf, note.clone())))
+            .collect();
+        // A daemon's own note takes precedence over a hub's report.
+        let direct = self.alive(now).map(|note| (&note.instance, LeafNote::of(note)));
+        alive.extend(direct);
+        alive
+    }
+
+    /// Returns the known daemons with a disk.
+    pub(crate) fn hubs(&self) -> impl Iterator<Item = &DaemonNote> {
+        self.entries.values().filter_map(|entry| entry.note.as_ref()).filter(|note| note.has_disk)
+    }
+
+    /// Returns the data centre of a daemon known here or reported by a hub.
+    pub(crate) fn data_centre_of(&self, instance: &InstanceId) -> Option<DataCentreId> {
+        let note = self.entries.get(instance).and_then(|entry| entry.note.as_ref());
+        let reported = || self.attached_leaves.values().find_map(|leaves| leaves.get(instance));
+        note.map(|note| note.data_centre.clone()).or_else(|| Some(reported()?.data_centre.clone()))
+    }
+
+    /// Returns the boot numbers of the live daemons.
+    pub(crate) fn alive_boots(&self, now: MonotonicTime) -> BTreeSet<u64> {
+        self.all_alive(now).values().map(|note| note.boot).collect()
+    }
+
+    /// Returns whether a daemon is known to have a disk.
+    pub(crate) fn is_hub(&self, instance: &InstanceId) -> bool {
+        let note = self.entries.get(instance).and_then(|entry| entry.note.as_ref());
+        note.is_some_and(|note| note.has_disk)
+    }
+
     /// Returns everyone known.
     pub(crate) fn known(&self) -> impl Iterator<Item = &InstanceId> {
         self.entries.keys()
--- a/crates/gateway/src/roster_tests.rs
+++ b/crates/gateway/src/roster_tests.rs
@@ -22,6 +22,7 @@
         may_found: false,
         replica: None,
         known: 3,
+        is_tiered: false,
         edition,
     }
 }
--- /dev/null
+++ b/crates/gateway/src/tiers.rs
@@ -0,0 +1,132 @@
+//! The choice of hubs for leaves and endpoints, and of addresses for callers.
+//!
+//! In a small system each daemon has a link to every other one. From `tiers_from` daemons on, those
+//! with a disk are *hubs* and all others are *leaves*, so that control traffic per instance stays
+//! flat as instances are added. Hubs have links to each other. A leaf is attached to
+//! [`HUBS_PER_LEAF`] hubs: its primary answers its questions for proof and sends it changes; the
+//! others know that it is alive.
+//! A change is sent from hub to hub once, and each hub forwards it to its leaves.
+//!
+//! This needs no agreement: any hub can answer any leaf, so a leaf changes to another hub when one
+//! does not answer.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use oriolepass_units::{DataCentreId, EndpointStart, InstanceId, MonotonicTime};
+
+use crate::gossip::rank;
+
+/// The ratio of `tiers_from` below which a system in tiers returns to a mesh; prevents flapping.
+const MESH_RETURN_RATIO: f64 = 0.75;
+
+/// Hubs that a leaf is attached to, so that the loss of one does not make the leaf look dead.
+const HUBS_PER_LEAF: usize = 2;
+
+/// How long a leaf avoids a hub that failed to answer.
+const HUB_RETRY_DELAY: Duration = Duration::from_secs(3);
+
+/// Returns whether a system of `daemons` runs in tiers, with hysteresis by `was_tiered`.
+pub(crate) fn is_tiered(was_tiered: bool, daemons: usize, tiers_from: usize) -> bool {
+    let threshold =
+        if was_tiered { tiers_from as f64 * MESH_RETURN_RATIO } else { tiers_from as f64 };
+    daemons as f64 >= threshold
+}
+
+/// Selects hubs for a leaf and for the endpoints that announce themselves to it.
+#[derive(Debug, Default)]
+pub(crate) struct HubSelector {
+    hubs: BTreeMap<InstanceId, HubEntry>,
+}
+
+#[derive(Debug)]
+struct HubEntry {
+    data_centre: DataCentreId,
+    retry_at: MonotonicTime,
+}
+
+impl HubSelector {
+    /// Adds a hub if it is not known yet.
+    pub(crate) fn add(&mut self, hub: &InstanceId, data_centre: &DataCentreId) {
+        let entry = || HubEntry { data_centre: data_centre.clone(), retry_at: MonotonicTime::ZERO };
+        self.hubs.entry(hub.clone()).or_insert_with(entry);
+    }
+
+    /// Keeps only the live hubs and adds new ones.
+    pub(crate) fn update(&mut self, alive: &[(InstanceId, DataCentreId)]) {
+        self.hubs.retain(|hub, _| alive.iter().any(|(other, _)| other == hub));
+        alive.iter().for_each(|(hub, data_centre)| self.add(hub, data_centre));
+    }
+
+    /// Records that a hub did not answer or had no recent proof.
+    pub(crate) fn note_failure(&mut self, now: MonotonicTime, hub: &InstanceId) {
+        if let Some(entry) = self.hubs.get_mut(hub) {
+            entry.retry_at = now + HUB_RETRY_DELAY;
+        }
+    }
+
+    /// Returns all known hubs.
+    pub(crate) fn all(&self) -> impl Iterator<Item = &InstanceId> {
+        self.hubs.keys()
+    }
+
+    /// Returns the preferred hub for the heartbeats of an endpoint.
+    pub(crate) fn hub_for_endpoint(
+        &self,
+        now: MonotonicTime,
+        endpoint: &EndpointStart,
+        data_centre: &DataCentreId,
+    ) -> Option<&InstanceId> {
+        let order = |(hub, entry): &(&InstanceId, &HubEntry)| {
+            (now < entry.retry_at, entry.data_centre != *data_centre, rank(hub, endpoint))
+        };
+        self.hubs.iter().min_by_key(order).map(|(hub, _)| hub)
+    }
+
+    /// Returns the hubs that a leaf is attached to, the primary first.
+    ///
+    /// Prefers hubs that have not failed recently, then those of its own data centre. The rank
+    /// spreads leaves evenly over the hubs.
+    pub(crate) fn attached(
+        &self,
+        now: MonotonicTime,
+        leaf: &InstanceId,
+        data_centre: &DataCentreId,
+    ) -> Vec<InstanceId> {
+        let order = |(hub, entry): &(&InstanceId, &HubEntry)| {
+            (now < entry.retry_at, entry.data_centre != *data_centre, rank(hub, leaf))
+        };
+        let mut hubs: Vec<(&InstanceId, &HubEntry)> = self.hubs.iter().collect();
+        hubs.sort_by_cached_key(order);
+        hubs.into_iter().take(HUBS_PER_LEAF).map(|(hub, _)| hub.clone()).collect()
+    }
+}
+
+/// The ready instances of a data centre on a hash ring.
+///
+/// Each instance returns the addresses that follow its own position, so all are returned about
+/// equally often, and adding or removing an instance changes at most one address of each list.
+#[derive(Debug, Default)]
+pub(crate) struct AddressRing {
+    entries: Vec<(u64, InstanceId, SocketAddr)>,
+}
+
+impl AddressRing {
+    /// Creates a ring from instances and their addresses for callers.
+    pub(crate) fn new(ready: Vec<(InstanceId, SocketAddr)>) -> Self {
+        let entry = |(instance, callers)| (rank(&instance, &()), instance, callers);
+        let mut entries: Vec<_> = ready.into_iter().map(entry).collect();
+        entries.sort();
+        Self { entries }
+    }
+
+    /// Returns up to `limit` addresses that an instance returns to callers.
+    pub(crate) fn addresses_for(&self, instance: &InstanceId, limit: usize) -> Vec<SocketAddr> {
+        let position = (rank(instance, &()), instance);
+        let start = self.entries.partition_point(|(rank, other, _)| (*rank, other) < position);
+        let count = self.entries.len().min(limit);
+        let following = self.entries.iter().cycle().skip(start).take(count);
+        following.map(|(_, _, callers)| *callers).collect()
+    }
+}
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -114,6 +114,14 @@
         Some("0"),
         "Data centres whose loss at one time must be borne.",
     ),
+    spec(
+        "cluster",
+        "tiers_from",
+        integer(100_000),
+        "instances",
+        Some("48"),
+        "From this many instances on, those without a disk have links to a few with a disk only.",
+    ),
     spec(
         "bounds",
         "endpoint_heartbeat_ms",
@@ -299,6 +307,8 @@
     pub seeds: SeedSettings,
     /// What may be lost at one time.
     pub tolerance: ToleranceSettings,
+    /// From this many instances on, those without a disk have links to only a few with a disk.
+    pub tiers_from: usize,
     /// Bounds that the platform sets.
     pub bounds: GatewayBounds,
     /// The memory that the process may use, in megabytes.
@@ -367,6 +377,7 @@
                 instances: self.parsed("cluster", "lost_instances")?,
                 data_centres: self.parsed("cluster", "lost_data_centres")?,
             },
+            tiers_from: self.parsed("cluster", "tiers_from")?,
             bounds: self.bounds()?,
             memory_mb: self.parsed("limits", "memory_mb")?,
             descriptors: self.parsed("limits", "descriptors")?,
