Send leaves only differing endpoints, in batches, and count peer traffic

Cause: while 994 daemons started, each was told of up to all other daemons before the hubs ran in tiers, so a full mesh existed for several seconds. Leaves switched hubs every 70 ms because no hub had a proof yet, and each hub that was new to a leaf sent it all endpoints. Hubs sent every leaf a separate message for each endpoint, and every leaf logged a line for each endpoint. Change: a daemon that knows `tiers_from` others tells newcomers of the hubs only, and treats itself as a leaf. A leaf asks a hub that has no proof yet again after 150 ms instead of switching to another hub. A hub sends all endpoints only if the leaf's hash differs. Hubs collect endpoint changes for 100 ms and send them together. A leaf logs one line for several endpoints. Messages and bytes sent to other daemons are counted by kind, in metrics and in a log line every ten seconds. A log line reports a change of a leaf's primary.

--- a/crates/gateway/src/announce.rs
+++ b/crates/gateway/src/announce.rs
@@ -32,6 +32,9 @@
 /// Between two lines about skipped entries, however many come.
 const SKIPPED_EVERY: Duration = Duration::from_secs(1);
 
+/// The most endpoints that one log line lists.
+const MAX_LISTED_ENDPOINTS: usize = 8;
+
 /// Characters of a reason that quotes what somebody else wrote.
 const REASON_CHARACTERS: usize = 160;
 
@@ -45,7 +48,7 @@
             BeatChange::Met | BeatChange::Changed => {
                 self.log_endpoint(&beat, change, None);
                 let notice = EndpointNotice { beat, age: Duration::ZERO };
-                self.tell_all(&PeerMessage::Endpoints(vec![notice]));
+                self.publish_endpoint_changes(vec![notice], Vec::new());
                 self.endpoints_changed();
             }
             BeatChange::Refreshed => {
@@ -60,19 +63,22 @@
         let leaver = self.endpoints.borrow_mut().leave(endpoint);
         if let Some(leaver) = leaver {
             self.line(EventKind::Endpoint).text("endpoint", &leaver).text("outcome", "left");
-            self.tell_all(&PeerMessage::EndpointsLeft(vec![leaver]));
+            self.publish_endpoint_changes(Vec::new(), vec![leaver]);
             self.endpoints_changed();
         }
     }
 
     pub(crate) fn on_endpoint_notices(&self, from: &InstanceId, notices: Vec<EndpointNotice>) {
         let now = self.now();
-        let is_from_leaf = self.tier() == Tier::Hub && !self.roster.borrow().is_hub(from);
+        let tier = self.tier();
+        let is_from_leaf = tier == Tier::Hub && !self.roster.borrow().is_hub(from);
         let mut news = Vec::new();
         for notice in notices {
             let change = self.endpoints.borrow_mut().take(now, notice.beat.clone(), notice.age);
             if matches!(change, BeatChange::Met | BeatChange::Changed) {
-                self.log_endpoint(&notice.beat, change, Some(from));
+                if tier != Tier::Leaf {
+                    self.log_endpoint(&notice.beat, change, Some(from));
+                }
                 news.push(notice);
             } else if is_from_leaf && change == BeatChange::Refreshed {
                 self.home.borrow_mut().direct_beats.insert(notice.beat.endpoint);
@@ -81,7 +87,14 @@
         if news.is_empty() {
             return;
         }
-        self.mesh.send_all(&self.forward_targets(from), &PeerMessage::Endpoints(news));
+        if tier == Tier::Leaf {
+            self.log_endpoint_changes(
+                from,
+                news.iter().map(|notice| &notice.beat.endpoint),
+                "changed",
+            );
+        }
+        self.forward_endpoint_changes(from, news, Vec::new());
         self.endpoints_changed();
     }
 
@@ -93,14 +106,33 @@
         if news.is_empty() {
             return;
         }
-        for endpoint in &news {
-            let line = self.line(EventKind::Endpoint).text("endpoint", endpoint);
-            line.text("told_by", from).text("outcome", "left");
+        if self.tier() == Tier::Leaf {
+            self.log_endpoint_changes(from, news.iter(), "left");
+        } else {
+            for endpoint in &news {
+                let line = self.line(EventKind::Endpoint).text("endpoint", endpoint);
+                line.text("told_by", from).text("outcome", "left");
+            }
         }
-        self.mesh.send_all(&self.forward_targets(from), &PeerMessage::EndpointsLeft(news));
+        self.forward_endpoint_changes(from, Vec::new(), news);
         self.endpoints_changed();
     }
 
+    /// Logs a batch of endpoint changes in one line, which limits the log volume of a leaf.
+    fn log_endpoint_changes<'a>(
+        &self,
+        from: &InstanceId,
+        endpoints: impl Iterator<Item = &'a EndpointStart>,
+        outcome: &str,
+    ) {
+        let names: Vec<String> = endpoints.map(ToString::to_string).collect();
+        self.line(EventKind::Endpoints)
+            .text("told_by", from)
+            .number("count", names.len())
+            .text("first", names[..names.len().min(MAX_LISTED_ENDPOINTS)].join(","))
+            .text("outcome", outcome);
+    }
+
     /// Notes an entry that cannot be read: it names no endpoint to use, and the others hold.
     pub fn entry_skipped(&self, endpoint: &str, reason: &str) {
         self.metrics.skipped_entries.inc();
@@ -140,8 +172,45 @@
             .text("outcome", if change == BeatChange::Met { "met" } else { "changed" });
     }
 
-    fn tell_all(&self, message: &PeerMessage) {
-        self.mesh.send_all(&self.news_targets(), message);
+    /// Sends changes that endpoints announced to this daemon; a hub queues them for its leaves.
+    fn publish_endpoint_changes(&self, notices: Vec<EndpointNotice>, left: Vec<EndpointStart>) {
+        let to = match self.tier() {
+            Tier::Mesh | Tier::Leaf => self.news_targets(),
+            Tier::Hub => self.other_hubs(),
+        };
+        self.send_endpoint_changes(&to, &notices, &left);
+        self.queue_leaf_changes(notices, left);
+    }
+
+    /// Forwards endpoint changes received from another daemon; a hub queues them for its leaves.
+    fn forward_endpoint_changes(
+        &self,
+        from: &InstanceId,
+        notices: Vec<EndpointNotice>,
+        left: Vec<EndpointStart>,
+    ) {
+        let to = match self.tier() {
+            Tier::Mesh | Tier::Leaf => self.forward_targets(from),
+            Tier::Hub if self.roster.borrow().is_hub(from) => Vec::new(),
+            Tier::Hub => self.other_hubs(),
+        };
+        self.send_endpoint_changes(&to, &notices, &left);
+        self.queue_leaf_changes(notices, left);
+    }
+
+    /// Sends endpoint changes to the given daemons at once.
+    pub(crate) fn send_endpoint_changes(
+        &self,
+        to: &[InstanceId],
+        notices: &[EndpointNotice],
+        left: &[EndpointStart],
+    ) {
+        if !notices.is_empty() {
+            self.mesh.send_all(to, &PeerMessage::Endpoints(notices.to_vec()));
+        }
+        if !left.is_empty() {
+            self.mesh.send_all(to, &PeerMessage::EndpointsLeft(left.to_vec()));
+        }
     }
 
     /// Passes heartbeats on, and forgets endpoints that have been silent for long.
--- a/crates/gateway/src/cluster.rs
+++ b/crates/gateway/src/cluster.rs
@@ -15,7 +15,7 @@
 use crate::hubs::Tier;
 use crate::lifecycle::Lifecycle;
 use crate::peer_changes::{ChangeCount, PeerChange, PeerChanges};
-use crate::peers::{MeshEvents, PeerMessage};
+use crate::peers::{MeshEvents, PeerMessage, TrafficCount};
 use crate::replica::{Proposer, ReplicaDriver};
 use crate::roster::{DaemonNote, DaemonPhase, GREET_EVERY, ReplicaNote, RosterChange};
 
@@ -27,6 +27,9 @@
 /// what nobody thought of.
 const FULL_GREETING_DIVISOR: u64 = 64;
 
+/// Peer traffic is logged and counted once in this many greeting rounds, about every ten seconds.
+const TRAFFIC_LOG_DIVISOR: u64 = 16;
+
 /// The most endpoints that have left that a daemon is told of at once.
 const TOLD_LEAVERS: usize = 256;
 
@@ -42,11 +45,28 @@
             self.note_suspension();
             self.greet(round);
             self.look_for_leader();
+            if round.is_multiple_of(TRAFFIC_LOG_DIVISOR) {
+                self.log_traffic();
+            }
             round += 1;
             sleep(GREET_EVERY).await;
         }
     }
 
+    /// Logs the messages and bytes sent since the last call, and adds them to the metrics.
+    fn log_traffic(&self) {
+        let traffic = self.mesh.take_traffic();
+        if traffic.is_empty() {
+            return;
+        }
+        let mut line = self.line(EventKind::PeerTraffic);
+        for (kind, TrafficCount { messages, bytes }) in traffic {
+            line = line.text(kind, format!("{messages}/{bytes}"));
+            self.metrics.peer_messages.with_label_values(&[kind]).inc_by(messages);
+            self.metrics.peer_bytes.with_label_values(&[kind]).inc_by(bytes);
+        }
+    }
+
     fn greet(&self, round: u64) {
         self.update_tier(round);
         let now = self.now();
@@ -213,7 +233,12 @@
         if note.has_disk {
             self.add_hub(from, &note.data_centre);
         }
-        let hubs = (self.tier() != Tier::Mesh).then(|| self.known_hubs());
+        // From `tiers_from` daemons on, a list of all daemons would make newcomers build a full mesh.
+        let needs_tiers = self.roster.borrow().known_count() >= self.settings().tiers_from;
+        let hubs = (needs_tiers || self.tier() != Tier::Mesh).then(|| {
+            let hubs = self.known_hubs().into_iter();
+            hubs.filter(|hub| hub != from).collect::<Vec<InstanceId>>()
+        });
         let (change, more, is_new) = {
             let mut roster = self.roster.borrow_mut();
             let is_new = roster.get(from).is_none();
--- a/crates/gateway/src/documents.rs
+++ b/crates/gateway/src/documents.rs
@@ -27,6 +27,9 @@
 /// The pause after a question that brought no proof.
 const PROVE_AGAIN: Duration = Duration::from_millis(70);
 
+/// The same for a leaf; longer, as many leaves ask the same hub.
+const PROVE_AGAIN_AS_LEAF: Duration = Duration::from_millis(150);
+
 /// How long the leader has to answer a question; then the next one is asked.
 const ANSWER_PATIENCE: Duration = Duration::from_millis(700);
 
@@ -229,7 +232,11 @@
             self.note_freshness();
             self.refresh_readiness();
             // A new leader is asked at once, and again soon while it is not sure to lead yet.
-            let pause = if is_answered { PROVE_EVERY } else { PROVE_AGAIN };
+            let pause = match (is_answered, self.tier()) {
+                (true, _) => PROVE_EVERY,
+                (false, Tier::Leaf) => PROVE_AGAIN_AS_LEAF,
+                (false, _) => PROVE_AGAIN,
+            };
             let _ = timeout(pause, self.leader_changed.notified()).await;
         }
     }
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -55,6 +55,10 @@
     Peer = "peer";
     /// How many links and other daemons changed since the last such line, where there are many.
     Peers = "peers";
+    /// The primary hub, which this daemon asks for proofs, has changed.
+    Primary = "primary";
+    /// Messages and bytes sent to other daemons since the last such line, by kind of message.
+    PeerTraffic = "peer-traffic";
     /// The set of first voters was chosen for a new system.
     Founding = "founding";
     /// The leader of the log that this process believes in has changed.
@@ -73,6 +77,8 @@
     Freshness = "freshness";
     /// An endpoint was met, changed its state, left, or was forgotten.
     Endpoint = "endpoint";
+    /// A leaf was told of one or more endpoints that were met, changed their state, or left.
+    Endpoints = "endpoints";
     /// An endpoint failed a request in a way that counts against it.
     EndpointFault = "endpoint-fault";
     /// An endpoint lost a request's answer; `outcome` says whether it has ended, `digest` names the request across its attempts.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -72,6 +72,8 @@
     pub(crate) drains: RefCell<DrainRegister>,
     pub(crate) document_changed: Notify,
     pub(crate) leader_changed: Notify,
+    /// Notified when a hub queues endpoint changes for its leaves.
+    pub(crate) leaf_changes_queued: Notify,
     pub(crate) endpoints: RefCell<EndpointRegistry>,
     pub(crate) skipped: Cell<SkippedReport>,
     pub(crate) balancer: RefCell<EndpointBalancer>,
@@ -131,6 +133,7 @@
             drains: RefCell::default(),
             document_changed: Notify::new(),
             leader_changed: Notify::new(),
+            leaf_changes_queued: Notify::new(),
             endpoints: RefCell::default(),
             skipped: Cell::default(),
             balancer: RefCell::default(),
--- a/crates/gateway/src/hubs.rs
+++ b/crates/gateway/src/hubs.rs
@@ -7,12 +7,15 @@
 use std::collections::BTreeMap;
 use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use oriolepass_units::{DataCentreId, EndpointStart, InstanceId, MonotonicTime};
+use tokio::time::sleep;
 
 use crate::deputies::choose_deputies;
 use crate::endpoints::{EndpointBeat, EndpointNotice};
+use crate::events::EventKind;
 use crate::gateway::{Gateway, PeerReply};
 use crate::peers::{FreshVerdict, HubStatus, LeafState, MemberLists, PeerMessage};
 use crate::roster::LeafNote;
@@ -49,6 +52,9 @@
 /// How long a leaf uses a hub's last status of endpoints and addresses while no hub answers.
 const HUB_STATUS_VALIDITY: Duration = Duration::from_secs(10);
 
+/// How long a hub collects endpoint changes before it sends them to its leaves in one batch.
+const LEAF_BATCH_DELAY: Duration = Duration::from_millis(100);
+
 /// A hub reports all its leaves to the other hubs once in this many rounds, and changes each round.
 const FULL_REPORT_DIVISOR: u64 = 16;
 
@@ -93,7 +99,11 @@
     /// The leaves reported to the other hubs.
     reported_leaves: BTreeMap<InstanceId, LeafNote>,
     summary: HubSummary,
+    /// Endpoint changes not yet sent to the leaves.
+    queued_notices: Vec<EndpointNotice>,
+    queued_left: Vec<EndpointStart>,
     hubs: HubSelector,
+    primary: Option<InstanceId>,
     /// The lists and the daemon count from the primary hub's last status.
     lists: MemberLists,
     daemons: usize,
@@ -113,7 +123,9 @@
         if self.settings().data_folder.is_some() {
             return if self.tier.borrow().is_tiered_hub { Tier::Hub } else { Tier::Mesh };
         }
-        let is_leaf = self.roster.borrow().hubs().any(|note| note.is_tiered);
+        let roster = self.roster.borrow();
+        let needs_tiers = roster.known_count() >= self.settings().tiers_from;
+        let is_leaf = roster.hubs().any(|note| note.is_tiered || needs_tiers);
         if is_leaf { Tier::Leaf } else { Tier::Mesh }
     }
 
@@ -296,7 +308,7 @@
             is_home_away: !self.is_leader() && self.home.borrow().watch.is_away(),
             daemons: u32::try_from(tier.summary.daemons).unwrap_or(u32::MAX),
             silent: tier.summary.silent.clone(),
-            lists: (lists_hash(&lists) != state.lists_hash).then_some(lists),
+            lists: (tier.is_tiered_hub && lists_hash(&lists) != state.lists_hash).then_some(lists),
         }
     }
 
@@ -322,7 +334,7 @@
         let Some(session) = tier.sessions.get_mut(leaf) else {
             let session = LeafSession { last_asked: now, differs_since: None, view_sent: now };
             tier.sessions.insert(leaf.clone(), session);
-            return true;
+            return !is_same;
         };
         session.last_asked = now;
         if is_same {
@@ -351,6 +363,35 @@
         }
     }
 
+    /// Queues endpoint changes for the next batch to the leaves; does nothing unless this is a hub.
+    pub(crate) fn queue_leaf_changes(
+        &self,
+        notices: Vec<EndpointNotice>,
+        left: Vec<EndpointStart>,
+    ) {
+        if self.tier() == Tier::Hub {
+            let mut tier = self.tier.borrow_mut();
+            tier.queued_notices.extend(notices);
+            tier.queued_left.extend(left);
+            self.leaf_changes_queued.notify_one();
+        }
+    }
+
+    /// Sends queued endpoint changes to the leaves in batches.
+    pub(crate) async fn keep_updating_leaves(self: Rc<Self>) {
+        loop {
+            self.leaf_changes_queued.notified().await;
+            sleep(LEAF_BATCH_DELAY).await;
+            let (notices, left) = {
+                let mut tier = self.tier.borrow_mut();
+                (std::mem::take(&mut tier.queued_notices), std::mem::take(&mut tier.queued_left))
+            };
+            if !notices.is_empty() || !left.is_empty() {
+                self.send_endpoint_changes(&self.own_leaves(), &notices, &left);
+            }
+        }
+    }
+
     /// Replaces the endpoint registry with a view from a hub.
     pub(crate) fn on_endpoint_view(&self, notices: Vec<EndpointNotice>, left: &[EndpointStart]) {
         let now = self.now();
@@ -367,6 +408,7 @@
     /// Asks the primary hub for its status; returns whether it contained a recent proof.
     pub(crate) async fn prove_by_hub(&self) -> bool {
         let Some(hub) = self.attached_hubs().into_iter().next() else { return false };
+        self.record_primary(&hub);
         let asked = self.now();
         let state = LeafState {
             document: self.held_revision(),
@@ -374,17 +416,33 @@
             lists_hash: lists_hash(&self.tier.borrow().lists),
         };
         let question = |token| PeerMessage::LeafAsk { token, state };
-        let is_proved = match self.call(&hub, HUB_PATIENCE, question).await {
-            Some(PeerReply::Hub(status)) => self.apply_hub_status(asked, status),
-            _ => false,
+        let Some(PeerReply::Hub(status)) = self.call(&hub, HUB_PATIENCE, question).await else {
+            self.tier.borrow_mut().hubs.note_failure(self.now(), &hub);
+            return false;
         };
-        if !is_proved {
+        // A missing proof is no failure of the hub: without a leader or a document, no hub has one.
+        let is_stale = status.proof.is_some_and(|(_, age)| age >= MAX_HUB_PROOF_AGE);
+        if is_stale {
             self.tier.borrow_mut().hubs.note_failure(self.now(), &hub);
         }
+        let is_proved = status.proof.is_some() && !is_stale;
+        self.apply_hub_status(asked, status);
         is_proved
     }
 
-    fn apply_hub_status(&self, asked: MonotonicTime, status: HubStatus) -> bool {
+    /// Records the primary hub and logs when it changes.
+    fn record_primary(&self, hub: &InstanceId) {
+        let previous = self.tier.borrow_mut().primary.replace(hub.clone());
+        if previous.as_ref() != Some(hub) {
+            self.line(EventKind::Primary)
+                .maybe("before", previous)
+                .text("hub", hub)
+                .millis("proof_age_ms", self.proof_age().unwrap_or(Duration::MAX))
+                .text("outcome", "asked");
+        }
+    }
+
+    fn apply_hub_status(&self, asked: MonotonicTime, status: HubStatus) {
         let HubStatus { proof, drains, is_home_away, daemons, silent, lists } = status;
         self.adopt_drains(&drains);
         {
@@ -403,11 +461,9 @@
         } else {
             self.home_answered();
         }
-        let Some((newest, age)) = proof.filter(|(_, age)| *age < MAX_HUB_PROOF_AGE) else {
-            return false;
-        };
-        self.prove_newest(asked - age, newest);
-        true
+        if let Some((newest, age)) = proof {
+            self.prove_newest(asked - age, newest);
+        }
     }
 
     /// Returns the time up to which heartbeats of endpoints are known.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -49,6 +49,10 @@
     pub(crate) replica_runs: IntGauge,
     /// Daemons heard lately.
     pub(crate) peers: IntGauge,
+    /// Messages sent to other daemons, by kind.
+    pub(crate) peer_messages: IntCounterVec,
+    /// Bytes sent to other daemons, by kind of message.
+    pub(crate) peer_bytes: IntCounterVec,
     /// Suspensions of the machine.
     pub(crate) suspensions: IntCounter,
     /// Endpoints that take work.
@@ -125,6 +129,16 @@
             is_leader: gauge("oriolepass_is_leader", "Whether this daemon leads the log"),
             replica_runs: gauge("oriolepass_replica_runs", "Whether the replica of the log runs"),
             peers: gauge("oriolepass_peers", "Daemons heard lately"),
+            peer_messages: counters(
+                "oriolepass_peer_messages_total",
+                "Messages to other daemons, by kind",
+                "kind",
+            ),
+            peer_bytes: counters(
+                "oriolepass_peer_bytes_total",
+                "Bytes to other daemons, by kind",
+                "kind",
+            ),
             suspensions: counter("oriolepass_suspensions_total", "Suspensions of the machine"),
             endpoints: gauge("oriolepass_endpoints", "Endpoints that take work"),
             skipped_entries: counter(
--- a/crates/gateway/src/peers/mesh.rs
+++ b/crates/gateway/src/peers/mesh.rs
@@ -1,7 +1,7 @@
 //! The connections to the other daemons.
 
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
@@ -69,12 +69,28 @@
     source: IpAddr,
     links: RefCell<HashMap<InstanceId, mpsc::Sender<Bytes>>>,
     events: RefCell<Option<Rc<dyn MeshEvents>>>,
+    traffic: RefCell<BTreeMap<&'static str, TrafficCount>>,
+}
+
+/// The number and total size of sent messages of one kind, including those dropped at a full queue.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) struct TrafficCount {
+    pub(crate) messages: u64,
+    pub(crate) bytes: u64,
+}
+
+impl TrafficCount {
+    fn add(&mut self, bytes: usize) {
+        self.messages += 1;
+        self.bytes += bytes as u64;
+    }
 }
 
 impl PeerMesh {
     pub(crate) fn new(own: InstanceId, source: IpAddr) -> Rc<Self> {
         let links = RefCell::new(HashMap::new());
-        Rc::new(Self { own, source, links, events: RefCell::new(None) })
+        let traffic = RefCell::default();
+        Rc::new(Self { own, source, links, events: RefCell::new(None), traffic })
     }
 
     /// Names who is told of messages, and accepts connections.
@@ -85,7 +101,7 @@
 
     /// Sends a message, or drops it where its receiver does not keep up.
     pub(crate) fn send(self: &Rc<Self>, to: &InstanceId, message: &PeerMessage) {
-        self.send_frame(to, encode(message));
+        self.send_frame(to, message.kind(), encode(message));
     }
 
     /// Sends one message to several daemons.
@@ -95,13 +111,20 @@
         message: &PeerMessage,
     ) {
         let frame = encode(message);
-        to.into_iter().for_each(|instance| self.send_frame(instance, frame.clone()));
+        let kind = message.kind();
+        to.into_iter().for_each(|instance| self.send_frame(instance, kind, frame.clone()));
+    }
+
+    /// Returns the counts by kind of message since the last call, and resets them.
+    pub(crate) fn take_traffic(&self) -> BTreeMap<&'static str, TrafficCount> {
+        self.traffic.take()
     }
 
-    fn send_frame(self: &Rc<Self>, to: &InstanceId, frame: Bytes) {
+    fn send_frame(self: &Rc<Self>, to: &InstanceId, kind: &'static str, frame: Bytes) {
         if *to == self.own {
             return;
         }
+        self.traffic.borrow_mut().entry(kind).or_default().add(frame.len());
         let mut links = self.links.borrow_mut();
         let link = links.entry(to.clone()).or_insert_with(|| {
             let (sender, frames) = mpsc::channel(LINK_QUEUE);
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -177,3 +177,42 @@
     /// The leaves attached to the sending hub: all of them, or the changes.
     AttachedLeaves { is_all: bool, leaves: Vec<LeafNote>, detached: Vec<InstanceId> },
 }
+
+impl PeerMessage {
+    /// Returns the label of this kind of message in metrics and logs.
+    pub(crate) fn kind(&self) -> &'static str {
+        match self {
+            Self::Greeting(..) => "greeting",
+            Self::Present { .. } => "present",
+            Self::GreetingAsk => "greeting-ask",
+            Self::Known(..) => "known",
+            Self::Farewell => "farewell",
+            Self::Consensus(..) => "consensus",
+            Self::FreshAsk { .. } => "fresh-ask",
+            Self::FreshAnswer { .. } => "fresh-answer",
+            Self::Document { .. } => "document",
+            Self::InForce(..) => "in-force",
+            Self::Propose { .. } => "propose",
+            Self::ProposeAnswer { .. } => "propose-answer",
+            Self::Endpoints(..) => "endpoints",
+            Self::EndpointsRelayed(..) => "endpoints-relayed",
+            Self::EndpointsLeft(..) => "endpoints-left",
+            Self::Faults(..) => "faults",
+            Self::PlaceAsk { .. } => "place-ask",
+            Self::PlaceAnswer { .. } => "place-answer",
+            Self::SilenceAsk { .. } => "silence-ask",
+            Self::SilenceAnswer { .. } => "silence-answer",
+            Self::Progress(..) => "progress",
+            Self::Placed(..) => "placed",
+            Self::Cases(..) => "cases",
+            Self::CaseHash { .. } => "case-hash",
+            Self::ProposeDrain { .. } => "propose-drain",
+            Self::ProposeDrainAnswer { .. } => "propose-drain-answer",
+            Self::Drains(..) => "drains",
+            Self::LeafAsk { .. } => "leaf-ask",
+            Self::LeafAnswer { .. } => "leaf-answer",
+            Self::EndpointView { .. } => "endpoint-view",
+            Self::AttachedLeaves { .. } => "attached-leaves",
+        }
+    }
+}
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -7,7 +7,7 @@
 mod mesh;
 mod message;
 
-pub(crate) use mesh::{MeshEvents, PeerMesh};
+pub(crate) use mesh::{MeshEvents, PeerMesh, TrafficCount};
 pub(crate) use message::{
     DocumentVerdict, DrainVerdict, FreshVerdict, HubStatus, LeafState, MemberLists, PeerMessage,
     PlaceVerdict, PlacedPrompt, ProgressNote,
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -92,6 +92,7 @@
         *gateway.replica.borrow_mut() = Some(replica);
         spawn_local(Rc::clone(&gateway).run_replica(to_loop));
         spawn_local(Rc::clone(&gateway).keep_voters());
+        spawn_local(Rc::clone(&gateway).keep_updating_leaves());
         spawn_local(Rc::clone(&gateway).keep_quarantine_on_disk(folder));
     }
     spawn_local(Rc::clone(&gateway).keep_greeting());
