Hubs grant repeated sends to their leaves

Cause: the fixed number of the retry budget was divided by the daemons. With 994 daemons that is 1.05 sends each, of which a share of 0.7 is used, so hardly any leaf could repeat a request. Calls that an endpoint failed with 500 and streams that were cut by an ending endpoint were given up at once, while the whole budget was unused. Change: in tiers, a daemon uses the ratio of its own requests without asking, and asks its primary hub for more. The hubs divide the fixed number among themselves, counting silent hubs too. Ruled out: letting each leaf use one whole send however small its part. That is 994 sends in a window beside the ratio and leaves nothing for the safety factor.

--- a/crates/gateway/src/cluster.rs
+++ b/crates/gateway/src/cluster.rs
@@ -421,6 +421,13 @@
                 gateway.answer_call(token, PeerReply::Drained(verdict));
             }
             PeerMessage::LeafAsk { token, state } => gateway.on_leaf_ask(from, token, &state),
+            PeerMessage::RepeatAsk { token, service } => {
+                let is_granted = gateway.grant_repeat(&service);
+                gateway.mesh.send(from, &PeerMessage::RepeatAnswer { token, is_granted });
+            }
+            PeerMessage::RepeatAnswer { token, is_granted } => {
+                gateway.answer_call(token, PeerReply::Repeat(is_granted));
+            }
             PeerMessage::LeafAnswer { token, status } => {
                 gateway.answer_call(token, PeerReply::Hub(status));
             }
--- a/crates/gateway/src/front/tries.rs
+++ b/crates/gateway/src/front/tries.rs
@@ -318,7 +318,7 @@
         self.check_quarantine(gateway, request).await?;
         // Only what reaches an endpoint once more counts: neither a look for a place that finds none nor a send to one
         // that is gone must use up what other requests need.
-        if self.attempts.arrivals() > 0 && !take_from_budget(gateway, request) {
+        if self.attempts.arrivals() > 0 && !take_from_budget(gateway, request).await {
             return Err(TryEnd::Barred("retry budget used up", FULL_AGAIN));
         }
         self.attempts.send();
@@ -365,12 +365,8 @@
 }
 
 /// Takes one repeated send out of the budget; returns whether there was one.
-fn take_from_budget(gateway: &Gateway, request: &CallerRequest) -> bool {
-    let now = gateway.now();
-    let daemons = gateway.daemon_count();
-    let rule = gateway.budget_rule();
-    let service = &request.service.name;
-    let granted = gateway.budget.borrow_mut().take(now, &rule, daemons, service);
+async fn take_from_budget(gateway: &Gateway, request: &CallerRequest) -> bool {
+    let granted = gateway.take_repeated_send(&request.service.name).await;
     if !granted {
         gateway.metrics.budget_refusals.inc();
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -40,6 +40,7 @@
     Placed(PlaceVerdict),
     SilenceExpected(bool),
     Hub(HubStatus),
+    Repeat(bool),
 }
 
 /// What the event loop's tasks share. Each part is borrowed for the length of a call only, never
--- a/crates/gateway/src/hubs.rs
+++ b/crates/gateway/src/hubs.rs
@@ -10,7 +10,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use oriolepass_units::{DataCentreId, EndpointStart, InstanceId, MonotonicTime};
+use oriolepass_units::{DataCentreId, EndpointStart, InstanceId, MonotonicTime, ServiceName};
 use tokio::time::sleep;
 
 use crate::deputies::choose_deputies;
@@ -24,6 +24,9 @@
 /// How long a hub has to answer a leaf before another one is asked.
 const HUB_PATIENCE: Duration = Duration::from_millis(300);
 
+/// How long a hub has to answer a `RepeatAsk`; the caller's request waits meanwhile.
+const GRANT_PATIENCE: Duration = Duration::from_millis(100);
+
 /// A hub with an older proof counts as failed.
 const MAX_HUB_PROOF_AGE: Duration = Duration::from_millis(1_500);
 
@@ -478,6 +481,38 @@
         }
     }
 
+    /// Takes one repeated send to a service out of the budget; returns whether there was one. A leaf
+    /// asks its primary hub when the ratio of its own requests is used up.
+    pub(crate) async fn take_repeated_send(&self, service: &ServiceName) -> bool {
+        let (now, rule) = (self.now(), self.budget_rule());
+        match self.tier() {
+            Tier::Mesh => {
+                let daemons = self.daemon_count();
+                return self.budget.borrow_mut().take(now, &rule, daemons, service);
+            }
+            Tier::Hub | Tier::Leaf
+                if self.budget.borrow_mut().take_from_ratio(now, &rule, service) =>
+            {
+                return true;
+            }
+            Tier::Hub => return self.grant_repeat(service),
+            Tier::Leaf => {}
+        }
+        let Some(hub) = self.attached_hubs().into_iter().next() else { return false };
+        let question = |token| PeerMessage::RepeatAsk { token, service: service.clone() };
+        matches!(self.call(&hub, GRANT_PATIENCE, question).await, Some(PeerReply::Repeat(true)))
+    }
+
+    /// Takes one repeated send out of this hub's part of the budget; returns whether there was one.
+    pub(crate) fn grant_repeat(&self, service: &ServiceName) -> bool {
+        if self.tier() != Tier::Hub {
+            return false;
+        }
+        // Silent hubs are counted too: they may still grant sends to their leaves.
+        let hubs = self.other_hubs().len() + 1;
+        self.budget.borrow_mut().grant(self.now(), &self.budget_rule(), hubs, service)
+    }
+
     /// Returns the deputies from a leaf's last status.
     pub(crate) fn deputies_from_hub(&self) -> Vec<InstanceId> {
         self.tier.borrow().lists.deputies.clone()
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -9,7 +9,7 @@
 use oriolepass_routing::{
     DrainCommand, DrainOutcome, DrainRegister, RegisterOutcome, RoutingRevision, RoutingText,
 };
-use oriolepass_units::{DataCentreId, EndpointStart, InstanceId};
+use oriolepass_units::{DataCentreId, EndpointStart, InstanceId, ServiceName};
 use serde::{Deserialize, Serialize};
 
 use crate::balancer::FaultKind;
@@ -176,6 +176,10 @@
     EndpointView { notices: Vec<EndpointNotice>, left: Vec<EndpointStart> },
     /// The leaves attached to the sending hub: all of them, or the changes.
     AttachedLeaves { is_all: bool, leaves: Vec<LeafNote>, detached: Vec<InstanceId> },
+    /// A leaf's request to its primary hub to grant one repeated send to a service.
+    RepeatAsk { token: u64, service: ServiceName },
+    /// The answer to `RepeatAsk`.
+    RepeatAnswer { token: u64, is_granted: bool },
 }
 
 impl PeerMessage {
@@ -211,6 +215,8 @@
             Self::Drains(..) => "drains",
             Self::LeafAsk { .. } => "leaf-ask",
             Self::LeafAnswer { .. } => "leaf-answer",
+            Self::RepeatAsk { .. } => "repeat-ask",
+            Self::RepeatAnswer { .. } => "repeat-answer",
             Self::EndpointView { .. } => "endpoint-view",
             Self::AttachedLeaves { .. } => "attached-leaves",
         }
--- a/crates/gateway/tests/parts.rs
+++ b/crates/gateway/tests/parts.rs
@@ -235,3 +235,33 @@
     registry.take(at(12_600), warm(2), Duration::ZERO);
     assert!(!registry.is_cold(at(12_700), &endpoint, span));
 }
+
+#[test]
+fn hubs_grant_no_more_repeated_sends_than_a_window_allows() {
+    let rule = BudgetRule { ratio: 0.2, slack: 1_040.0, window: Duration::from_secs(10) };
+    let service: ServiceName = "portal".parse().unwrap();
+    let mut hubs: Vec<RetryBudget> = (0..10).map(|_| RetryBudget::default()).collect();
+    let mut grant_all = |ms: u64| -> usize {
+        let grants = hubs
+            .iter_mut()
+            .map(|hub| (0..500).filter(|_| hub.grant(at(ms), &rule, 10, &service)).count());
+        grants.sum()
+    };
+    let granted = grant_all(1_000);
+    assert!((520..=1_040).contains(&granted), "{granted} grants of 1,040");
+    assert_eq!(grant_all(9_000), 0, "within the same window");
+    assert_eq!(grant_all(12_000), granted, "in the next window");
+}
+
+#[test]
+fn a_part_of_the_fixed_number_below_one_send_allows_no_repeated_send() {
+    let rule = BudgetRule { ratio: 0.2, slack: 1_040.0, window: Duration::from_secs(10) };
+    let service: ServiceName = "portal".parse().unwrap();
+    let mut budget = RetryBudget::default();
+    budget.count_request(at(0), &rule, &service);
+    assert!(
+        !budget.take(at(10), &rule, 994, &service),
+        "a part of the fixed number below one send"
+    );
+    assert!(!budget.take_from_ratio(at(10), &rule, &service));
+}
