Stop gathering answers on few engines while many engines are idle

Cause: short answers are gathered on few engines so that long prompts find engines that write no answers. With 958 engines, where about fifty such engines would suffice, twenty were filled while nine hundred were idle: the busiest engine got 40 to 50 times the mean load, and a first event waited for the pass of up to nine other answers. A home and its deputies that placed prompts at the same time filled the same engines. In addition, each short prompt was compared with all engines. Change: with up to 48 idle engines, answers are gathered as before; from 96 on they are not gathered at all; in between, the weight decreases linearly. While the weight is below 1, ties between equally good engines are broken in an order that differs for each prompt, so that homes that place independently seldom choose the same engines. From 256 engines on, a short prompt is placed among 128 of them, a different sample for each prompt.

--- a/crates/placement/src/cost.rs
+++ b/crates/placement/src/cost.rs
@@ -152,6 +152,9 @@
     pub(crate) waiting: Vec<WaitingPart>,
     /// The part of the engine's time that helpers' parts take which are yet to come.
     pub(crate) helped_share: f64,
+    /// Factor on the cost of a sparsely used engine, from 0 (answers are not gathered on few
+    /// engines) to 1 (fully gathered).
+    pub(crate) gather_weight: f64,
 }
 
 impl EngineView {
@@ -229,6 +232,11 @@
         self.waiting.iter().map(move |part| (part.key, part.delay_loss(part_ms)))
     }
 
+    /// Returns whether the engine neither reads prompts nor writes answers.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.load == 0 && self.unread_ms <= 0.0
+    }
+
     /// Returns whether a short prompt would be on time here.
     pub(crate) fn is_clear(&self) -> bool {
         let full = self.load as f64 >= self.slots as f64 * 0.9;
@@ -255,7 +263,7 @@
 
     fn answer_cost(&self, gathered: usize) -> f64 {
         let filled = self.slots as f64 * PACKED_SHARE;
-        let sparse = (1.0 - gathered as f64 / filled).max(0.0) * SPARSE_COST;
+        let sparse = (1.0 - gathered as f64 / filled).max(0.0) * SPARSE_COST * self.gather_weight;
         let taken = self.load as f64 / self.slots as f64;
         sparse + ((taken - CROWD_FROM) / (1.0 - CROWD_FROM)).max(0.0) * CROWD_COST
     }
--- a/crates/placement/src/fleet.rs
+++ b/crates/placement/src/fleet.rs
@@ -1,6 +1,7 @@
 //! All engines, and the choice among them.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::hash::{Hash, Hasher};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -203,16 +204,26 @@
             self.ended(now, ask.key);
         }
         self.farm.advance(time_ms(now));
-        let usable = scope.narrow(self.usable(now, ask, scope), self.is_short(ask));
+        let mut usable = scope.narrow(self.usable(now, ask, scope), self.is_short(ask));
+        if self.is_short(ask) {
+            sample_engines(ask.key, &mut usable);
+        }
         let meter = self.demand.entry(ask.service.clone()).or_default();
         let helped_share = meter.long_demand(time_ms(now)).helped_share(usable.len());
         // Short prompts are never helped, so they delay nobody's reading.
         let firsts =
             if self.is_short(ask) { BTreeMap::new() } else { self.farm.first_events(time_ms(now)) };
-        let views: Vec<(EndpointStart, EngineView)> = usable
+        let mut views: Vec<(EndpointStart, EngineView)> = usable
             .into_iter()
             .filter_map(|endpoint| self.view(now, endpoint, helped_share, &firsts))
             .collect();
+        let gather_weight = gather_weight(&views);
+        if gather_weight < 1.0 {
+            views.iter_mut().for_each(|(_, view)| view.gather_weight = gather_weight);
+            // Breaks ties differently for each prompt. In a fixed order, homes that place
+            // independently would choose the same idle engines.
+            views.sort_by_cached_key(|(endpoint, _)| rendezvous_hash(ask.key, endpoint));
+        }
         let Some(profile) = views.first().map(|(e, _)| Arc::clone(&self.engines[e].facts.profile))
         else {
             return Err(SpareLack { reason: LackReason::NoEngine, retry_after: SHUN_FIRST });
@@ -308,6 +319,7 @@
             neighbours: entry.mains.iter().filter_map(|key| self.neighbour(*key, firsts)).collect(),
             waiting: self.waiting(now_ms, engine, firsts),
             helped_share,
+            gather_weight: 1.0,
         };
         Some((endpoint, view))
     }
@@ -501,6 +513,46 @@
     }
 }
 
+/// Number of idle engines to keep for long prompts: three at a time, each read by at most sixteen
+/// engines.
+const IDLE_RESERVE: f64 = 48.0;
+
+/// Returns the weight for gathering answers on few engines: 1 with up to `IDLE_RESERVE` idle
+/// engines, decreasing linearly to 0 at twice that number.
+///
+/// With enough idle engines, gathering only delays first events, which wait for the pass of other
+/// answers on the same engine.
+fn gather_weight(views: &[(EndpointStart, EngineView)]) -> f64 {
+    let idle = views.iter().filter(|(_, view)| view.is_idle()).count() as f64;
+    (1.0 - (idle - IDLE_RESERVE) / IDLE_RESERVE).clamp(0.0, 1.0)
+}
+
+/// Number of engines considered for a short prompt if at least twice as many are usable. Bounds the
+/// time of a decision and is large enough that the sample likely contains an idle engine.
+const SHORT_SAMPLE: usize = 128;
+
+/// Reduces `engines` to `SHORT_SAMPLE` consecutive ones if there are at least twice as many. The
+/// start depends on the prompt, so that prompts are spread over all engines.
+fn sample_engines(key: PromptKey, engines: &mut Vec<EndpointStart>) {
+    if engines.len() >= 2 * SHORT_SAMPLE {
+        let mut hasher = xxhash_rust::xxh3::Xxh3Default::new();
+        key.entry.hash(&mut hasher);
+        key.number.hash(&mut hasher);
+        let start = (hasher.finish() % engines.len() as u64) as usize;
+        engines.rotate_left(start);
+        engines.truncate(SHORT_SAMPLE);
+    }
+}
+
+/// Returns a hash of prompt and engine that orders the engines differently for each prompt.
+fn rendezvous_hash(key: PromptKey, endpoint: &EndpointStart) -> u64 {
+    let mut hasher = xxhash_rust::xxh3::Xxh3Default::new();
+    key.entry.hash(&mut hasher);
+    key.number.hash(&mut hasher);
+    endpoint.hash(&mut hasher);
+    hasher.finish()
+}
+
 /// Returns the engines with the fewest suspects, and of these the ones with the fewest prompts. A prompt
 /// under which engines have ended is tried there, so that the next end costs others as few streams as can
 /// be, and tells who is its cause: of a dozen prompts that lose one engine each goes to another one.
