Tell daemons without a disk of the hubs with each full greeting

Cause: a daemon counts all others that it knows in its greeting. Change: in tiers, every full greeting of a daemon without a disk is answered with the hubs; a daemon greets in full until it knows a leader.

--- a/crates/gateway/src/cluster.rs
+++ b/crates/gateway/src/cluster.rs
@@ -11,7 +11,7 @@
 
 use crate::events::EventKind;
 use crate::gateway::{Gateway, PeerReply};
-use crate::gossip::{is_sponsor, tells_whom_it_knows};
+use crate::gossip::{is_sponsor, tells_hubs, tells_whom_it_knows};
 use crate::hubs::Tier;
 use crate::lifecycle::Lifecycle;
 use crate::peer_changes::{ChangeCount, PeerChange, PeerChanges};
@@ -147,6 +147,8 @@
         if has_changed
             || round < SILENT_GREETING_DIVISOR
             || round.is_multiple_of(FULL_GREETING_DIVISOR)
+            // The answers to it name daemons that may know the leader.
+            || self.leader_instance().is_none()
         {
             return PeerMessage::Greeting(note);
         }
@@ -230,7 +232,8 @@
     fn on_greeting(self: &Rc<Self>, from: &InstanceId, note: DaemonNote) {
         let now = self.now();
         let (boot, known, name, phase) = (note.boot, note.known, note.name.clone(), note.phase);
-        if note.has_disk {
+        let has_disk = note.has_disk;
+        if has_disk {
             self.add_hub(from, &note.data_centre);
         }
         // From `tiers_from` daemons on, a list of all daemons would make newcomers build a full mesh.
@@ -245,7 +248,7 @@
             let change = roster.take(now, note);
             let known = usize::try_from(known).unwrap_or(usize::MAX);
             let list = match hubs {
-                Some(hubs) => (known < hubs.len()).then_some(hubs),
+                Some(hubs) => tells_hubs(hubs.len(), known, has_disk).then_some(hubs),
                 None => {
                     let tells = tells_whom_it_knows(roster.known_count(), known, rand::random());
                     tells.then(|| roster.known().cloned().collect::<Vec<InstanceId>>())
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -47,6 +47,13 @@
     their_known * 2 < own_known || draw * (own_known as f64) < SPONSORS as f64
 }
 
+/// Returns whether to tell a daemon of the hubs, of which `hubs` are known here.
+///
+/// A daemon without a disk counts all daemons that it knows, perhaps no hub among them, so it is always told.
+pub(crate) fn tells_hubs(hubs: usize, their_known: usize, has_disk: bool) -> bool {
+    hubs > 0 && (!has_disk || their_known < hubs)
+}
+
 /// Returns whether `own` is one of the few that tell `newcomer` all about the endpoints.
 ///
 /// Each daemon ranks all of them by a hash with the newcomer's name, so the sponsors are others
--- a/crates/gateway/src/gossip_tests.rs
+++ b/crates/gateway/src/gossip_tests.rs
@@ -7,7 +7,7 @@
 use oriolepass_units::{DataCentreId, InstanceId, MonotonicTime};
 
 use crate::gossip::{
-    DocumentSpread, heartbeat_route, is_sponsor, relay_groups, tells_whom_it_knows,
+    DocumentSpread, heartbeat_route, is_sponsor, relay_groups, tells_hubs, tells_whom_it_knows,
 };
 
 fn instance(number: usize) -> InstanceId {
@@ -135,3 +135,11 @@
     let small = heartbeat_route(members(9), &own_centre, 1);
     assert_eq!((small.direct.len(), small.relays.len()), (9, 0));
 }
+
+#[test]
+fn a_daemon_that_knows_many_others_but_no_hub_is_told_of_the_hubs() {
+    assert!(tells_hubs(6, 12, false));
+    assert!(tells_hubs(6, 0, true), "a hub that has just started");
+    assert!(!tells_hubs(6, 6, true), "a hub that knows them all");
+    assert!(!tells_hubs(0, 0, false), "nothing to tell");
+}
