An accepted probe connection is no proof that an endpoint's process runs

What callers saw: a request that ends its endpoints was sent again and again, up to 87 times more than 4 s after its third end, and most requests beside it were not served.

Cause: `probe_for_end` connected once and took an accepted connection for a living process, for good. A listener that outlives the streams by 2 ms, or that a supervisor keeps, hid each end.

Change: after an accepted connection the end is pending. It is proved by the connection closing and a further one being refused, or by a later start or another endpoint at the address; it is refuted by a later heartbeat or a departure; silence proves nothing. One probe serves all requests of an endpoint, and requests wait 60 ms for a connection as before and 10 ms more for it to close. The end counts from the time when the connection broke.

Conclusion: the cause is gone; what is left with a kept listener is the time until the proof, in which nobody is placed apart.

--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -77,6 +77,19 @@
     Stale,
 }
 
+/// What became of a start of an endpoint, as far as the registry knows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EndpointFate {
+    /// The start is known. Holds the time of its last heartbeat.
+    Heard(MonotonicTime),
+    /// A later start of the endpoint is known, or another endpoint at its address.
+    Replaced,
+    /// The start has left.
+    Left,
+    /// The start is not known any more, because it was silent for too long.
+    Expired,
+}
+
 #[derive(Debug, Clone)]
 struct EndpointEntry {
     beat: EndpointBeat,
@@ -292,6 +305,18 @@
         here.max_by_key(|entry| entry.last_heard).map(|entry| entry.beat.endpoint.clone())
     }
 
+    /// Returns what became of a start whose address was `address`.
+    pub fn fate(&self, endpoint: &EndpointStart, address: SocketAddr) -> EndpointFate {
+        if let Some(entry) = self.entries.get(endpoint) {
+            return EndpointFate::Heard(entry.last_heard);
+        }
+        let is_later = |other: &EndpointStart| other.time() > endpoint.time();
+        if self.at(address).is_some() || self.current(endpoint.id()).is_some_and(is_later) {
+            return EndpointFate::Replaced;
+        }
+        if self.left.contains(endpoint) { EndpointFate::Left } else { EndpointFate::Expired }
+    }
+
     /// Returns how long an endpoint has been silent.
     pub fn silence(&self, now: MonotonicTime, endpoint: &EndpointStart) -> Option<Duration> {
         self.entries.get(endpoint).map(|entry| now.since(entry.last_heard))
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -4,7 +4,7 @@
 mod attempts;
 mod body;
 mod caller;
-mod ends;
+pub(crate) mod ends;
 mod events;
 mod headers;
 mod listener;
--- a/crates/gateway/src/front/sends.rs
+++ b/crates/gateway/src/front/sends.rs
@@ -200,7 +200,7 @@
 
 /// Handles a send whose connection broke: probes whether the endpoint's process has ended.
 async fn handle_broken(
-    gateway: &Gateway,
+    gateway: &Rc<Gateway>,
     request: &CallerRequest,
     placement: &Placement,
     reason: String,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -20,6 +20,7 @@
 use crate::endpoints::EndpointRegistry;
 use crate::events::{EventKind, EventLine, EventLog};
 use crate::founding::FoundingSurvey;
+use crate::front::ends::PendingEnds;
 use crate::home::HomeState;
 use crate::hubs::TierState;
 use crate::lifecycle::Lifecycle;
@@ -81,6 +82,7 @@
     pub(crate) budget: RefCell<RetryBudget>,
     pub(crate) home: RefCell<HomeState>,
     pub(crate) quarantine: RefCell<QuarantineState>,
+    pub(crate) pending_ends: RefCell<PendingEnds>,
     pub(crate) lifecycle: watch::Sender<Lifecycle>,
     /// When this daemon was asked to shut down.
     pub(crate) draining_since: Cell<Option<MonotonicTime>>,
@@ -143,6 +145,7 @@
             budget: RefCell::default(),
             home: RefCell::default(),
             quarantine: RefCell::default(),
+            pending_ends: RefCell::default(),
             lifecycle: watch::Sender::new(Lifecycle::Serving),
             draining_since: Cell::new(None),
             was_ready: Cell::new(false),
--- a/crates/gateway/src/hubs.rs
+++ b/crates/gateway/src/hubs.rs
@@ -41,7 +41,7 @@
 const VIEW_RESEND_INTERVAL: Duration = Duration::from_secs(5);
 
 /// The number of missed heartbeats after which an endpoint is reported to leaves as silent.
-const MISSED_HEARTBEATS: u32 = 2;
+pub(crate) const MISSED_HEARTBEATS: u32 = 2;
 
 /// The maximum number of silent endpoints in one answer to a leaf.
 const MAX_REPORTED_SILENT: usize = 256;
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -49,10 +49,16 @@
 }
 
 impl Gateway {
-    /// Records that an endpoint ended under a request of one of this daemon's callers.
-    pub(crate) fn record_endpoint_end(&self, digest: RequestDigest, endpoint: &EndpointStart) {
+    /// Records that an endpoint ended at `seen` under a request of one of this daemon's callers.
+    pub(crate) fn record_endpoint_end(
+        &self,
+        digest: RequestDigest,
+        endpoint: &EndpointStart,
+        seen: MonotonicTime,
+    ) {
+        let (now, seen) = (self.case_time(), seen + TABLE_TIME_OFFSET);
         let update =
-            self.quarantine.borrow_mut().table.record_end(self.case_time(), digest, endpoint);
+            self.quarantine.borrow_mut().table.record_past_end(now, digest, endpoint, seen);
         self.on_quarantine_change(update);
     }
 
--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -71,16 +71,28 @@
         self.cases.is_empty()
     }
 
-    /// Records that an endpoint ended under a request. Returns the update for the other instances if the end
-    /// was not known.
+    /// Records that an endpoint ended under a request just now. Returns the update for the other instances
+    /// if the end was not known.
     pub fn record_end(
         &mut self,
         now: MonotonicTime,
         digest: RequestDigest,
         endpoint: &EndpointStart,
+    ) -> Option<CaseUpdate> {
+        self.record_past_end(now, digest, endpoint, now)
+    }
+
+    /// Records that an endpoint ended under a request at `seen`, which was confirmed later. Returns the
+    /// update for the other instances if the end was not known.
+    pub fn record_past_end(
+        &mut self,
+        now: MonotonicTime,
+        digest: RequestDigest,
+        endpoint: &EndpointStart,
+        seen: MonotonicTime,
     ) -> Option<CaseUpdate> {
         let case = self.cases.entry(digest).or_default();
-        if case.record_end(endpoint, now) != EndChange::New {
+        if case.record_end(endpoint, seen) != EndChange::New {
             return None;
         }
         let update = case.update(now, digest);
