Requests whose connections broke are placed apart and delayed while ends are pending

Cause: between the broken connection and the proof, which is the next start's heartbeat, nothing was known to the placement.

Change: a broken connection whose end is pending is told to all daemons and counts for 5 s. Its request is placed where the fewest others run, and is sent again with a delay from the second one on: 100 ms, doubling to 800 ms.

--- a/crates/gateway/src/cluster.rs
+++ b/crates/gateway/src/cluster.rs
@@ -477,6 +477,7 @@
             PeerMessage::Progress(notes) => gateway.on_progress(&notes),
             PeerMessage::Placed(prompts) => gateway.on_placed(prompts),
             PeerMessage::Cases(updates) => gateway.on_case_updates(from, &updates),
+            PeerMessage::Breaks(notices) => gateway.on_broken_runs(from, &notices),
             PeerMessage::CaseHash { hash, is_answer } => {
                 gateway.on_case_hash(from, hash, is_answer);
             }
--- a/crates/gateway/src/front/ends.rs
+++ b/crates/gateway/src/front/ends.rs
@@ -16,7 +16,7 @@
 //!   process has ended.
 //! * The endpoint sends a heartbeat, or announces that it leaves: it was alive.
 //!
-//! Requests do not wait for pending ends.
+//! Requests do not wait for pending ends; `broken_runs` tells what is done meanwhile.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -121,11 +121,8 @@
     endpoint: &EndpointStart,
     address: SocketAddr,
 ) {
-    let run = BrokenRun {
-        request: request.id.clone(),
-        digest: request.digest(),
-        broke_at: gateway.now(),
-    };
+    let broke_at = gateway.now();
+    let run = BrokenRun { request: request.id.clone(), digest: request.digest(), broke_at };
     let mut progress = join_probe(gateway, run, endpoint, address);
     let wait_for = async |progress: &mut watch::Receiver<_>, limit, is_awaited: fn(&_) -> bool| {
         // The sender is dropped only after the result has been recorded.
@@ -133,6 +130,9 @@
     };
     wait_for(&mut progress, PROBE_TIMEOUT, |state| *state != ProbeProgress::Connecting).await;
     wait_for(&mut progress, CLOSE_TIMEOUT, |state| *state == ProbeProgress::Resolved).await;
+    if *progress.borrow() != ProbeProgress::Resolved {
+        gateway.record_broken_run(request.digest(), endpoint, broke_at);
+    }
 }
 
 /// Adds a run to the probe of its endpoint, and starts the probe if there is none.
@@ -222,6 +222,7 @@
 fn record_result(gateway: &Gateway, endpoint: &EndpointStart, result: ProbeResult) {
     let end = gateway.pending_ends.borrow_mut().0.remove(endpoint);
     let Some(PendingEnd { runs, progress }) = end else { return };
+    gateway.broken_runs.borrow_mut().resolve(endpoint);
     for run in runs {
         if result == ProbeResult::Ended {
             gateway.record_endpoint_end(run.digest, endpoint, run.broke_at);
--- a/crates/gateway/src/front/placement.rs
+++ b/crates/gateway/src/front/placement.rs
@@ -250,6 +250,7 @@
         deadline: request.time_left(),
         patience: max_wait,
         avoid: avoid.to_vec(),
-        is_suspect: gateway.standing(|| request.digest()) != Standing::Clear,
+        is_suspect: gateway.standing(|| request.digest()) != Standing::Clear
+            || gateway.has_broken_run(|| request.digest()),
     }
 }
--- a/crates/gateway/src/front/tries.rs
+++ b/crates/gateway/src/front/tries.rs
@@ -320,6 +320,7 @@
         gateway: &Rc<Gateway>,
         request: &CallerRequest,
     ) -> Result<Placement, SendOutcome> {
+        self.wait_for_resend(gateway, request).await;
         self.check_quarantine(gateway, request).await?;
         let max_wait = self.endpoint_wait_until.saturating_duration_since(Instant::now());
         let found = Placement::find(gateway, request, &self.avoid, max_wait).await;
@@ -349,6 +350,16 @@
         Ok(placement)
     }
 
+    /// Delays a request whose connections broke repeatedly. It may have ended its endpoints, and the
+    /// delay leaves time for the proof.
+    async fn wait_for_resend(&mut self, gateway: &Gateway, request: &CallerRequest) {
+        let delay = gateway.resend_delay(|| request.digest());
+        if !delay.is_zero() {
+            sleep(delay).await;
+            self.endpoint_wait_until += delay;
+        }
+    }
+
     /// Refuses a quarantined request, which ends the processes of its endpoints. The limit of sends
     /// applies to one attempt at one instance, so without the quarantine each repeated attempt of
     /// the caller would end as many endpoints again.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -13,6 +13,7 @@
 
 use crate::announce::SkippedReport;
 use crate::balancer::EndpointBalancer;
+use crate::broken_runs::BrokenRuns;
 use crate::budget::{BudgetRule, RetryBudget};
 use crate::clock::ProcessClock;
 use crate::dialect::WireDialect;
@@ -83,6 +84,7 @@
     pub(crate) home: RefCell<HomeState>,
     pub(crate) quarantine: RefCell<QuarantineState>,
     pub(crate) pending_ends: RefCell<PendingEnds>,
+    pub(crate) broken_runs: RefCell<BrokenRuns>,
     pub(crate) lifecycle: watch::Sender<Lifecycle>,
     /// When this daemon was asked to shut down.
     pub(crate) draining_since: Cell<Option<MonotonicTime>>,
@@ -146,6 +148,7 @@
             home: RefCell::default(),
             quarantine: RefCell::default(),
             pending_ends: RefCell::default(),
+            broken_runs: RefCell::default(),
             lifecycle: watch::Sender::new(Lifecycle::Serving),
             draining_since: Cell::new(None),
             was_ready: Cell::new(false),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,7 +13,7 @@
 //! | `announce`, `endpoints` | endpoint announcements and the registry of endpoints |
 //! | `home`, `deputies` | placing prompts on engines, as the home or by asking it; the deputies that replace the home while it does not answer |
 //! | `balancer`, `budget` | load balancing over endpoints that are not engines; the retry budget |
-//! | `quarantine`, `quarantine_disk` | quarantine of requests that end their endpoints: replication to other daemons, storage on disk |
+//! | `quarantine`, `quarantine_disk`, `broken_runs` | quarantine of requests that end their endpoints: replication to other daemons, storage on disk; care with requests whose connections broke |
 //! | `front` | the callers' listener: requests, sends, retries and answers |
 //! | `directory`, `lifecycle` | the instances that callers should use; start, readiness, reload, shutdown |
 //! | `peer_changes` | log lines for changes of links and daemons, aggregated where there are many |
@@ -26,6 +26,9 @@
 
 mod announce;
 mod balancer;
+mod broken_runs;
+#[cfg(test)]
+mod broken_runs_tests;
 mod budget;
 mod calls;
 mod clock;
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -15,6 +15,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::balancer::FaultKind;
+use crate::broken_runs::BreakNotice;
 use crate::endpoints::EndpointNotice;
 use crate::roster::{DaemonNote, LeafNote};
 
@@ -167,6 +168,8 @@
     Cases(Vec<CaseUpdate>),
     /// The hash of the sender's quarantine cases. A receiver with another hash sends its own cases.
     CaseHash { hash: u64, is_answer: bool },
+    /// Connections that broke under requests of the sender's callers.
+    Breaks(Vec<BreakNotice>),
     /// Asks the leader to append this command to the log.
     ProposeDrain { token: u64, command: DrainCommand },
     /// The outcome of `ProposeDrain`.
@@ -215,6 +218,7 @@
             Self::Placed(..) => "placed",
             Self::Cases(..) => "cases",
             Self::CaseHash { .. } => "case-hash",
+            Self::Breaks(..) => "breaks",
             Self::ProposeDrain { .. } => "propose-drain",
             Self::ProposeDrainAnswer { .. } => "propose-drain-answer",
             Self::Drains(..) => "drains",
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -127,6 +127,7 @@
 
     /// Merges case updates from another daemon, and forwards the new ones.
     pub(crate) fn on_case_updates(&self, from: &InstanceId, updates: &[CaseUpdate]) {
+        self.resolve_broken_runs(updates);
         let now = self.case_time();
         let fresh: Vec<CaseUpdate> = {
             let table = &mut self.quarantine.borrow_mut().table;
