Quarantine records how long a request had run when its endpoint ended

Cause: the judgement knows when endpoints ended, not how long the requests there had been running, which the daemon that sent them knows. Ends that a request causes come at similar running times; ends by chance come at any.

Change: an interrupted run and a complete one are recorded with the time since the request was sent, on the wire and on the disk. The judgement does not use them yet. The simulated worlds hand over the same fact: when the run began, which draws no random number. The file of stored cases has a new name, since its format changed; the file of earlier versions is read where there is no other. Messages between daemons have changed: restart them all.

Tests of the tables unchanged and green; recorded bytes of an earlier file are read.

Conclusion: no change of any judgement; the fact is there.

--- a/crates/gateway/src/front/ends.rs
+++ b/crates/gateway/src/front/ends.rs
@@ -31,6 +31,7 @@
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use super::caller::CallerRequest;
+use super::placement::Placement;
 use crate::endpoints::EndpointFate;
 use crate::events::EventKind;
 use crate::gateway::Gateway;
@@ -97,6 +98,8 @@
     request: String,
     digest: RequestDigest,
     broke_at: MonotonicTime,
+    /// The time from sending the request to the broken connection.
+    duration: Duration,
 }
 
 /// An endpoint whose connections broke and that is being probed.
@@ -118,12 +121,16 @@
 pub(super) async fn probe_for_end(
     gateway: &Rc<Gateway>,
     request: &CallerRequest,
-    endpoint: &EndpointStart,
-    address: SocketAddr,
+    placement: &Placement,
 ) {
-    let broke_at = gateway.now();
-    let run = BrokenRun { request: request.id.clone(), digest: request.digest(), broke_at };
-    let mut progress = join_probe(gateway, run, endpoint, address);
+    let (endpoint, broke_at) = (&placement.endpoint, gateway.now());
+    let run = BrokenRun {
+        request: request.id.clone(),
+        digest: request.digest(),
+        broke_at,
+        duration: placement.run_time(),
+    };
+    let mut progress = join_probe(gateway, run, endpoint, placement.address);
     let wait_for = async |progress: &mut watch::Receiver<_>, limit, is_awaited: fn(&_) -> bool| {
         // The sender is dropped only after the result has been recorded.
         let _ = timeout(limit, progress.wait_for(is_awaited)).await;
@@ -225,7 +232,7 @@
     gateway.broken_runs.borrow_mut().resolve(endpoint);
     for run in runs {
         if result == ProbeResult::Ended {
-            gateway.record_endpoint_end(run.digest, endpoint, run.broke_at);
+            gateway.record_endpoint_end(run.digest, endpoint, run.broke_at, run.duration);
         }
         gateway.metrics.end_probes.with_label_values(&[result.name()]).inc();
         gateway
@@ -233,6 +240,7 @@
             .text("request", &run.request)
             .text("digest", run.digest)
             .text("endpoint", endpoint)
+            .millis("run_ms", run.duration)
             .millis("broken_ms", gateway.now().since(run.broke_at))
             .text("outcome", result.name());
     }
--- a/crates/gateway/src/front/placement.rs
+++ b/crates/gateway/src/front/placement.rs
@@ -7,7 +7,7 @@
 
 use oriolepass_placement::{PromptAsk, PromptKey, PromptPlan};
 use oriolepass_quarantine::Standing;
-use oriolepass_units::EndpointStart;
+use oriolepass_units::{EndpointStart, MonotonicTime};
 use tokio::time::Instant;
 
 use super::caller::{CallerRequest, SHORT_RETRY_AFTER};
@@ -59,6 +59,8 @@
     pub(super) plan: Option<PromptPlan>,
     pub(super) helpers: Vec<HelperAddress>,
     pub(super) placed_by: &'static str,
+    /// When the request was sent.
+    sent_at: MonotonicTime,
     key: Option<PromptKey>,
     has_begun: Cell<bool>,
     _reservations: Option<Reservations>,
@@ -115,6 +117,7 @@
             plan: None,
             helpers: Vec::new(),
             placed_by: "balancer",
+            sent_at: gateway.now(),
             key: None,
             has_begun: Cell::new(false),
             _reservations: None,
@@ -143,6 +146,7 @@
             address: SocketAddr::from(([0, 0, 0, 0], 0)),
             helpers: Vec::new(),
             placed_by: by.name(),
+            sent_at: gateway.now(),
             key: Some(ask.key),
             has_begun: Cell::new(false),
             _reservations: None,
@@ -174,6 +178,16 @@
         Ok(placement)
     }
 
+    /// Records that the request is sent now.
+    pub(super) fn record_sent(&mut self) {
+        self.sent_at = self.gateway.now();
+    }
+
+    /// Returns the time since the request was sent.
+    pub(super) fn run_time(&self) -> Duration {
+        self.gateway.now().since(self.sent_at)
+    }
+
     /// Records that the first event or the answer has arrived.
     pub(super) fn record_begun(&self) {
         if let Some(key) = self.key.filter(|_| !self.has_begun.replace(true)) {
--- a/crates/gateway/src/front/sends.rs
+++ b/crates/gateway/src/front/sends.rs
@@ -156,7 +156,7 @@
                 gateway.endpoint_fault(&request.id, endpoint, FaultKind::Failure);
             }
             placement.record_begun();
-            gateway.record_complete_answer(|| request.digest());
+            gateway.record_complete_answer(|| request.digest(), placement.run_time());
             SendOutcome::Answer(Response::from_parts(
                 forwarded_head(gateway, parts),
                 body.to_bytes(),
@@ -205,7 +205,7 @@
     placement: &Placement,
     reason: String,
 ) -> SendOutcome {
-    probe_for_end(gateway, request, &placement.endpoint, placement.address).await;
+    probe_for_end(gateway, request, placement).await;
     answer_lost(gateway, request, placement, reason)
 }
 
--- a/crates/gateway/src/front/stream.rs
+++ b/crates/gateway/src/front/stream.rs
@@ -126,7 +126,8 @@
 
 /// The way in which forwarding a stream ended.
 enum ForwardEnd {
-    Complete,
+    /// The stream is complete. Holds the time since the last send.
+    Complete(Duration),
     CallerGone,
     TimeOver,
     Broken(String),
@@ -145,8 +146,8 @@
         };
         self.guard.record_answer(self.history.sends());
         let (status, reason) = match &end {
-            ForwardEnd::Complete => {
-                self.gateway.record_complete_answer(|| self.request.digest());
+            ForwardEnd::Complete(run_time) => {
+                self.gateway.record_complete_answer(|| self.request.digest(), *run_time);
                 ("200", "whole")
             }
             // Dropping the guard records that the caller is gone.
@@ -154,7 +155,7 @@
             ForwardEnd::TimeOver => ("cut", "time over"),
             ForwardEnd::Broken(reason) => ("cut", reason.as_str()),
         };
-        if !matches!(end, ForwardEnd::Complete) {
+        if !matches!(end, ForwardEnd::Complete(_)) {
             // A full queue is not an error: dropping the sender ends the connection as well.
             let _ = self.pieces.try_send(Err(BodyAborted));
         }
@@ -186,7 +187,9 @@
         loop {
             match timeout(silence_timeout, self.next_piece(&mut open)).await {
                 Ok(NextEvents::Events(piece)) => self.forward(piece).await?,
-                Ok(NextEvents::Ended) => return Err(ForwardEnd::Complete),
+                Ok(NextEvents::Ended) => {
+                    return Err(ForwardEnd::Complete(open.placement.run_time()));
+                }
                 Ok(NextEvents::Broken(reason)) => {
                     let (endpoint, last) = (open.placement.endpoint.clone(), open.source.last_id());
                     self.record_broken(&open).await;
@@ -221,9 +224,9 @@
     /// Records that an endpoint's stream broke, and probes whether the endpoint's process has
     /// ended.
     async fn record_broken(&self, open: &OpenStream) {
-        let (endpoint, address) = (&open.placement.endpoint, open.placement.address);
+        let endpoint = &open.placement.endpoint;
         endpoint_failed(&self.gateway, &self.request, endpoint, FaultKind::Broken);
-        probe_for_end(&self.gateway, &self.request, endpoint, address).await;
+        probe_for_end(&self.gateway, &self.request, &open.placement).await;
     }
 
     async fn forward(&mut self, piece: Bytes) -> Result<(), ForwardEnd> {
@@ -291,10 +294,9 @@
                     self.forward(piece).await?;
                     Ok(None)
                 }
-                NextEvents::Ended => Err(ForwardEnd::Complete),
+                NextEvents::Ended => Err(ForwardEnd::Complete(open.placement.run_time())),
                 NextEvents::Broken(reason) => {
-                    probe_for_end(&self.gateway, &self.request, &endpoint, open.placement.address)
-                        .await;
+                    probe_for_end(&self.gateway, &self.request, &open.placement).await;
                     match resumed.await {
                         RequestOutcome::Stream(next) => Ok(Some(next)),
                         _ => Err(ForwardEnd::Broken(reason)),
--- a/crates/gateway/src/front/tries.rs
+++ b/crates/gateway/src/front/tries.rs
@@ -324,7 +324,7 @@
         self.check_quarantine(gateway, request).await?;
         let max_wait = self.endpoint_wait_until.saturating_duration_since(Instant::now());
         let found = Placement::find(gateway, request, &self.avoid, max_wait).await;
-        let placement = found.map_err(SendOutcome::NoPlacement)?;
+        let mut placement = found.map_err(SendOutcome::NoPlacement)?;
         // The process may have been suspended since the first checks.
         let fails_closed = request.needs_proof && gateway.settings().bounds.fail_closed;
         if fails_closed && !gateway.is_fresh() {
@@ -345,6 +345,7 @@
             return Err(SendOutcome::Blocked("retry budget used up", FULL_RETRY_AFTER));
         }
         self.attempts.record_send();
+        placement.record_sent();
         self.is_trial = false;
         self.log_send(gateway, request, &placement);
         Ok(placement)
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -62,6 +62,8 @@
 mod peers;
 mod quarantine;
 mod quarantine_disk;
+#[cfg(test)]
+mod quarantine_disk_tests;
 mod replica;
 mod replication;
 mod roster;
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -11,7 +11,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use oriolepass_quarantine::{CaseSummary, CaseUpdate, QuarantineTable, RequestDigest, Standing};
+use oriolepass_quarantine::{
+    CaseSummary, CaseUpdate, InterruptedRun, QuarantineTable, RequestDigest, Standing,
+};
 use oriolepass_units::{EndpointStart, InstanceId, MonotonicTime};
 use rand::seq::IteratorRandom;
 use tokio::time::sleep;
@@ -49,26 +51,36 @@
 }
 
 impl Gateway {
-    /// Records that an endpoint ended at `seen` under a request of one of this daemon's callers.
+    /// Records that an endpoint ended at `seen` under a request of one of this daemon's callers,
+    /// `duration` after the request was sent.
     pub(crate) fn record_endpoint_end(
         &self,
         digest: RequestDigest,
         endpoint: &EndpointStart,
         seen: MonotonicTime,
+        duration: Duration,
     ) {
         let (now, seen) = (self.case_time(), seen + TABLE_TIME_OFFSET);
-        let update =
-            self.quarantine.borrow_mut().table.record_past_end(now, digest, endpoint, seen);
+        let duration = Some(duration);
+        let run = InterruptedRun { endpoint: endpoint.clone(), seen, duration };
+        let table = &mut self.quarantine.borrow_mut().table;
+        let update = table.record_interrupted_run(now, digest, &run);
         self.on_quarantine_change(update);
     }
 
-    /// Records that a request was answered completely, so that it did not cause the earlier ends of
-    /// endpoints.
-    pub(crate) fn record_complete_answer(&self, digest: impl FnOnce() -> RequestDigest) {
+    /// Records that a request was answered completely, `duration` after it was sent, so that it did
+    /// not cause the earlier ends of endpoints.
+    pub(crate) fn record_complete_answer(
+        &self,
+        digest: impl FnOnce() -> RequestDigest,
+        duration: Duration,
+    ) {
         if self.quarantine.borrow().table.is_empty() {
             return;
         }
-        let update = self.quarantine.borrow_mut().table.clear_request(self.case_time(), digest());
+        let now = self.case_time();
+        let table = &mut self.quarantine.borrow_mut().table;
+        let update = table.record_complete_run(now, digest(), duration);
         self.on_quarantine_change(update);
     }
 
@@ -284,7 +296,7 @@
         let mut hasher = xxhash_rust::xxh3::Xxh3Default::new();
         for case in self.quarantine.borrow().table.updates(MonotonicTime::ZERO) {
             case.digest.hash(&mut hasher);
-            case.ends.iter().for_each(|end| end.endpoint.hash(&mut hasher));
+            case.ends.iter().for_each(|end| (&end.endpoint, end.run).hash(&mut hasher));
             case.cleared.hash(&mut hasher);
         }
         hasher.finish()
--- a/crates/gateway/src/quarantine_disk.rs
+++ b/crates/gateway/src/quarantine_disk.rs
@@ -11,15 +11,42 @@
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::time::Duration;
 
-use oriolepass_quarantine::CaseUpdate;
+use oriolepass_quarantine::{CaseUpdate, ClearUpdate, EndUpdate, RequestDigest};
+use oriolepass_units::EndpointStart;
+use serde::Deserialize;
 use tokio::sync::oneshot;
 
 /// The name of the file in the data folder.
-const FILE_NAME: &str = "quarantined";
+const FILE_NAME: &str = "quarantined-runs";
 
 /// The name of the temporary file, which replaces the file once it is complete.
-const DRAFT_NAME: &str = "quarantined.draft";
+const DRAFT_NAME: &str = "quarantined-runs.draft";
+
+/// The name of the file of earlier versions, which did not store the durations of runs.
+const EARLIER_FILE_NAME: &str = "quarantined";
+
+/// A case as stored by earlier versions.
+#[derive(Deserialize)]
+struct EarlierCase {
+    digest: RequestDigest,
+    /// The endpoints that ended, each with the time since then.
+    ends: Vec<(EndpointStart, Duration)>,
+    cleared: Vec<EndpointStart>,
+}
+
+impl From<EarlierCase> for CaseUpdate {
+    fn from(EarlierCase { digest, ends, cleared }: EarlierCase) -> Self {
+        let end = |(endpoint, age)| EndUpdate { endpoint, age, run: None };
+        let clear = |endpoint| ClearUpdate { endpoint, run: None };
+        Self {
+            digest,
+            ends: ends.into_iter().map(end).collect(),
+            cleared: cleared.into_iter().map(clear).collect(),
+        }
+    }
+}
 
 /// The maximum number of changes that wait for a slow disk. The newest change holds the whole
 /// state. A change that does not fit is dropped, and the next change replaces it.
@@ -57,9 +84,13 @@
 
 /// Reads the cases that an earlier process stored. Returns none if there is no file or it cannot be
 /// read.
-fn read(folder: &Path) -> Vec<CaseUpdate> {
-    let bytes = fs::read(folder.join(FILE_NAME)).unwrap_or_default();
-    postcard::from_bytes(&bytes).unwrap_or_default()
+pub(crate) fn read(folder: &Path) -> Vec<CaseUpdate> {
+    if let Ok(bytes) = fs::read(folder.join(FILE_NAME)) {
+        return postcard::from_bytes(&bytes).unwrap_or_default();
+    }
+    let bytes = fs::read(folder.join(EARLIER_FILE_NAME)).unwrap_or_default();
+    let cases: Vec<EarlierCase> = postcard::from_bytes(&bytes).unwrap_or_default();
+    cases.into_iter().map(CaseUpdate::from).collect()
 }
 
 fn write_changes(folder: &Path, changes: &Receiver<Vec<CaseUpdate>>) {
@@ -72,7 +103,7 @@
     }
 }
 
-fn write(folder: &Path, cases: &[CaseUpdate]) -> io::Result<()> {
+pub(crate) fn write(folder: &Path, cases: &[CaseUpdate]) -> io::Result<()> {
     let bytes = postcard::to_stdvec(cases).map_err(io::Error::other)?;
     fs::create_dir_all(folder)?;
     let mut draft = File::create(folder.join(DRAFT_NAME))?;
--- /dev/null
+++ b/crates/gateway/src/quarantine_disk_tests.rs
@@ -0,0 +1,44 @@
+//! Tests of the files in which quarantine cases are stored.
+
+use std::time::Duration;
+
+use oriolepass_quarantine::{CaseUpdate, ClearUpdate, EndUpdate, RequestIdentity};
+
+use crate::quarantine_disk::{read, write};
+
+fn case(run: Option<Duration>) -> CaseUpdate {
+    let identity =
+        RequestIdentity { account: None, method: "GET", host: "h", path: "/", body: b"" };
+    let end = |id: &str, age| EndUpdate {
+        endpoint: id.parse().unwrap(),
+        age: Duration::from_secs(age),
+        run,
+    };
+    CaseUpdate {
+        digest: identity.digest(),
+        ends: vec![end("e1", 7), end("e2@5", 3)],
+        cleared: vec![ClearUpdate { endpoint: "e1".parse().unwrap(), run }],
+    }
+}
+
+#[test]
+fn stored_cases_are_read_again() {
+    let folder = tempfile::tempdir().unwrap();
+    let stored = [case(Some(Duration::from_millis(120))), case(None)];
+    write(folder.path(), &stored).unwrap();
+    assert_eq!(read(folder.path()), stored);
+}
+
+/// A file that an earlier version wrote, with the case that `case(None)` returns.
+const EARLIER_FILE: [u8; 39] = [
+    1, 227, 176, 196, 66, 217, 79, 76, 181, 47, 244, 172, 202, 196, 156, 197, 191, 25, 47, 10, 172,
+    2, 2, 101, 49, 0, 7, 0, 2, 101, 50, 5, 3, 0, 1, 2, 101, 49, 0,
+];
+
+/// Guards against the loss of quarantined requests when a daemon is updated.
+#[test]
+fn cases_stored_by_earlier_versions_are_read() {
+    let folder = tempfile::tempdir().unwrap();
+    std::fs::write(folder.path().join("quarantined"), EARLIER_FILE).unwrap();
+    assert_eq!(read(folder.path()), [case(None)]);
+}
--- a/crates/quarantine/src/case.rs
+++ b/crates/quarantine/src/case.rs
@@ -1,6 +1,6 @@
 //! Stores the ends of endpoints that were observed under one request.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use oriolepass_units::{EndpointStart, MonotonicTime};
@@ -36,17 +36,29 @@
 /// endpoints within this time.
 const CLEARED_EVICTION_GRACE: Duration = Duration::from_secs(4);
 
-/// The effect of recording an end.
+/// The effect of recording an end, or of clearing a request of it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum EndChange {
     /// The end was not known.
     New,
-    /// The end was known, but was first observed at least [`COINCIDENCE_WINDOW`] earlier.
-    Earlier,
+    /// The end was known, but was first observed at least [`COINCIDENCE_WINDOW`] earlier, or interrupted a
+    /// longer run.
+    Refined,
     /// The end was known, or the case is full.
     Known,
 }
 
+/// A run of a request that was interrupted by the end of its endpoint.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct InterruptedRun {
+    /// The endpoint's start that ended.
+    pub endpoint: EndpointStart,
+    /// The time when the end was observed.
+    pub seen: MonotonicTime,
+    /// The time from sending the request to the end, if known.
+    pub duration: Option<Duration>,
+}
+
 /// An endpoint that ended under a request, as sent between instances.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndUpdate {
@@ -54,6 +66,17 @@
     pub endpoint: EndpointStart,
     /// The time since the end was first observed.
     pub age: Duration,
+    /// The time from sending the request to the end, if known.
+    pub run: Option<Duration>,
+}
+
+/// An end of which a request has been cleared, as sent between instances.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct ClearUpdate {
+    /// The endpoint's start that ended.
+    pub endpoint: EndpointStart,
+    /// The duration of the complete run that cleared the request, if it was cleared by one.
+    pub run: Option<Duration>,
 }
 
 /// The state of a request's case, as sent between instances. Updates may arrive in any order, more than
@@ -64,62 +87,86 @@
     pub digest: RequestDigest,
     /// The endpoints that ended under it.
     pub ends: Vec<EndUpdate>,
-    /// Endpoints whose end the request has been cleared of.
-    pub cleared: Vec<EndpointStart>,
+    /// The ends that the request has been cleared of.
+    pub cleared: Vec<ClearUpdate>,
+}
+
+/// An end as recorded in a case.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct EndRecord {
+    /// The time when the end was first observed.
+    pub(crate) seen: MonotonicTime,
+    /// The longest reported duration of the run that the end interrupted.
+    pub(crate) run: Option<Duration>,
 }
 
 /// The case of one request: two grow-only sets, which can be merged in any order.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct RequestCase {
-    /// The endpoints that ended under the request, with the time when the end was first observed.
-    ends: BTreeMap<EndpointStart, MonotonicTime>,
-    /// Endpoints whose end the request has been cleared of, by a complete response or by an operator.
-    cleared: BTreeSet<EndpointStart>,
+    /// The endpoints that ended under the request.
+    ends: BTreeMap<EndpointStart, EndRecord>,
+    /// Endpoints whose end the request has been cleared of, by a complete response or by an operator. Holds
+    /// the duration of the run with the complete response.
+    cleared: BTreeMap<EndpointStart, Option<Duration>>,
     /// The time of the last trial while quarantined.
     pub(crate) last_trial: Option<MonotonicTime>,
 }
 
 impl RequestCase {
     /// Records an end.
-    pub(crate) fn record_end(
-        &mut self,
-        endpoint: &EndpointStart,
-        seen: MonotonicTime,
-    ) -> EndChange {
-        if let Some(first) = self.ends.get_mut(endpoint) {
+    pub(crate) fn record_end(&mut self, run: &InterruptedRun) -> EndChange {
+        if let Some(known) = self.ends.get_mut(&run.endpoint) {
             // Times from other instances are inaccurate by some milliseconds.
-            let is_earlier = first.since(seen) >= COINCIDENCE_WINDOW;
-            *first = seen.min(*first);
-            return if is_earlier { EndChange::Earlier } else { EndChange::Known };
+            let is_refined =
+                known.seen.since(run.seen) >= COINCIDENCE_WINDOW || run.duration > known.run;
+            known.seen = run.seen.min(known.seen);
+            known.run = run.duration.max(known.run);
+            return if is_refined { EndChange::Refined } else { EndChange::Known };
         }
         if self.ends.len() >= MAX_ENDS_PER_REQUEST {
             return EndChange::Known;
         }
-        self.ends.insert(endpoint.clone(), seen);
+        let record = EndRecord { seen: run.seen, run: run.duration };
+        self.ends.insert(run.endpoint.clone(), record);
         EndChange::New
     }
 
-    /// Clears the request of one end. Returns whether the case changed.
-    pub(crate) fn clear_end(&mut self, endpoint: &EndpointStart) -> bool {
-        self.cleared.len() < MAX_ENDS_PER_REQUEST && self.cleared.insert(endpoint.clone())
+    /// Clears the request of one end.
+    pub(crate) fn clear_end(
+        &mut self,
+        endpoint: &EndpointStart,
+        run: Option<Duration>,
+    ) -> EndChange {
+        if let Some(known) = self.cleared.get_mut(endpoint) {
+            let is_refined = run > *known;
+            *known = run.max(*known);
+            return if is_refined { EndChange::Refined } else { EndChange::Known };
+        }
+        if self.cleared.len() >= MAX_ENDS_PER_REQUEST {
+            return EndChange::Known;
+        }
+        self.cleared.insert(endpoint.clone(), run);
+        EndChange::New
     }
 
-    /// Clears the request of all open ends. Returns whether the case changed.
-    pub(crate) fn clear_all(&mut self) -> bool {
+    /// Clears the request of all open ends, after a complete run of the given duration. Returns whether the
+    /// case changed.
+    pub(crate) fn clear_all(&mut self, run: Option<Duration>) -> bool {
         let open: Vec<EndpointStart> =
             self.open_ends().map(|(endpoint, _)| endpoint.clone()).collect();
-        open.iter().filter(|endpoint| self.clear_end(endpoint)).count() > 0
+        let cleared = open.iter().filter(|end| self.clear_end(end, run) == EndChange::New);
+        cleared.count() > 0
     }
 
     /// Returns the open ends: those that the request has not been cleared of.
     pub(crate) fn open_ends(&self) -> impl Iterator<Item = (&EndpointStart, MonotonicTime)> {
-        let is_open = |endpoint: &EndpointStart| !self.cleared.contains(endpoint);
-        self.ends.iter().filter(move |(e, _)| is_open(e)).map(|(e, seen)| (e, *seen))
+        let is_open = |endpoint: &EndpointStart| !self.cleared.contains_key(endpoint);
+        self.ends().filter(move |(endpoint, _)| is_open(endpoint))
     }
 
     /// Returns all ends, including cleared ones.
     pub(crate) fn ends(&self) -> impl Iterator<Item = (&EndpointStart, MonotonicTime)> {
-        self.ends.iter().map(|(endpoint, seen)| (endpoint, *seen))
+        self.ends.iter().map(|(endpoint, end)| (endpoint, end.seen))
     }
 
     /// Returns the time of the last open end.
@@ -129,7 +176,7 @@
 
     /// Returns the time of the last end, open or cleared.
     pub(crate) fn last_observed_end(&self) -> Option<MonotonicTime> {
-        self.ends.values().copied().max()
+        self.ends.values().map(|end| end.seen).max()
     }
 
     /// Returns the time until which the attribution uses the case: for a suspect the time of its last end, and
@@ -161,14 +208,19 @@
 
     /// Returns the full state of the case, to be sent to another instance.
     pub(crate) fn update(&self, now: MonotonicTime, digest: RequestDigest) -> CaseUpdate {
-        let end = |(endpoint, seen): (&EndpointStart, &MonotonicTime)| EndUpdate {
+        let end = |(endpoint, end): (&EndpointStart, &EndRecord)| EndUpdate {
+            endpoint: endpoint.clone(),
+            age: now.since(end.seen),
+            run: end.run,
+        };
+        let clear = |(endpoint, run): (&EndpointStart, &Option<Duration>)| ClearUpdate {
             endpoint: endpoint.clone(),
-            age: now.since(*seen),
+            run: *run,
         };
         CaseUpdate {
             digest,
             ends: self.ends.iter().map(end).collect(),
-            cleared: self.cleared.iter().cloned().collect(),
+            cleared: self.cleared.iter().map(clear).collect(),
         }
     }
 }
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -25,6 +25,6 @@
 mod evidence;
 mod table;
 
-pub use case::{CaseUpdate, EndUpdate};
+pub use case::{CaseUpdate, ClearUpdate, EndUpdate, InterruptedRun};
 pub use digest::{AccountTag, DigestError, RequestDigest, RequestIdentity};
 pub use table::{CaseSummary, QuarantineTable, Standing};
--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -7,7 +7,7 @@
 use oriolepass_units::{EndpointStart, MonotonicTime};
 
 use crate::attribution::{Attribution, attribute_ends, is_settled};
-use crate::case::{CaseUpdate, EndChange, RequestCase};
+use crate::case::{CaseUpdate, EndChange, EndUpdate, InterruptedRun, RequestCase};
 use crate::digest::{AccountTag, RequestDigest};
 
 /// Maximum number of cases: about twenty ends of endpoints with sixteen requests each.
@@ -79,20 +79,20 @@
         digest: RequestDigest,
         endpoint: &EndpointStart,
     ) -> Option<CaseUpdate> {
-        self.record_past_end(now, digest, endpoint, now)
+        let run = InterruptedRun { endpoint: endpoint.clone(), seen: now, duration: None };
+        self.record_interrupted_run(now, digest, &run)
     }
 
-    /// Records that an endpoint ended under a request at `seen`, which was confirmed later. Returns the
-    /// update for the other instances if the end was not known.
-    pub fn record_past_end(
+    /// Records a run of a request that was interrupted by the end of its endpoint. Returns the update for the
+    /// other instances if the end was not known.
+    pub fn record_interrupted_run(
         &mut self,
         now: MonotonicTime,
         digest: RequestDigest,
-        endpoint: &EndpointStart,
-        seen: MonotonicTime,
+        run: &InterruptedRun,
     ) -> Option<CaseUpdate> {
         let case = self.cases.entry(digest).or_default();
-        if case.record_end(endpoint, seen) != EndChange::New {
+        if case.record_end(run) != EndChange::New {
             return None;
         }
         let update = case.update(now, digest);
@@ -101,15 +101,35 @@
         Some(update)
     }
 
-    /// Clears a request of all its ends, after a complete response or an operator's release. Returns the
-    /// update for the other instances if the case changed.
+    /// Clears a request of all its ends, on an operator's behalf. Returns the update for the other instances
+    /// if the case changed.
     pub fn clear_request(
         &mut self,
         now: MonotonicTime,
         digest: RequestDigest,
+    ) -> Option<CaseUpdate> {
+        self.clear(now, digest, None)
+    }
+
+    /// Clears a request of all its ends, after a complete run of the given duration. Returns the update for
+    /// the other instances if the case changed.
+    pub fn record_complete_run(
+        &mut self,
+        now: MonotonicTime,
+        digest: RequestDigest,
+        duration: Duration,
+    ) -> Option<CaseUpdate> {
+        self.clear(now, digest, Some(duration))
+    }
+
+    fn clear(
+        &mut self,
+        now: MonotonicTime,
+        digest: RequestDigest,
+        run: Option<Duration>,
     ) -> Option<CaseUpdate> {
         let case = self.cases.get_mut(&digest)?;
-        if !case.clear_all() {
+        if !case.clear_all(run) {
             return None;
         }
         case.last_trial = None;
@@ -123,14 +143,20 @@
     pub fn merge(&mut self, now: MonotonicTime, update: &CaseUpdate) -> bool {
         let known = self.cases.get(&update.digest);
         let mut case = known.cloned().unwrap_or_default();
-        let changes: Vec<EndChange> =
-            update.ends.iter().map(|end| case.record_end(&end.endpoint, now - end.age)).collect();
-        let cleared = update.cleared.iter().filter(|endpoint| case.clear_end(endpoint)).count();
+        let interrupted = |end: &EndUpdate| InterruptedRun {
+            endpoint: end.endpoint.clone(),
+            seen: now - end.age,
+            duration: end.run,
+        };
+        let ends = update.ends.iter().map(|end| case.record_end(&interrupted(end)));
+        let mut changes: Vec<EndChange> = ends.collect();
+        let cleared = update.cleared.iter();
+        changes.extend(cleared.map(|clear| case.clear_end(&clear.endpoint, clear.run)));
         if known.is_none() && case.is_expired(now) {
             return false;
         }
-        let has_new_facts = cleared > 0 || changes.contains(&EndChange::New);
-        if has_new_facts || changes.contains(&EndChange::Earlier) {
+        let has_new_facts = changes.contains(&EndChange::New);
+        if has_new_facts || changes.contains(&EndChange::Refined) {
             self.cases.insert(update.digest, case);
             self.attribution.take();
             self.evict_if_full(update.digest);
--- a/crates/quarantine/tests/world/mod.rs
+++ b/crates/quarantine/tests/world/mod.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use oriolepass_quarantine::{
-    CaseUpdate, QuarantineTable, RequestDigest, RequestIdentity, Standing,
+    CaseUpdate, InterruptedRun, QuarantineTable, RequestDigest, RequestIdentity, Standing,
 };
 use oriolepass_units::{EndpointId, EndpointStart, MonotonicTime, StartTime};
 use rand::rngs::StdRng;
@@ -109,6 +109,8 @@
     /// Remaining attempts of the caller; not used for fatal requests, which are repeated without end.
     attempts_left: u32,
     run: u64,
+    /// When the last run began.
+    run_began: u64,
     /// The instance and the endpoint that handle the request.
     placement: Option<(usize, usize)>,
     is_served: bool,
@@ -214,6 +216,7 @@
             is_fatal,
             attempts_left: 4,
             run: 0,
+            run_began: 0,
             placement: None,
             is_served: false,
         });
@@ -323,6 +326,7 @@
         }
         self.requests[request].placement = Some((instance, endpoint));
         self.requests[request].run += 1;
+        self.requests[request].run_began = self.now;
         let run = self.requests[request].run;
         self.endpoints[endpoint].running.insert(request);
         if is_fatal {
@@ -416,7 +420,10 @@
         let id: EndpointId = format!("e{endpoint}").parse().expect("the id is valid");
         let start = EndpointStart::new(id, StartTime(generation + 1));
         let (now, digest) = (self.time(), self.requests[request].digest);
-        if let Some(update) = self.instances[instance].table.record_end(now, digest, &start) {
+        let duration = Some(Duration::from_millis(self.now - self.requests[request].run_began));
+        let run = InterruptedRun { endpoint: start, seen: now, duration };
+        let table = &mut self.instances[instance].table;
+        if let Some(update) = table.record_interrupted_run(now, digest, &run) {
             self.broadcast(instance, &update);
         }
         // The instance retries within the attempt, or the attempt fails and the caller retries.
@@ -432,7 +439,9 @@
         self.requests[request].placement = None;
         self.requests[request].is_served = true;
         let (now, digest) = (self.time(), self.requests[request].digest);
-        if let Some(update) = self.instances[instance].table.clear_request(now, digest) {
+        let duration = Duration::from_millis(self.now - self.requests[request].run_began);
+        let table = &mut self.instances[instance].table;
+        if let Some(update) = table.record_complete_run(now, digest, duration) {
             self.broadcast(instance, &update);
         }
     }
