A change is answered when the daemon that was asked has applied it

What operators saw: once, `get` right after `delete` still found the object.

Cause: a change is answered when the leader has applied it, and a query reads the asked daemon's own view, which may lag.

Change: the daemon waits until its own view has the revision of the change, for 2 s at most; the change is accepted in any case, and a line in the log says so if the time is over.

Looked for elsewhere: drains and voters are answered without a revision, and no query returns them from the asked daemon alone; the gateway answers a document when it is in force at daemons in touch.

Conclusion: mended for the daemon that was asked. A query at another daemon may still lag; `wait` is for that.

--- a/crates/daemon/src/http/operators.rs
+++ b/crates/daemon/src/http/operators.rs
@@ -16,6 +16,7 @@
     ChangeCall, DrainCall, InForceAnswer, MemberView, ObjectKind, StatusAnswer, VotersCall,
 };
 use oriolepass_units::{InstanceId, ObjectRevision, TeamId};
+use spdlog::warn;
 
 use oriolepass_schema::routes;
 
@@ -31,6 +32,9 @@
 /// Timeout for the leader to answer a query.
 const QUERY_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Maximum time by which the answer to an accepted change is delayed until this daemon has applied it.
+const APPLY_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Maximum number of audit records in an answer.
 const MAX_AUDIT_RECORDS: u32 = 1_000;
 
@@ -257,7 +261,10 @@
     as_team(shared, state, |shared, team, mut parts| async move {
         let call: ChangeCall = parts.json()?;
         match propose(&shared, ReplicatedCommand::Change(ChangeCommand { team, call })).await? {
-            ApplyOutcome::Changed(changed) => Ok(answer::json(&changed)),
+            ApplyOutcome::Changed(changed) => {
+                wait_until_applied(&shared, changed.config_revision).await;
+                Ok(answer::json(&changed))
+            }
             ApplyOutcome::Refused(error) => Err(error),
             _ => Err(unexpected_answer()),
         }
@@ -265,6 +272,17 @@
     .await
 }
 
+/// Waits until this daemon's view has reached a revision, so that a caller's next query here includes
+/// its change. The leader answers when it has applied the change, which may be earlier. A daemon that
+/// is cut off meanwhile answers after [`APPLY_TIMEOUT`]: the change is accepted in any case.
+async fn wait_until_applied(shared: &DaemonShared, revision: ObjectRevision) {
+    let mut mark = shared.view.watch();
+    let applied = mark.wait_for(|mark| mark.config_revision >= revision);
+    if tokio::time::timeout(APPLY_TIMEOUT, applied).await.is_err() {
+        warn!("an accepted change is not applied here yet", kv: { revision = revision.0 });
+    }
+}
+
 async fn propose(
     shared: &DaemonShared,
     command: ReplicatedCommand,
--- a/crates/testbed/tests/failures.rs
+++ b/crates/testbed/tests/failures.rs
@@ -11,6 +11,7 @@
 use oriolepass_testbed::{Fleet, FleetPlan, MODEL, SERVICE, account_key, text_prompt};
 use oriolepass_units::{InstanceId, ObjectRevision, TokenCount};
 use tokio::sync::Mutex;
+use tokio::task::JoinSet;
 
 /// Serializes the tests. Concurrent fleets would starve each other of processor time.
 static FLEET_LOCK: Mutex<()> = Mutex::const_new(());
@@ -529,3 +530,28 @@
     assert!(failures.is_empty(), "{} failed, {done} answered: {failures:?}", failures.len());
     assert!(done > 100);
 }
+
+/// Guards against an operator's query that returns an object as it was before a change that the same
+/// daemon has answered.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_is_visible_at_once_at_the_daemon_that_answered_it() {
+    let _guard = FLEET_LOCK.lock().await;
+    let plan = FleetPlan { engines: 0, services: 0, ..FleetPlan::default() };
+    let fleet = Fleet::start(plan).await.expect("a fleet");
+    let change_and_read = |number: usize| {
+        let (operator, daemon) = (fleet.operator.clone(), fleet.operators(number % fleet.len()));
+        async move {
+            let name = format!("read-{number}");
+            let put = operator.put(daemon, &name, &name, 0, model(1)).await;
+            put.expect("the change is accepted");
+            let path = format!("/v1/objects/model/{name}");
+            let answer = operator.call(daemon, "GET", &path, String::new()).await;
+            answer.expect("the daemon answers").status
+        }
+    };
+    let mut tasks = JoinSet::new();
+    (0..300).for_each(|number| drop(tasks.spawn(change_and_read(number))));
+    let answers = tasks.join_all().await;
+    let stale = answers.iter().filter(|status| **status != 200).count();
+    assert_eq!(stale, 0, "queries answered without the change, of {}", answers.len());
+}
