Quarantine averages over the unknown rate of ends by chance and uses running times

What callers saw: requests that end their endpoints sent up to 13 times more than 3 s after their third end, and requests that were fine refused for ten minutes.

Cause: the rate of ends by chance was one estimate from all ends that were not explained yet, so the lone ends of several fatal requests passed for chance; running times were not used; full tables evicted fatal requests between two of their attempts.

Change: belief propagation between ends and suspects for each of eight rates, averaged by evidence; the time until a fatal request acts is exponential with an unknown mean; the share of fatal requests is estimated beside the odds. Full tables keep requests with three open ends 8 s longer, cleared ones 10 s (4 s before). A candidate for eviction is sought without a judgement where it can be.

--- a/crates/quarantine/src/case.rs
+++ b/crates/quarantine/src/case.rs
@@ -34,7 +34,14 @@
 
 /// Time by which a full table keeps a cleared request longer than a suspect. Most suspects lose their
 /// endpoints within this time.
-const CLEARED_EVICTION_GRACE: Duration = Duration::from_secs(4);
+const CLEARED_EVICTION_GRACE: Duration = Duration::from_secs(10);
+
+/// Time by which a full table keeps a request with [`MIN_REPEATED_ENDS`] open ends longer than other suspects,
+/// so that requests with one end each do not displace a request that may be fatal between its attempts.
+const REPEATED_EVICTION_GRACE: Duration = Duration::from_secs(8);
+
+/// Minimum number of open ends for [`REPEATED_EVICTION_GRACE`].
+const MIN_REPEATED_ENDS: usize = 3;
 
 /// The effect of recording an end, or of clearing a request of it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -169,6 +176,23 @@
         self.ends.iter().map(|(endpoint, end)| (endpoint, end.seen))
     }
 
+    /// Returns the endpoints of all interrupted runs, with the durations that are known.
+    pub(crate) fn interrupted_runs(
+        &self,
+    ) -> impl Iterator<Item = (&EndpointStart, Option<Duration>)> {
+        self.ends.iter().map(|(endpoint, end)| (endpoint, end.run))
+    }
+
+    /// Returns the interrupted runs of the open ends.
+    pub(crate) fn open_runs(&self) -> impl Iterator<Item = (&EndpointStart, Option<Duration>)> {
+        self.interrupted_runs().filter(|(endpoint, _)| !self.cleared.contains_key(*endpoint))
+    }
+
+    /// Returns the durations of the complete runs that cleared the request, one for each end.
+    pub(crate) fn complete_runs(&self) -> impl Iterator<Item = Duration> {
+        self.cleared.values().filter_map(|run| *run)
+    }
+
     /// Returns the time of the last open end.
     pub(crate) fn last_open_end(&self) -> Option<MonotonicTime> {
         self.open_ends().map(|(_, seen)| seen).max()
@@ -179,12 +203,15 @@
         self.ends.values().map(|end| end.seen).max()
     }
 
-    /// Returns the time until which the attribution uses the case: for a suspect the time of its last end, and
-    /// for a cleared request [`CLEARED_EVICTION_GRACE`] later, since the requests that were suspects by
-    /// then still need it.
+    /// Returns the time until which the attribution uses the case: for a suspect the time of its last end, for a
+    /// cleared request [`CLEARED_EVICTION_GRACE`] later, since the requests that were suspects by then
+    /// still need it, and for a request with several open ends [`REPEATED_EVICTION_GRACE`] later.
     pub(crate) fn relevant_until(&self) -> Option<MonotonicTime> {
-        let is_open = self.open_ends().next().is_some();
-        let retention = if is_open { Duration::ZERO } else { CLEARED_EVICTION_GRACE };
+        let retention = match self.open_ends().count() {
+            0 => CLEARED_EVICTION_GRACE,
+            MIN_REPEATED_ENDS.. => REPEATED_EVICTION_GRACE,
+            _ => Duration::ZERO,
+        };
         self.last_observed_end().map(|seen| seen + retention)
     }
 
--- a/crates/quarantine/src/evidence.rs
+++ b/crates/quarantine/src/evidence.rs
@@ -1,4 +1,4 @@
-//! Orders the ends of endpoints by time and estimates how likely each end is by chance.
+//! Collects the ends of endpoints and the runs of requests that were interrupted or completed.
 
 use std::collections::BTreeMap;
 use std::ops::Range;
@@ -8,55 +8,68 @@
 
 use crate::case::{COINCIDENCE_WINDOW, RequestCase};
 use crate::digest::RequestDigest;
+use crate::likelihood::{DEFAULT_RUN_S, RunLikelihood};
 
-/// Minimum number of ends for a request to be an alternative explanation of another request's ends.
+/// Minimum number of ends for a request to be examined as the cause of its ends.
 const MIN_SUSPECT_ENDS: usize = 2;
 
-/// Pseudo-counts of runs and of ends by chance that are added to the observed counts. Without observations
-/// they give one end by chance in a hundred runs.
-const PSEUDO_RUNS: f64 = 25.0;
-const PSEUDO_ENDS: f64 = 0.25;
-
-/// Minimum probability that a run is hit by an end by chance.
-const MIN_CHANCE_PROBABILITY: f64 = PSEUDO_ENDS / PSEUDO_RUNS;
-
-/// Weight in the count of ends by chance of each further end under a request. The weight is above 1 because
-/// requests that are not known yet or are regarded as causes are missing from the count.
-const REPEATED_END_WEIGHT: f64 = 1.5;
-
-/// Bounds of the weight of one end. The end of an endpoint is one observation even if many requests ran on
-/// it, or if none of them had lost an endpoint before.
-const MIN_END_WEIGHT: f64 = 0.6;
-const MAX_END_WEIGHT: f64 = 3.0;
-
-/// Maximum distance of the ends that are used to estimate the probability of an end by chance.
+/// Maximum distance of the ends that are used to estimate the rate of ends by chance.
 const CHANCE_WINDOW: Duration = Duration::from_secs(10);
 
 /// Index of an end in chronological order.
 pub(crate) type EndIndex = usize;
 
+/// A run of a suspect that was interrupted by an end.
+#[derive(Debug)]
+pub(crate) struct SuspectRun {
+    pub(crate) end: EndIndex,
+    pub(crate) likelihood: RunLikelihood,
+}
+
 /// A request with at least [`MIN_SUSPECT_ENDS`] open ends.
 #[derive(Debug)]
-pub(crate) struct SuspectEnds {
+pub(crate) struct SuspectRuns {
     pub(crate) digest: RequestDigest,
-    /// The open ends in chronological order.
-    pub(crate) ends: Vec<EndIndex>,
+    /// The runs in chronological order. Of ends within [`COINCIDENCE_WINDOW`] only the first is listed, since
+    /// simultaneous ends have a common cause such as a rack's power failure or an operator.
+    pub(crate) runs: Vec<SuspectRun>,
+}
+
+/// What is known about one end.
+#[derive(Debug, Default, Clone)]
+pub(crate) struct EndFacts {
+    /// The number of interrupted runs of requests that had lost an endpoint before. A request's first end is
+    /// not counted, since only requests with an end have a case.
+    pub(crate) repeated_runs: f64,
+    /// The longest of these runs in seconds.
+    pub(crate) repeated_run_s: f64,
+    /// The sum of the complete runs, in seconds, of requests whose last end this is.
+    pub(crate) complete_runs_s: f64,
+    /// The sum of the densities per second of interrupted runs of open cases that are no suspects, if these
+    /// requests are fatal.
+    pub(crate) other_density: f64,
 }
 
 /// The ends of endpoints in all cases.
 #[derive(Debug)]
 pub(crate) struct EndEvidence {
     /// Sorted by digest.
-    pub(crate) suspects: Vec<SuspectEnds>,
-    pub(crate) endpoints: Vec<EndpointStart>,
+    pub(crate) suspects: Vec<SuspectRuns>,
+    /// In chronological order.
+    pub(crate) ends: Vec<EndFacts>,
+    /// The number of cases.
+    pub(crate) cases: usize,
     seen: Vec<MonotonicTime>,
-    /// The weight of each end in the count of ends by chance, unless a request explains the end.
-    weights: Vec<f64>,
-    /// For each end, the number of cleared requests whose last end was earlier. One more item
-    /// holds the total.
-    cleared_before: Vec<f64>,
-    /// For each end, the range of ends within [`CHANCE_WINDOW`] of it.
-    windows: Vec<Range<EndIndex>>,
+    exposure: Exposure,
+}
+
+/// Prefix sums over the ends of the runs that an end by chance could have interrupted.
+#[derive(Debug)]
+struct Exposure {
+    repeated_runs: Vec<f64>,
+    repeated_ends: Vec<f64>,
+    repeated_s: Vec<f64>,
+    complete_s: Vec<f64>,
 }
 
 impl EndEvidence {
@@ -76,87 +89,60 @@
             ordered.iter().enumerate().map(|(index, (_, endpoint))| (*endpoint, index)).collect();
         let seen: Vec<MonotonicTime> = ordered.iter().map(|(seen, _)| *seen).collect();
 
-        let mut repeated = vec![0.0; seen.len()];
-        let mut cleared = vec![0.0; seen.len()];
+        let mut ends = vec![EndFacts::default(); seen.len()];
         let mut suspects = Vec::new();
         for (digest, case) in cases {
-            let all = sorted(case.ends().map(|(endpoint, _)| index[endpoint]));
-            all.iter().skip(1).for_each(|end| repeated[*end] += REPEATED_END_WEIGHT);
-            let open = sorted(case.open_ends().map(|(endpoint, _)| index[endpoint]));
-            if let (Some(last), true) = (all.last(), open.is_empty()) {
-                cleared[*last] += 1.0;
-            }
-            if open.len() >= MIN_SUSPECT_ENDS {
-                suspects.push(SuspectEnds { digest: *digest, ends: open });
+            record_exposure(&mut ends, case, &index);
+            let runs = distinct_open_runs(case, &index, &seen);
+            if runs.len() >= MIN_SUSPECT_ENDS {
+                suspects.push(SuspectRuns { digest: *digest, runs });
+            } else {
+                for run in &runs {
+                    ends[run.end].other_density += run.likelihood.prior_density();
+                }
             }
         }
-        let bounded = |weight: f64| weight.clamp(MIN_END_WEIGHT, MAX_END_WEIGHT);
-        Self {
-            suspects,
-            endpoints: ordered.into_iter().map(|(_, endpoint)| endpoint.clone()).collect(),
-            weights: repeated.into_iter().map(bounded).collect(),
-            cleared_before: prefix_sums(cleared),
-            windows: seen.iter().map(|end| window_around(&seen, *end)).collect(),
-            seen,
-        }
+        let exposure = Exposure::new(&ends);
+        Self { suspects, ends, cases: cases.len(), seen, exposure }
     }
 
-    /// Returns the surprisal of each end under the assumption that it happened by chance: the negative natural
-    /// logarithm of the probability that a run is hit by an end by chance. Ends that `is_explained` marks
-    /// are caused by requests and are not counted as ends by chance.
-    pub(crate) fn surprisals(&self, is_explained: &[bool]) -> Vec<f64> {
-        let by_chance = |(weight, explained): (&f64, &bool)| if *explained { 0.0 } else { *weight };
-        let ends_before = prefix_sums(self.weights.iter().zip(is_explained).map(by_chance));
-        let surprisal = |window: &Range<EndIndex>| {
-            let within = |sums: &[f64]| sums[window.end] - sums[window.start];
-            let ends = PSEUDO_ENDS + within(&ends_before);
-            let cleared = PSEUDO_RUNS - PSEUDO_ENDS + within(&self.cleared_before);
-            -(ends / (ends + cleared)).max(MIN_CHANCE_PROBABILITY).ln()
+    /// Returns the range of ends within [`CHANCE_WINDOW`] of a suspect's first to last end.
+    pub(crate) fn window(&self, suspect: &SuspectRuns) -> Range<EndIndex> {
+        let (Some(first), Some(last)) = (suspect.runs.first(), suspect.runs.last()) else {
+            return 0..0;
         };
-        self.windows.iter().map(surprisal).collect()
+        let (first, last) = (self.seen[first.end], self.seen[last.end]);
+        let from = self.seen.partition_point(|seen| first.since(*seen) > CHANCE_WINDOW);
+        let to = self.seen.partition_point(|seen| seen.since(last) <= CHANCE_WINDOW);
+        from..to
     }
 
-    /// Returns the unexplained ends of a suspect. Of ends within [`COINCIDENCE_WINDOW`] only the first is
-    /// returned, since simultaneous ends have a common cause such as a rack's power failure or an operator.
-    pub(crate) fn unexplained<'a>(
-        &'a self,
-        suspect: &'a SuspectEnds,
-        is_explained: &'a [bool],
-    ) -> impl Iterator<Item = EndIndex> + 'a {
-        let mut last: Option<MonotonicTime> = None;
-        suspect.ends.iter().copied().filter(|end| !is_explained[*end]).filter(move |end| {
-            let seen = self.seen[*end];
-            let is_distinct = last.is_none_or(|last| seen.since(last) >= COINCIDENCE_WINDOW);
-            if is_distinct {
-                last = Some(seen);
-            }
-            is_distinct
-        })
+    /// Returns the time in seconds during which an endpoint could have ended by chance under a request that had
+    /// lost an endpoint before. Requests that run on the same endpoint add to the time only once: the
+    /// number of them is estimated from the ends, as the square root of the mean, since requests share
+    /// endpoints less after they have lost one.
+    pub(crate) fn exposure_s(&self, window: &Range<EndIndex>) -> f64 {
+        let within = |sums: &[f64]| sums[window.end] - sums[window.start];
+        let Exposure { repeated_runs, repeated_ends, repeated_s, complete_s } = &self.exposure;
+        let sharing = within(repeated_runs) / within(repeated_ends).max(1.0);
+        within(repeated_s) + within(complete_s) / sharing.max(1.0).sqrt()
     }
+}
 
-    /// Returns for each end whether one of the given suspects explains it.
-    pub(crate) fn explained_by(&self, suspects: impl IntoIterator<Item = usize>) -> Vec<bool> {
-        let mut is_explained = vec![false; self.seen.len()];
-        for end in suspects.into_iter().flat_map(|suspect| &self.suspects[suspect].ends) {
-            is_explained[*end] = true;
+impl Exposure {
+    fn new(ends: &[EndFacts]) -> Self {
+        let sums = |value: fn(&EndFacts) -> f64| prefix_sums(ends.iter().map(value));
+        Self {
+            repeated_runs: sums(|end| end.repeated_runs),
+            repeated_ends: sums(|end| end.repeated_runs.min(1.0)),
+            repeated_s: sums(|end| end.repeated_run_s),
+            complete_s: sums(|end| end.complete_runs_s),
         }
-        is_explained
     }
 }
 
-/// Returns the surprisal of an end by chance at the minimum probability.
-pub(crate) fn max_surprisal() -> f64 {
-    -MIN_CHANCE_PROBABILITY.ln()
-}
-
-fn sorted(ends: impl Iterator<Item = EndIndex>) -> Vec<EndIndex> {
-    let mut ends: Vec<EndIndex> = ends.collect();
-    ends.sort_unstable();
-    ends
-}
-
 /// Returns the sum of the values before each position, followed by the total.
-fn prefix_sums(values: impl IntoIterator<Item = f64>) -> Vec<f64> {
+pub(crate) fn prefix_sums(values: impl IntoIterator<Item = f64>) -> Vec<f64> {
     let sums = values.into_iter().scan(0.0, |sum, value| {
         *sum += value;
         Some(*sum)
@@ -164,8 +150,51 @@
     std::iter::once(0.0).chain(sums).collect()
 }
 
-fn window_around(seen: &[MonotonicTime], end: MonotonicTime) -> Range<EndIndex> {
-    let from = seen.partition_point(|other| end.since(*other) > CHANCE_WINDOW);
-    let to = seen.partition_point(|other| other.since(end) <= CHANCE_WINDOW);
-    from..to
+/// Adds the runs of a request after its first end.
+fn record_exposure(
+    ends: &mut [EndFacts],
+    case: &RequestCase,
+    index: &BTreeMap<&EndpointStart, EndIndex>,
+) {
+    let mut all: Vec<(EndIndex, Option<Duration>)> =
+        case.interrupted_runs().map(|(endpoint, run)| (index[endpoint], run)).collect();
+    all.sort_unstable();
+    for (end, run) in all.iter().skip(1) {
+        let facts = &mut ends[*end];
+        let duration = run.map_or(DEFAULT_RUN_S, |run| run.as_secs_f64());
+        facts.repeated_runs += 1.0;
+        facts.repeated_run_s = facts.repeated_run_s.max(duration);
+    }
+    let mut complete: Vec<Duration> = case.complete_runs().collect();
+    complete.sort_unstable();
+    // A complete run clears the request of several ends.
+    complete.dedup();
+    if let Some((last, _)) = all.last() {
+        ends[*last].complete_runs_s += complete.iter().map(Duration::as_secs_f64).sum::<f64>();
+    }
+}
+
+/// Returns the open interrupted runs of a request, without those that end within [`COINCIDENCE_WINDOW`] of an
+/// earlier one.
+fn distinct_open_runs(
+    case: &RequestCase,
+    index: &BTreeMap<&EndpointStart, EndIndex>,
+    seen: &[MonotonicTime],
+) -> Vec<SuspectRun> {
+    let mut open: Vec<(EndIndex, Option<Duration>)> =
+        case.open_runs().map(|(endpoint, run)| (index[endpoint], run)).collect();
+    open.sort_unstable();
+    let mut last: Option<MonotonicTime> = None;
+    open.retain(|(end, _)| {
+        let is_distinct = last.is_none_or(|last| seen[*end].since(last) >= COINCIDENCE_WINDOW);
+        if is_distinct {
+            last = Some(seen[*end]);
+        }
+        is_distinct
+    });
+    let run = |(end, duration): (EndIndex, Option<Duration>)| SuspectRun {
+        end,
+        likelihood: RunLikelihood::new(duration.map(|duration| duration.as_secs_f64())),
+    };
+    open.into_iter().map(run).collect()
 }
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -10,8 +10,9 @@
 //! About a dozen requests run on an endpoint when it ends, and at most one of them is the cause. An end
 //! that a quarantined request explains does not count against other requests. Ends that no request
 //! explains give the rate of ends by chance. A complete response clears a request of its earlier ends.
-//! The module `attribution` decides which requests are fatal, and the module `evidence` prepares the
-//! data for the decision.
+//! The module `attribution` decides which requests are fatal. It uses the observations that the module
+//! `evidence` prepares, the odds that the module `propagation` computes from them, and the distribution of
+//! running times in the module `likelihood`.
 //!
 //! A request under which an endpoint ended is a [`Standing::Suspect`] and is to be placed where the fewest
 //! other requests run. A request that terminated several endpoints is [`Standing::Quarantined`]: it is no
@@ -23,6 +24,8 @@
 mod case;
 mod digest;
 mod evidence;
+mod likelihood;
+mod propagation;
 mod table;
 
 pub use case::{CaseUpdate, ClearUpdate, EndUpdate, InterruptedRun};
--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -6,7 +6,7 @@
 
 use oriolepass_units::{EndpointStart, MonotonicTime};
 
-use crate::attribution::{Attribution, attribute_ends, is_settled};
+use crate::attribution::{Attribution, MIN_QUARANTINE_ENDS, attribute_ends, is_settled};
 use crate::case::{CaseUpdate, EndChange, EndUpdate, InterruptedRun, RequestCase};
 use crate::digest::{AccountTag, RequestDigest};
 
@@ -270,12 +270,20 @@
     /// the suspects whose standing depends on this rate.
     fn eviction_candidate(&self, account: Option<AccountTag>) -> Option<RequestDigest> {
         let of_account = |digest: &RequestDigest| account.is_none_or(|a| digest.account() == a);
-        let cases = self.cases.iter().filter(|(digest, _)| of_account(digest));
-        let quarantined = &self.attribution().quarantined;
-        let retention_key = |(digest, case): &(&RequestDigest, &RequestCase)| {
-            (quarantined.contains_key(digest), case.relevant_until())
+        let mut cases: Vec<(Option<MonotonicTime>, RequestDigest)> = self
+            .cases
+            .iter()
+            .filter(|(digest, _)| of_account(digest))
+            .map(|(digest, case)| (case.relevant_until(), *digest))
+            .collect();
+        cases.sort_unstable();
+        // The attribution is costly and is rarely needed here, since most cases have too few ends.
+        let is_quarantined = |digest: &RequestDigest| {
+            self.cases[digest].open_ends().count() >= MIN_QUARANTINE_ENDS
+                && self.attribution().quarantined.contains_key(digest)
         };
-        cases.min_by_key(retention_key).map(|(digest, _)| *digest)
+        let candidate = cases.iter().find(|(_, digest)| !is_quarantined(digest));
+        candidate.or(cases.first()).map(|(_, digest)| *digest)
     }
 }
 
