--- a/crates/gateway/src/front/placement.rs
+++ b/crates/gateway/src/front/placement.rs
@@ -210,16 +210,6 @@
     }
 }
 
-/// Reports a helper that refused a prompt to the home, which plans the helpers of the next prompts.
-pub(super) fn helper_refused(gateway: &Gateway, placement: &Placement, helper: &EndpointStart) {
-    let (Some(key), Some(plan)) = (placement.key, &placement.plan) else { return };
-    let part = plan.helpers.iter().find(|part| part.endpoint == *helper);
-    // A helper with reserved memory may refuse because the reservation has expired.
-    if part.is_some_and(|part| part.reserve_tokens.is_none()) {
-        gateway.report_progress(ProgressNote::HelperRefused(key, helper.clone()));
-    }
-}
-
 impl Drop for Placement {
     fn drop(&mut self) {
         match self.key {
--- a/crates/gateway/src/front/sends.rs
+++ b/crates/gateway/src/front/sends.rs
@@ -12,7 +12,7 @@
 use super::caller::CallerRequest;
 use super::ends::probe_for_end;
 use super::headers::strip_hop_by_hop_headers;
-use super::placement::{NoPlacement, Placement, endpoint_failed, helper_refused};
+use super::placement::{NoPlacement, Placement, endpoint_failed};
 use super::presence::while_alive;
 use super::stream::{EventSource, NextEvents, OpenStream};
 use crate::balancer::FaultKind;
@@ -237,7 +237,6 @@
         gateway.endpoint_displaced(&endpoint);
     } else {
         endpoint_failed(gateway, request, &endpoint, FaultKind::Full);
-        helper_refused(gateway, placement, &endpoint);
     }
     SendOutcome::NotRun { reason: format!("status {status}: not run"), endpoint: Some(endpoint) }
 }
--- a/crates/gateway/src/home.rs
+++ b/crates/gateway/src/home.rs
@@ -259,7 +259,7 @@
             ProgressNote::Ended(key) => {
                 self.home.borrow_mut().own_prompts.remove(key);
             }
-            ProgressNote::Failed(_) | ProgressNote::HelperRefused(..) => {}
+            ProgressNote::Failed(_) => {}
         }
         let leader = self.leader_instance().filter(|leader| *leader != self.own);
         let to: Vec<InstanceId> = {
@@ -291,9 +291,6 @@
                     home.last_good_answer.remove(endpoint);
                     home.fleet.failed(now, endpoint);
                 }
-                ProgressNote::HelperRefused(key, helper) => {
-                    home.fleet.helper_refused(now, *key, helper);
-                }
             }
         }
     }
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -63,8 +63,6 @@
     Ended(PromptKey),
     /// This engine failed the prompt.
     Failed(EndpointStart),
-    /// This engine, which holds no reserved memory for the prompt, refused to help with it.
-    HelperRefused(PromptKey, EndpointStart),
 }
 
 /// A prompt in progress, reported to a home that did not place it.
--- a/crates/placement/src/farm.rs
+++ b/crates/placement/src/farm.rs
@@ -65,12 +65,6 @@
         self.open.get(&key).map_or(&[], |open| &open.engines)
     }
 
-    /// Returns whether an engine helps with another open prompt than `key`.
-    pub fn helps_another(&self, endpoint: &EndpointStart, key: PromptKey) -> bool {
-        let others = self.open.iter().filter(|(other, _)| **other != key);
-        others.flat_map(|(_, open)| open.engines.iter().skip(1)).any(|helper| helper == endpoint)
-    }
-
     /// Returns the keys of the open prompts.
     pub fn open_keys(&self) -> impl Iterator<Item = PromptKey> {
         self.open.keys().copied()
--- a/crates/placement/src/fleet.rs
+++ b/crates/placement/src/fleet.rs
@@ -30,10 +30,6 @@
 /// of the platform last.
 const MAX_BACKOFF_DOUBLINGS: u32 = 4;
 
-/// Number of consecutive refusals to help after which an engine counts as failed. A single refusal may
-/// come from work that the home does not know of.
-const MAX_HELPER_REFUSALS: u32 = 2;
-
 /// Maximum share of a service's engines in backoff at a time. More would overload the remaining
 /// engines.
 const MAX_BACKOFF_SHARE: f64 = 0.5;
@@ -70,8 +66,6 @@
     /// End of the backoff after a failure; no new work is placed before.
     backoff_until: MonotonicTime,
     failures: u32,
-    /// Number of consecutive refusals to help that no other prompt explains.
-    helper_refusals: u32,
     /// Time of the last silence that no reading explains.
     silent_at: Option<MonotonicTime>,
     /// The prompts whose main engine this is.
@@ -138,7 +132,6 @@
                     let entry = EngineEntry {
                         backoff_until: MonotonicTime::ZERO,
                         failures: 0,
-                        helper_refusals: 0,
                         silent_at: None,
                         mains: Vec::new(),
                         recent_placements: VecDeque::new(),
@@ -420,7 +413,6 @@
         for endpoint in self.farm.engines_of(key) {
             if let Some(engine) = self.engines.get_mut(endpoint) {
                 engine.failures = 0;
-                engine.helper_refusals = 0;
             }
         }
     }
@@ -462,22 +454,6 @@
         }
     }
 
-    /// Records that an engine refused to help with a prompt for which it holds no reserved memory. An engine
-    /// that helps with another prompt may be at its limit of helpers. One that helps with none, and
-    /// refuses repeatedly before it helps with any, is gone or about to leave.
-    pub fn helper_refused(&mut self, now: MonotonicTime, key: PromptKey, helper: &EndpointStart) {
-        if self.farm.helps_another(helper, key) {
-            return;
-        }
-        let Some(engine) = self.engines.get_mut(helper) else { return };
-        engine.helper_refusals += 1;
-        if engine.helper_refusals >= MAX_HELPER_REFUSALS {
-            // The earlier refusals count as failures as well, so that the backoff is as long as after them.
-            engine.failures = engine.failures.max(engine.helper_refusals - 1);
-            self.failed(now, helper);
-        }
-    }
-
     fn usable(
         &self,
         now: MonotonicTime,
--- a/crates/placement/tests/placing.rs
+++ b/crates/placement/tests/placing.rs
@@ -254,37 +254,6 @@
     assert_eq!(fleet.place(at(2), &avoiding).unwrap().main, endpoint(3));
 }
 
-/// Returns whether an engine gets a prompt that is to avoid all others of six.
-fn takes_work(fleet: &mut EngineFleet, millis: u64, engine: &EndpointStart) -> bool {
-    let mut avoiding = ask(90, 4_000);
-    avoiding.avoid = (0..6).map(endpoint).filter(|other| other != engine).collect();
-    let is_main = fleet.place(at(millis), &avoiding).unwrap().main == *engine;
-    fleet.ended(at(millis), key(90));
-    is_main
-}
-
-/// Guards against a lost engine that is planned as a helper of each next prompt.
-#[test]
-fn an_engine_that_refuses_to_help_twice_gets_no_work_for_a_while() {
-    let mut fleet = fleet(6);
-    let helper = fleet.place(at(0), &ask(1, 180_000)).unwrap().helpers[0].endpoint.clone();
-    fleet.helper_refused(at(1), key(1), &helper);
-    fleet.ended(at(2), key(1));
-    assert!(takes_work(&mut fleet, 10, &helper), "one refusal is no evidence");
-    fleet.helper_refused(at(20), key(2), &helper);
-    assert!(!takes_work(&mut fleet, 30, &helper));
-    assert!(takes_work(&mut fleet, 2_000, &helper), "the engine is tried again");
-}
-
-/// Guards against a pause of a busy engine, which refuses because it helps as many prompts as it can.
-#[test]
-fn an_engine_that_helps_another_prompt_may_refuse() {
-    let mut fleet = fleet(6);
-    let helper = fleet.place(at(0), &ask(1, 180_000)).unwrap().helpers[0].endpoint.clone();
-    (2..6).for_each(|number| fleet.helper_refused(at(number), key(number), &helper));
-    assert!(takes_work(&mut fleet, 10, &helper));
-}
-
 #[test]
 fn a_silence_is_expected_while_an_engine_reads() {
     let mut fleet = fleet(1);
