--- a/crates/quarantine/src/attribution.rs
+++ b/crates/quarantine/src/attribution.rs
@@ -14,16 +14,12 @@
 
 use oriolepass_units::{EndpointStart, MonotonicTime};
 
-use crate::case::{RequestCase, count_distinct_times};
+use crate::case::{MIN_QUARANTINE_ENDS, RequestCase, count_distinct_times};
 use crate::digest::RequestDigest;
 use crate::evidence::{EndEvidence, SuspectRuns};
 use crate::likelihood::{log_sum_exp, softplus};
 use crate::propagation::{Beliefs, propagate};
 
-/// Minimum number of ends for a quarantine. Two ends may be chance: when an endpoint ends, the dozen
-/// requests that ran there move to other endpoints, and some of those end as well.
-pub(crate) const MIN_QUARANTINE_ENDS: usize = 3;
-
 /// Rates of ends by chance that are considered, per second and endpoint.
 const CHANCE_RATES_PER_S: [f64; 8] = [0.01, 0.02, 0.04, 0.09, 0.18, 0.36, 0.73, 1.5];
 
--- a/crates/quarantine/src/case.rs
+++ b/crates/quarantine/src/case.rs
@@ -8,6 +8,10 @@
 
 use crate::digest::RequestDigest;
 
+/// Minimum number of ends for a quarantine. Two ends may be chance: when an endpoint ends, the dozen
+/// requests that ran there move to other endpoints, and some of those end as well.
+pub(crate) const MIN_QUARANTINE_ENDS: usize = 3;
+
 /// Maximum number of ends that are stored for one request. The limit is several times the number of ends
 /// that quarantine a request, and leaves room for months of trials.
 const MAX_ENDS_PER_REQUEST: usize = 24;
@@ -36,13 +40,10 @@
 /// endpoints within this time.
 const CLEARED_EVICTION_GRACE: Duration = Duration::from_secs(10);
 
-/// Time by which a full table keeps a request with [`MIN_REPEATED_ENDS`] open ends longer than other suspects,
+/// Time by which a full table keeps a request with [`MIN_QUARANTINE_ENDS`] open ends longer than other suspects,
 /// so that requests with one end each do not displace a request that may be fatal between its attempts.
 const REPEATED_EVICTION_GRACE: Duration = Duration::from_secs(8);
 
-/// Minimum number of open ends for [`REPEATED_EVICTION_GRACE`].
-const MIN_REPEATED_ENDS: usize = 3;
-
 /// The effect of recording an end, or of clearing a request of it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum EndChange {
@@ -209,7 +210,7 @@
     pub(crate) fn relevant_until(&self) -> Option<MonotonicTime> {
         let retention = match self.open_ends().count() {
             0 => CLEARED_EVICTION_GRACE,
-            MIN_REPEATED_ENDS.. => REPEATED_EVICTION_GRACE,
+            MIN_QUARANTINE_ENDS.. => REPEATED_EVICTION_GRACE,
             _ => Duration::ZERO,
         };
         self.last_observed_end().map(|seen| seen + retention)
--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -6,8 +6,10 @@
 
 use oriolepass_units::{EndpointStart, MonotonicTime};
 
-use crate::attribution::{Attribution, MIN_QUARANTINE_ENDS, attribute_ends, is_settled};
-use crate::case::{CaseUpdate, EndChange, EndUpdate, InterruptedRun, RequestCase};
+use crate::attribution::{Attribution, attribute_ends, is_settled};
+use crate::case::{
+    CaseUpdate, EndChange, EndUpdate, InterruptedRun, MIN_QUARANTINE_ENDS, RequestCase,
+};
 use crate::digest::{AccountTag, RequestDigest};
 
 /// Maximum number of cases: about twenty ends of endpoints with sixteen requests each.
