Log the odds of a request with ends, and of a quarantine

Cause: sends after the third end of a fatal request were listed as not traced. The log did not tell odds below the threshold from ends that were never recorded.

Change: `endpoint-end` and `quarantine` lines have `log_odds`, the natural logarithm of the odds that the request is fatal, from three ends on. The attribution keeps the odds of all such requests, where it kept those above the threshold. No judgement changes.

--- a/crates/gateway/src/front/ends.rs
+++ b/crates/gateway/src/front/ends.rs
@@ -242,6 +242,7 @@
             .text("endpoint", endpoint)
             .millis("run_ms", run.duration)
             .millis("broken_ms", gateway.now().since(run.broke_at))
+            .maybe("log_odds", gateway.cause_log_odds(run.digest))
             .text("outcome", result.name());
     }
     progress.send_replace(ProbeProgress::Resolved);
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use oriolepass_quarantine::{
-    CaseSummary, CaseUpdate, InterruptedRun, QuarantineTable, RequestDigest, Standing,
+    CaseSummary, CaseUpdate, CauseLogOdds, InterruptedRun, QuarantineTable, RequestDigest, Standing,
 };
 use oriolepass_units::{EndpointStart, InstanceId, MonotonicTime};
 use rand::seq::IteratorRandom;
@@ -103,6 +103,11 @@
         self.now() + TABLE_TIME_OFFSET
     }
 
+    /// Returns the odds that a request is fatal, if several endpoints ended under it.
+    pub(crate) fn cause_log_odds(&self, digest: RequestDigest) -> Option<CauseLogOdds> {
+        self.quarantine.borrow().table.cause_log_odds(digest)
+    }
+
     /// Returns the time since the last endpoint ended under a request.
     pub(crate) fn since_last_end(&self, digest: RequestDigest) -> Option<Duration> {
         let last_end = self.quarantine.borrow().table.last_end(digest)?;
@@ -253,6 +258,7 @@
                 self.line(EventKind::Quarantine)
                     .text("digest", case.digest)
                     .number("ends", ends.len())
+                    .maybe("log_odds", state.table.cause_log_odds(case.digest))
                     .text("endpoints", ends.join(","))
                     .millis("last_end_age_ms", case.last_end)
                     .maybe("told_by", from)
--- a/crates/quarantine/src/attribution.rs
+++ b/crates/quarantine/src/attribution.rs
@@ -10,6 +10,7 @@
 //! instances with the same records reach the same result.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::fmt::{self, Display, Formatter};
 use std::time::Duration;
 
 use oriolepass_units::{EndpointStart, MonotonicTime};
@@ -41,20 +42,31 @@
 
 /// Natural logarithm of the odds that a request is fatal.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub(crate) struct CauseLogOdds(f64);
+pub struct CauseLogOdds(f64);
 
 impl CauseLogOdds {
+    /// Returns whether the odds are sufficient after [`SETTLE_DELAY`].
+    pub(crate) fn is_sufficient(self) -> bool {
+        self.0 >= SETTLED_LOG_ODDS
+    }
+
     /// Returns whether the odds are sufficient without waiting for more evidence.
     pub(crate) fn is_conclusive(self) -> bool {
         self.0 >= CONCLUSIVE_LOG_ODDS
     }
 }
 
+impl Display for CauseLogOdds {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:.1}", self.0)
+    }
+}
+
 /// The result of the attribution.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub(crate) struct Attribution {
-    /// The fatal requests, with the odds of each.
-    pub(crate) quarantined: BTreeMap<RequestDigest, CauseLogOdds>,
+    /// The odds of each request with at least [`MIN_QUARANTINE_ENDS`] open ends.
+    pub(crate) odds: BTreeMap<RequestDigest, CauseLogOdds>,
     /// The endpoint starts that the fatal requests terminated.
     pub(crate) explained: BTreeSet<EndpointStart>,
 }
@@ -73,10 +85,13 @@
     let evidence = EndEvidence::new(cases);
     let beliefs = CHANCE_RATES_PER_S.map(|rate| propagate(&evidence, rate));
     for (number, suspect) in evidence.suspects.iter().enumerate() {
-        let odds = mean_log_odds(&evidence, &beliefs, number);
-        if suspect.runs.len() >= MIN_QUARANTINE_ENDS && odds >= SETTLED_LOG_ODDS {
+        if suspect.runs.len() < MIN_QUARANTINE_ENDS {
+            continue;
+        }
+        let odds = CauseLogOdds(mean_log_odds(&evidence, &beliefs, number));
+        attribution.odds.insert(suspect.digest, odds);
+        if odds.is_sufficient() {
             let open_ends = cases[&suspect.digest].open_ends();
-            attribution.quarantined.insert(suspect.digest, CauseLogOdds(odds));
             attribution.explained.extend(open_ends.map(|(endpoint, _)| endpoint.clone()));
         }
     }
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -28,6 +28,7 @@
 mod propagation;
 mod table;
 
+pub use attribution::CauseLogOdds;
 pub use case::{CaseUpdate, ClearUpdate, EndUpdate, InterruptedRun};
 pub use digest::{AccountTag, DigestError, RequestDigest, RequestIdentity};
 pub use table::{CaseSummary, QuarantineTable, Standing};
--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -6,7 +6,7 @@
 
 use oriolepass_units::{EndpointStart, MonotonicTime};
 
-use crate::attribution::{Attribution, attribute_ends, is_settled};
+use crate::attribution::{Attribution, CauseLogOdds, attribute_ends, is_settled};
 use crate::case::{
     CaseUpdate, EndChange, EndUpdate, InterruptedRun, MIN_QUARANTINE_ENDS, RequestCase,
 };
@@ -169,13 +169,18 @@
     /// Returns the standing of a request.
     pub fn standing(&self, now: MonotonicTime, digest: RequestDigest) -> Standing {
         let Some(case) = self.cases.get(&digest) else { return Standing::Clear };
-        let odds = self.attribution().quarantined.get(&digest);
+        let odds = self.attribution().odds.get(&digest).filter(|odds| odds.is_sufficient());
         if odds.is_some_and(|odds| odds.is_conclusive() || is_settled(case, now)) {
             return Standing::Quarantined { trial_in: trial_in(now, case) };
         }
         if self.has_unexplained_end(case) { Standing::Suspect } else { Standing::Clear }
     }
 
+    /// Returns the odds that a request is fatal, if it has enough open ends for a quarantine.
+    pub fn cause_log_odds(&self, digest: RequestDigest) -> Option<CauseLogOdds> {
+        self.attribution().odds.get(&digest).copied()
+    }
+
     fn attribution(&self) -> &Attribution {
         self.attribution.get_or_init(|| attribute_ends(&self.cases))
     }
@@ -232,7 +237,7 @@
 
     /// Returns the number of quarantined requests.
     pub fn quarantined_count(&self, now: MonotonicTime) -> usize {
-        let digests = self.attribution().quarantined.keys();
+        let digests = self.attribution().odds.keys();
         let is_quarantined = |digest: &&RequestDigest| {
             matches!(self.standing(now, **digest), Standing::Quarantined { .. })
         };
@@ -282,7 +287,7 @@
         // The attribution is costly and is rarely needed here, since most cases have too few ends.
         let is_quarantined = |digest: &RequestDigest| {
             self.cases[digest].open_ends().count() >= MIN_QUARANTINE_ENDS
-                && self.attribution().quarantined.contains_key(digest)
+                && self.cause_log_odds(*digest).is_some_and(CauseLogOdds::is_sufficient)
         };
         let candidate = cases.iter().find(|(_, digest)| !is_quarantined(digest));
         candidate.or(cases.first()).map(|(_, digest)| *digest)
