Ends of endpoints are recorded without a panic, and panics are logged

Callers saw: fatal requests were sent on after their third end, and a request that had lost an endpoint lost its connection when its answer was complete.

Cause: `record_endpoint_end` and `record_complete_answer` held a mutable borrow of the quarantine state while they logged the new standings, which borrows it again. Each newly recorded end ended the task of its probe, so the ends of the other requests at that endpoint were lost; each answer that cleared a request ended the request's task. The runtime contains a panic to its task, and its message went to standard error, which the tests discard.

Change: the borrow ends before the change is published.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -101,6 +101,8 @@
     HomeLost = "home-lost";
     /// Memory of an engine was reserved or released, or that failed.
     Reservation = "reservation";
+    /// A task of this process panicked `at` a place in the source and was ended; other tasks go on.
+    Panic = "panic";
     /// Something failed that nobody waits for; `reason` says why it is borne.
     Ignored = "ignored";
     /// Lines were dropped because the reader of the log did not keep up.
@@ -154,6 +156,20 @@
         Self::start(instance, |bytes| std::io::stdout().lock().write_all(bytes))
     }
 
+    /// Logs all panics of the process from now on, in addition to the message on standard error.
+    ///
+    /// A panic ends only the task in which it occurs, so it would go unnoticed otherwise.
+    pub fn log_panics(&self) {
+        let log = self.clone();
+        let previous_hook = std::panic::take_hook();
+        std::panic::set_hook(Box::new(move |panic| {
+            previous_hook(panic);
+            log.line(EventKind::Panic)
+                .maybe("at", panic.location())
+                .text("reason", panic.payload_as_str().unwrap_or("unknown"));
+        }));
+    }
+
     /// Begins a line, which is queued for writing when it is dropped.
     pub fn line(&self, kind: EventKind) -> EventLine<'_> {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -63,8 +63,7 @@
         let (now, seen) = (self.case_time(), seen + TABLE_TIME_OFFSET);
         let duration = Some(duration);
         let run = InterruptedRun { endpoint: endpoint.clone(), seen, duration };
-        let table = &mut self.quarantine.borrow_mut().table;
-        let update = table.record_interrupted_run(now, digest, &run);
+        let update = self.quarantine.borrow_mut().table.record_interrupted_run(now, digest, &run);
         self.on_quarantine_change(update);
     }
 
@@ -78,9 +77,8 @@
         if self.quarantine.borrow().table.is_empty() {
             return;
         }
-        let now = self.case_time();
-        let table = &mut self.quarantine.borrow_mut().table;
-        let update = table.record_complete_run(now, digest(), duration);
+        let (now, digest) = (self.case_time(), digest());
+        let update = self.quarantine.borrow_mut().table.record_complete_run(now, digest, duration);
         self.on_quarantine_change(update);
     }
 
