Quarantine cases read from the disk have aged since they were stored

Callers saw: after a restart of all daemons, a request whose quarantine rested on odds below the conclusive ones was sent again for up to 2 s, until links brought the ages that other daemons had kept.

Cause: a case is stored with the ages of its ends, and was loaded with the same ages, however long before it had been stored.

Change: the time since the file was changed is added. A clock that was set back adds nothing.

Figures: a unit test with a file that is an hour old; it needs the new `load`, so it did not run before.

Conclusion: ages are true after a restart, except for clocks that were set.

--- a/crates/gateway/src/quarantine_disk.rs
+++ b/crates/gateway/src/quarantine_disk.rs
@@ -68,7 +68,7 @@
         let (report, loaded) = oneshot::channel();
         std::thread::Builder::new().name("quarantine".into()).spawn(move || {
             // The receiver is gone if the process is already stopping.
-            let _ = report.send(read(&folder));
+            let _ = report.send(load(&folder));
             write_changes(&folder, &queued);
         })?;
         Ok((Self { changes }, loaded))
@@ -82,8 +82,24 @@
     }
 }
 
-/// Reads the cases that an earlier process stored. Returns none if there is no file or it cannot be
-/// read.
+/// Reads the cases that an earlier process stored, with the ages that the ends have now. Without the
+/// time since the cases were stored, an old end would count as a recent one after each restart, and
+/// a quarantine that waits for more evidence would start to wait again.
+pub(crate) fn load(folder: &Path) -> Vec<CaseUpdate> {
+    let mut cases = read(folder);
+    let stored_since = time_since_change(&folder.join(FILE_NAME)).unwrap_or_default();
+    cases.iter_mut().flat_map(|case| &mut case.ends).for_each(|end| end.age += stored_since);
+    cases
+}
+
+/// Returns the time since a file was last changed; `None` if there is no such file, or if the clock
+/// has been set back since.
+fn time_since_change(path: &Path) -> Option<Duration> {
+    fs::metadata(path).ok()?.modified().ok()?.elapsed().ok()
+}
+
+/// Reads the cases that an earlier process stored, with the ages that the ends had then. Returns none
+/// if there is no file or it cannot be read.
 pub(crate) fn read(folder: &Path) -> Vec<CaseUpdate> {
     if let Ok(bytes) = fs::read(folder.join(FILE_NAME)) {
         return postcard::from_bytes(&bytes).unwrap_or_default();
--- a/crates/gateway/src/quarantine_disk_tests.rs
+++ b/crates/gateway/src/quarantine_disk_tests.rs
@@ -4,7 +4,7 @@
 
 use oriolepass_quarantine::{CaseUpdate, ClearUpdate, EndUpdate, RequestIdentity};
 
-use crate::quarantine_disk::{read, write};
+use crate::quarantine_disk::{load, read, write};
 
 fn case(run: Option<Duration>) -> CaseUpdate {
     let identity =
@@ -29,6 +29,20 @@
     assert_eq!(read(folder.path()), stored);
 }
 
+/// Guards against ends that count as recent after a restart, so that a request is sent again.
+#[test]
+fn loaded_ends_have_aged_since_they_were_stored() {
+    let folder = tempfile::tempdir().unwrap();
+    write(folder.path(), &[case(None)]).unwrap();
+    let hour = Duration::from_secs(3_600);
+    let file = std::fs::File::options().write(true).open(folder.path().join("quarantined-runs"));
+    file.unwrap().set_modified(std::time::SystemTime::now() - hour).unwrap();
+    let ages: Vec<Duration> = load(folder.path())[0].ends.iter().map(|end| end.age).collect();
+    assert!(ages[0] >= hour + Duration::from_secs(7), "{ages:?}");
+    assert!(ages[1] >= hour + Duration::from_secs(3), "{ages:?}");
+    assert!(ages[0] < hour * 2, "{ages:?}");
+}
+
 /// A file that an earlier version wrote, with the case that `case(None)` returns.
 const EARLIER_FILE: [u8; 39] = [
     1, 227, 176, 196, 66, 217, 79, 76, 181, 47, 244, 172, 202, 196, 156, 197, 191, 25, 47, 10, 172,
