--- a/crates/gateway/src/clock_tests.rs
+++ b/crates/gateway/src/clock_tests.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hyper::HeaderMap;
+use hyper::{HeaderMap, Method};
 use oriolepass_routing::DocumentProblem;
 use oriolepass_settings::GatewaySettings;
 
@@ -72,6 +72,10 @@
     assert_eq!(clock.newly_suspended(Duration::ZERO), None);
 }
 
+fn no_call() -> EndpointCall {
+    EndpointCall { method: Method::GET, path: "/", body: Bytes::new() }
+}
+
 /// Returns a dialect without content, for tests that read no request.
 fn no_dialect() -> WireDialect {
     WireDialect {
@@ -83,8 +87,9 @@
         write_send: |_: &SendFacts, _| {},
         read_answer: |_| AnswerFacts::default(),
         is_essential: |_| false,
-        reserve: |_, _, _| EndpointCall { path: "/", body: Bytes::new() },
-        release: |_| EndpointCall { path: "/", body: Bytes::new() },
+        reserve: |_, _, _| no_call(),
+        release: |_| no_call(),
+        ask_state: no_call,
         read_reservation: |_| ReservationAnswer::Refused,
     }
 }
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hyper::HeaderMap;
 use hyper::header::HeaderName;
+use hyper::{HeaderMap, Method};
 use oriolepass_routing::{DocumentProblem, RoutingDocument};
 use oriolepass_units::{AccountId, EndpointStart};
 
@@ -85,9 +85,11 @@
 /// A call to an endpoint's own interface.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct EndpointCall {
+    /// The method.
+    pub method: Method,
     /// The path.
     pub path: &'static str,
-    /// The body, in JSON.
+    /// The body, in JSON; empty if the call has none.
     pub body: Bytes,
 }
 
@@ -114,4 +116,7 @@
     pub release: fn(&str) -> EndpointCall,
     /// Interprets the status of the answer to a reservation.
     pub read_reservation: fn(u16) -> ReservationAnswer,
+    /// Builds the call that asks an engine for its state. An engine without a free slot answers it
+    /// as well.
+    pub ask_state: fn() -> EndpointCall,
 }
--- /dev/null
+++ b/crates/gateway/src/front/helpers.rs
@@ -0,0 +1,49 @@
+//! Checks helpers of which a main engine says that they failed a prompt.
+//!
+//! A helper may be busy with other prompts, or it may be gone. A busy helper remains a good choice for
+//! the next prompt. A helper that is gone fails every prompt until its heartbeats are missed, so the
+//! home has to learn of it at once. The two are told apart by a call that a busy engine answers too.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use oriolepass_units::EndpointStart;
+use tokio::task::spawn_local;
+
+use crate::balancer::FaultKind;
+use crate::events::EventKind;
+use crate::gateway::Gateway;
+use crate::peers::ProgressNote;
+use crate::upstream;
+
+/// The helpers that are being checked.
+#[derive(Debug, Default)]
+pub(crate) struct HelperChecks(BTreeSet<EndpointStart>);
+
+/// Checks a helper that failed a request, unless it is being checked already. Reports it as failed
+/// if it does not answer.
+pub(super) fn check_helper(
+    gateway: &Rc<Gateway>,
+    request: &str,
+    helper: EndpointStart,
+    address: SocketAddr,
+) {
+    if !gateway.helper_checks.borrow_mut().0.insert(helper.clone()) {
+        return;
+    }
+    let (gateway, request) = (Rc::clone(gateway), request.to_owned());
+    spawn_local(async move {
+        let is_answered = upstream::call(address, (gateway.dialect.ask_state)()).await.is_some();
+        gateway.helper_checks.borrow_mut().0.remove(&helper);
+        gateway
+            .line(EventKind::HelperCheck)
+            .text("request", &request)
+            .text("endpoint", &helper)
+            .text("outcome", if is_answered { "answered" } else { "no answer" });
+        if !is_answered {
+            gateway.endpoint_fault(&request, &helper, FaultKind::Unreachable);
+            gateway.report_progress(ProgressNote::Failed(helper));
+        }
+    });
+}
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -9,6 +9,7 @@
 pub(crate) mod ends;
 mod events;
 mod headers;
+pub(crate) mod helpers;
 mod listener;
 mod placement;
 mod presence;
--- a/crates/gateway/src/front/sends.rs
+++ b/crates/gateway/src/front/sends.rs
@@ -12,6 +12,7 @@
 use super::caller::CallerRequest;
 use super::ends::probe_for_end;
 use super::headers::strip_hop_by_hop_headers;
+use super::helpers::check_helper;
 use super::placement::{NoPlacement, Placement, endpoint_failed};
 use super::presence::while_alive;
 use super::stream::{EventSource, NextEvents, OpenStream};
@@ -224,15 +225,20 @@
 
 /// Handles an answer that states that the request was not run.
 fn handle_not_run(
-    gateway: &Gateway,
+    gateway: &Rc<Gateway>,
     request: &CallerRequest,
     placement: &Placement,
     status: StatusCode,
     facts: &AnswerFacts,
 ) -> SendOutcome {
     gateway.metrics.sends.with_label_values(&["not run"]).inc();
-    let culprit = facts.culprit.and_then(|address| gateway.endpoints.borrow().at(address));
-    let endpoint = culprit.unwrap_or_else(|| placement.endpoint.clone());
+    let culprit = facts.culprit.and_then(|address| {
+        gateway.endpoints.borrow().at(address).map(|endpoint| (endpoint, address))
+    });
+    if let Some((helper, address)) = culprit.clone().filter(|(c, _)| *c != placement.endpoint) {
+        check_helper(gateway, &request.id, helper, address);
+    }
+    let endpoint = culprit.map_or_else(|| placement.endpoint.clone(), |(endpoint, _)| endpoint);
     if status == StatusCode::MISDIRECTED_REQUEST && endpoint == placement.endpoint {
         gateway.endpoint_displaced(&endpoint);
     } else {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -22,6 +22,7 @@
 use crate::events::{EventKind, EventLine, EventLog};
 use crate::founding::FoundingSurvey;
 use crate::front::ends::PendingEnds;
+use crate::front::helpers::HelperChecks;
 use crate::home::HomeState;
 use crate::hubs::TierState;
 use crate::lifecycle::Lifecycle;
@@ -84,6 +85,7 @@
     pub(crate) home: RefCell<HomeState>,
     pub(crate) quarantine: RefCell<QuarantineState>,
     pub(crate) pending_ends: RefCell<PendingEnds>,
+    pub(crate) helper_checks: RefCell<HelperChecks>,
     pub(crate) broken_runs: RefCell<BrokenRuns>,
     pub(crate) lifecycle: watch::Sender<Lifecycle>,
     /// When this daemon was asked to shut down.
@@ -148,6 +150,7 @@
             home: RefCell::default(),
             quarantine: RefCell::default(),
             pending_ends: RefCell::default(),
+            helper_checks: RefCell::default(),
             broken_runs: RefCell::default(),
             lifecycle: watch::Sender::new(Lifecycle::Serving),
             draining_since: Cell::new(None),
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -13,7 +13,7 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::header::{CONTENT_TYPE, HOST};
-use hyper::{Method, Request, Response};
+use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::task::{AbortHandle, spawn_local};
@@ -127,7 +127,7 @@
 /// Calls an endpoint's own interface and returns the status, or `None` if there was no answer.
 pub(crate) async fn call(to: SocketAddr, call: EndpointCall) -> Option<u16> {
     let request = Request::builder()
-        .method(Method::POST)
+        .method(call.method)
         .uri(call.path)
         .header(HOST, to.to_string())
         .header(CONTENT_TYPE, "application/json")
