Ends in quick succession count if each run began after the previous end

Cause: ends within 50 ms of each other counted as one, since endpoints that end together have a common cause. A request that ends an endpoint after 42 ms and is sent on at once has every second end ignored.

Change: an end within 50 ms of an earlier one counts if its run began after that end and it is at least 20 ms later.

Figures: the unit test `ends_in_quick_succession_...` fails before.

--- a/crates/quarantine/src/attribution.rs
+++ b/crates/quarantine/src/attribution.rs
@@ -15,7 +15,7 @@
 
 use oriolepass_units::{EndpointStart, MonotonicTime};
 
-use crate::case::{MIN_QUARANTINE_ENDS, RequestCase, count_distinct_times};
+use crate::case::{MIN_QUARANTINE_ENDS, RequestCase};
 use crate::digest::RequestDigest;
 use crate::evidence::{EndEvidence, SuspectRuns};
 use crate::likelihood::{log_sum_exp, softplus};
@@ -77,7 +77,7 @@
     // Fast path: usually no request has lost that many endpoints.
     let may_be_cause = |case: &RequestCase| {
         case.open_ends().count() >= MIN_QUARANTINE_ENDS
-            && count_distinct_times(case.open_ends().map(|(_, seen)| seen)) >= MIN_QUARANTINE_ENDS
+            && case.distinct_open_ends().len() >= MIN_QUARANTINE_ENDS
     };
     if !cases.values().any(may_be_cause) {
         return attribution;
--- a/crates/quarantine/src/case.rs
+++ b/crates/quarantine/src/case.rs
@@ -16,10 +16,16 @@
 /// that quarantine a request, and leaves room for months of trials.
 const MAX_ENDS_PER_REQUEST: usize = 24;
 
-/// Ends within this interval count as one. A request terminates its endpoints one after the other, since it
-/// is sent to the next endpoint after the previous one has ended. Simultaneous ends have a common cause
-/// such as a rack's power failure or an operator, and are no evidence against a request.
-pub(crate) const COINCIDENCE_WINDOW: Duration = Duration::from_millis(50);
+/// Ends within this interval count as one. Simultaneous ends have a common cause such as a rack's power
+/// failure or an operator, and are no evidence against a request.
+const COINCIDENCE_WINDOW: Duration = Duration::from_millis(50);
+
+/// The interval that replaces [`COINCIDENCE_WINDOW`] if the later run began after the earlier end. A request
+/// that terminates its endpoints quickly is sent to the next endpoint as soon as the previous one has ended.
+const CONSECUTIVE_WINDOW: Duration = Duration::from_millis(20);
+
+/// Inaccuracy of the times of ends that other instances observed.
+const TIME_TOLERANCE: Duration = Duration::from_millis(5);
 
 /// Minimum number of ends for [`DURABLE_RETENTION`]. It applies to cleared requests as well, since an
 /// instance that missed a release must not undo it when the request is repeated.
@@ -108,6 +114,15 @@
     pub(crate) run: Option<Duration>,
 }
 
+impl EndRecord {
+    /// Returns whether the end probably has the same cause as an earlier one of the same request.
+    fn coincides_with(&self, earlier: MonotonicTime) -> bool {
+        let gap = self.seen.since(earlier);
+        let is_consecutive = self.run.is_some_and(|run| run <= gap + TIME_TOLERANCE);
+        gap < if is_consecutive { CONSECUTIVE_WINDOW } else { COINCIDENCE_WINDOW }
+    }
+}
+
 /// The case of one request: two grow-only sets, which can be merged in any order.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct RequestCase {
@@ -184,9 +199,22 @@
         self.ends.iter().map(|(endpoint, end)| (endpoint, end.run))
     }
 
-    /// Returns the interrupted runs of the open ends.
-    pub(crate) fn open_runs(&self) -> impl Iterator<Item = (&EndpointStart, Option<Duration>)> {
-        self.interrupted_runs().filter(|(endpoint, _)| !self.cleared.contains_key(*endpoint))
+    /// Returns the open ends in chronological order, without those that coincide with an earlier one.
+    pub(crate) fn distinct_open_ends(&self) -> Vec<(&EndpointStart, EndRecord)> {
+        let is_open =
+            |(endpoint, _): &(&EndpointStart, EndRecord)| !self.cleared.contains_key(*endpoint);
+        let records = self.ends.iter().map(|(endpoint, end)| (endpoint, *end));
+        let mut open: Vec<(&EndpointStart, EndRecord)> = records.filter(is_open).collect();
+        open.sort_unstable_by_key(|(endpoint, end)| (end.seen, *endpoint));
+        let mut last: Option<MonotonicTime> = None;
+        open.retain(|(_, end)| {
+            let is_distinct = last.is_none_or(|last| !end.coincides_with(last));
+            if is_distinct {
+                last = Some(end.seen);
+            }
+            is_distinct
+        });
+        open
     }
 
     /// Returns the durations of the complete runs that cleared the request, one for each end.
@@ -252,18 +280,3 @@
         }
     }
 }
-
-/// Counts ends, with those within [`COINCIDENCE_WINDOW`] as one.
-pub(crate) fn count_distinct_times(seen: impl Iterator<Item = MonotonicTime>) -> usize {
-    let mut times: Vec<MonotonicTime> = seen.collect();
-    times.sort_unstable();
-    let mut last: Option<MonotonicTime> = None;
-    times.retain(|time| {
-        let is_distinct = last.is_none_or(|last| time.since(last) >= COINCIDENCE_WINDOW);
-        if is_distinct {
-            last = Some(*time);
-        }
-        is_distinct
-    });
-    times.len()
-}
--- a/crates/quarantine/src/evidence.rs
+++ b/crates/quarantine/src/evidence.rs
@@ -6,7 +6,7 @@
 
 use oriolepass_units::{EndpointStart, MonotonicTime};
 
-use crate::case::{COINCIDENCE_WINDOW, RequestCase};
+use crate::case::{EndRecord, RequestCase};
 use crate::digest::RequestDigest;
 use crate::likelihood::{DEFAULT_RUN_S, RunLikelihood};
 
@@ -30,8 +30,7 @@
 #[derive(Debug)]
 pub(crate) struct SuspectRuns {
     pub(crate) digest: RequestDigest,
-    /// The runs in chronological order. Of ends within [`COINCIDENCE_WINDOW`] only the first is listed, since
-    /// simultaneous ends have a common cause such as a rack's power failure or an operator.
+    /// The runs in chronological order, without those whose ends coincide with an earlier one.
     pub(crate) runs: Vec<SuspectRun>,
 }
 
@@ -93,7 +92,7 @@
         let mut suspects = Vec::new();
         for (digest, case) in cases {
             record_exposure(&mut ends, case, &index);
-            let runs = distinct_open_runs(case, &index, &seen);
+            let runs = distinct_open_runs(case, &index);
             if runs.len() >= MIN_SUSPECT_ENDS {
                 suspects.push(SuspectRuns { digest: *digest, runs });
             } else {
@@ -174,27 +173,17 @@
     }
 }
 
-/// Returns the open interrupted runs of a request, without those that end within [`COINCIDENCE_WINDOW`] of an
-/// earlier one.
+/// Returns the interrupted runs of a request's distinct open ends.
 fn distinct_open_runs(
     case: &RequestCase,
     index: &BTreeMap<&EndpointStart, EndIndex>,
-    seen: &[MonotonicTime],
 ) -> Vec<SuspectRun> {
-    let mut open: Vec<(EndIndex, Option<Duration>)> =
-        case.open_runs().map(|(endpoint, run)| (index[endpoint], run)).collect();
-    open.sort_unstable();
-    let mut last: Option<MonotonicTime> = None;
-    open.retain(|(end, _)| {
-        let is_distinct = last.is_none_or(|last| seen[*end].since(last) >= COINCIDENCE_WINDOW);
-        if is_distinct {
-            last = Some(seen[*end]);
-        }
-        is_distinct
-    });
-    let run = |(end, duration): (EndIndex, Option<Duration>)| SuspectRun {
-        end,
-        likelihood: RunLikelihood::new(duration.map(|duration| duration.as_secs_f64())),
+    let run = |(endpoint, end): (&EndpointStart, EndRecord)| SuspectRun {
+        end: index[endpoint],
+        likelihood: RunLikelihood::new(end.run.map(|duration| duration.as_secs_f64())),
     };
-    open.into_iter().map(run).collect()
+    let mut runs: Vec<SuspectRun> = case.distinct_open_ends().into_iter().map(run).collect();
+    // Other requests may have observed an end earlier.
+    runs.sort_unstable_by_key(|run| run.end);
+    runs
 }
--- a/crates/quarantine/tests/table.rs
+++ b/crates/quarantine/tests/table.rs
@@ -1,7 +1,9 @@
 //! Quarantine tables: standings, merges in any order, trials, retention and limits per account.
 
+use std::time::Duration;
+
 use oriolepass_quarantine::{
-    CaseUpdate, QuarantineTable, RequestDigest, RequestIdentity, Standing,
+    CaseUpdate, InterruptedRun, QuarantineTable, RequestDigest, RequestIdentity, Standing,
 };
 use oriolepass_units::{AccountId, EndpointStart, MonotonicTime};
 use proptest::prelude::*;
@@ -69,6 +71,28 @@
     );
 }
 
+/// Returns a table with four ends of one request, 43 ms apart, that interrupted runs of the given duration.
+fn with_ends_in_quick_succession(request: RequestDigest, run_ms: u64) -> QuarantineTable {
+    let mut table = QuarantineTable::default();
+    for number in 0..4 {
+        let seen = MonotonicTime(at(1).0 + number * 43_000);
+        let endpoint = endpoint(usize::try_from(number).unwrap());
+        let run = InterruptedRun { endpoint, seen, duration: Some(Duration::from_millis(run_ms)) };
+        table.record_interrupted_run(seen, request, &run);
+    }
+    table
+}
+
+/// Guards against a fatal request that is sent on because it terminates each endpoint so quickly that its ends
+/// are taken for simultaneous ones.
+#[test]
+fn ends_in_quick_succession_count_if_each_run_began_after_the_previous_end() {
+    let quick = with_ends_in_quick_succession(digest(1), 42);
+    assert!(is_quarantined(quick.standing(at(4), digest(1))));
+    let concurrent = with_ends_in_quick_succession(digest(1), 500);
+    assert_eq!(concurrent.standing(at(4), digest(1)), Standing::Suspect);
+}
+
 #[test]
 fn requests_with_the_same_ends_are_not_quarantined_until_another_end_distinguishes_them() {
     let mut table = with_ends(digest(1), &[0, 1, 2]);
