A prompt whose engine failed does not count as demand twice

Callers saw: a prompt of 700,000 tokens whose engine failed was answered 502 with 25 s left and three idle engines.

Cause: a home refuses a long prompt that costs other prompts more than it gains, by the demand of long prompts. The prompt's own first placement was that demand: the refusal was `engines too busy for a prompt of this size`, and no other prompt was there.

Change: if a prompt ends before its first event and its main engine has failed, the home takes its part of the demand back. The failure of an engine that is gone is reported before the end of the prompt, as for other failures.

--- a/crates/gateway/src/front/sends.rs
+++ b/crates/gateway/src/front/sends.rs
@@ -71,8 +71,9 @@
         return exchange(gateway, request, placement, last_event).await;
     }
     let (endpoint, address) = (placement.endpoint.clone(), placement.address);
-    let exchange = exchange(gateway, request, placement, last_event);
-    let end = while_alive(gateway, &request.id, &endpoint, address, exchange).await;
+    // The home must learn of the failure before the exchange is dropped, which reports its end.
+    let mut exchange = std::pin::pin!(exchange(gateway, request, placement, last_event));
+    let end = while_alive(gateway, &request.id, &endpoint, address, exchange.as_mut()).await;
     end.unwrap_or_else(|| {
         endpoint_failed(gateway, request, &endpoint, FaultKind::Unreachable);
         SendOutcome::MayHaveRun { reason: "the endpoint is gone".to_owned(), endpoint }
--- a/crates/placement/src/demand.rs
+++ b/crates/placement/src/demand.rs
@@ -28,6 +28,14 @@
 /// Weight of a new prompt in averages over prompts: about the last twenty dominate.
 const NEW_PROMPT_WEIGHT: f64 = 0.05;
 
+/// What a long prompt adds to the demand.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct RecordedPrompt {
+    pub(crate) recorded_ms: f64,
+    pub(crate) value: f64,
+    pub(crate) work_ms: f64,
+}
+
 impl DemandMeter {
     /// Records a short prompt that will hold a slot for `held_ms`.
     pub(crate) fn record_short(&mut self, now_ms: f64, held_ms: f64) {
@@ -37,10 +45,21 @@
     }
 
     /// Records a long prompt.
-    pub(crate) fn record_long(&mut self, now_ms: f64, value: f64, work_ms: f64) {
+    pub(crate) fn record_long(&mut self, prompt: &RecordedPrompt) {
+        self.decay_long(prompt.recorded_ms);
+        self.long_value_per_ms += prompt.value / LONG_AVERAGING_TIME_MS;
+        self.long_work_per_ms += prompt.work_ms / LONG_AVERAGING_TIME_MS;
+    }
+
+    /// Takes back the record of a long prompt whose engine failed before its first event. If its caller
+    /// still waits, the prompt is placed again, and would otherwise count as demand twice.
+    pub(crate) fn withdraw_long(&mut self, now_ms: f64, prompt: &RecordedPrompt) {
         self.decay_long(now_ms);
-        self.long_value_per_ms += value / LONG_AVERAGING_TIME_MS;
-        self.long_work_per_ms += work_ms / LONG_AVERAGING_TIME_MS;
+        let span = (now_ms - prompt.recorded_ms).max(0.0);
+        let kept = (-span / LONG_AVERAGING_TIME_MS).exp() / LONG_AVERAGING_TIME_MS;
+        // Rounding errors must not lead to negative averages.
+        self.long_value_per_ms = (self.long_value_per_ms - prompt.value * kept).max(0.0);
+        self.long_work_per_ms = (self.long_work_per_ms - prompt.work_ms * kept).max(0.0);
     }
 
     fn decay_long(&mut self, now_ms: f64) {
--- a/crates/placement/src/fleet.rs
+++ b/crates/placement/src/fleet.rs
@@ -12,7 +12,7 @@
 use crate::choice::{Candidate, Job, best_group, reserves, without_backlog};
 use crate::cost::{EngineView, Neighbour, ReadCost, WaitingPart, caller_timeout_ms, millis};
 use crate::crowd::is_crowded_out;
-use crate::demand::DemandMeter;
+use crate::demand::{DemandMeter, RecordedPrompt};
 use crate::farm::EngineFarm;
 use crate::passes::{EnginePasses, PassPrompt};
 use crate::plan::{HelperPart, PlacementRefusal, PromptAsk, PromptKey, PromptPlan, RefusalReason};
@@ -103,6 +103,10 @@
     has_late_pause: bool,
     is_short: bool,
     is_suspect: bool,
+    /// What this home recorded of a long prompt, with the service.
+    demand: Option<(ServiceName, RecordedPrompt)>,
+    /// Whether the main engine has failed a request since.
+    main_failed: bool,
 }
 
 /// The engines of all services, as seen by one home.
@@ -277,13 +281,17 @@
         }
         let plan = plan(&job, &views, &profile, &best);
         let (is_short, value, work_ms) = (job.cost.is_short(), job.value, job.cost.whole_ms);
+        self.record_plan(now, ask, &plan, false);
         let meter = self.demand.entry(ask.service.clone()).or_default();
         if is_short {
             meter.record_short(time_ms(now), millis(plan.whole));
         } else {
-            meter.record_long(time_ms(now), value, work_ms);
+            let recorded = RecordedPrompt { recorded_ms: time_ms(now), value, work_ms };
+            meter.record_long(&recorded);
+            if let Some(placed) = self.placed.get_mut(&ask.key) {
+                placed.demand = Some((ask.service.clone(), recorded));
+            }
         }
-        self.record_plan(now, ask, &plan, false);
         Ok(plan)
     }
 
@@ -426,7 +434,14 @@
             engine.mains.retain(|other| *other != key);
         }
         self.farm.remove(key);
-        self.placed.remove(&key);
+        if let Some(placed) = self.placed.remove(&key)
+            && placed.main_failed
+            && !placed.has_begun
+            && let Some((service, recorded)) = placed.demand
+            && let Some(meter) = self.demand.get_mut(&service)
+        {
+            meter.withdraw_long(time_ms(now), &recorded);
+        }
     }
 
     /// Removes the prompts of entries that are gone.
@@ -447,6 +462,11 @@
             (all + 1.0, in_backoff + f64::from(u8::from(now < engine.backoff_until)))
         });
         let Some(engine) = self.engines.get_mut(endpoint) else { return };
+        for key in &engine.mains {
+            if let Some(placed) = self.placed.get_mut(key) {
+                placed.main_failed = true;
+            }
+        }
         engine.failures += 1;
         if in_backoff + 1.0 <= all * MAX_BACKOFF_SHARE {
             let doublings = (engine.failures - 1).min(MAX_BACKOFF_DOUBLINGS);
@@ -516,6 +536,8 @@
             has_late_pause: false,
             is_short: cost.is_short(),
             is_suspect: ask.is_suspect,
+            demand: None,
+            main_failed: false,
         };
         self.placed.insert(ask.key, placed);
     }
--- a/crates/placement/tests/placing.rs
+++ b/crates/placement/tests/placing.rs
@@ -393,3 +393,24 @@
     assert_eq!(slow_home.engines_of(key(1)), [by_deputy.main]);
     assert_eq!(slow_home.placed_count(), 1, "the prompt is placed twice");
 }
+
+/// Guards against the refusal of a prompt whose engine failed, because its own first placement counts as the demand of
+/// other prompts. The other engines are idle and the caller still waits.
+#[test]
+fn a_late_prompt_is_placed_again_on_idle_engines_after_its_engine_failed() {
+    let mut fleet = fleet(4);
+    let (pause_ms, objective_ms, spent) = (500, 2_000, Duration::from_millis(3_880));
+    let first = common::prompt(key(1), 700_000, objective_ms, pause_ms);
+    let first = PromptAsk { deadline: Duration::from_secs(29), ..first };
+    let failed = fleet.place(at(0), &first).unwrap().main;
+    fleet.failed(at(3_880), &failed);
+    fleet.ended(at(3_880), key(1));
+    let again = PromptAsk {
+        key: key(2),
+        objective: Duration::ZERO,
+        deadline: first.deadline - spent,
+        avoid: vec![failed],
+        ..first
+    };
+    fleet.place(at(3_880), &again).unwrap();
+}
