Log and count the limits on request rates that endpoints name

Cause: an endpoint in need names in its answers the request rate that it takes from all instances together. No log line and no metric showed what an instance believes about it, so the hypotheses of the incident could not be told apart.

Change: the platform reads the header, a table keeps the newest statement of each endpoint, 'limit' lines and the field limit_per_s of 'send' lines show it, and oriolepass_limited_endpoints counts. Nothing is decided by it yet.

Conclusion: a log now shows whether an instance knew of a limit when it sent.

--- a/crates/gateway/src/announce.rs
+++ b/crates/gateway/src/announce.rs
@@ -290,6 +290,8 @@
         let serving = registry.all().filter(|b| b.phase == EndpointPhase::Serving).count();
         self.metrics.endpoints.set(i64::try_from(serving).unwrap_or(i64::MAX));
         self.balancer.borrow_mut().retain(|endpoint| registry.takes_work(endpoint).is_some());
+        self.limits.borrow_mut().retain(|endpoint| registry.is_known(endpoint));
+        self.count_limits();
     }
 
     /// Records that an endpoint failed a request, and reports the fault to the other daemons.
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -10,7 +10,7 @@
 use hyper::header::HeaderName;
 use hyper::{HeaderMap, Method};
 use oriolepass_routing::{DocumentProblem, RoutingDocument};
-use oriolepass_units::{AccountId, EndpointStart};
+use oriolepass_units::{AccountId, EndpointStart, RequestRate};
 
 /// The fields that a caller's request carries.
 #[derive(Debug, Clone, Default, PartialEq)]
@@ -58,8 +58,20 @@
     pub resume_after: Option<u64>,
 }
 
+/// What an endpoint's answer states about a limit on its request rate.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub enum LimitStatement {
+    /// The answer names no limit.
+    #[default]
+    Unlimited,
+    /// The answer names the request rate that the endpoint takes from all instances together.
+    Limited(RequestRate),
+    /// The answer names a limit that cannot be read.
+    Unreadable,
+}
+
 /// The fields that an endpoint's answer carries.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct AnswerFacts {
     /// The id of the request that it answers.
     pub request_id: Option<String>,
@@ -69,6 +81,8 @@
     pub was_not_run: bool,
     /// The address of the endpoint that caused the failure, if the answer names it.
     pub culprit: Option<SocketAddr>,
+    /// What the answer states about the endpoint's limit.
+    pub limit: LimitStatement,
 }
 
 /// An endpoint's answer to a reservation of memory.
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -270,6 +270,11 @@
         beat.phase == EndpointPhase::Serving && !self.drained.contains(&beat.data_centre)
     }
 
+    /// Returns whether an endpoint is known, in any phase.
+    pub fn is_known(&self, endpoint: &EndpointStart) -> bool {
+        self.entries.contains_key(endpoint)
+    }
+
     /// Returns whether an endpoint is known and serving, even if its data centre is drained.
     pub fn is_serving(&self, endpoint: &EndpointStart) -> bool {
         let entry = self.entries.get(endpoint);
--- a/crates/gateway/src/front/sends.rs
+++ b/crates/gateway/src/front/sends.rs
@@ -17,7 +17,7 @@
 use super::presence::while_alive;
 use super::stream::{EventSource, NextEvents, OpenStream};
 use crate::balancer::FaultKind;
-use crate::dialect::{AnswerFacts, SendFacts};
+use crate::dialect::{AnswerFacts, LimitStatement, SendFacts};
 use crate::gateway::Gateway;
 use crate::upstream::{self, SendFailure, Upstream};
 
@@ -146,6 +146,7 @@
         let reason = format!("status {status} without proof that it answers this request");
         return answer_lost(gateway, request, &placement, reason);
     }
+    gateway.record_limit(&placement.endpoint, facts.limit);
     if request.route.repeat.is_stream() && status.is_success() {
         return open_stream(gateway, request, placement, upstream, last_event).await;
     }
@@ -233,6 +234,10 @@
     facts: &AnswerFacts,
 ) -> SendOutcome {
     gateway.metrics.sends.with_label_values(&["not run"]).inc();
+    let is_from_endpoint = status != StatusCode::MISDIRECTED_REQUEST;
+    if is_from_endpoint && matches!(facts.limit, LimitStatement::Limited(_)) {
+        gateway.record_limit(&placement.endpoint, facts.limit);
+    }
     let culprit = facts.culprit.and_then(|address| {
         gateway.endpoints.borrow().at(address).map(|endpoint| (endpoint, address))
     });
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use oriolepass_limits::LimitTable;
 use oriolepass_routing::DrainRegister;
 use oriolepass_settings::GatewaySettings;
 use oriolepass_units::{InstanceId, LeaderTerm, MonotonicTime};
@@ -82,6 +83,7 @@
     pub(crate) skipped: Cell<SkippedReport>,
     pub(crate) balancer: RefCell<EndpointBalancer>,
     pub(crate) budget: RefCell<RetryBudget>,
+    pub(crate) limits: RefCell<LimitTable>,
     pub(crate) home: RefCell<HomeState>,
     pub(crate) quarantine: RefCell<QuarantineState>,
     pub(crate) pending_ends: RefCell<PendingEnds>,
@@ -147,6 +149,7 @@
             skipped: Cell::default(),
             balancer: RefCell::default(),
             budget: RefCell::default(),
+            limits: RefCell::default(),
             home: RefCell::default(),
             quarantine: RefCell::default(),
             pending_ends: RefCell::default(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 //! | `announce`, `endpoints` | endpoint announcements and the registry of endpoints |
 //! | `home`, `deputies` | placing prompts on engines, as the home or by asking it; the deputies that replace the home while it does not answer |
 //! | `balancer`, `budget` | load balancing over endpoints that are not engines; the retry budget |
+//! | `limits` | the limits on their request rates that endpoints name in their answers |
 //! | `quarantine`, `quarantine_disk`, `broken_runs` | quarantine of requests that end their endpoints: replication to other daemons, storage on disk; care with requests whose connections broke |
 //! | `front` | the callers' listener: requests, sends, retries and answers |
 //! | `directory`, `lifecycle` | the instances that callers should use; start, readiness, reload, shutdown |
@@ -53,6 +54,7 @@
 mod home;
 mod hubs;
 mod lifecycle;
+mod limits;
 mod metrics;
 mod net;
 mod operators;
@@ -79,8 +81,8 @@
 pub use budget::{BudgetRule, RetryBudget};
 pub use calls::{WholeAnswer, WholeCall, answer, serve_calls};
 pub use dialect::{
-    AnswerFacts, EndpointCall, HelperAddress, RequestFacts, ReservationAnswer, SendFacts,
-    WireDialect,
+    AnswerFacts, EndpointCall, HelperAddress, LimitStatement, RequestFacts, ReservationAnswer,
+    SendFacts, WireDialect,
 };
 pub use directory::AddressAnswer;
 pub use documents::{PutError, ReadError};
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -58,6 +58,8 @@
     pub(crate) suspensions: IntCounter,
     /// Endpoints that take new work.
     pub(crate) endpoints: IntGauge,
+    /// Endpoints that name a limit on their request rate.
+    pub(crate) limited_endpoints: IntGauge,
     /// Announcements that could not be parsed.
     pub(crate) skipped_entries: IntCounter,
     /// Syncs of the log.
@@ -142,6 +144,10 @@
             ),
             suspensions: counter("oriolepass_suspensions_total", "Suspensions of the machine"),
             endpoints: gauge("oriolepass_endpoints", "Endpoints that take work"),
+            limited_endpoints: gauge(
+                "oriolepass_limited_endpoints",
+                "Endpoints that name a limit on their request rate",
+            ),
             skipped_entries: counter(
                 "oriolepass_skipped_entries_total",
                 "Announcements that could not be read",
--- a/crates/units/src/lib.rs
+++ b/crates/units/src/lib.rs
@@ -10,6 +10,7 @@
 mod endpoint_start;
 mod id;
 mod number;
+mod rate;
 mod time;
 
 pub use endpoint_start::{EndpointStart, EndpointStartError};
@@ -21,4 +22,5 @@
     ByteCount, FencingNumber, Incarnation, LeaderTerm, LeaseEpoch, LogIndex, NumberError,
     ObjectRevision, StartTime, TokenCount, TokenRate,
 };
+pub use rate::{RateError, RequestRate};
 pub use time::{MonotonicTime, PrefixHash};
