A limit that an endpoint names in its answer to an order is known

An endpoint that only gets orders, such as an engine on which memory is reserved, names its limit in the answers to these. Nobody saw it.

Cause: a call to an endpoint's own interface returned the status of the answer only.

Change: such calls record a limit that the answer names, and know the endpoint that they go to. They lift no limit, as little as an answer that states that a request was not run: it may come from a part of the endpoint that knows of none.

Conclusion: all answers of an endpoint count, as the limit's definition asks.

--- a/crates/gateway/src/front/helpers.rs
+++ b/crates/gateway/src/front/helpers.rs
@@ -5,7 +5,6 @@
 //! home has to learn of it at once. The two are told apart by a call that a busy engine answers too.
 
 use std::collections::BTreeSet;
-use std::net::SocketAddr;
 use std::rc::Rc;
 
 use oriolepass_units::EndpointStart;
@@ -15,7 +14,7 @@
 use crate::events::EventKind;
 use crate::gateway::Gateway;
 use crate::peers::ProgressNote;
-use crate::upstream;
+use crate::upstream::{self, EndpointTarget};
 
 /// The helpers that are being checked.
 #[derive(Debug, Default)]
@@ -23,18 +22,15 @@
 
 /// Checks a helper that failed a request, unless it is being checked already. Reports it as failed
 /// if it does not answer.
-pub(super) fn check_helper(
-    gateway: &Rc<Gateway>,
-    request: &str,
-    helper: EndpointStart,
-    address: SocketAddr,
-) {
+pub(super) fn check_helper(gateway: &Rc<Gateway>, request: &str, engine: EndpointTarget) {
+    let helper = engine.endpoint.clone();
     if !gateway.helper_checks.borrow_mut().0.insert(helper.clone()) {
         return;
     }
     let (gateway, request) = (Rc::clone(gateway), request.to_owned());
     spawn_local(async move {
-        let is_answered = upstream::call(address, (gateway.dialect.ask_state)()).await.is_some();
+        let call = (gateway.dialect.ask_state)();
+        let is_answered = upstream::call(&gateway, &engine, call).await.is_some();
         gateway.helper_checks.borrow_mut().0.remove(&helper);
         gateway
             .line(EventKind::HelperCheck)
--- a/crates/gateway/src/front/placement.rs
+++ b/crates/gateway/src/front/placement.rs
@@ -18,6 +18,7 @@
 use crate::endpoints::EndpointBeat;
 use crate::gateway::Gateway;
 use crate::peers::ProgressNote;
+use crate::upstream::EndpointTarget;
 
 /// The maximum length of an answer if the request does not state it.
 const DEFAULT_MAX_ANSWER_TOKENS: u64 = 1_024;
@@ -172,7 +173,8 @@
             let Some(address) = registry_address(&helper.endpoint) else { continue };
             placement.helpers.push(HelperAddress { address, reservation: None });
             if let Some(tokens) = helper.reserve_tokens {
-                to_reserve.push((placement.helpers.len() - 1, address, tokens));
+                let engine = EndpointTarget { endpoint: helper.endpoint.clone(), address };
+                to_reserve.push((placement.helpers.len() - 1, engine, tokens));
             }
         }
         if !to_reserve.is_empty() {
--- a/crates/gateway/src/front/reserve.rs
+++ b/crates/gateway/src/front/reserve.rs
@@ -10,17 +10,16 @@
 //! release is repeated until no earlier order can take effect any more.
 
 use std::cell::Cell;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use tokio::task::{AbortHandle, JoinSet, spawn_local};
 use tokio::time::{Instant, sleep};
 
-use crate::dialect::{ReservationAnswer, WireDialect};
+use crate::dialect::{EndpointCall, ReservationAnswer};
 use crate::events::EventKind;
 use crate::gateway::Gateway;
-use crate::upstream;
+use crate::upstream::{self, EndpointTarget};
 
 /// The lifetime of a reservation. Two renewals may fail before it expires, and the memory of a
 /// crashed holder is released within the time for which engine memory may be reserved unused.
@@ -40,7 +39,7 @@
 struct HeldPart {
     /// The index of the helper in the placement.
     helper: usize,
-    address: SocketAddr,
+    engine: EndpointTarget,
     id: String,
     tokens: u64,
 }
@@ -56,18 +55,18 @@
 }
 
 impl Reservations {
-    /// Reserves all parts, given as (helper, address, tokens). Returns `None` if any of them is not
+    /// Reserves all parts, given as (helper, engine, tokens). Returns `None` if any of them is not
     /// reserved.
     pub(super) async fn acquire(
         gateway: &Rc<Gateway>,
         request: &str,
-        wanted: &[(usize, SocketAddr, u64)],
+        wanted: &[(usize, EndpointTarget, u64)],
     ) -> Option<Self> {
         let parts: Vec<HeldPart> = wanted
             .iter()
-            .map(|(helper, address, tokens)| HeldPart {
+            .map(|(helper, engine, tokens)| HeldPart {
                 helper: *helper,
-                address: *address,
+                engine: engine.clone(),
                 id: format!("op-{:x}-{}", gateway.boot, gateway.next_number()),
                 tokens: *tokens,
             })
@@ -81,7 +80,7 @@
             unanswered: Rc::default(),
         };
         let ttl = RESERVATION_TTL.min(gateway.settings().bounds.reservation_max);
-        let all_held = reserve_all(gateway.dialect, &held.parts, ttl, &held.unanswered).await;
+        let all_held = reserve_all(gateway, &held.parts, ttl, &held.unanswered).await;
         let tokens: u64 = held.parts.iter().map(|part| part.tokens).sum();
         let outcome = if all_held { "held" } else { "refused" };
         gateway.metrics.reservations.with_label_values(&[outcome]).inc();
@@ -94,14 +93,14 @@
         if !all_held {
             return None;
         }
-        let (dialect, parts) = (gateway.dialect, held.parts.clone());
+        let (gateway, parts) = (Rc::clone(gateway), held.parts.clone());
         let unanswered = Rc::clone(&held.unanswered);
         let renewal = spawn_local(async move {
             loop {
                 sleep(RENEWAL_INTERVAL).await;
                 // The result is ignored: if a reservation expires, its engine ends the request and
                 // reports that in its answer.
-                reserve_all(dialect, &parts, ttl, &unanswered).await;
+                reserve_all(&gateway, &parts, ttl, &unanswered).await;
             }
         });
         held.renewal_task = Some(renewal.abort_handle());
@@ -115,7 +114,7 @@
 }
 
 async fn reserve_all(
-    dialect: WireDialect,
+    gateway: &Rc<Gateway>,
     parts: &[HeldPart],
     ttl: Duration,
     unanswered: &Cell<Option<Instant>>,
@@ -123,29 +122,35 @@
     // The orders count as unanswered until all answers have arrived, since this future may be
     // dropped before that.
     let previous = unanswered.replace(Some(Instant::now()));
-    let mut calls = JoinSet::new();
-    for part in parts {
-        let call = (dialect.reserve)(&part.id, part.tokens, ttl);
-        calls.spawn_local(upstream::call(part.address, call));
-    }
-    let answers = calls.join_all().await;
+    let read = gateway.dialect.read_reservation;
+    let reserve = |part: &HeldPart| (gateway.dialect.reserve)(&part.id, part.tokens, ttl);
+    let answers = call_all(gateway, parts, reserve).await;
     if answers.iter().all(Option::is_some) {
         unanswered.set(previous);
     }
-    let is_held = |status: &Option<u16>| {
-        status.is_some_and(|s| (dialect.read_reservation)(s) == ReservationAnswer::Held)
-    };
+    let is_held =
+        |status: &Option<u16>| status.is_some_and(|status| read(status) == ReservationAnswer::Held);
     answers.iter().all(is_held)
 }
 
 /// Releases all parts. Returns the number of engines that did not answer.
-async fn release_all(dialect: WireDialect, parts: &[HeldPart]) -> usize {
+async fn release_all(gateway: &Rc<Gateway>, parts: &[HeldPart]) -> usize {
+    let release = |part: &HeldPart| (gateway.dialect.release)(&part.id);
+    call_all(gateway, parts, release).await.iter().filter(|status| status.is_none()).count()
+}
+
+/// Calls the engines of all parts at the same time. Returns the status of each answer.
+async fn call_all(
+    gateway: &Rc<Gateway>,
+    parts: &[HeldPart],
+    call_for: impl Fn(&HeldPart) -> EndpointCall,
+) -> Vec<Option<u16>> {
     let mut calls = JoinSet::new();
     for part in parts {
-        let call = (dialect.release)(&part.id);
-        calls.spawn_local(upstream::call(part.address, call));
+        let (gateway, engine, call) = (Rc::clone(gateway), part.engine.clone(), call_for(part));
+        calls.spawn_local(async move { upstream::call(&gateway, &engine, call).await });
     }
-    calls.join_all().await.iter().filter(|status| status.is_none()).count()
+    calls.join_all().await
 }
 
 impl Drop for Reservations {
@@ -156,7 +161,7 @@
         let (gateway, request) = (Rc::clone(&self.gateway), std::mem::take(&mut self.request));
         let (parts, unanswered) = (std::mem::take(&mut self.parts), self.unanswered.get());
         spawn_local(async move {
-            let unanswered_releases = release_all(gateway.dialect, &parts).await;
+            let unanswered_releases = release_all(&gateway, &parts).await;
             gateway
                 .line(EventKind::Reservation)
                 .text("request", request)
@@ -167,7 +172,7 @@
             while unanswered.is_some_and(|at| at.elapsed() < ORDER_EFFECT_TIMEOUT) {
                 sleep(RELEASE_RESEND_INTERVAL).await;
                 // The result is ignored: a lost release is followed by the next one.
-                release_all(gateway.dialect, &parts).await;
+                release_all(&gateway, &parts).await;
             }
         });
     }
--- a/crates/gateway/src/front/sends.rs
+++ b/crates/gateway/src/front/sends.rs
@@ -17,9 +17,9 @@
 use super::presence::while_alive;
 use super::stream::{EventSource, NextEvents, OpenStream};
 use crate::balancer::FaultKind;
-use crate::dialect::{AnswerFacts, LimitStatement, SendFacts};
+use crate::dialect::{AnswerFacts, SendFacts};
 use crate::gateway::Gateway;
-use crate::upstream::{self, SendFailure, Upstream};
+use crate::upstream::{self, EndpointTarget, SendFailure, Upstream};
 
 /// The maximum length of an answer that is buffered before it is forwarded.
 const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
@@ -234,17 +234,17 @@
     facts: &AnswerFacts,
 ) -> SendOutcome {
     gateway.metrics.sends.with_label_values(&["not run"]).inc();
-    let is_from_endpoint = status != StatusCode::MISDIRECTED_REQUEST;
-    if is_from_endpoint && matches!(facts.limit, LimitStatement::Limited(_)) {
-        gateway.record_limit(&placement.endpoint, facts.limit);
+    if status != StatusCode::MISDIRECTED_REQUEST {
+        gateway.record_named_limit(&placement.endpoint, facts.limit);
     }
     let culprit = facts.culprit.and_then(|address| {
-        gateway.endpoints.borrow().at(address).map(|endpoint| (endpoint, address))
+        let endpoint = gateway.endpoints.borrow().at(address);
+        endpoint.map(|endpoint| EndpointTarget { endpoint, address })
     });
-    if let Some((helper, address)) = culprit.clone().filter(|(c, _)| *c != placement.endpoint) {
-        check_helper(gateway, &request.id, helper, address);
+    if let Some(helper) = culprit.clone().filter(|c| c.endpoint != placement.endpoint) {
+        check_helper(gateway, &request.id, helper);
     }
-    let endpoint = culprit.map_or_else(|| placement.endpoint.clone(), |(endpoint, _)| endpoint);
+    let endpoint = culprit.map_or_else(|| placement.endpoint.clone(), |culprit| culprit.endpoint);
     if status == StatusCode::MISDIRECTED_REQUEST && endpoint == placement.endpoint {
         gateway.endpoint_displaced(&endpoint);
     } else {
--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -92,6 +92,15 @@
         }
     }
 
+    /// Records the limit that an answer names which is no answer to a request, or which states that
+    /// the request was not run. Such an answer lifts no limit: it may come from a part of the endpoint
+    /// that knows of none.
+    pub(crate) fn record_named_limit(&self, endpoint: &EndpointStart, statement: LimitStatement) {
+        if matches!(statement, LimitStatement::Limited(_)) {
+            self.record_limit(endpoint, statement);
+        }
+    }
+
     /// Applies a notice; returns whether it changed the limit of its endpoint.
     fn apply_limit(&self, notice: &LimitNotice, from: Option<&InstanceId>) -> bool {
         let now = self.now();
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -13,13 +13,15 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::header::{CONTENT_TYPE, HOST};
-use hyper::{Request, Response};
+use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use oriolepass_units::EndpointStart;
 use tokio::net::TcpStream;
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::timeout;
 
 use crate::dialect::EndpointCall;
+use crate::gateway::Gateway;
 use crate::net;
 
 /// The time-out of a connection attempt. The operating system retransmits a lost first packet only
@@ -124,15 +126,31 @@
     }
 }
 
+/// A start of an endpoint and its address.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct EndpointTarget {
+    pub(crate) endpoint: EndpointStart,
+    pub(crate) address: SocketAddr,
+}
+
 /// Calls an endpoint's own interface and returns the status, or `None` if there was no answer.
-pub(crate) async fn call(to: SocketAddr, call: EndpointCall) -> Option<u16> {
+pub(crate) async fn call(
+    gateway: &Gateway,
+    to: &EndpointTarget,
+    call: EndpointCall,
+) -> Option<u16> {
     let request = Request::builder()
         .method(call.method)
         .uri(call.path)
-        .header(HOST, to.to_string())
+        .header(HOST, to.address.to_string())
         .header(CONTENT_TYPE, "application/json")
         .body(Full::new(call.body))
         .ok()?;
-    let answered = timeout(CALL_TIMEOUT, send(to, request)).await.ok()?;
-    answered.ok().map(|upstream| upstream.response.status().as_u16())
+    let answered = timeout(CALL_TIMEOUT, send(to.address, request)).await.ok()?;
+    let response = answered.ok()?.response;
+    let limit = (gateway.dialect.read_answer)(response.headers()).limit;
+    if response.status() != StatusCode::MISDIRECTED_REQUEST {
+        gateway.record_named_limit(&to.endpoint, limit);
+    }
+    Some(response.status().as_u16())
 }
