--- a/crates/experiment/src/lib.rs
+++ b/crates/experiment/src/lib.rs
@@ -12,6 +12,7 @@
 //! * [`HomesPolicy`] and [`BaselinePolicy`]: the placement policies.
 //! * [`DayPlan`], [`run_day`] and [`DayResult`]: days of the users' deployments on
 //!   [`oriolepass_placement::EngineFarm`], placed by the gateway's [`oriolepass_placement`].
+//! * [`run_limit`] and [`LimitDesign`]: how many instances keep the limit of one endpoint.
 //! * [`run_policy`] and [`PolicyResult`]: one run and its metrics.
 
 mod baseline;
@@ -19,6 +20,7 @@
 mod fleet_day;
 mod fleet_run;
 mod homes;
+mod limit_run;
 mod mix;
 mod run;
 
@@ -27,5 +29,6 @@
 pub use fleet_day::{DayPlan, DayPrompt, PromptClass, Surge};
 pub use fleet_run::{ClassTally, DayResult, FleetPolicy, run_day, run_prompts};
 pub use homes::HomesPolicy;
+pub use limit_run::{LimitDesign, LimitPlan, LimitResult, run_limit};
 pub use mix::{Arrival, LoadMix};
 pub use run::{PolicyKind, PolicyResult, RunPlan, empty_first_token, engine_capacity, run_policy};
