Settings: the local address of connections to endpoints

Cause: on a machine with several networks the operating system chose from which address a gateway connects to endpoints. A test of a lost link between one gateway and the endpoints has no way to tell whose connection it drops.

Change: [listen] endpoints_from; without it the operating system chooses as before.

Conclusion: no change without the key.

--- a/crates/gateway/src/front/ends.rs
+++ b/crates/gateway/src/front/ends.rs
@@ -181,8 +181,9 @@
     address: SocketAddr,
 ) -> ProbeResult {
     let watched_until = Instant::now() + LISTENER_WATCH_TIME;
+    let from = gateway.settings().listen.endpoints_from;
     while Instant::now() < watched_until {
-        let stream = match timeout(PROBE_TIMEOUT, net::connect(address, None)).await {
+        let stream = match timeout(PROBE_TIMEOUT, net::connect(address, from)).await {
             Ok(Ok(stream)) => stream,
             Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
                 return ProbeResult::Ended;
--- a/crates/gateway/src/front/presence.rs
+++ b/crates/gateway/src/front/presence.rs
@@ -74,7 +74,7 @@
         }
         // An endpoint that has left may refuse new connections and still finish its requests.
         let has_left = silence.is_none();
-        match upstream::connect(address).await {
+        match upstream::connect(gateway, address).await {
             Err(failure) if !(failure.is_refusal && has_left) => {
                 return format!(
                     "no heartbeats, and the probe connection failed: {}",
--- a/crates/gateway/src/front/sends.rs
+++ b/crates/gateway/src/front/sends.rs
@@ -90,7 +90,7 @@
         let reason = "the request message could not be built".to_owned();
         return SendOutcome::NotDelivered { reason, endpoint: None };
     };
-    match upstream::send(placement.address, message).await {
+    match upstream::send(gateway, placement.address, message).await {
         Ok(upstream) => read_answer(gateway, request, placement, upstream, last_event).await,
         Err(SendFailure::NotSent(reason)) => {
             gateway.metrics.sends.with_label_values(&["not sent"]).inc();
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -61,10 +61,11 @@
 
 /// Sends a request and waits for the head of its answer.
 pub(crate) async fn send(
+    gateway: &Gateway,
     to: SocketAddr,
     request: Request<Full<Bytes>>,
 ) -> Result<Upstream, SendFailure> {
-    let connected = connect(to).await;
+    let connected = connect(gateway, to).await;
     let stream = connected.map_err(|failure| SendFailure::NotSent(failure.reason))?;
     let (mut sender, connection) = http1::Builder::new()
         .handshake(TokioIo::new(stream))
@@ -103,10 +104,14 @@
 /// # Errors
 ///
 /// Returns the reason of the last failed attempt.
-pub(crate) async fn connect(to: SocketAddr) -> Result<TcpStream, ConnectFailure> {
+pub(crate) async fn connect(
+    gateway: &Gateway,
+    to: SocketAddr,
+) -> Result<TcpStream, ConnectFailure> {
+    let from = gateway.settings().listen.endpoints_from;
     let mut reason = String::new();
     for _ in 0..MAX_CONNECT_ATTEMPTS {
-        match timeout(CONNECT_TIMEOUT, net::connect(to, None)).await {
+        match timeout(CONNECT_TIMEOUT, net::connect(to, from)).await {
             Ok(Ok(stream)) => return Ok(stream),
             Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
                 return Err(ConnectFailure { is_refusal: true, reason: error.to_string() });
@@ -146,7 +151,7 @@
         .header(CONTENT_TYPE, "application/json")
         .body(Full::new(call.body))
         .ok()?;
-    let answered = timeout(CALL_TIMEOUT, send(to.address, request)).await.ok()?;
+    let answered = timeout(CALL_TIMEOUT, send(gateway, to.address, request)).await.ok()?;
     let response = answered.ok()?.response;
     let limit = (gateway.dialect.read_answer)(response.headers()).limit;
     if response.status() != StatusCode::MISDIRECTED_REQUEST {
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -75,6 +75,14 @@
         Some(""),
         "Where to listen for other daemons, if they reach the address above by way of something else; the same without.",
     ),
+    spec(
+        "listen",
+        "endpoints_from",
+        SettingKind::Ip,
+        "",
+        Some(""),
+        "The local address of connections to endpoints; without it the operating system chooses one.",
+    ),
     spec(
         "listen",
         "metrics",
@@ -244,6 +252,8 @@
     pub peers: SocketAddr,
     /// Local address that accepts connections from other daemons.
     pub peers_bind: SocketAddr,
+    /// Local address of connections to endpoints; `None` if the operating system chooses it.
+    pub endpoints_from: Option<IpAddr>,
     /// Address for the metrics.
     pub metrics: SocketAddr,
 }
@@ -367,6 +377,7 @@
                 directory: self.parsed("listen", "directory")?,
                 peers,
                 peers_bind: bind.map_or(Some(peers), |bind| bind.parse().ok())?,
+                endpoints_from: self.parsed("listen", "endpoints_from"),
                 metrics: self.parsed("listen", "metrics")?,
             },
             seeds: SeedSettings {
--- a/crates/settings/src/reader.rs
+++ b/crates/settings/src/reader.rs
@@ -1,7 +1,7 @@
 //! Parses an INI file against a table of settings and collects every problem.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use ini::Ini;
@@ -136,6 +136,7 @@
     match kind {
         SettingKind::Identifier => text.parse::<InstanceId>().is_ok(),
         SettingKind::Address => text.parse::<SocketAddr>().is_ok(),
+        SettingKind::Ip => text.parse::<IpAddr>().is_ok(),
         SettingKind::Integer { min, max } => {
             text.parse::<u64>().is_ok_and(|number| (*min..=*max).contains(&number))
         }
--- a/crates/settings/src/spec.rs
+++ b/crates/settings/src/spec.rs
@@ -7,6 +7,8 @@
     Identifier,
     /// An IP address with a port.
     Address,
+    /// An IP address without a port.
+    Ip,
     /// A whole number in a closed range.
     Integer {
         /// Minimum, inclusive.
@@ -39,6 +41,7 @@
         match self {
             Self::Identifier => "1 to 128 of the characters A-Z a-z 0-9 . _ : -".to_owned(),
             Self::Address => "an IP address with a port, such as 10.0.0.1:7000".to_owned(),
+            Self::Ip => "an IP address, such as 10.0.0.1".to_owned(),
             Self::Integer { min, max } => format!("a whole number from {min} to {max}"),
             Self::Decimal { min, max } => format!("a number from {min} to {max}"),
             Self::Addresses => {
