An instance that reaches no endpoint sends requests through another instance

Callers of instances whose links to all endpoints were cut waited until they gave up, got 504 at their deadline or 503, from instances that were still named.

Change: a connection to an endpoint that is refused, or not made within 80 ms, is tried through another instance as well, which passes bytes on (tunnel.rs). Nothing is sent before a connection stands, so deadlines, repetitions, at most once, cancellation and streams stay where they were. An endpoint that only others reach is a lost path; with two of them and no answer since, the instance is cut off and uses tunnels at once (paths.rs). Silence or broken connections count as soon as a tunnel is answered. The way back: a connection that stays open, or a trial with a request that may be repeated. A refused probe ends an endpoint for the quarantine only if another instance, which reaches other endpoints, is refused too. Faults are not reported while the instance's own links are in doubt. Tunnels lead to endpoints that the registry knows, are bounded by number, by the request's time and by two buffers of 8 kB, and are waited for at a shutdown.

--- a/crates/gateway/src/announce.rs
+++ b/crates/gateway/src/announce.rs
@@ -13,6 +13,7 @@
 use crate::gateway::Gateway;
 use crate::gossip::{HeartbeatRoute, heartbeat_route};
 use crate::hubs::Tier;
+use crate::paths::PathChange;
 use crate::peers::PeerMessage;
 
 /// The interval at which heartbeats are forwarded in one batch. Changes are forwarded at once.
@@ -293,6 +294,10 @@
         self.balancer.borrow_mut().retain(|endpoint| registry.takes_work(endpoint).is_some());
         self.limits.borrow_mut().retain(|endpoint| registry.is_known(endpoint));
         self.count_limits();
+        let change = self.paths.borrow_mut().retain(|endpoint| registry.is_known(endpoint));
+        if change == PathChange::Reconnected {
+            self.metrics.is_cut_off.set(0);
+        }
     }
 
     /// Records that an endpoint failed a request, and reports the fault to the other daemons.
--- a/crates/gateway/src/cluster.rs
+++ b/crates/gateway/src/cluster.rs
@@ -12,6 +12,8 @@
 use oriolepass_consensus::ConsensusNode;
 use oriolepass_placement::PromptAsk;
 use oriolepass_units::{DataCentreId, InstanceId, LeaderTerm, MonotonicTime};
+use tokio::net::TcpStream;
+use tokio::task::spawn_local;
 use tokio::time::sleep;
 
 use crate::events::EventKind;
@@ -23,6 +25,7 @@
 use crate::peers::{MeshEvents, PeerMessage, ProtocolLevel, TrafficCount, TrailingField};
 use crate::replica::{Proposer, ReplicaDriver};
 use crate::roster::{DaemonNote, DaemonPhase, GREETING_INTERVAL, ReplicaNote, RosterChange};
+use crate::tunnel::{TunnelOpen, serve_tunnel};
 
 /// A silent daemon is greeted only once in this many rounds.
 const SILENT_GREETING_DIVISOR: u64 = 5;
@@ -205,6 +208,7 @@
             is_tiered: self.tier.borrow().is_tiered_hub(),
             edition: 0,
             protocol: TrailingField(ProtocolLevel::CURRENT),
+            is_cut_off: TrailingField(self.paths.borrow().is_cut_off()),
         };
         let mut last = self.last_note.borrow_mut();
         let edition = last.as_ref().map_or(0, |last| last.edition);
@@ -517,4 +521,8 @@
         let unconfirmed_since = self.0.now() - UNCONFIRMED_BEFORE_LOSS;
         self.0.links_lost.borrow_mut().insert(to.clone(), unconfirmed_since);
     }
+
+    fn on_tunnel(&self, open: TunnelOpen, stream: TcpStream) {
+        spawn_local(serve_tunnel(Rc::clone(&self.0), open, stream));
+    }
 }
--- a/crates/gateway/src/deputies_tests.rs
+++ b/crates/gateway/src/deputies_tests.rs
@@ -26,6 +26,7 @@
         is_tiered: false,
         edition: 0,
         protocol: TrailingField::default(),
+        is_cut_off: TrailingField::default(),
     }
 }
 
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -270,6 +270,16 @@
         beat.phase == EndpointPhase::Serving && !self.drained.contains(&beat.data_centre)
     }
 
+    /// Returns the address of an endpoint.
+    pub fn address(&self, endpoint: &EndpointStart) -> Option<SocketAddr> {
+        self.entries.get(endpoint).map(|entry| entry.beat.address)
+    }
+
+    /// Returns the data centre of an endpoint.
+    pub fn data_centre(&self, endpoint: &EndpointStart) -> Option<DataCentreId> {
+        self.entries.get(endpoint).map(|entry| entry.beat.data_centre.clone())
+    }
+
     /// Returns whether an endpoint is known, in any phase.
     pub fn is_known(&self, endpoint: &EndpointStart) -> bool {
         self.entries.contains_key(endpoint)
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -83,6 +83,10 @@
     EndpointFault = "endpoint-fault";
     /// An endpoint named a limit on its request rate, changed it or lifted it; `limit_per_s` is the rate that it takes from all instances together.
     Limit = "limit";
+    /// An endpoint that others reach is not reached by this instance itself, or is again; `cut off` means that it reaches none, `reconnected` that it does again.
+    EndpointPath = "endpoint-path";
+    /// A request goes to its endpoint by way of another instance.
+    Tunnel = "tunnel";
     /// An endpoint lost a request's answer `broken_ms` ago; `outcome` says whether it has ended, `digest` names the request across its attempts, `log_odds` is the natural logarithm of the odds that it is fatal (from three ends on).
     EndpointEnd = "endpoint-end";
     /// A request that ends its endpoints was quarantined or released; `digest` names it.
--- a/crates/gateway/src/front/ends.rs
+++ b/crates/gateway/src/front/ends.rs
@@ -3,8 +3,9 @@
 //!
 //! A connection that breaks in the middle of an answer is ambiguous: the endpoint or a machine on
 //! the path may have closed it. The gateway therefore opens a new connection to the same address.
-//! An immediate refusal shows that the machine is up and that no process listens, so the endpoint's
-//! process has ended. A connection that times out proves nothing, since a network partition looks
+//! A refusal shows that the machine is up and that no process listens, so the endpoint's process has
+//! ended. It counts only if another instance is refused as well, since the instance's own links may be
+//! at fault. A connection that times out proves nothing, since a network partition looks
 //! the same.
 //!
 //! An accepted connection proves nothing either. The listener may outlive its process, for some
@@ -25,22 +26,26 @@
 
 use oriolepass_quarantine::RequestDigest;
 use oriolepass_units::{EndpointStart, MonotonicTime};
-use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use super::caller::CallerRequest;
 use super::placement::Placement;
+use crate::dial::{SHORT_LIFE, dial};
 use crate::endpoints::EndpointFate;
 use crate::events::EventKind;
 use crate::gateway::Gateway;
 use crate::hubs::{MISSED_HEARTBEATS, Tier};
 use crate::net;
+use crate::upstream::EndpointTarget;
 
-/// The time-out of the probe connection. A reachable machine accepts or refuses within a network
-/// hop, and a request that could continue at another endpoint waits meanwhile.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(60);
+/// The time-out of the probe connection, which may go by way of another instance.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// How long a request waits for the probe connection. A reachable machine accepts or refuses within a
+/// few network hops, and the request could continue at another endpoint meanwhile.
+const PROBE_WAIT: Duration = Duration::from_millis(60);
 
 /// How long a request waits for an accepted connection to close. A process that ends closes its
 /// listener and its streams within milliseconds of each other.
@@ -130,12 +135,12 @@
         broke_at,
         duration: placement.run_time(),
     };
-    let mut progress = join_probe(gateway, run, endpoint, placement.address);
+    let mut progress = join_probe(gateway, run, placement.target());
     let wait_for = async |progress: &mut watch::Receiver<_>, limit, is_awaited: fn(&_) -> bool| {
         // The sender is dropped only after the result has been recorded.
         let _ = timeout(limit, progress.wait_for(is_awaited)).await;
     };
-    wait_for(&mut progress, PROBE_TIMEOUT, |state| *state != ProbeProgress::Connecting).await;
+    wait_for(&mut progress, PROBE_WAIT, |state| *state != ProbeProgress::Connecting).await;
     wait_for(&mut progress, CLOSE_TIMEOUT, |state| *state == ProbeProgress::Resolved).await;
     if *progress.borrow() != ProbeProgress::Resolved {
         gateway.record_broken_run(request.digest(), endpoint, broke_at);
@@ -146,52 +151,47 @@
 fn join_probe(
     gateway: &Rc<Gateway>,
     run: BrokenRun,
-    endpoint: &EndpointStart,
-    address: SocketAddr,
+    target: EndpointTarget,
 ) -> watch::Receiver<ProbeProgress> {
     let mut pending = gateway.pending_ends.borrow_mut();
-    if let Some(end) = pending.0.get_mut(endpoint) {
+    if let Some(end) = pending.0.get_mut(&target.endpoint) {
         end.runs.push(run);
         return end.progress.subscribe();
     }
     let (progress, watched) = watch::channel(ProbeProgress::Connecting);
     let end = PendingEnd { runs: vec![run], progress };
-    pending.0.insert(endpoint.clone(), end);
-    spawn_local(run_probe(Rc::clone(gateway), endpoint.clone(), address));
+    pending.0.insert(target.endpoint.clone(), end);
+    spawn_local(run_probe(Rc::clone(gateway), target));
     watched
 }
 
-async fn run_probe(gateway: Rc<Gateway>, endpoint: EndpointStart, address: SocketAddr) {
-    let result = if gateway.endpoints.borrow().is_serving(&endpoint) {
+async fn run_probe(gateway: Rc<Gateway>, target: EndpointTarget) {
+    let endpoint = &target.endpoint;
+    let result = if gateway.endpoints.borrow().is_serving(endpoint) {
         tokio::select! {
-            result = watch_listener(&gateway, &endpoint, address) => result,
-            result = watch_fate(&gateway, &endpoint, address) => result,
+            result = watch_listener(&gateway, &target) => result,
+            result = watch_fate(&gateway, endpoint, target.address) => result,
         }
     } else {
         ProbeResult::Left
     };
-    record_result(&gateway, &endpoint, result);
+    record_result(&gateway, endpoint, result);
 }
 
 /// Probes an endpoint's listener until a connection is refused. Never returns if its connections
 /// stay open.
-async fn watch_listener(
-    gateway: &Gateway,
-    endpoint: &EndpointStart,
-    address: SocketAddr,
-) -> ProbeResult {
+async fn watch_listener(gateway: &Rc<Gateway>, target: &EndpointTarget) -> ProbeResult {
+    let endpoint = &target.endpoint;
     let watched_until = Instant::now() + LISTENER_WATCH_TIME;
-    let from = gateway.settings().listen.endpoints_from;
     while Instant::now() < watched_until {
-        let stream = match timeout(PROBE_TIMEOUT, net::connect(address, from)).await {
-            Ok(Ok(stream)) => stream,
-            Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
-                return ProbeResult::Ended;
-            }
+        let plan = gateway.dial_plan(endpoint, SHORT_LIFE, false);
+        let stream = match timeout(PROBE_TIMEOUT, dial(gateway, target, plan)).await {
+            Ok(Ok(connection)) => connection.stream,
+            Ok(Err(failure)) if failure.is_refusal => return ProbeResult::Ended,
             Ok(Err(_)) | Err(_) => return ProbeResult::Unknown,
         };
         gateway.set_probe_progress(endpoint, ProbeProgress::Accepted);
-        if timeout_at(watched_until, wait_until_closed(&stream)).await.is_err() {
+        if timeout_at(watched_until, net::wait_until_closed(&stream)).await.is_err() {
             break;
         }
         sleep(PROBE_INTERVAL).await;
@@ -199,12 +199,6 @@
     std::future::pending().await
 }
 
-/// Waits until the peer closes or resets a connection on which nothing is sent.
-async fn wait_until_closed(stream: &TcpStream) {
-    // Received bytes end the wait as well: endpoints send nothing before a request.
-    let _ = stream.readable().await;
-}
-
 /// Waits until the registry shows whether an endpoint was alive after its connections broke.
 async fn watch_fate(
     gateway: &Gateway,
--- a/crates/gateway/src/front/listener.rs
+++ b/crates/gateway/src/front/listener.rs
@@ -25,8 +25,9 @@
 use crate::lifecycle::Lifecycle;
 use crate::net;
 
-/// File descriptors reserved for the log and for connections to other daemons and endpoints.
-const RESERVED_DESCRIPTORS: u64 = 600;
+/// File descriptors reserved for the log, for connections to other daemons and endpoints, and for
+/// tunnels of other daemons.
+const RESERVED_DESCRIPTORS: u64 = 1_112;
 
 /// Each active request needs a connection to an endpoint in addition to the caller's connection.
 const DESCRIPTORS_PER_CONNECTION: u64 = 2;
--- a/crates/gateway/src/front/placement.rs
+++ b/crates/gateway/src/front/placement.rs
@@ -14,9 +14,11 @@
 use super::caller::{CallerRequest, SHORT_RETRY_AFTER};
 use super::reserve::Reservations;
 use crate::balancer::FaultKind;
+use crate::dial::EndpointConnection;
 use crate::dialect::HelperAddress;
 use crate::endpoints::EndpointBeat;
 use crate::gateway::Gateway;
+use crate::paths::EndpointWay;
 use crate::peers::ProgressNote;
 use crate::upstream::EndpointTarget;
 
@@ -57,6 +59,43 @@
     }
 }
 
+/// The connection of a send, once it is open: its way, and when it was opened.
+#[derive(Debug, Clone, Default)]
+pub(super) struct SendConnection(Rc<Cell<Option<(EndpointWay, MonotonicTime)>>>);
+
+impl SendConnection {
+    pub(super) fn record(&self, connection: &EndpointConnection) {
+        self.0.set(Some((connection.way, connection.opened)));
+    }
+
+    /// Returns the way, and when the connection was opened.
+    pub(super) fn get(&self) -> Option<(EndpointWay, MonotonicTime)> {
+        self.0.get()
+    }
+
+    /// Records that the connection broke.
+    pub(super) fn record_break(&self, gateway: &Gateway, endpoint: &EndpointStart) {
+        if let Some((way, _)) = self.get() {
+            gateway.record_no_answer(endpoint, way, gateway.now());
+        }
+    }
+
+    /// Records that the endpoint is silent, since `last_event` or since the connection was opened.
+    /// Returns whether that is surely no fault of this daemon's own links: answers came on direct
+    /// connections that were opened later, or the silent one goes by way of another daemon.
+    pub(super) fn record_silence(
+        &self,
+        gateway: &Gateway,
+        endpoint: &EndpointStart,
+        last_event: Option<MonotonicTime>,
+    ) -> bool {
+        let Some((way, opened)) = self.get() else { return true };
+        let since = last_event.unwrap_or(opened);
+        gateway.record_no_answer(endpoint, way, since);
+        way == EndpointWay::Tunnel || gateway.paths.borrow().has_answer_since(since)
+    }
+}
+
 /// The endpoint selected for a send. Dropping it reports the end of the send to the prompt's home
 /// or to the balancer, and releases reserved engine memory.
 pub(super) struct Placement {
@@ -66,6 +105,9 @@
     pub(super) plan: Option<PromptPlan>,
     pub(super) helpers: Vec<HelperAddress>,
     pub(super) placed_by: &'static str,
+    /// Whether the request is sent for the first time and may be sent again.
+    pub(super) may_fail: bool,
+    pub(super) connection: SendConnection,
     /// When the request was sent.
     sent_at: MonotonicTime,
     key: Option<PromptKey>,
@@ -123,6 +165,8 @@
             plan: None,
             helpers: Vec::new(),
             placed_by: "balancer",
+            may_fail: false,
+            connection: SendConnection::default(),
             sent_at: gateway.now(),
             key: None,
             has_begun: Cell::new(false),
@@ -155,6 +199,8 @@
             address: SocketAddr::from(([0, 0, 0, 0], 0)),
             helpers: Vec::new(),
             placed_by: by.name(),
+            may_fail: false,
+            connection: SendConnection::default(),
             sent_at: gateway.now(),
             key: Some(ask.key),
             has_begun: Cell::new(false),
@@ -188,6 +234,11 @@
         Ok(placement)
     }
 
+    /// Returns the endpoint with its address.
+    pub(super) fn target(&self) -> EndpointTarget {
+        EndpointTarget { endpoint: self.endpoint.clone(), address: self.address }
+    }
+
     /// Records that the request is sent now.
     pub(super) fn record_sent(&mut self) {
         self.sent_at = self.gateway.now();
--- a/crates/gateway/src/front/presence.rs
+++ b/crates/gateway/src/front/presence.rs
@@ -6,15 +6,15 @@
 //! and holds engine memory that other requests need.
 
 use std::future::Future;
-use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
-use oriolepass_units::EndpointStart;
 use tokio::time::sleep;
 
+use crate::dial::{SHORT_LIFE, dial};
 use crate::events::EventKind;
 use crate::gateway::Gateway;
-use crate::upstream;
+use crate::upstream::EndpointTarget;
 
 /// The silence before an endpoint is probed, in heartbeat intervals. One heartbeat may be lost and
 /// another late. Including the time for two connections, a lost endpoint is detected within four
@@ -29,19 +29,18 @@
 
 /// Waits for an answer while its endpoint is alive. Returns `None` once the endpoint is gone.
 pub(super) async fn while_alive<T>(
-    gateway: &Gateway,
+    gateway: &Rc<Gateway>,
     request: &str,
-    endpoint: &EndpointStart,
-    address: SocketAddr,
+    target: &EndpointTarget,
     answer: impl Future<Output = T>,
 ) -> Option<T> {
     tokio::select! {
         biased;
         answer = answer => Some(answer),
-        reason = wait_until_gone(gateway, endpoint, address) => {
+        reason = wait_until_gone(gateway, target) => {
             gateway
                 .line(EventKind::Endpoint)
-                .text("endpoint", endpoint)
+                .text("endpoint", &target.endpoint)
                 .text("request", request)
                 .text("reason", reason)
                 .text("outcome", "gone");
@@ -51,11 +50,8 @@
 }
 
 /// Waits until an endpoint is gone. Returns the evidence as a text for the log.
-async fn wait_until_gone(
-    gateway: &Gateway,
-    endpoint: &EndpointStart,
-    address: SocketAddr,
-) -> String {
+async fn wait_until_gone(gateway: &Rc<Gateway>, target: &EndpointTarget) -> String {
+    let EndpointTarget { endpoint, address } = target;
     let mut check_delay = MIN_CHECK_INTERVAL;
     loop {
         sleep(check_delay).await;
@@ -63,7 +59,7 @@
             gateway.settings().bounds.endpoint_heartbeat.mul_f64(MAX_SILENT_HEARTBEATS);
         let (silence, occupant) = {
             let registry = gateway.endpoints.borrow();
-            (registry.silence(gateway.now(), endpoint), registry.at(address))
+            (registry.silence(gateway.now(), endpoint), registry.at(*address))
         };
         if let Some(silence) = silence.filter(|silence| *silence < max_silence) {
             check_delay = (max_silence - silence).max(MIN_CHECK_INTERVAL);
@@ -74,7 +70,8 @@
         }
         // An endpoint that has left may refuse new connections and still finish its requests.
         let has_left = silence.is_none();
-        match upstream::connect(gateway, address).await {
+        let plan = gateway.dial_plan(endpoint, SHORT_LIFE, false);
+        match dial(gateway, target, plan).await {
             Err(failure) if !(failure.is_refusal && has_left) => {
                 return format!(
                     "no heartbeats, and the probe connection failed: {}",
--- a/crates/gateway/src/front/sends.rs
+++ b/crates/gateway/src/front/sends.rs
@@ -17,8 +17,11 @@
 use super::presence::while_alive;
 use super::stream::{EventSource, NextEvents, OpenStream};
 use crate::balancer::FaultKind;
+use crate::dial::EndpointConnection;
 use crate::dialect::{AnswerFacts, SendFacts};
+use crate::events::EventKind;
 use crate::gateway::Gateway;
+use crate::paths::EndpointWay;
 use crate::upstream::{self, EndpointTarget, SendFailure, Upstream};
 
 /// The maximum length of an answer that is buffered before it is forwarded.
@@ -70,11 +73,12 @@
     if !request.route.repeat.may_repeat() {
         return exchange(gateway, request, placement, last_event).await;
     }
-    let (endpoint, address) = (placement.endpoint.clone(), placement.address);
+    let target = placement.target();
     // The home must learn of the failure before the exchange is dropped, which reports its end.
     let mut exchange = std::pin::pin!(exchange(gateway, request, placement, last_event));
-    let end = while_alive(gateway, &request.id, &endpoint, address, exchange.as_mut()).await;
+    let end = while_alive(gateway, &request.id, &target, exchange.as_mut()).await;
     end.unwrap_or_else(|| {
+        let endpoint = target.endpoint;
         endpoint_failed(gateway, request, &endpoint, FaultKind::Unreachable);
         SendOutcome::MayHaveRun { reason: "the endpoint is gone".to_owned(), endpoint }
     })
@@ -90,7 +94,16 @@
         let reason = "the request message could not be built".to_owned();
         return SendOutcome::NotDelivered { reason, endpoint: None };
     };
-    match upstream::send(gateway, placement.address, message).await {
+    let target = placement.target();
+    let plan = gateway.dial_plan(&target.endpoint, request.time_left(), placement.may_fail);
+    let on_connected = |connection: &EndpointConnection| {
+        placement.connection.record(connection);
+        if connection.way == EndpointWay::Tunnel {
+            let line = gateway.line(EventKind::Tunnel).text("request", &request.id);
+            line.text("endpoint", &target.endpoint);
+        }
+    };
+    match upstream::send(gateway, &target, plan, message, on_connected).await {
         Ok(upstream) => read_answer(gateway, request, placement, upstream, last_event).await,
         Err(SendFailure::NotSent(reason)) => {
             gateway.metrics.sends.with_label_values(&["not sent"]).inc();
@@ -208,6 +221,7 @@
     placement: &Placement,
     reason: String,
 ) -> SendOutcome {
+    placement.connection.record_break(gateway, &placement.endpoint);
     probe_for_end(gateway, request, placement).await;
     answer_lost(gateway, request, placement, reason)
 }
--- a/crates/gateway/src/front/stream.rs
+++ b/crates/gateway/src/front/stream.rs
@@ -211,9 +211,9 @@
         if !self.can_resume() {
             return open.source.next().await;
         }
-        let (endpoint, address) = (&open.placement.endpoint, open.placement.address);
+        let target = open.placement.target();
         let next = open.source.next();
-        let piece = while_alive(&self.gateway, &self.request.id, endpoint, address, next).await;
+        let piece = while_alive(&self.gateway, &self.request.id, &target, next).await;
         piece.unwrap_or_else(|| NextEvents::Broken("the endpoint is gone".to_owned()))
     }
 
@@ -221,6 +221,7 @@
     /// ended.
     async fn record_broken(&self, open: &OpenStream) {
         let endpoint = &open.placement.endpoint;
+        open.placement.connection.record_break(&self.gateway, endpoint);
         endpoint_failed(&self.gateway, &self.request, endpoint, FaultKind::Broken);
         probe_for_end(&self.gateway, &self.request, &open.placement).await;
     }
@@ -279,7 +280,10 @@
         if !self.can_resume() || self.gateway.silence_is_expected(&endpoint, silence).await {
             return Ok(None);
         }
-        endpoint_failed(&self.gateway, &self.request, &endpoint, FaultKind::Silent);
+        let last_event = self.gateway.now() - silence;
+        if open.placement.connection.record_silence(&self.gateway, &endpoint, Some(last_event)) {
+            endpoint_failed(&self.gateway, &self.request, &endpoint, FaultKind::Silent);
+        }
         let reason = format!("no event in {} ms", silence.as_millis());
         self.begin_resume(endpoint.clone(), open.source.last_id(), &reason);
         let mut resumed = Box::pin(self.history.send_until_answered(&self.gateway, &self.request));
--- a/crates/gateway/src/front/tries.rs
+++ b/crates/gateway/src/front/tries.rs
@@ -60,9 +60,6 @@
 /// in time either.
 const MIN_HEDGE_TIME_LEFT: Duration = Duration::from_millis(150);
 
-/// The hedge time-out of requests that are not hedged. It is longer than any request.
-const UNHEDGED_TIMEOUT: Duration = Duration::from_secs(24 * 3_600);
-
 /// The `Retry-After` of refusals because a service's endpoints are full. It is also used for
 /// refusals without a delay of their own.
 const FULL_RETRY_AFTER: Duration = Duration::from_millis(250);
@@ -180,12 +177,14 @@
         request: &CallerRequest,
         placement: Placement,
     ) -> SendOutcome {
-        let hedge_timeout = self.hedge_timeout(request, &placement);
-        let first_endpoint = placement.endpoint.clone();
+        let silence_timeout = silence_timeout(request, &placement);
+        let may_hedge = self.may_run_again(request);
+        let (first_endpoint, connection) =
+            (placement.endpoint.clone(), placement.connection.clone());
         let mut first = std::pin::pin!(send_once(gateway, request, placement, self.last_event));
         let began = Instant::now();
         loop {
-            if let Ok(end) = timeout(hedge_timeout, &mut first).await {
+            if let Ok(end) = timeout(silence_timeout, &mut first).await {
                 return end;
             }
             let is_engine = request.service.engine.is_some();
@@ -194,9 +193,16 @@
                 break;
             }
         }
-        endpoint_failed(gateway, request, &first_endpoint, FaultKind::Silent);
+        let is_reported = connection.record_silence(gateway, &first_endpoint, None);
+        if !may_hedge {
+            // The request's deadline passes first and determines its response.
+            return first.await;
+        }
         self.log_failure(gateway, request, Some(&first_endpoint), "silent", true);
-        self.avoid.push(first_endpoint);
+        self.avoid.push(first_endpoint.clone());
+        if is_reported {
+            endpoint_failed(gateway, request, &first_endpoint, FaultKind::Silent);
+        }
         if !self.may_send_again(request) || request.time_left() < MIN_HEDGE_TIME_LEFT {
             return first.await;
         }
@@ -218,6 +224,14 @@
             end = &mut first => (end, true),
             end = &mut second => (end, false),
         };
+        let is_answered = matches!(end, SendOutcome::Answer(_) | SendOutcome::Stream(_));
+        if is_answered
+            && !first_ended
+            && !is_reported
+            && connection.record_silence(gateway, &first_endpoint, None)
+        {
+            endpoint_failed(gateway, request, &first_endpoint, FaultKind::Silent);
+        }
         match end {
             SendOutcome::Answer(_) | SendOutcome::Stream(_) => return end,
             SendOutcome::NotRun { .. } => self.attempts.record_not_run(),
@@ -362,6 +376,7 @@
         if self.attempts.deliveries() > 0 && !take_from_budget(gateway, request).await {
             return Err(SendOutcome::Blocked("retry budget used up", FULL_RETRY_AFTER));
         }
+        placement.may_fail = self.attempts.sends() == 0 && request.route.repeat.may_repeat();
         self.attempts.record_send();
         placement.record_sent();
         self.is_trial = false;
@@ -400,21 +415,16 @@
         }
         Err(SendOutcome::Blocked(QUARANTINED, trial_in.max(FULL_RETRY_AFTER)))
     }
+}
 
-    /// Returns the time without an answer's head, or a stream's first event, after which the
-    /// request is hedged.
-    fn hedge_timeout(&self, request: &CallerRequest, placement: &Placement) -> Duration {
-        if !request.route.repeat.may_repeat() || self.attempts.runs() >= request.route.max_attempts
-        {
-            // The request's deadline passes first and determines its response.
-            return UNHEDGED_TIMEOUT;
-        }
-        let objective = request.route.objective;
-        match &placement.plan {
-            Some(plan) => (plan.first_event.mul_f64(FIRST_EVENT_RATIO) + FIRST_EVENT_GRACE)
-                .max(objective.mul_f64(FIRST_EVENT_OBJECTIVE_RATIO)),
-            None => objective.mul_f64(CALL_HEDGE_SHARE),
-        }
+/// Returns the time without an answer's head, or a stream's first event, after which an endpoint counts
+/// as silent and the request is hedged if it may run again.
+fn silence_timeout(request: &CallerRequest, placement: &Placement) -> Duration {
+    let objective = request.route.objective;
+    match &placement.plan {
+        Some(plan) => (plan.first_event.mul_f64(FIRST_EVENT_RATIO) + FIRST_EVENT_GRACE)
+            .max(objective.mul_f64(FIRST_EVENT_OBJECTIVE_RATIO)),
+        None => objective.mul_f64(CALL_HEDGE_SHARE),
     }
 }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -29,6 +29,7 @@
 use crate::lifecycle::Lifecycle;
 use crate::limits::LimitState;
 use crate::metrics::GatewayMetrics;
+use crate::paths::EndpointPaths;
 use crate::peer_changes::PeerChanges;
 use crate::peers::{
     DocumentVerdict, DrainVerdict, FreshVerdict, HubStatus, PeerMesh, PeerMessage, PlaceVerdict,
@@ -86,6 +87,12 @@
     pub(crate) balancer: RefCell<EndpointBalancer>,
     pub(crate) budget: RefCell<RetryBudget>,
     pub(crate) limits: RefCell<LimitState>,
+    /// The paths from this daemon to endpoints.
+    pub(crate) paths: RefCell<EndpointPaths>,
+    /// When each daemon last failed to open a tunnel for this one.
+    pub(crate) tunnel_failures: RefCell<HashMap<InstanceId, MonotonicTime>>,
+    /// The number of tunnels of other daemons through this one.
+    pub(crate) open_tunnels: Cell<u32>,
     pub(crate) home: RefCell<HomeState>,
     pub(crate) quarantine: RefCell<QuarantineState>,
     pub(crate) pending_ends: RefCell<PendingEnds>,
@@ -152,6 +159,9 @@
             balancer: RefCell::default(),
             budget: RefCell::default(),
             limits: RefCell::default(),
+            paths: RefCell::default(),
+            tunnel_failures: RefCell::default(),
+            open_tunnels: Cell::new(0),
             home: RefCell::default(),
             quarantine: RefCell::default(),
             pending_ends: RefCell::default(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 //! | `home`, `deputies` | placing prompts on engines, as the home or by asking it; the deputies that replace the home while it does not answer |
 //! | `balancer`, `budget` | load balancing over endpoints that are not engines; the retry budget |
 //! | `limits` | the limits on their request rates that endpoints name in their answers |
+//! | `upstream`, `dial`, `paths`, `tunnel` | connections to endpoints: sends and calls; the two ways, directly and through other daemons; which endpoints this daemon reaches; tunnels for others |
 //! | `quarantine`, `quarantine_disk`, `broken_runs` | quarantine of requests that end their endpoints: replication to other daemons, storage on disk; care with requests whose connections broke |
 //! | `front` | the callers' listener: requests, sends, retries and answers |
 //! | `directory`, `lifecycle` | the instances that callers should use; start, readiness, reload, shutdown |
@@ -39,6 +40,7 @@
 mod deputies;
 #[cfg(test)]
 mod deputies_tests;
+mod dial;
 mod dialect;
 mod directory;
 mod documents;
@@ -58,6 +60,9 @@
 mod metrics;
 mod net;
 mod operators;
+mod paths;
+#[cfg(test)]
+mod paths_tests;
 mod peer_changes;
 #[cfg(test)]
 mod peer_changes_tests;
@@ -75,6 +80,7 @@
 mod tiers;
 #[cfg(test)]
 mod tiers_tests;
+mod tunnel;
 mod upstream;
 
 pub use balancer::{EndpointBalancer, FaultKind};
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -142,7 +142,7 @@
         let addresses_valid_until = started + ADDRESS_TTL * MAX_ADDRESS_TTL_FACTOR;
         let end_at = started + grace.saturating_sub(EXIT_MARGIN);
         while Instant::now() < end_at {
-            let is_idle = self.active_requests.get() == 0;
+            let is_idle = self.active_requests.get() == 0 && self.open_tunnels.get() == 0;
             if is_idle && Instant::now() >= addresses_valid_until {
                 break;
             }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -60,6 +60,12 @@
     pub(crate) endpoints: IntGauge,
     /// Endpoints that name a limit on their request rate.
     pub(crate) limited_endpoints: IntGauge,
+    /// Whether this daemon reaches no endpoint by itself.
+    pub(crate) is_cut_off: IntGauge,
+    /// Tunnels to endpoints that this daemon asked others for, by outcome.
+    pub(crate) tunnels: IntCounterVec,
+    /// Tunnels of other daemons through this one.
+    pub(crate) open_tunnels: IntGauge,
     /// Announcements that could not be parsed.
     pub(crate) skipped_entries: IntCounter,
     /// Syncs of the log.
@@ -148,6 +154,13 @@
                 "oriolepass_limited_endpoints",
                 "Endpoints that name a limit on their request rate",
             ),
+            is_cut_off: gauge("oriolepass_is_cut_off", "Whether no endpoint is reached directly"),
+            tunnels: counters(
+                "oriolepass_tunnels_total",
+                "Tunnels to endpoints that others were asked for",
+                "outcome",
+            ),
+            open_tunnels: gauge("oriolepass_open_tunnels", "Tunnels of others through this daemon"),
             skipped_entries: counter(
                 "oriolepass_skipped_entries_total",
                 "Announcements that could not be read",
--- a/crates/gateway/src/net.rs
+++ b/crates/gateway/src/net.rs
@@ -31,6 +31,12 @@
     Ok(stream)
 }
 
+/// Waits until the peer closes or resets a connection on which nothing is sent.
+pub(crate) async fn wait_until_closed(stream: &TcpStream) {
+    // Received bytes end the wait as well: endpoints send nothing before a request.
+    let _ = stream.readable().await;
+}
+
 /// Listens with a backlog that is long enough for a burst of new connections.
 pub(crate) fn listen(address: SocketAddr) -> io::Result<tokio::net::TcpListener> {
     let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
--- a/crates/gateway/src/peers/mesh.rs
+++ b/crates/gateway/src/peers/mesh.rs
@@ -1,6 +1,7 @@
 //! Maintains the connections to the other daemons.
 //!
-//! Messages are sent as frames: a length in four bytes, little-endian, and the encoded message.
+//! Messages are sent as frames: a length in four bytes, little-endian, and the encoded message. A
+//! connection begins with the sender's id, or with an empty id if it carries a tunnel.
 
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap};
@@ -10,6 +11,8 @@
 
 use bytes::{Bytes, BytesMut};
 use oriolepass_units::InstanceId;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
@@ -18,6 +21,7 @@
 
 use super::PeerMessage;
 use crate::net;
+use crate::tunnel::TunnelOpen;
 
 /// The maximum number of messages queued for one connection: what a busy leader sends in some
 /// seconds.
@@ -67,6 +71,8 @@
     fn on_link_up(&self, to: &InstanceId) -> Vec<PeerMessage>;
     /// Handles the loss of the connection to a daemon.
     fn on_link_down(&self, to: &InstanceId, reason: &str);
+    /// Handles a request for a tunnel to an endpoint; the connection carries the tunnel.
+    fn on_tunnel(&self, open: TunnelOpen, stream: TcpStream);
 }
 
 /// Sends messages to other daemons over one connection each.
@@ -107,7 +113,7 @@
 
     /// Sends a message, or drops it if the queue of its connection is full.
     pub(crate) fn send(self: &Rc<Self>, to: &InstanceId, message: &PeerMessage) {
-        self.send_frame(to, message.kind(), encode(message));
+        self.send_frame(to, message.kind(), encode_frame(message));
     }
 
     /// Sends one message to several daemons.
@@ -116,7 +122,7 @@
         to: impl IntoIterator<Item = &'a InstanceId>,
         message: &PeerMessage,
     ) {
-        let frame = encode(message);
+        let frame = encode_frame(message);
         let kind = message.kind();
         to.into_iter().for_each(|instance| self.send_frame(instance, kind, frame.clone()));
     }
@@ -152,7 +158,8 @@
     }
 }
 
-fn encode(message: &PeerMessage) -> Bytes {
+/// Returns a message as a frame.
+pub(crate) fn encode_frame(message: &impl Serialize) -> Bytes {
     let body = postcard::to_stdvec(message).expect("a message always serialises");
     let length = u32::try_from(body.len()).expect("a message is shorter than 4 GB");
     let mut frame = Vec::with_capacity(body.len() + 4);
@@ -181,7 +188,7 @@
                 push_id(&mut greeting, &mesh.own);
                 if let Some(events) = mesh.events() {
                     for message in events.on_link_up(&to) {
-                        greeting.extend_from_slice(&encode(&message));
+                        greeting.extend_from_slice(&encode_frame(&message));
                     }
                 }
                 greeting.extend_from_slice(&first);
@@ -276,21 +283,18 @@
 async fn read_link(stream: TcpStream, events: &dyn MeshEvents) -> std::io::Result<()> {
     let mut stream = tokio::io::BufReader::with_capacity(16 * 1024, stream);
     let mut id = vec![0; usize::from(stream.read_u8().await?)];
+    if id.is_empty() {
+        let open = read_message(&mut stream).await?;
+        events.on_tunnel(open, stream.into_inner());
+        return Ok(());
+    }
     stream.read_exact(&mut id).await?;
     let invalid = || std::io::Error::from(std::io::ErrorKind::InvalidData);
     let from: InstanceId =
         std::str::from_utf8(&id).ok().and_then(|id| id.parse().ok()).ok_or_else(invalid)?;
     let mut last_receipt: Option<Instant> = None;
     loop {
-        let length = timeout(READ_TIMEOUT, stream.read_u32_le()).await??;
-        let length = usize::try_from(length).unwrap_or(usize::MAX);
-        if length > MAX_FRAME_BYTES {
-            return Err(invalid());
-        }
-        let mut body = vec![0; length];
-        timeout(READ_TIMEOUT, stream.read_exact(&mut body)).await??;
-        let message = postcard::from_bytes(&body).map_err(|_| invalid())?;
-        events.on_message(&from, message);
+        events.on_message(&from, read_message(&mut stream).await?);
         if last_receipt.is_none_or(|at| at.elapsed() >= RECEIPT_INTERVAL) {
             last_receipt = Some(Instant::now());
             // A receipt that the socket buffer cannot take is skipped, as another follows. The
@@ -299,3 +303,17 @@
         }
     }
 }
+
+async fn read_message<T: DeserializeOwned>(
+    stream: &mut tokio::io::BufReader<TcpStream>,
+) -> std::io::Result<T> {
+    let invalid = || std::io::Error::from(std::io::ErrorKind::InvalidData);
+    let length = timeout(READ_TIMEOUT, stream.read_u32_le()).await??;
+    let length = usize::try_from(length).unwrap_or(usize::MAX);
+    if length > MAX_FRAME_BYTES {
+        return Err(invalid());
+    }
+    let mut body = vec![0; length];
+    timeout(READ_TIMEOUT, stream.read_exact(&mut body)).await??;
+    postcard::from_bytes(&body).map_err(|_| invalid())
+}
--- a/crates/gateway/src/peers/message_tests.rs
+++ b/crates/gateway/src/peers/message_tests.rs
@@ -44,6 +44,7 @@
         is_tiered: false,
         edition: 9,
         protocol: TrailingField(protocol),
+        is_cut_off: TrailingField::default(),
     })
 }
 
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -10,7 +10,7 @@
 mod message_tests;
 mod trailing;
 
-pub(crate) use mesh::{MeshEvents, PeerMesh, TrafficCount};
+pub(crate) use mesh::{MeshEvents, PeerMesh, TrafficCount, encode_frame};
 pub(crate) use message::{
     DocumentVerdict, DrainVerdict, FreshVerdict, HubStatus, LeafState, MemberLists, PeerMessage,
     PlaceVerdict, PlacedPrompt, ProgressNote,
--- a/crates/gateway/src/peers/trailing.rs
+++ b/crates/gateway/src/peers/trailing.rs
@@ -27,6 +27,9 @@
     /// Limits of endpoints and permits to send to them.
     pub(crate) const LIMITS: Self = Self(1);
 
+    /// Tunnels to endpoints.
+    pub(crate) const TUNNELS: Self = Self(2);
+
     /// The level of this version.
-    pub(crate) const CURRENT: Self = Self::LIMITS;
+    pub(crate) const CURRENT: Self = Self::TUNNELS;
 }
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -66,6 +66,8 @@
     pub(crate) edition: u32,
     /// The messages that it understands.
     pub(crate) protocol: TrailingField<ProtocolLevel>,
+    /// Whether it reaches no endpoint by itself.
+    pub(crate) is_cut_off: TrailingField<bool>,
 }
 
 /// A leaf as its hub reports it to the other hubs.
--- a/crates/gateway/src/roster_tests.rs
+++ b/crates/gateway/src/roster_tests.rs
@@ -26,6 +26,7 @@
         is_tiered: false,
         edition,
         protocol: TrailingField::default(),
+        is_cut_off: TrailingField::default(),
     }
 }
 
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -1,4 +1,4 @@
-//! Connections to endpoints.
+//! Sends requests to endpoints.
 //!
 //! Every send opens a connection of its own. That costs a handshake and excludes the faults of
 //! reused connections: an endpoint that closes an idle connection while the request is being
@@ -6,6 +6,7 @@
 //! request; and bytes that remain from an earlier answer.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -16,24 +17,23 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use oriolepass_units::EndpointStart;
-use tokio::net::TcpStream;
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::timeout;
 
+use crate::dial::{DialPlan, EndpointConnection, SHORT_LIFE, dial};
 use crate::dialect::EndpointCall;
 use crate::gateway::Gateway;
-use crate::net;
-
-/// The time-out of a connection attempt. The operating system retransmits a lost first packet only
-/// after a second, so a second attempt is made earlier instead.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
-
-/// The maximum number of connection attempts.
-const MAX_CONNECT_ATTEMPTS: u32 = 2;
 
 /// The time-out of a call to an endpoint's own interface.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// A start of an endpoint and its address.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct EndpointTarget {
+    pub(crate) endpoint: EndpointStart,
+    pub(crate) address: SocketAddr,
+}
+
 /// The reason that a send got no answer.
 #[derive(Debug)]
 pub(crate) enum SendFailure {
@@ -59,16 +59,33 @@
     }
 }
 
-/// Sends a request and waits for the head of its answer.
+/// Sends a request and waits for the head of its answer. `on_connected` is called when the
+/// connection is open and nothing has been sent yet.
 pub(crate) async fn send(
-    gateway: &Gateway,
-    to: SocketAddr,
+    gateway: &Rc<Gateway>,
+    target: &EndpointTarget,
+    plan: DialPlan,
+    request: Request<Full<Bytes>>,
+    on_connected: impl FnOnce(&EndpointConnection),
+) -> Result<Upstream, SendFailure> {
+    let connected = dial(gateway, target, plan).await;
+    let connection = connected.map_err(|failure| SendFailure::NotSent(failure.reason))?;
+    on_connected(&connection);
+    let (way, opened) = (connection.way, connection.opened);
+    let sent = send_on(connection, request).await;
+    match &sent {
+        Ok(_) => gateway.record_path_answer(&target.endpoint, way, opened),
+        Err(_) => gateway.record_no_answer(&target.endpoint, way, opened),
+    }
+    sent
+}
+
+async fn send_on(
+    connection: EndpointConnection,
     request: Request<Full<Bytes>>,
 ) -> Result<Upstream, SendFailure> {
-    let connected = connect(gateway, to).await;
-    let stream = connected.map_err(|failure| SendFailure::NotSent(failure.reason))?;
     let (mut sender, connection) = http1::Builder::new()
-        .handshake(TokioIo::new(stream))
+        .handshake(TokioIo::new(connection.stream))
         .await
         .map_err(|error| SendFailure::NotSent(error.to_string()))?;
     let task = spawn_local(async move {
@@ -91,38 +108,6 @@
     }
 }
 
-/// The reason that no connection was made.
-#[derive(Debug)]
-pub(crate) struct ConnectFailure {
-    /// Whether the connection was refused: the machine answers, but no process listens on the port.
-    pub(crate) is_refusal: bool,
-    pub(crate) reason: String,
-}
-
-/// Connects to an endpoint.
-///
-/// # Errors
-///
-/// Returns the reason of the last failed attempt.
-pub(crate) async fn connect(
-    gateway: &Gateway,
-    to: SocketAddr,
-) -> Result<TcpStream, ConnectFailure> {
-    let from = gateway.settings().listen.endpoints_from;
-    let mut reason = String::new();
-    for _ in 0..MAX_CONNECT_ATTEMPTS {
-        match timeout(CONNECT_TIMEOUT, net::connect(to, from)).await {
-            Ok(Ok(stream)) => return Ok(stream),
-            Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
-                return Err(ConnectFailure { is_refusal: true, reason: error.to_string() });
-            }
-            Ok(Err(error)) => reason = error.to_string(),
-            Err(_) => "no connection in time".clone_into(&mut reason),
-        }
-    }
-    Err(ConnectFailure { is_refusal: false, reason })
-}
-
 /// Returns the message of an error together with its source's.
 pub(crate) fn describe(error: &hyper::Error) -> String {
     match std::error::Error::source(error) {
@@ -131,16 +116,9 @@
     }
 }
 
-/// A start of an endpoint and its address.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) struct EndpointTarget {
-    pub(crate) endpoint: EndpointStart,
-    pub(crate) address: SocketAddr,
-}
-
 /// Calls an endpoint's own interface and returns the status, or `None` if there was no answer.
 pub(crate) async fn call(
-    gateway: &Gateway,
+    gateway: &Rc<Gateway>,
     to: &EndpointTarget,
     call: EndpointCall,
 ) -> Option<u16> {
@@ -151,7 +129,8 @@
         .header(CONTENT_TYPE, "application/json")
         .body(Full::new(call.body))
         .ok()?;
-    let answered = timeout(CALL_TIMEOUT, send(gateway, to.address, request)).await.ok()?;
+    let plan = gateway.dial_plan(&to.endpoint, SHORT_LIFE, false);
+    let answered = timeout(CALL_TIMEOUT, send(gateway, to, plan, request, |_| {})).await.ok()?;
     let response = answered.ok()?.response;
     let limit = (gateway.dialect.read_answer)(response.headers()).limit;
     if response.status() != StatusCode::MISDIRECTED_REQUEST {
