A prompt that is asked for again gets another key, and keeps its place among those that wait for a permit

Cause: to keep its place, a request reused the key of its prompt in each search. The key also selects the deputy and its cell while the home does not answer, so a prompt that found no engine asked the same deputy again and again instead of another one.

Change: the place in the queue has an id of its own, which goes with the prompt.

The tests of limits are green.

--- a/crates/experiment/src/fleet_run.rs
+++ b/crates/experiment/src/fleet_run.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use oriolepass_limits::RequestRank;
 use oriolepass_placement::{
     AnswerEnd, EngineFacts, EngineFarm, EngineFleet, FarmEvent, PassPrompt, PromptAsk, PromptKey,
     PromptPlan,
@@ -265,7 +264,7 @@
             patience: millis((attempt.wait_ends_ms - attempt.at_ms).max(0.0)),
             avoid: Vec::new(),
             is_suspect: false,
-            rank: RequestRank::default(),
+            waiter: None,
         };
         let single_engine_plan = |main: usize| {
             Some(PromptPlan {
--- a/crates/gateway/src/front/caller.rs
+++ b/crates/gateway/src/front/caller.rs
@@ -12,7 +12,7 @@
 use hyper::header::{CONNECTION, HOST, HeaderMap, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response, StatusCode};
-use oriolepass_limits::RequestRank;
+use oriolepass_limits::{PermitWaiter, RequestRank, WaiterId};
 use oriolepass_quarantine::{RequestDigest, RequestIdentity};
 use oriolepass_routing::{KeyHolder, RouteSpec, RoutingTable, ServiceSpec};
 use oriolepass_units::MonotonicTime;
@@ -88,14 +88,15 @@
         self.clock_deadline.since(self.buffered.gateway.now())
     }
 
-    /// Returns the place of the request among others that wait for the same endpoints. The priority of
+    /// Returns the place of the request among others that wait for endpoints with limits. The priority of
     /// the client account takes precedence over that of the route.
-    pub(super) fn rank(&self) -> RequestRank {
+    pub(super) fn waiter(&self, id: WaiterId, patience: Duration) -> PermitWaiter {
         let of_account = self.holder.as_ref().and_then(|holder| holder.priority);
-        RequestRank {
+        let rank = RequestRank {
             priority: of_account.unwrap_or(self.route.priority),
             account: self.holder.as_ref().map(|holder| holder.account.clone()),
-        }
+        };
+        PermitWaiter { id, rank, patience }
     }
 
     /// Returns the digest that identifies the request across its attempts. The digest is computed
--- a/crates/gateway/src/front/placement.rs
+++ b/crates/gateway/src/front/placement.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use oriolepass_limits::{PermitAsk, PermitVerdict, PermitWaiter, WaiterId};
+use oriolepass_limits::{PermitAsk, PermitVerdict, WaiterId};
 use oriolepass_placement::{PromptAsk, PromptKey, PromptPlan, RefusalReason};
 use oriolepass_quarantine::Standing;
 use oriolepass_units::{EndpointStart, MonotonicTime};
@@ -119,20 +119,20 @@
     /// Selects an endpoint for a request. `max_wait` is how long the request can still wait for an
     /// endpoint.
     ///
-    /// `key` identifies the search: a search that is repeated because it found no endpoint keeps its
+    /// `waiter` identifies the search: a search that is repeated because it found no endpoint keeps its
     /// place among requests that wait for endpoints with limits.
     pub(super) async fn find(
         gateway: &Rc<Gateway>,
         request: &CallerRequest,
-        key: PromptKey,
+        waiter: WaiterId,
         avoid: &[EndpointStart],
         max_wait: Duration,
     ) -> Result<Self, NoPlacement> {
         let began = Instant::now();
         let found = if request.service.engine.is_some() {
-            Self::find_engine(gateway, request, key, avoid, max_wait).await
+            Self::find_engine(gateway, request, waiter, avoid, max_wait).await
         } else {
-            Self::find_plain(gateway, request, key, avoid, max_wait).await
+            Self::find_plain(gateway, request, waiter, avoid, max_wait).await
         };
         if let Ok(placement) = &found {
             let took = began.elapsed().as_secs_f64();
@@ -145,14 +145,14 @@
     async fn find_plain(
         gateway: &Rc<Gateway>,
         request: &CallerRequest,
-        key: PromptKey,
+        waiter: WaiterId,
         avoid: &[EndpointStart],
         max_wait: Duration,
     ) -> Result<Self, NoPlacement> {
         let candidates = PlainCandidates::of(gateway, request, avoid);
         let beat = match candidates.choose(gateway, |_| true) {
             Some(beat) if gateway.names_limit(&beat.endpoint) => {
-                candidates.choose_with_permit(gateway, request, key, beat, max_wait).await?
+                candidates.choose_with_permit(gateway, request, waiter, beat, max_wait).await?
             }
             Some(beat) => beat.clone(),
             None => return Err(no_endpoint(gateway, request, NO_ENDPOINT, SHORT_RETRY_AFTER)),
@@ -177,11 +177,11 @@
     async fn find_engine(
         gateway: &Rc<Gateway>,
         request: &CallerRequest,
-        key: PromptKey,
+        waiter: WaiterId,
         avoid: &[EndpointStart],
         max_wait: Duration,
     ) -> Result<Self, NoPlacement> {
-        let ask = prompt_ask(gateway, request, key, avoid, max_wait);
+        let ask = prompt_ask(gateway, request, waiter, avoid, max_wait);
         let (placed, by) = gateway.place_prompt(&request.id, &ask).await;
         let plan = placed.map_err(|error| {
             let (reason, after) = (error.reason.name(), error.retry_after);
@@ -318,7 +318,7 @@
         &self,
         gateway: &Rc<Gateway>,
         request: &CallerRequest,
-        key: PromptKey,
+        waiter: WaiterId,
         best: &EndpointBeat,
         max_wait: Duration,
     ) -> Result<EndpointBeat, NoPlacement> {
@@ -338,11 +338,7 @@
             return Ok(open.clone());
         }
         let ask = PermitAsk {
-            waiter: PermitWaiter {
-                id: WaiterId { entry: key.entry, number: key.number },
-                rank: request.rank(),
-                patience: max_wait,
-            },
+            waiter: request.waiter(waiter, max_wait),
             service: request.service.name.clone(),
             endpoints,
             has_alternative: open.is_some(),
@@ -387,7 +383,7 @@
 fn prompt_ask(
     gateway: &Rc<Gateway>,
     request: &CallerRequest,
-    key: PromptKey,
+    waiter: WaiterId,
     avoid: &[EndpointStart],
     max_wait: Duration,
 ) -> PromptAsk {
@@ -395,7 +391,7 @@
     let max_answer = facts.max_answer_tokens.unwrap_or(DEFAULT_MAX_ANSWER_TOKENS);
     let spent = request.arrived.elapsed();
     PromptAsk {
-        key,
+        key: gateway.prompt_key(),
         service: request.service.name.clone(),
         prompt_tokens: facts.prompt_tokens.unwrap_or(0),
         answer_tokens: facts.expected_answer_tokens.unwrap_or(max_answer).min(max_answer).max(1),
@@ -408,6 +404,6 @@
         avoid: avoid.to_vec(),
         is_suspect: gateway.standing(|| request.digest()) != Standing::Clear
             || gateway.has_broken_run(|| request.digest()),
-        rank: request.rank(),
+        waiter: Some(request.waiter(waiter, max_wait)),
     }
 }
--- a/crates/gateway/src/front/tries.rs
+++ b/crates/gateway/src/front/tries.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use oriolepass_placement::PromptKey;
+use oriolepass_limits::WaiterId;
 use oriolepass_quarantine::Standing;
 use oriolepass_routing::RepeatRule;
 use oriolepass_units::EndpointStart;
@@ -94,7 +94,7 @@
     /// The time until which the request waits for an endpoint.
     endpoint_wait_until: Instant,
     /// Identifies the search for the next send's endpoint, until one is found.
-    search_key: Option<PromptKey>,
+    search: Option<WaiterId>,
     /// Whether the next send is a trial, which a quarantined request is granted after a long time.
     is_trial: bool,
 }
@@ -110,7 +110,7 @@
             last_event: request.facts.resume_after,
             failure: None,
             endpoint_wait_until: Instant::now() + wait,
-            search_key: None,
+            search: None,
             is_trial: false,
         }
     }
@@ -353,10 +353,10 @@
         self.wait_for_resend(gateway, request).await;
         self.check_quarantine(gateway, request).await?;
         let max_wait = self.endpoint_wait_until.saturating_duration_since(Instant::now());
-        let key = *self.search_key.get_or_insert_with(|| gateway.prompt_key());
-        let found = Placement::find(gateway, request, key, &self.avoid, max_wait).await;
+        let waiter = *self.search.get_or_insert_with(|| gateway.waiter_id());
+        let found = Placement::find(gateway, request, waiter, &self.avoid, max_wait).await;
         let mut placement = found.map_err(SendOutcome::NoPlacement)?;
-        self.search_key = None;
+        self.search = None;
         // The process may have been suspended since the first checks.
         let fails_closed = request.needs_proof && gateway.settings().bounds.fail_closed;
         if fails_closed && !gateway.is_fresh() {
--- a/crates/gateway/src/home.rs
+++ b/crates/gateway/src/home.rs
@@ -162,8 +162,8 @@
         ask: &PromptAsk,
         cell: Option<EngineCell>,
     ) -> Option<PlaceVerdict> {
-        let rank = TrailingField(ask.rank.clone());
-        let request = |token| PeerMessage::PlaceAsk { token, ask: ask.clone(), cell, rank };
+        let waiter = TrailingField(ask.waiter.clone());
+        let request = |token| PeerMessage::PlaceAsk { token, ask: ask.clone(), cell, waiter };
         let reply = self.call(home, max_wait, request).await;
         let Some(PeerReply::Placed(verdict)) = reply else { return None };
         if let Ok(plan) = &verdict {
--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -11,6 +11,7 @@
 
 use oriolepass_limits::{
     IssuerRole, LimitChange, LimitNotice, LimitTable, PermitAsk, PermitIssuer, PermitVerdict,
+    WaiterId,
 };
 use oriolepass_units::{EndpointStart, InstanceId, MonotonicTime};
 use tokio::time::{Instant, sleep};
@@ -187,6 +188,11 @@
         (understands && !notices.is_empty()).then_some(PeerMessage::Limits(notices))
     }
 
+    /// Returns the id of a new search for an endpoint.
+    pub(crate) fn waiter_id(&self) -> WaiterId {
+        WaiterId { entry: self.boot, number: self.next_number() }
+    }
+
     /// Asks for a permit to send a request to an endpoint with a limit.
     pub(crate) async fn ask_permit(&self, ask: &PermitAsk) -> PermitVerdict {
         if self.is_leader() {
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use oriolepass_consensus::Envelope;
-use oriolepass_limits::{LimitNotice, PermitAsk, PermitVerdict, RequestRank};
+use oriolepass_limits::{LimitNotice, PermitAsk, PermitVerdict, PermitWaiter};
 use oriolepass_placement::{EngineCell, PlacementRefusal, PromptAsk, PromptKey, PromptPlan};
 use oriolepass_quarantine::CaseUpdate;
 use oriolepass_routing::{
@@ -160,7 +160,7 @@
         token: u64,
         ask: PromptAsk,
         cell: Option<EngineCell>,
-        rank: TrailingField<RequestRank>,
+        waiter: TrailingField<Option<PermitWaiter>>,
     },
     /// The answer to `PlaceAsk`.
     PlaceAnswer { token: u64, verdict: PlaceVerdict },
--- a/crates/gateway/src/peers/message_tests.rs
+++ b/crates/gateway/src/peers/message_tests.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use oriolepass_limits::RequestRank;
+use oriolepass_limits::{PermitWaiter, RequestRank, WaiterId};
 use oriolepass_placement::{EngineCell, PromptAsk, PromptKey};
 use oriolepass_units::LeaderTerm;
 
@@ -48,7 +48,7 @@
     })
 }
 
-fn place_ask(rank: RequestRank) -> PeerMessage {
+fn place_ask(waiter: Option<PermitWaiter>) -> PeerMessage {
     PeerMessage::PlaceAsk {
         token: 8,
         ask: PromptAsk {
@@ -64,10 +64,19 @@
             patience: Duration::from_millis(66),
             avoid: vec!["i-1@7".parse().expect("a start")],
             is_suspect: false,
-            rank: RequestRank::default(),
+            waiter: None,
         },
         cell: Some(EngineCell { index: 1, count: 3 }),
-        rank: TrailingField(rank),
+        waiter: TrailingField(waiter),
+    }
+}
+
+fn waiter() -> PermitWaiter {
+    let account = Some("forro".parse().expect("an account"));
+    PermitWaiter {
+        id: WaiterId { entry: 4, number: 9 },
+        rank: RequestRank { priority: 2, account },
+        patience: Duration::from_millis(66),
     }
 }
 
@@ -75,7 +84,7 @@
 fn messages_of_the_version_before_are_read() {
     let read = |hex| postcard::from_bytes::<PeerMessage>(&bytes(hex)).expect("a message");
     assert_eq!(read(EARLIER_GREETING), greeting(ProtocolLevel::default()));
-    assert_eq!(read(EARLIER_PLACE_ASK), place_ask(RequestRank::default()));
+    assert_eq!(read(EARLIER_PLACE_ASK), place_ask(None));
 }
 
 /// The version before ignores what follows the last field that it knows.
@@ -85,16 +94,12 @@
         postcard::to_stdvec(message).expect("bytes").starts_with(&bytes(earlier))
     };
     assert!(is_extended(&greeting(ProtocolLevel::CURRENT), EARLIER_GREETING));
-    let account = Some("forro".parse().expect("an account"));
-    assert!(is_extended(&place_ask(RequestRank { priority: 2, account }), EARLIER_PLACE_ASK));
+    assert!(is_extended(&place_ask(Some(waiter())), EARLIER_PLACE_ASK));
 }
 
 #[test]
 fn added_fields_are_read_by_this_version() {
-    let account = Some("forro".parse().expect("an account"));
-    for message in
-        [greeting(ProtocolLevel::CURRENT), place_ask(RequestRank { priority: 2, account })]
-    {
+    for message in [greeting(ProtocolLevel::CURRENT), place_ask(Some(waiter()))] {
         let read = postcard::from_bytes(&postcard::to_stdvec(&message).expect("bytes"));
         assert_eq!(read, Ok(message));
     }
--- a/crates/placement/src/fleet.rs
+++ b/crates/placement/src/fleet.rs
@@ -7,7 +7,8 @@
 use std::time::Duration;
 
 use oriolepass_limits::{
-    IssuerRole, PermitBucket, PermitForecast, PermitQueue, PermitWaiter, QueueVerdict, WaiterId,
+    IssuerRole, PermitBucket, PermitForecast, PermitQueue, PermitWaiter, QueueVerdict, RequestRank,
+    WaiterId,
 };
 use oriolepass_routing::EngineProfile;
 use oriolepass_units::{EndpointStart, MonotonicTime, RequestRate, ServiceName};
@@ -562,11 +563,11 @@
         if limited == usable.len() {
             let buckets = usable.iter().filter_map(|e| self.engines.get(e)?.permits.as_ref());
             let forecast = PermitForecast::of(now, buckets);
-            let waiter = PermitWaiter {
+            let waiter = ask.waiter.clone().unwrap_or_else(|| PermitWaiter {
                 id: WaiterId { entry: ask.key.entry, number: ask.key.number },
-                rank: ask.rank.clone(),
+                rank: RequestRank::default(),
                 patience: ask.patience,
-            };
+            });
             let queue = self.permit_queues.entry(ask.service.clone()).or_default();
             match queue.ask(now, &waiter, &forecast) {
                 QueueVerdict::Take => {}
--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use oriolepass_limits::RequestRank;
+use oriolepass_limits::PermitWaiter;
 use oriolepass_units::{EndpointStart, ServiceName};
 use serde::{Deserialize, Serialize};
 
@@ -44,9 +44,10 @@
     /// Whether engines have ended while they served the prompt. Such a suspect is placed where the
     /// fewest other prompts run.
     pub is_suspect: bool,
-    /// Its place among prompts that wait for engines with limits. Messages carry it separately.
+    /// Its place among prompts that wait for engines with limits, if it may wait. Messages carry it
+    /// separately.
     #[serde(skip)]
-    pub rank: RequestRank,
+    pub waiter: Option<PermitWaiter>,
 }
 
 /// An engine that reads a part of a prompt.
--- a/crates/placement/tests/common/mod.rs
+++ b/crates/placement/tests/common/mod.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use oriolepass_limits::RequestRank;
 use oriolepass_placement::{EngineFacts, EngineFleet, PromptAsk, PromptKey};
 use oriolepass_routing::EngineProfile;
 use oriolepass_units::EndpointStart;
@@ -61,6 +60,6 @@
         patience: Duration::ZERO,
         avoid: Vec::new(),
         is_suspect: false,
-        rank: RequestRank::default(),
+        waiter: None,
     }
 }
--- a/crates/placement/tests/limited_engines.rs
+++ b/crates/placement/tests/limited_engines.rs
@@ -9,7 +9,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use oriolepass_limits::RequestRank;
+use oriolepass_limits::{PermitWaiter, RequestRank, WaiterId};
 use oriolepass_placement::{
     EngineCell, EngineFacts, EngineFleet, EngineScope, PromptAsk, PromptKey, RefusalReason,
 };
@@ -51,8 +51,12 @@
 }
 
 fn ranked(number: u64, priority: u8) -> PromptAsk {
-    let rank = RequestRank { priority, account: None };
-    PromptAsk { rank, ..ask(number, 1_000, 1_000) }
+    let waiter = PermitWaiter {
+        id: WaiterId { entry: 1, number },
+        rank: RequestRank { priority, account: None },
+        patience: Duration::from_millis(1_000),
+    };
+    PromptAsk { waiter: Some(waiter), ..ask(number, 1_000, 1_000) }
 }
 
 /// Returns the largest number of times within any span of four seconds.
