The rests that endpoints ask instances for are kept

Cause: no instance read the wish. A turn-away counted as a full endpoint, which lowered its rank at all instances for some seconds and excluded it from one request.

Change: each instance keeps the rests that it was asked for and checks them where it chooses an endpoint, before it sends and once a connection is open. Each prompt carries the excluded engines to the daemon that places it, as a trailing field. Tunnels: the instance in between is told, and refuses further tunnels to the endpoint. Calls to a resting endpoint's interface are limited to two, and memory held there is renewed once for the whole rest. A rest is no fault, for this instance or for others. While all endpoints of a service rest, requests wait if that still serves them in time, and return one after the other; the others are refused at once, with times at which they come back in turn.

--- a/crates/cli/src/commands/explain.rs
+++ b/crates/cli/src/commands/explain.rs
@@ -13,7 +13,7 @@
 const ENDPOINT_EVENTS_LEAD_S: f64 = 3.0;
 
 /// Events that change the state of a gateway or its view of the system.
-const STATE_EVENTS: [&str; 17] = [
+const STATE_EVENTS: [&str; 18] = [
     "start",
     "draining",
     "stop",
@@ -30,6 +30,7 @@
     "in-force",
     "freshness",
     "endpoint",
+    "rest",
     "quarantine",
 ];
 
@@ -45,7 +46,8 @@
     texts.join("  ")
 }
 
-/// Prints the events of a request in order of time, with the events of the endpoints that it used.
+/// Prints the events of a request in order of time, with the events of the endpoints that it used and
+/// the rests that were in force at its instances.
 pub(super) fn explain(request: &str, logs: &[PathBuf], json: bool) -> Result<()> {
     let lines = read_logs(logs)?;
     // A digest identifies a request across its attempts, or a part across the prompts that share
@@ -60,8 +62,17 @@
     let endpoints: BTreeSet<&str> =
         own.iter().map(|line| line.text("endpoint")).filter(|text| !text.is_empty()).collect();
     let (from, until) = (first.time - ENDPOINT_EVENTS_LEAD_S, last.time);
+    let instances: BTreeSet<&str> = own.iter().map(|line| line.text("instance")).collect();
+    let is_rest_in_force = |line: &LogLine| {
+        let rest_end = line.time + line.number("rest_ms").unwrap_or_default() / 1_000.0;
+        line.text("event") == "rest"
+            && instances.contains(line.text("instance"))
+            && line.time <= until
+            && rest_end >= first.time
+    };
     let is_shown = |line: &&LogLine| {
         is_own(line)
+            || is_rest_in_force(line)
             || ((from..=until).contains(&line.time)
                 && endpoints.contains(line.text("endpoint"))
                 && ["endpoint", "endpoint-fault", "endpoint-end"].contains(&line.text("event")))
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -78,3 +78,13 @@
     assert_eq!(report.lines().count(), 3, "{report}");
     assert!(report.contains("prompt refused") && !report.contains("whole"), "{report}");
 }
+
+/// Guards against a refusal that cannot be explained because the rests that caused it began long before.
+#[test]
+fn explain_of_a_refused_request_lists_the_rests_in_force_at_its_instance() {
+    let report = expect_success(&["explain", "refused-1", "rests.log"]);
+    let events: Vec<&str> =
+        report.lines().filter_map(|line| line.split_whitespace().nth(2)).collect();
+    assert_eq!(events, ["rest", "rest", "no-place", "end"], "{report}");
+    assert!(report.contains("endpoint=i-a") && report.contains("endpoint=i-b"), "{report}");
+}
--- a/crates/experiment/src/fleet_run.rs
+++ b/crates/experiment/src/fleet_run.rs
@@ -263,6 +263,7 @@
             deadline: millis(class.deadline_ms - (attempt.at_ms - prompt.at_ms)),
             patience: millis((attempt.wait_ends_ms - attempt.at_ms).max(0.0)),
             avoid: Vec::new(),
+            resting: Vec::new(),
             is_suspect: false,
             waiter: None,
         };
--- a/crates/gateway/src/announce.rs
+++ b/crates/gateway/src/announce.rs
@@ -234,6 +234,7 @@
             round += 1;
             self.expire_endpoints(now);
             self.report_delayed_limits();
+            self.expire_rests();
         }
     }
 
--- a/crates/gateway/src/cluster.rs
+++ b/crates/gateway/src/cluster.rs
@@ -477,8 +477,8 @@
                 gateway.answer_call(token, PeerReply::Permit(verdict));
             }
             PeerMessage::PermitUsed(endpoint) => gateway.on_permit_used(&endpoint),
-            PeerMessage::PlaceAsk { token, ask, cell, waiter } => {
-                let ask = PromptAsk { waiter: waiter.0, ..ask };
+            PeerMessage::PlaceAsk { token, ask, cell, waiter, resting } => {
+                let ask = PromptAsk { waiter: waiter.0, resting: resting.0, ..ask };
                 gateway.on_place_ask(from, token, &ask, cell);
             }
             PeerMessage::PlaceAnswer { token, verdict } => {
--- a/crates/gateway/src/dial.rs
+++ b/crates/gateway/src/dial.rs
@@ -28,6 +28,10 @@
 /// data centres.
 const TUNNEL_DELAY: Duration = Duration::from_millis(80);
 
+/// How long an endpoint that is reached only through instances that it asked for rest gets no requests of
+/// this one.
+const RELAYS_REST: Duration = Duration::from_millis(500);
+
 /// The interval at which lost paths are checked.
 const CHECK_PAUSE: Duration = Duration::from_millis(250);
 
@@ -54,14 +58,31 @@
     }
 }
 
+/// The way in which a connection attempt failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum FailureKind {
+    /// The connection was refused: the machine answers, but no process listens on the port.
+    Refused,
+    /// No connection was made in time.
+    Unreachable,
+    /// The endpoint is reached only through instances that it asked for rest.
+    Resting,
+}
+
 /// The reason that no connection was made.
 #[derive(Debug)]
 pub(crate) struct ConnectFailure {
-    /// Whether the connection was refused: the machine answers, but no process listens on the port.
-    pub(crate) is_refusal: bool,
+    pub(crate) kind: FailureKind,
     pub(crate) reason: String,
 }
 
+impl ConnectFailure {
+    /// Returns whether no process listens on the port.
+    pub(crate) fn is_refusal(&self) -> bool {
+        self.kind == FailureKind::Refused
+    }
+}
+
 /// How a connection is made.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct DialPlan {
@@ -88,6 +109,7 @@
     match open_tunnel(gateway, target, plan.life).await {
         Ok(tunnel) => Ok(EndpointConnection::tunnel(tunnel, opened)),
         Err(TunnelFailure::Refused) => Err(refused()),
+        Err(TunnelFailure::Resting) => Err(resting(gateway, target)),
         Err(TunnelFailure::Unreachable | TunnelFailure::NoPeer) => {
             connect_directly(gateway, target).await
         }
@@ -126,19 +148,30 @@
             Ok(EndpointConnection::tunnel(tunnel, began))
         }
         (Err(TunnelFailure::Refused), _) => Err(refused()),
+        (Err(TunnelFailure::Resting), Some(_)) => Err(resting(gateway, target)),
         (Err(TunnelFailure::NoPeer), Some(failure)) => Err(failure),
         // The instances that were asked may be cut off, so nobody can tell whether a process listens.
         (Err(TunnelFailure::Unreachable), Some(failure)) => {
             let is_refusal =
-                failure.is_refusal && gateway.reaches_another_endpoint(&target.endpoint).await;
-            Err(ConnectFailure { is_refusal, ..failure })
+                failure.is_refusal() && gateway.reaches_another_endpoint(&target.endpoint).await;
+            let kind = if is_refusal { FailureKind::Refused } else { FailureKind::Unreachable };
+            Err(ConnectFailure { kind, ..failure })
         }
         (Err(_), None) => direct.await,
     }
 }
 
 fn refused() -> ConnectFailure {
-    ConnectFailure { is_refusal: true, reason: "refused by way of another instance".to_owned() }
+    let reason = "refused by way of another instance".to_owned();
+    ConnectFailure { kind: FailureKind::Refused, reason }
+}
+
+/// Records that an endpoint is reached only through instances that it asked for rest, so that requests go
+/// elsewhere for a while.
+fn resting(gateway: &Gateway, target: &EndpointTarget) -> ConnectFailure {
+    gateway.record_relayed_rest(&target.endpoint, RELAYS_REST);
+    let reason = "the instances that reach the endpoint were asked for rest".to_owned();
+    ConnectFailure { kind: FailureKind::Resting, reason }
 }
 
 async fn connect_directly(
@@ -155,13 +188,14 @@
                 return Ok(EndpointConnection { stream, way, relay: None, opened });
             }
             Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
-                return Err(ConnectFailure { is_refusal: true, reason: error.to_string() });
+                let reason = error.to_string();
+                return Err(ConnectFailure { kind: FailureKind::Refused, reason });
             }
             Ok(Err(error)) => reason = error.to_string(),
             Err(_) => "no connection in time".clone_into(&mut reason),
         }
     }
-    Err(ConnectFailure { is_refusal: false, reason })
+    Err(ConnectFailure { kind: FailureKind::Unreachable, reason })
 }
 
 impl Gateway {
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -72,6 +72,19 @@
     Unreadable,
 }
 
+/// What an endpoint's answer states about a rest: a time in which the endpoint wants no requests from
+/// this instance.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum RestStatement {
+    /// The answer asks for no rest.
+    #[default]
+    None,
+    /// The answer asks for a rest of this length.
+    For(Duration),
+    /// The answer asks for a rest whose length cannot be read.
+    Unreadable,
+}
+
 /// The fields that an endpoint's answer carries.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct AnswerFacts {
@@ -85,6 +98,8 @@
     pub culprit: Option<SocketAddr>,
     /// What the answer states about the endpoint's limit.
     pub limit: LimitStatement,
+    /// What the answer states about a rest, if its status turns the request away.
+    pub rest: RestStatement,
 }
 
 /// An endpoint's answer to a reservation of memory.
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -85,6 +85,8 @@
     EndpointFault = "endpoint-fault";
     /// An endpoint named a limit on its request rate, changed it or lifted it; `limit_per_s` is the rate that it takes from all instances together.
     Limit = "limit";
+    /// An endpoint asked this instance for rest, for `rest_ms` from now; `outcome` says whether the rest began, was made longer, or ends no later than before.
+    Rest = "rest";
     /// An endpoint that others reach is not reached by this instance itself, or is again; `cut off` means that it reaches none, `reconnected` that it does again.
     EndpointPath = "endpoint-path";
     /// A request goes to its endpoint by way of another instance.
--- a/crates/gateway/src/front/ends.rs
+++ b/crates/gateway/src/front/ends.rs
@@ -277,7 +277,7 @@
         let plan = gateway.dial_plan(endpoint, SHORT_LIFE, false);
         let stream = match timeout(PROBE_TIMEOUT, dial(gateway, target, plan)).await {
             Ok(Ok(connection)) => connection.stream,
-            Ok(Err(failure)) if failure.is_refusal => return Some(ProbeResult::Ended),
+            Ok(Err(failure)) if failure.is_refusal() => return Some(ProbeResult::Ended),
             Ok(Err(_)) | Err(_) => return Some(ProbeResult::Unknown),
         };
         gateway.set_probe_progress(endpoint, ProbeProgress::Accepted);
--- a/crates/gateway/src/front/helpers.rs
+++ b/crates/gateway/src/front/helpers.rs
@@ -24,6 +24,9 @@
 /// if it does not answer.
 pub(super) fn check_helper(gateway: &Rc<Gateway>, request: &str, engine: EndpointTarget) {
     let helper = engine.endpoint.clone();
+    if gateway.is_resting(&helper) {
+        return;
+    }
     if !gateway.helper_checks.borrow_mut().0.insert(helper.clone()) {
         return;
     }
--- a/crates/gateway/src/front/placement.rs
+++ b/crates/gateway/src/front/placement.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use oriolepass_limits::{PermitAsk, PermitVerdict, WaiterId};
+use oriolepass_limits::{PermitAsk, PermitVerdict, QueueVerdict, WaiterId};
 use oriolepass_placement::{PromptAsk, PromptKey, PromptPlan, RefusalReason};
 use oriolepass_quarantine::Standing;
 use oriolepass_units::{EndpointStart, InstanceId, MonotonicTime};
@@ -32,6 +32,13 @@
 /// The reason for refusing a request if no endpoint of its service accepts requests.
 const NO_ENDPOINT: &str = "no endpoint takes work";
 
+/// The reason for refusing a request if all endpoints of its service asked this daemon for rest.
+const ALL_REST: &str = "all endpoints rest";
+
+/// The part of the objective within which a rest has to end for a request to wait for it. The rest is
+/// for the request itself.
+const REST_WAIT_SHARE: f64 = 0.5;
+
 /// The reason why no endpoint was selected for a send.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum NoPlacement {
@@ -43,6 +50,9 @@
     Refused(&'static str, Duration),
     /// Engine memory could not be reserved.
     NoMemory,
+    /// All endpoints that accept requests rest, or their rests have just ended, and the request asks
+    /// again after this time.
+    Resting(Duration),
     /// All endpoints that accept requests are at the limits that they name. Holds the reason and the
     /// time after which the request may ask again.
     AtLimit(&'static str, Duration),
@@ -55,6 +65,7 @@
             Self::NoEndpoint(reason, after)
             | Self::Refused(reason, after)
             | Self::AtLimit(reason, after) => (reason, after),
+            Self::Resting(after) => (ALL_REST, after),
             Self::NoMemory => ("no engine memory", SHORT_RETRY_AFTER),
         }
     }
@@ -85,10 +96,15 @@
         self.0.get().map(|connection| (connection.way, connection.opened))
     }
 
+    /// Returns the instance that passes the bytes on, if the connection is a tunnel.
+    pub(super) fn relay(&self) -> Option<&InstanceId> {
+        self.0.get()?.relay.as_ref()
+    }
+
     /// Returns whether the end of the connection came from the endpoint: it was direct, or the
     /// instance that passed its bytes on is still alive.
     pub(super) async fn is_relay_alive(&self, gateway: &Gateway, target: &EndpointTarget) -> bool {
-        match self.0.get().and_then(|connection| connection.relay.as_ref()) {
+        match self.relay() {
             Some(relay) => is_relay_alive(gateway, relay, target).await,
             None => true,
         }
@@ -152,6 +168,7 @@
         max_wait: Duration,
     ) -> Result<Self, NoPlacement> {
         let began = Instant::now();
+        wait_for_rests(gateway, request, waiter, max_wait)?;
         let found = if request.service.engine.is_some() {
             Self::find_engine(gateway, request, waiter, avoid, max_wait).await
         } else {
@@ -322,11 +339,12 @@
 struct PlainCandidates(Vec<EndpointBeat>);
 
 impl PlainCandidates {
-    /// Returns the candidates: warm endpoints are preferred to cold ones, and both to those that
-    /// `avoid` lists.
+    /// Returns the candidates, which do not rest: warm endpoints are preferred to cold ones, and both
+    /// to those that `avoid` lists.
     fn of(gateway: &Gateway, request: &CallerRequest, avoid: &[EndpointStart]) -> Self {
         let registry = gateway.endpoints.borrow();
-        let all: Vec<_> = registry.serving(&request.service.name).collect();
+        let is_awake = |beat: &&EndpointBeat| !gateway.is_resting(&beat.endpoint);
+        let all: Vec<_> = registry.serving(&request.service.name).filter(is_awake).collect();
         let (now, cold_start) = (gateway.now(), request.service.cold_start);
         let is_cold = |beat: &EndpointBeat| {
             cold_start.is_some_and(|cold| registry.is_cold(now, &beat.endpoint, cold.span))
@@ -391,6 +409,24 @@
     }
 }
 
+/// Checks that an endpoint of the request's service does not rest, and that it is the request's turn if all
+/// of them rested until now.
+fn wait_for_rests(
+    gateway: &Gateway,
+    request: &CallerRequest,
+    waiter: WaiterId,
+    max_wait: Duration,
+) -> Result<(), NoPlacement> {
+    let in_time = request.route.objective.mul_f64(REST_WAIT_SHARE);
+    let patience = in_time.saturating_sub(request.arrived.elapsed()).max(max_wait);
+    let waiter = request.waiter(waiter, patience.min(request.time_left()));
+    match gateway.ask_to_return(&request.service.name, &waiter) {
+        QueueVerdict::Take => Ok(()),
+        QueueVerdict::Wait(after) => Err(NoPlacement::Resting(after)),
+        QueueVerdict::Refuse(after) => Err(NoPlacement::Refused(ALL_REST, after)),
+    }
+}
+
 /// Returns the endpoints for which `is_preferred` holds, or all endpoints if it holds for none.
 fn preferred_or_all(
     all: Vec<&EndpointBeat>,
@@ -437,6 +473,7 @@
         deadline: request.time_left(),
         patience: max_wait,
         avoid: avoid.to_vec(),
+        resting: gateway.resting_endpoints(&request.service.name),
         is_suspect: gateway.standing(|| request.digest()) != Standing::Clear
             || gateway.prompt_standing(|| request.parts()).0 != Standing::Clear
             || gateway.has_broken_run(|| request.digest()),
--- a/crates/gateway/src/front/presence.rs
+++ b/crates/gateway/src/front/presence.rs
@@ -11,7 +11,7 @@
 
 use tokio::time::sleep;
 
-use crate::dial::{SHORT_LIFE, dial};
+use crate::dial::{FailureKind, SHORT_LIFE, dial};
 use crate::events::EventKind;
 use crate::gateway::Gateway;
 use crate::upstream::EndpointTarget;
@@ -72,7 +72,9 @@
         let has_left = silence.is_none();
         let plan = gateway.dial_plan(endpoint, SHORT_LIFE, false);
         match dial(gateway, target, plan).await {
-            Err(failure) if !(failure.is_refusal && has_left) => {
+            Err(failure)
+                if failure.kind != FailureKind::Resting && !(failure.is_refusal() && has_left) =>
+            {
                 return format!(
                     "no heartbeats, and the probe connection failed: {}",
                     failure.reason
--- a/crates/gateway/src/front/reserve.rs
+++ b/crates/gateway/src/front/reserve.rs
@@ -13,6 +13,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use oriolepass_units::MonotonicTime;
 use tokio::task::{AbortHandle, JoinSet, spawn_local};
 use tokio::time::{Instant, sleep};
 
@@ -42,6 +43,23 @@
     engine: EndpointTarget,
     id: String,
     tokens: u64,
+    /// The end of the reservation, unless it is renewed.
+    held_until: Rc<Cell<MonotonicTime>>,
+}
+
+impl HeldPart {
+    /// Returns whether the engine rests and the reservation outlasts the rest.
+    fn outlasts_rest(&self, gateway: &Gateway) -> bool {
+        let rest_end = gateway.rest_until(&self.engine.endpoint);
+        rest_end.is_some_and(|rest_end| rest_end <= self.held_until.get())
+    }
+
+    /// Returns how long the memory is to be held: for `ttl`, counted from the end of the engine's rest.
+    fn hold_time(&self, gateway: &Gateway, ttl: Duration) -> Duration {
+        let now = gateway.now();
+        let rest_end = gateway.rest_until(&self.engine.endpoint).unwrap_or(now);
+        (ttl + rest_end.since(now)).min(gateway.settings().bounds.reservation_max)
+    }
 }
 
 /// Memory reserved on several engines. All of it is released on drop.
@@ -69,6 +87,7 @@
                 engine: engine.clone(),
                 id: format!("op-{:x}-{}", gateway.boot, gateway.next_number()),
                 tokens: *tokens,
+                held_until: Rc::default(),
             })
             .collect();
         // From here on, dropping `held` releases every part that was reserved.
@@ -123,34 +142,46 @@
     // dropped before that.
     let previous = unanswered.replace(Some(Instant::now()));
     let read = gateway.dialect.read_reservation;
-    let reserve = |part: &HeldPart| (gateway.dialect.reserve)(&part.id, part.tokens, ttl);
-    let answers = call_all(gateway, parts, reserve).await;
+    let is_held =
+        |status: &Option<u16>| status.is_some_and(|status| read(status) == ReservationAnswer::Held);
+    // An engine that rests gets one renewal for the whole of its rest.
+    let due: Vec<&HeldPart> = parts.iter().filter(|part| !part.outlasts_rest(gateway)).collect();
+    let asked_at = gateway.now();
+    let reserve = |part: &HeldPart| {
+        (gateway.dialect.reserve)(&part.id, part.tokens, part.hold_time(gateway, ttl))
+    };
+    let answers = call_all(gateway, &due, reserve).await;
     if answers.iter().all(Option::is_some) {
         unanswered.set(previous);
     }
-    let is_held =
-        |status: &Option<u16>| status.is_some_and(|status| read(status) == ReservationAnswer::Held);
+    for (part, _) in due.iter().zip(&answers).filter(|(_, status)| is_held(status)) {
+        part.held_until.set(asked_at + part.hold_time(gateway, ttl));
+    }
     answers.iter().all(is_held)
 }
 
 /// Releases all parts. Returns the number of engines that did not answer.
 async fn release_all(gateway: &Rc<Gateway>, parts: &[HeldPart]) -> usize {
     let release = |part: &HeldPart| (gateway.dialect.release)(&part.id);
-    call_all(gateway, parts, release).await.iter().filter(|status| status.is_none()).count()
+    let parts: Vec<&HeldPart> = parts.iter().collect();
+    call_all(gateway, &parts, release).await.iter().filter(|status| status.is_none()).count()
 }
 
-/// Calls the engines of all parts at the same time. Returns the status of each answer.
+/// Calls the engines of all parts at the same time. Returns the status of each answer, in the order of
+/// the parts.
 async fn call_all(
     gateway: &Rc<Gateway>,
-    parts: &[HeldPart],
+    parts: &[&HeldPart],
     call_for: impl Fn(&HeldPart) -> EndpointCall,
 ) -> Vec<Option<u16>> {
     let mut calls = JoinSet::new();
-    for part in parts {
+    for (number, part) in parts.iter().enumerate() {
         let (gateway, engine, call) = (Rc::clone(gateway), part.engine.clone(), call_for(part));
-        calls.spawn_local(async move { upstream::call(&gateway, &engine, call).await });
+        calls.spawn_local(async move { (number, upstream::call(&gateway, &engine, call).await) });
     }
-    calls.join_all().await
+    let mut answers = calls.join_all().await;
+    answers.sort_by_key(|(number, _)| *number);
+    answers.into_iter().map(|(_, status)| status).collect()
 }
 
 impl Drop for Reservations {
--- a/crates/gateway/src/front/sends.rs
+++ b/crates/gateway/src/front/sends.rs
@@ -97,14 +97,18 @@
     };
     let target = placement.target();
     let plan = gateway.dial_plan(&target.endpoint, request.time_left(), placement.may_fail);
-    let on_connected = |connection: &EndpointConnection| {
+    let may_send = |connection: &EndpointConnection| {
+        if !gateway.may_send_to(&target.endpoint) {
+            return false;
+        }
         placement.connection.record(connection);
         if connection.way == EndpointWay::Tunnel {
             let line = gateway.line(EventKind::Tunnel).text("request", &request.id);
             line.text("endpoint", &target.endpoint);
         }
+        true
     };
-    match upstream::send(gateway, &target, plan, message, on_connected).await {
+    match upstream::send(gateway, &target, plan, message, may_send).await {
         Ok(upstream) => read_answer(gateway, request, placement, upstream, last_event).await,
         Err(SendFailure::NotSent(reason)) => {
             gateway.metrics.sends.with_label_values(&["not sent"]).inc();
@@ -112,6 +116,11 @@
             endpoint_failed(gateway, request, &endpoint, FaultKind::Unreachable);
             SendOutcome::NotDelivered { reason, endpoint: Some(endpoint) }
         }
+        Err(SendFailure::Withheld) => {
+            gateway.metrics.sends.with_label_values(&["withheld"]).inc();
+            let reason = "the endpoint rests or leaves".to_owned();
+            SendOutcome::NotDelivered { reason, endpoint: Some(placement.endpoint.clone()) }
+        }
         Err(SendFailure::Unknown(reason)) => {
             handle_broken(gateway, request, &placement, reason).await
         }
@@ -152,11 +161,20 @@
 ) -> SendOutcome {
     let status = upstream.response.status();
     let facts = (gateway.dialect.read_answer)(upstream.response.headers());
+    let is_resting = gateway.record_wish(Some(&request.id), &placement.endpoint, status, &facts);
+    if let Some(relay) = placement.connection.relay().filter(|_| is_resting) {
+        gateway.report_rest(relay.clone(), placement.target());
+    }
     if facts.was_not_run || status == StatusCode::MISDIRECTED_REQUEST {
         return handle_not_run(gateway, request, &placement, status, &facts);
     }
     let is_for_request = facts.request_id.as_deref() == Some(request.id.as_str());
     if !is_for_request || !facts.is_signed {
+        if status == StatusCode::SERVICE_UNAVAILABLE && is_resting {
+            gateway.metrics.sends.with_label_values(&["turned away"]).inc();
+            let reason = format!("status {status} without proof that the request was not run");
+            return SendOutcome::MayHaveRun { reason, endpoint: placement.endpoint.clone() };
+        }
         let reason = format!("status {status} without proof that it answers this request");
         return answer_lost(gateway, request, &placement, reason);
     }
@@ -177,7 +195,7 @@
                 return answer_lost(gateway, request, &placement, reason);
             }
             gateway.metrics.sends.with_label_values(&["answered"]).inc();
-            if status.is_server_error() {
+            if status.is_server_error() && !is_resting {
                 let endpoint = &placement.endpoint;
                 gateway.endpoint_fault(&request.id, endpoint, FaultKind::Failure);
             }
@@ -276,7 +294,7 @@
     let endpoint = culprit.map_or_else(|| placement.endpoint.clone(), |culprit| culprit.endpoint);
     if status == StatusCode::MISDIRECTED_REQUEST && endpoint == placement.endpoint {
         gateway.endpoint_displaced(&endpoint);
-    } else {
+    } else if gateway.may_send_to(&endpoint) {
         endpoint_failed(gateway, request, &endpoint, FaultKind::Full);
     }
     SendOutcome::NotRun { reason: format!("status {status}: not run"), endpoint: Some(endpoint) }
--- a/crates/gateway/src/front/tries.rs
+++ b/crates/gateway/src/front/tries.rs
@@ -318,12 +318,16 @@
     ) -> Option<RequestOutcome> {
         let delay = match error {
             NoPlacement::Refused(..) => None,
-            NoPlacement::AtLimit(_, after) => Some(after.max(MIN_PERMIT_DELAY)),
+            NoPlacement::AtLimit(_, after) | NoPlacement::Resting(after) => {
+                Some(after.max(MIN_PERMIT_DELAY))
+            }
             NoPlacement::NoEndpoint(..) | NoPlacement::NoMemory => Some(ENDPOINT_RETRY_DELAY),
         };
         // A permit that is expected too late is not waited for.
         let is_in_time = |delay: &Duration| match error {
             NoPlacement::AtLimit(..) => Instant::now() + *delay <= self.endpoint_wait_until,
+            // The request was told to wait because its turn comes in time.
+            NoPlacement::Resting(_) => true,
             _ => Instant::now() < self.endpoint_wait_until,
         };
         if let Some(delay) = delay.filter(is_in_time) {
@@ -365,6 +369,13 @@
         if fails_closed && !gateway.is_fresh() {
             return Err(SendOutcome::Blocked("document not proved current", ELECTION_RETRY_AFTER));
         }
+        if let Some(until) = gateway.rest_until(&placement.endpoint) {
+            let after = until.since(gateway.now());
+            let error = NoPlacement::NoEndpoint("the endpoint rests", after);
+            // A home of an earlier version does not know of rests.
+            self.avoid.push(placement.endpoint.clone());
+            return Err(SendOutcome::NoPlacement(error));
+        }
         if gateway.endpoints.borrow().takes_work(&placement.endpoint).is_none() {
             return Err(SendOutcome::Leaving(placement.endpoint.clone()));
         }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -36,6 +36,7 @@
 };
 use crate::quarantine::QuarantineState;
 use crate::replica::ReplicaDriver;
+use crate::rests::RestState;
 use crate::roster::{DaemonNote, DaemonRoster};
 
 /// Another daemon's answer to a call.
@@ -87,6 +88,7 @@
     pub(crate) balancer: RefCell<EndpointBalancer>,
     pub(crate) budget: RefCell<RetryBudget>,
     pub(crate) limits: RefCell<LimitState>,
+    pub(crate) rests: RefCell<RestState>,
     /// The paths from this daemon to endpoints.
     pub(crate) paths: RefCell<EndpointPaths>,
     /// When each daemon last failed to open a tunnel for this one.
@@ -159,6 +161,7 @@
             balancer: RefCell::default(),
             budget: RefCell::default(),
             limits: RefCell::default(),
+            rests: RefCell::default(),
             paths: RefCell::default(),
             tunnel_failures: RefCell::default(),
             open_tunnels: Cell::new(0),
--- a/crates/gateway/src/home.rs
+++ b/crates/gateway/src/home.rs
@@ -163,7 +163,9 @@
         cell: Option<EngineCell>,
     ) -> Option<PlaceVerdict> {
         let waiter = TrailingField(ask.waiter.clone());
-        let request = |token| PeerMessage::PlaceAsk { token, ask: ask.clone(), cell, waiter };
+        let resting = TrailingField(ask.resting.clone());
+        let request =
+            |token| PeerMessage::PlaceAsk { token, ask: ask.clone(), cell, waiter, resting };
         let reply = self.call(home, max_wait, request).await;
         let Some(PeerReply::Placed(verdict)) = reply else { return None };
         if let Ok(plan) = &verdict {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -75,6 +75,7 @@
 mod quarantine_disk_tests;
 mod replica;
 mod replication;
+mod rests;
 mod roster;
 #[cfg(test)]
 mod roster_tests;
@@ -91,7 +92,7 @@
 pub use calls::{WholeAnswer, WholeCall, answer, serve_calls};
 pub use dialect::{
     AnswerFacts, EndpointCall, HelperAddress, LimitStatement, RequestFacts, ReservationAnswer,
-    SendFacts, WireDialect,
+    RestStatement, SendFacts, WireDialect,
 };
 pub use directory::AddressAnswer;
 pub use documents::{PutError, ReadError};
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -61,6 +61,10 @@
     pub(crate) endpoints: IntGauge,
     /// Endpoints that name a limit on their request rate.
     pub(crate) limited_endpoints: IntGauge,
+    /// Endpoints that asked this daemon for a rest that has not ended.
+    pub(crate) resting_endpoints: IntGauge,
+    /// Answers in which endpoints asked this daemon for rest, by outcome.
+    pub(crate) rests: IntCounterVec,
     /// Whether this daemon reaches no endpoint by itself.
     pub(crate) is_cut_off: IntGauge,
     /// Tunnels to endpoints that this daemon asked others for, by outcome.
@@ -159,6 +163,15 @@
                 "oriolepass_limited_endpoints",
                 "Endpoints that name a limit on their request rate",
             ),
+            resting_endpoints: gauge(
+                "oriolepass_resting_endpoints",
+                "Endpoints that asked this daemon for a rest that has not ended",
+            ),
+            rests: counters(
+                "oriolepass_rests_total",
+                "Answers in which endpoints asked this daemon for rest",
+                "outcome",
+            ),
             is_cut_off: gauge("oriolepass_is_cut_off", "Whether no endpoint is reached directly"),
             tunnels: counters(
                 "oriolepass_tunnels_total",
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -161,6 +161,8 @@
         ask: PromptAsk,
         cell: Option<EngineCell>,
         waiter: TrailingField<Option<PermitWaiter>>,
+        /// Engines that asked the sender for rest, on which the prompt must not be placed.
+        resting: TrailingField<Vec<EndpointStart>>,
     },
     /// The answer to `PlaceAsk`.
     PlaceAnswer { token: u64, verdict: PlaceVerdict },
--- a/crates/gateway/src/peers/message_tests.rs
+++ b/crates/gateway/src/peers/message_tests.rs
@@ -48,7 +48,7 @@
     })
 }
 
-fn place_ask(waiter: Option<PermitWaiter>) -> PeerMessage {
+fn place_ask(waiter: Option<PermitWaiter>, resting: &[&str]) -> PeerMessage {
     PeerMessage::PlaceAsk {
         token: 8,
         ask: PromptAsk {
@@ -63,11 +63,13 @@
             deadline: Duration::from_secs(9),
             patience: Duration::from_millis(66),
             avoid: vec!["i-1@7".parse().expect("a start")],
+            resting: Vec::new(),
             is_suspect: false,
             waiter: None,
         },
         cell: Some(EngineCell { index: 1, count: 3 }),
         waiter: TrailingField(waiter),
+        resting: TrailingField(resting.iter().map(|name| name.parse().expect("a start")).collect()),
     }
 }
 
@@ -84,7 +86,7 @@
 fn messages_of_the_version_before_are_read() {
     let read = |hex| postcard::from_bytes::<PeerMessage>(&bytes(hex)).expect("a message");
     assert_eq!(read(EARLIER_GREETING), greeting(ProtocolLevel::default()));
-    assert_eq!(read(EARLIER_PLACE_ASK), place_ask(None));
+    assert_eq!(read(EARLIER_PLACE_ASK), place_ask(None, &[]));
 }
 
 /// The version before ignores what follows the last field that it knows.
@@ -94,13 +96,25 @@
         postcard::to_stdvec(message).expect("bytes").starts_with(&bytes(earlier))
     };
     assert!(is_extended(&greeting(ProtocolLevel::CURRENT), EARLIER_GREETING));
-    assert!(is_extended(&place_ask(Some(waiter())), EARLIER_PLACE_ASK));
+    assert!(is_extended(&place_ask(Some(waiter()), &["i-2@3", "i-4@9"]), EARLIER_PLACE_ASK));
 }
 
 #[test]
 fn added_fields_are_read_by_this_version() {
-    for message in [greeting(ProtocolLevel::CURRENT), place_ask(Some(waiter()))] {
+    for message in
+        [greeting(ProtocolLevel::CURRENT), place_ask(Some(waiter()), &["i-2@3", "i-4@9"])]
+    {
         let read = postcard::from_bytes(&postcard::to_stdvec(&message).expect("bytes"));
         assert_eq!(read, Ok(message));
     }
 }
+
+/// Guards against prompts of the version before that are not placed because they lack the engines that rest.
+#[test]
+fn a_placement_asked_for_by_the_version_before_excludes_no_engine() {
+    let asked = place_ask(Some(waiter()), &[]);
+    let bytes = postcard::to_stdvec(&asked).expect("bytes");
+    // The list of engines is the last field, and its length is one byte.
+    let earlier = &bytes[..bytes.len() - 1];
+    assert_eq!(postcard::from_bytes(earlier), Ok(asked));
+}
--- a/crates/gateway/src/tunnel.rs
+++ b/crates/gateway/src/tunnel.rs
@@ -28,7 +28,7 @@
 use crate::hubs::Tier;
 use crate::net;
 use crate::paths::EndpointWay;
-use crate::peers::{ProtocolLevel, encode_frame};
+use crate::peers::{ProtocolLevel, TrailingField, encode_frame};
 use crate::roster::DaemonPhase;
 use crate::upstream::EndpointTarget;
 
@@ -65,6 +65,16 @@
     address: SocketAddr,
     /// How long the tunnel is needed at most.
     life: Duration,
+    /// How long the endpoint rests, according to its answer to a request that the receiver passed on. No
+    /// tunnel is needed then.
+    rest: TrailingField<Option<Duration>>,
+}
+
+impl TunnelOpen {
+    fn new(target: &EndpointTarget, life: Duration) -> Self {
+        let EndpointTarget { endpoint, address } = target.clone();
+        Self { endpoint, address, life, rest: TrailingField(None) }
+    }
 }
 
 /// The answer to a request for a tunnel: one byte.
@@ -78,6 +88,9 @@
     Unreachable,
     /// The instance has too many tunnels or is about to exit.
     Busy,
+    /// The endpoint asked the instance for rest. Instances of earlier versions read it as
+    /// `Unreachable`.
+    Resting,
 }
 
 impl TunnelAnswer {
@@ -87,6 +100,7 @@
             Self::Refused => 2,
             Self::Unreachable => 3,
             Self::Busy => 4,
+            Self::Resting => 5,
         }
     }
 
@@ -95,6 +109,7 @@
             1 => Self::Open,
             2 => Self::Refused,
             4 => Self::Busy,
+            5 => Self::Resting,
             _ => Self::Unreachable,
         }
     }
@@ -114,6 +129,8 @@
     Refused,
     /// None of the instances that were asked reaches the endpoint.
     Unreachable,
+    /// The endpoint asked the instances that reach it for rest.
+    Resting,
     /// There is no other instance to ask.
     NoPeer,
 }
@@ -124,6 +141,7 @@
         match self {
             Self::Refused => "refused",
             Self::Unreachable => "unreachable",
+            Self::Resting => "resting",
             Self::NoPeer => "no peer",
         }
     }
@@ -151,19 +169,21 @@
     life: Duration,
 ) -> Result<OpenedTunnel, TunnelFailure> {
     let mut peers = gateway.tunnel_peers(target).into_iter();
-    let open = TunnelOpen { endpoint: target.endpoint.clone(), address: target.address, life };
+    let open = TunnelOpen::new(target, life);
     let mut asked = JoinSet::new();
-    let mut is_first = true;
+    let mut failure = TunnelFailure::NoPeer;
     loop {
         if let Some(peer) = peers.next() {
-            is_first = false;
+            if failure == TunnelFailure::NoPeer {
+                failure = TunnelFailure::Unreachable;
+            }
             let (gateway, open) = (Rc::clone(gateway), open.clone());
             asked.spawn_local(async move {
                 let answer = timeout(PEER_TIMEOUT, ask_peer(&gateway, &peer, &open)).await;
                 (peer, answer.ok().flatten())
             });
         } else if asked.is_empty() {
-            return Err(if is_first { TunnelFailure::NoPeer } else { TunnelFailure::Unreachable });
+            return Err(failure);
         }
         let next = tokio::select! {
             next = asked.join_next() => next,
@@ -174,6 +194,7 @@
                 return Ok(OpenedTunnel { stream, relay });
             }
             Some(Ok((_, Some((TunnelAnswer::Refused, _))))) => return Err(TunnelFailure::Refused),
+            Some(Ok((_, Some((TunnelAnswer::Resting, _))))) => failure = TunnelFailure::Resting,
             Some(Ok((peer, _))) => gateway.record_tunnel_failure(&peer),
             Some(Err(_)) | None => {}
         }
@@ -187,11 +208,23 @@
     relay: &InstanceId,
     target: &EndpointTarget,
 ) -> bool {
-    let EndpointTarget { endpoint, address } = target.clone();
-    let open = TunnelOpen { endpoint, address, life: Duration::ZERO };
+    let open = TunnelOpen::new(target, Duration::ZERO);
     matches!(timeout(PEER_TIMEOUT, ask_peer(gateway, relay, &open)).await, Ok(Some(_)))
 }
 
+/// Tells an instance that the endpoint of a request that it passed on asked for rest.
+pub(crate) async fn report_rest_to_relay(
+    gateway: &Gateway,
+    relay: &InstanceId,
+    target: &EndpointTarget,
+    rest: Duration,
+) {
+    let open =
+        TunnelOpen { rest: TrailingField(Some(rest)), ..TunnelOpen::new(target, Duration::ZERO) };
+    // Without the report, the endpoint asks the instance itself with its next request.
+    let _ = timeout(PEER_TIMEOUT, ask_peer(gateway, relay, &open)).await;
+}
+
 /// Asks one instance for a tunnel. Returns `None` if it does not answer.
 async fn ask_peer(
     gateway: &Gateway,
@@ -239,6 +272,12 @@
         return Err(TunnelAnswer::Busy);
     }
     let is_known = gateway.endpoints.borrow().address(&open.endpoint) == Some(open.address);
+    if let Some(rest) = open.rest.0.filter(|_| is_known) {
+        gateway.record_relayed_rest(&open.endpoint, rest);
+    }
+    if gateway.is_resting(&open.endpoint) {
+        return Err(TunnelAnswer::Resting);
+    }
     if !is_known || gateway.paths.borrow().way(&open.endpoint) == EndpointWay::Tunnel {
         return Err(TunnelAnswer::Unreachable);
     }
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -19,7 +19,7 @@
 use oriolepass_units::EndpointStart;
 use tokio::time::timeout;
 
-use crate::dial::{DialPlan, EndpointConnection, SHORT_LIFE, dial};
+use crate::dial::{DialPlan, EndpointConnection, FailureKind, SHORT_LIFE, dial};
 use crate::dialect::EndpointCall;
 use crate::framing::BodyFraming;
 use crate::gateway::Gateway;
@@ -40,6 +40,8 @@
 pub(crate) enum SendFailure {
     /// No byte reached the endpoint, so the request has not run.
     NotSent(String),
+    /// The request was not sent, because the endpoint wants nothing new from this daemon.
+    Withheld,
     /// The request may have run.
     Unknown(String),
 }
@@ -53,18 +55,22 @@
     pub(crate) guard: TaskGuard,
 }
 
-/// Sends a request and waits for the head of its answer. `on_connected` is called when the
-/// connection is open and nothing has been sent yet.
+/// Sends a request and waits for the head of its answer. `may_send` is called when the connection is
+/// open and nothing has been sent yet, and decides whether the request is sent.
 pub(crate) async fn send(
     gateway: &Rc<Gateway>,
     target: &EndpointTarget,
     plan: DialPlan,
     request: Request<Full<Bytes>>,
-    on_connected: impl FnOnce(&EndpointConnection),
+    may_send: impl FnOnce(&EndpointConnection) -> bool,
 ) -> Result<Upstream, SendFailure> {
-    let connected = dial(gateway, target, plan).await;
-    let connection = connected.map_err(|failure| SendFailure::NotSent(failure.reason))?;
-    on_connected(&connection);
+    let connection = dial(gateway, target, plan).await.map_err(|failure| match failure.kind {
+        FailureKind::Resting => SendFailure::Withheld,
+        FailureKind::Refused | FailureKind::Unreachable => SendFailure::NotSent(failure.reason),
+    })?;
+    if !may_send(&connection) {
+        return Err(SendFailure::Withheld);
+    }
     let (way, opened) = (connection.way, connection.opened);
     let sent = send_on(connection, request).await;
     match &sent {
@@ -112,7 +118,8 @@
     }
 }
 
-/// Calls an endpoint's own interface and returns the status, or `None` if there was no answer.
+/// Calls an endpoint's own interface and returns the status, or `None` if there was no answer or the
+/// endpoint rests.
 pub(crate) async fn call(
     gateway: &Rc<Gateway>,
     to: &EndpointTarget,
@@ -125,12 +132,16 @@
         .header(CONTENT_TYPE, "application/json")
         .body(Full::new(call.body))
         .ok()?;
+    if !gateway.try_begin_endpoint_call(&to.endpoint) {
+        return None;
+    }
     let plan = gateway.dial_plan(&to.endpoint, SHORT_LIFE, false);
-    let answered = timeout(CALL_TIMEOUT, send(gateway, to, plan, request, |_| {})).await.ok()?;
+    let answered = timeout(CALL_TIMEOUT, send(gateway, to, plan, request, |_| true)).await.ok()?;
     let response = answered.ok()?.response;
-    let limit = (gateway.dialect.read_answer)(response.headers()).limit;
+    let facts = (gateway.dialect.read_answer)(response.headers());
     if response.status() != StatusCode::MISDIRECTED_REQUEST {
-        gateway.record_named_limit(&to.endpoint, limit);
+        gateway.record_named_limit(&to.endpoint, facts.limit);
+        gateway.record_wish(None, &to.endpoint, response.status(), &facts);
     }
     Some(response.status().as_u16())
 }
--- a/crates/limits/src/bucket.rs
+++ b/crates/limits/src/bucket.rs
@@ -21,10 +21,10 @@
 }
 
 impl PermitBucket {
-    /// Creates a bucket without permits: the request whose answer named the rate has taken the
-    /// first one.
-    pub fn empty(now: MonotonicTime, rate: RequestRate) -> Self {
-        Self { rate, permits: 0.0, updated_at: now }
+    /// Creates a bucket without permits that issues them from `begins` on: the request whose answer
+    /// named the rate has taken the first one.
+    pub fn empty(begins: MonotonicTime, rate: RequestRate) -> Self {
+        Self { rate, permits: 0.0, updated_at: begins }
     }
 
     /// Sets the rate from now on.
@@ -75,7 +75,11 @@
 impl PermitForecast {
     /// Creates a forecast from the buckets of endpoints.
     pub fn of<'a>(now: MonotonicTime, buckets: impl IntoIterator<Item = &'a PermitBucket>) -> Self {
-        let state = |bucket: &PermitBucket| (bucket.permits(now), bucket.rate().per_second());
+        let state = |bucket: &PermitBucket| {
+            let rate = bucket.rate().per_second();
+            let begins_in = bucket.updated_at.since(now).as_secs_f64();
+            (bucket.permits(now) - rate * begins_in, rate)
+        };
         Self { endpoints: buckets.into_iter().map(state).collect() }
     }
 
--- a/crates/limits/src/queue.rs
+++ b/crates/limits/src/queue.rs
@@ -27,7 +27,7 @@
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(30);
 
 /// The place of a request among others that wait for the same permits.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct RequestRank {
     /// The priority; 0 is the highest.
     pub priority: u8,
--- a/crates/placement/src/fleet.rs
+++ b/crates/placement/src/fleet.rs
@@ -522,6 +522,7 @@
             };
             facts.service == ask.service
                 && facts.takes_work
+                && !ask.resting.contains(&facts.endpoint)
                 && now >= engine.backoff_until
                 && (facts.limit.is_none() || scope.allows_limited(&facts.endpoint))
                 && facts.max_prompts_per_s.is_none_or(is_within_limit)
--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -41,6 +41,10 @@
     pub patience: Duration,
     /// Engines to avoid, such as the one that just failed the prompt.
     pub avoid: Vec<EndpointStart>,
+    /// Engines that asked the entry for rest: neither they nor their helpers' parts may be used.
+    /// Messages carry them separately.
+    #[serde(skip)]
+    pub resting: Vec<EndpointStart>,
     /// Whether engines have ended while they served the prompt. Such a suspect is placed where the
     /// fewest other prompts run.
     pub is_suspect: bool,
--- a/crates/placement/tests/common/mod.rs
+++ b/crates/placement/tests/common/mod.rs
@@ -59,6 +59,7 @@
         deadline: Duration::from_secs(10),
         patience: Duration::ZERO,
         avoid: Vec::new(),
+        resting: Vec::new(),
         is_suspect: false,
         waiter: None,
     }
