An endpoint that says in its answers that it leaves gets nothing new

Cause: as with rests, a statement in answers that nobody read.

Change: the instance that reads it records the start as draining with a heartbeat number above all others, so that no heartbeat undoes it, whichever daemon gets it and whenever it arrives. The notice to the other daemons is an ordinary one, which the version before reads and keeps as well. Heartbeats still show that the endpoint is alive, for the streams that run there, and a leaving start that falls silent counts as left. A later start is another one. A turn-away by a leaving endpoint is no fault.

--- a/crates/gateway/src/announce.rs
+++ b/crates/gateway/src/announce.rs
@@ -73,6 +73,16 @@
         }
     }
 
+    /// Records that an endpoint has stated in an answer that it leaves, and reports it to the other
+    /// daemons.
+    pub(crate) fn endpoint_leaving(&self, endpoint: &EndpointStart) {
+        let notice = self.endpoints.borrow_mut().record_leaving(self.now(), endpoint);
+        let Some(notice) = notice else { return };
+        self.line(EventKind::Endpoint).text("endpoint", endpoint).text("outcome", "leaving");
+        self.publish_endpoint_changes(vec![notice], Vec::new());
+        self.endpoints_changed();
+    }
+
     pub(crate) fn on_endpoint_notices(&self, from: &InstanceId, notices: Vec<EndpointNotice>) {
         let now = self.now();
         let tier = self.tier();
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -100,6 +100,8 @@
     pub limit: LimitStatement,
     /// What the answer states about a rest, if its status turns the request away.
     pub rest: RestStatement,
+    /// Whether the answer states that the endpoint leaves.
+    pub is_leaving: bool,
 }
 
 /// An endpoint's answer to a reservation of memory.
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -25,6 +25,10 @@
 /// endpoint that sends heartbeats gets the address.
 const ADDRESS_HOLD_TIME: Duration = Duration::from_secs(4);
 
+/// The heartbeat number recorded for a start that has stated in an answer that it leaves. It is above
+/// that of any heartbeat, so no heartbeat undoes the statement, also on daemons of earlier versions.
+const LEAVING_SEQUENCE: u64 = u64::MAX;
+
 /// Whether an endpoint takes new work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum EndpointPhase {
@@ -99,6 +103,11 @@
 }
 
 impl EndpointEntry {
+    /// Returns whether the start has stated in an answer that it leaves.
+    fn is_leaving(&self) -> bool {
+        self.beat.sequence == LEAVING_SEQUENCE
+    }
+
     fn notice(&self, now: MonotonicTime) -> EndpointNotice {
         EndpointNotice { beat: self.beat.clone(), age: now.since(self.last_heard) }
     }
@@ -134,6 +143,11 @@
         let Some(entry) = self.entries.get_mut(&beat.endpoint) else {
             return self.add_start(last_heard, beat);
         };
+        if entry.is_leaving() {
+            // Streams may still run there, and its heartbeats show that it is alive.
+            entry.last_heard = entry.last_heard.max(last_heard);
+            return BeatChange::Refreshed;
+        }
         if entry.beat.sequence >= beat.sequence {
             return BeatChange::Stale;
         }
@@ -151,6 +165,21 @@
         BeatChange::Refreshed
     }
 
+    /// Records that a start has stated in an answer that it leaves. Returns the notice for the other
+    /// daemons, or `None` if that was known or the start is unknown.
+    pub fn record_leaving(
+        &mut self,
+        now: MonotonicTime,
+        endpoint: &EndpointStart,
+    ) -> Option<EndpointNotice> {
+        let entry = self.entries.get_mut(endpoint).filter(|entry| !entry.is_leaving())?;
+        entry.beat.phase = EndpointPhase::Draining;
+        entry.beat.sequence = LEAVING_SEQUENCE;
+        entry.changed = now;
+        self.generation += 1;
+        Some(entry.notice(now))
+    }
+
     /// Applies the first heartbeat of a start. Only unknown starts can have ended, so only this
     /// function checks for that.
     fn add_start(&mut self, last_heard: MonotonicTime, beat: EndpointBeat) -> BeatChange {
@@ -234,16 +263,18 @@
     /// Removes the endpoints that have been silent for longer than `silence`, and returns them.
     pub fn expire(&mut self, now: MonotonicTime, silence: Duration) -> Vec<EndpointStart> {
         let silent = |entry: &EndpointEntry| now.since(entry.last_heard) > silence;
-        let expired: Vec<EndpointStart> = self
-            .entries
-            .values()
-            .filter(|entry| silent(entry))
-            .map(|entry| entry.beat.endpoint.clone())
-            .collect();
+        let (leaving, expired): (Vec<&EndpointEntry>, Vec<&EndpointEntry>) =
+            self.entries.values().filter(|entry| silent(entry)).partition(|e| e.is_leaving());
+        let name = |entries: Vec<&EndpointEntry>| -> Vec<EndpointStart> {
+            entries.into_iter().map(|entry| entry.beat.endpoint.clone()).collect()
+        };
+        let (leaving, mut expired) = (name(leaving), name(expired));
         for endpoint in &expired {
             self.entries.remove(endpoint);
             self.generation += 1;
         }
+        // A late heartbeat must not add an endpoint again that has left.
+        expired.extend(leaving.iter().filter_map(|endpoint| self.leave(endpoint)));
         expired
     }
 
--- a/crates/gateway/src/front/sends.rs
+++ b/crates/gateway/src/front/sends.rs
@@ -161,8 +161,8 @@
 ) -> SendOutcome {
     let status = upstream.response.status();
     let facts = (gateway.dialect.read_answer)(upstream.response.headers());
-    let is_resting = gateway.record_wish(Some(&request.id), &placement.endpoint, status, &facts);
-    if let Some(relay) = placement.connection.relay().filter(|_| is_resting) {
+    let wish = gateway.record_wish(Some(&request.id), &placement.endpoint, status, &facts);
+    if let Some(relay) = placement.connection.relay().filter(|_| wish.is_resting) {
         gateway.report_rest(relay.clone(), placement.target());
     }
     if facts.was_not_run || status == StatusCode::MISDIRECTED_REQUEST {
@@ -170,7 +170,7 @@
     }
     let is_for_request = facts.request_id.as_deref() == Some(request.id.as_str());
     if !is_for_request || !facts.is_signed {
-        if status == StatusCode::SERVICE_UNAVAILABLE && is_resting {
+        if status == StatusCode::SERVICE_UNAVAILABLE && wish.wants_nothing() {
             gateway.metrics.sends.with_label_values(&["turned away"]).inc();
             let reason = format!("status {status} without proof that the request was not run");
             return SendOutcome::MayHaveRun { reason, endpoint: placement.endpoint.clone() };
@@ -195,7 +195,7 @@
                 return answer_lost(gateway, request, &placement, reason);
             }
             gateway.metrics.sends.with_label_values(&["answered"]).inc();
-            if status.is_server_error() && !is_resting {
+            if status.is_server_error() && !wish.wants_nothing() {
                 let endpoint = &placement.endpoint;
                 gateway.endpoint_fault(&request.id, endpoint, FaultKind::Failure);
             }
--- a/crates/gateway/src/rests.rs
+++ b/crates/gateway/src/rests.rs
@@ -1,9 +1,11 @@
-//! Rests that endpoints ask this instance for.
+//! Rests that endpoints ask this instance for, and endpoints that say in their answers that they leave.
 //!
 //! A rest is a matter between one start of an endpoint and one instance, so each instance keeps the rests
 //! that it was asked for and sends nothing to these endpoints, on any way. With each prompt, it tells the
 //! daemon that places it which engines are excluded. An endpoint that rests is neither faulty nor slow:
 //! nothing is reported to the others, and it gets its share again as soon as the rest is over.
+//!
+//! An endpoint that leaves gets nothing new from any instance, whatever its heartbeats say.
 
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -31,22 +33,45 @@
     returns: BTreeMap<ServiceName, ReturnQueue>,
 }
 
+/// What an endpoint wants of this daemon, according to its answer.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) struct EndpointWish {
+    /// Whether the endpoint rests. What it turns away then is no fault.
+    pub(crate) is_resting: bool,
+    /// Whether the endpoint leaves.
+    pub(crate) is_leaving: bool,
+}
+
+impl EndpointWish {
+    /// Returns whether the endpoint wants nothing new from this daemon.
+    pub(crate) fn wants_nothing(self) -> bool {
+        self.is_resting || self.is_leaving
+    }
+}
+
 impl Gateway {
-    /// Records what an answer states about a rest of its endpoint. Returns whether the endpoint rests,
-    /// also according to earlier answers. What it turns away then is no fault.
+    /// Records what an answer states about a rest of its endpoint, and whether the endpoint leaves.
+    /// Returns what the endpoint wants, also according to earlier answers.
     pub(crate) fn record_wish(
         &self,
         request: Option<&str>,
         endpoint: &EndpointStart,
         status: StatusCode,
         facts: &AnswerFacts,
-    ) -> bool {
+    ) -> EndpointWish {
+        // Another endpoint at this address has answered.
+        if status == StatusCode::MISDIRECTED_REQUEST {
+            return EndpointWish::default();
+        }
         let turns_away = status == StatusCode::SERVICE_UNAVAILABLE
             || (status == StatusCode::TOO_MANY_REQUESTS && facts.was_not_run);
         if turns_away {
             self.record_rest(request, endpoint, facts.rest);
         }
-        self.is_resting(endpoint)
+        if facts.is_leaving {
+            self.endpoint_leaving(endpoint);
+        }
+        EndpointWish { is_resting: self.is_resting(endpoint), is_leaving: facts.is_leaving }
     }
 
     fn record_rest(
--- a/crates/gateway/tests/parts.rs
+++ b/crates/gateway/tests/parts.rs
@@ -74,6 +74,39 @@
     assert_eq!(registry.all().count(), 0, "an endpoint that has left is not added again");
 }
 
+// Guards against heartbeats that undo what an endpoint stated in an answer: one that leaves may go on
+// sending that it is ready, and its heartbeats may come late, also after it was silent.
+#[test]
+fn an_endpoint_that_said_that_it_leaves_takes_no_work_again() {
+    let mut registry = EndpointRegistry::default();
+    let serving = |sequence| beat("i-1@5", 1, sequence, EndpointPhase::Serving);
+    let start = "i-1@5".parse().unwrap();
+    assert_eq!(registry.record_leaving(at(9), &start), None, "an unknown endpoint");
+    registry.apply_heartbeat(at(10), serving(1), Duration::ZERO);
+    let notice = registry.record_leaving(at(11), &start).expect("a change");
+    assert_eq!(registry.record_leaving(at(12), &start), None, "known already");
+    for sequence in 2..9 {
+        let now = at(1_000 * sequence);
+        registry.apply_heartbeat(now, serving(sequence), Duration::ZERO);
+        assert!(registry.takes_work(&start).is_none());
+        assert_eq!(registry.silence(now, &start), Some(Duration::ZERO), "it is alive");
+    }
+    assert_eq!(registry.expire(at(60_000), Duration::from_secs(10)), std::slice::from_ref(&start));
+    registry.apply_heartbeat(at(61_000), serving(9), Duration::ZERO);
+    assert!(registry.takes_work(&start).is_none(), "a late heartbeat after it was forgotten");
+
+    // Another daemon, also of an earlier version, learns of it by the notice alone.
+    let mut other = EndpointRegistry::default();
+    other.apply_heartbeat(at(10), serving(3), Duration::ZERO);
+    assert_eq!(other.apply_heartbeat(at(13), notice.beat, notice.age), BeatChange::Changed);
+    other.apply_heartbeat(at(14), serving(4), Duration::ZERO);
+    assert!(other.takes_work(&start).is_none());
+
+    let next = beat("i-1@6", 2, 1, EndpointPhase::Serving);
+    assert_eq!(other.apply_heartbeat(at(15), next, Duration::ZERO), BeatChange::Met);
+    assert!(other.takes_work(&"i-1@6".parse().unwrap()).is_some(), "the next start takes work");
+}
+
 #[test]
 fn a_new_endpoint_replaces_the_one_that_had_its_address() {
     let mut registry = EndpointRegistry::default();
