Design of rests: three ways compared in logical time; the postmortem

Which daemon has to know of a rest was decided by a simulation of 60 s with 5 to 994 instances: not at all (as before), by a table that instances report to, or with each prompt.

Kept: with the prompt.

A test on the product's own placement in logical time: 200 and 994 entries, 200 and 958 engines, one prompt in 40, 5 and 2 turned away, no prompt placed on an engine that rests for its entry.

--- a/crates/experiment/src/lib.rs
+++ b/crates/experiment/src/lib.rs
@@ -13,6 +13,7 @@
 //! * [`DayPlan`], [`run_day`] and [`DayResult`]: days of the users' deployments on
 //!   [`oriolepass_placement::EngineFarm`], placed by the gateway's [`oriolepass_placement`].
 //! * [`run_limit`] and [`LimitDesign`]: how many instances keep the limit of one endpoint.
+//! * [`run_rests`] and [`RestDesign`]: how a home learns of the rests that engines ask instances for.
 //! * [`run_policy`] and [`PolicyResult`]: one run and its metrics.
 
 mod baseline;
@@ -22,6 +23,7 @@
 mod homes;
 mod limit_run;
 mod mix;
+mod rest_run;
 mod run;
 
 pub use baseline::{BaselinePolicy, BaselineRule};
@@ -31,4 +33,5 @@
 pub use homes::HomesPolicy;
 pub use limit_run::{LimitDesign, LimitPlan, LimitResult, run_limit};
 pub use mix::{Arrival, LoadMix};
+pub use rest_run::{RestDesign, RestRunPlan, RestRunResult, run_rests};
 pub use run::{PolicyKind, PolicyResult, RunPlan, empty_first_token, engine_capacity, run_policy};
--- a/crates/placement/tests/resting_engines.rs
+++ b/crates/placement/tests/resting_engines.rs
@@ -3,13 +3,18 @@
 
 mod common;
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
+use oriolepass_limits::RestTable;
 use oriolepass_placement::{EngineCell, EngineFleet, EngineScope, PromptAsk, PromptKey};
 use oriolepass_units::{EndpointStart, MonotonicTime};
 
 const ENGINES: usize = 8;
 
+/// The number of prompts of many entries.
+const PROMPTS: u64 = 1_200;
+
 fn at(ms: u64) -> MonotonicTime {
     MonotonicTime(1_000_000 + ms * 1_000)
 }
@@ -76,3 +81,41 @@
     let placed = used(&mut fleet, 2, EngineScope::All, &[]);
     assert!(placed.len() > 1, "{placed:?}");
 }
+
+/// Sends the prompts of many entries in turn, and asks the entry of each `one_in`-th prompt for rest. Returns the
+/// numbers of prompts that were placed and of rests.
+fn run_entries(entries: u64, engines: usize, one_in: u64) -> (u64, u64) {
+    let mut fleet = common::fleet(engines, &common::profile(12, 48));
+    let mut tables: BTreeMap<u64, RestTable> = BTreeMap::new();
+    let (mut placed, mut rests) = (0, 0);
+    for number in 0..PROMPTS {
+        let now = at(1_000 + number * 2);
+        // A quarter of the entries have most of the callers.
+        let entry = if number % 4 == 0 { number % entries } else { number % (entries / 4).max(1) };
+        let table = tables.entry(entry).or_default();
+        let prompt = common::prompt(PromptKey { entry, number }, 3_000, 300, 200);
+        let ask = PromptAsk { resting: table.resting(now).cloned().collect(), ..prompt };
+        let Ok(plan) = fleet.place(now, &ask) else { continue };
+        assert!(!table.is_resting(now, &plan.main), "{} rests for entry {entry}", plan.main);
+        placed += 1;
+        if number % one_in == 0 {
+            table.record(now, &plan.main, Duration::from_secs(3));
+            rests += 1;
+        }
+        fleet.ended(now, ask.key);
+    }
+    (placed, rests)
+}
+
+/// Guards against rests that are kept by a few instances only: each of 994 may have others.
+#[test]
+fn rests_of_200_and_994_entries_are_kept_and_prompts_are_placed_beside_them() {
+    for (entries, engines) in [(200, 200), (994, 958)] {
+        for one_in in [40, 5, 2] {
+            let (placed, rests) = run_entries(entries, engines, one_in);
+            println!("{entries} entries: {placed} placed, {rests} rests");
+            assert_eq!(placed, PROMPTS);
+            assert!(rests >= PROMPTS / one_in);
+        }
+    }
+}
