A leaf keeps hubs that a hub without a current proof does not list, and leaves one that stays without a proof

Cause: for seven seconds the leaf asked only a hub that was cut off from the others. Such a hub lists itself alone as alive, and the leaf took that list over, also with an old proof or none, so it knew no other hub to change to. A hub that has lost the leader answers without a proof, which was no failure at all, so a leaf stayed with it while another hub was current.

Change: only a hub with a recent proof removes hubs from a leaf's list; any hub adds some. A hub without a proof counts as failed after 1.5 s, longer than an election, or at once if it failed before; the time for which a failed hub is avoided doubles up to 24 s until it proves something again. While no hub has a proof, a leaf changes six times in 10 s at most.

The first test was red before (one hub known of three). The other two call a new function.

--- a/crates/gateway/src/clock_tests.rs
+++ b/crates/gateway/src/clock_tests.rs
@@ -94,7 +94,7 @@
     }
 }
 
-fn gateway() -> Rc<Gateway> {
+pub(crate) fn gateway() -> Rc<Gateway> {
     let text = "[instance]\nname = g\ndata_centre = z\n[listen]\ncallers = 127.0.0.1:1\n\
                 readiness = 127.0.0.1:2\ncontrol = 127.0.0.1:3\ndirectory = 127.0.0.1:4\n\
                 peers = 127.0.0.1:5\nmetrics = 127.0.0.1:6\n[cluster]\nseeds = 127.0.0.1:3\n";
--- a/crates/gateway/src/hubs.rs
+++ b/crates/gateway/src/hubs.rs
@@ -442,12 +442,15 @@
             self.tier.borrow_mut().hubs.record_failure(self.now(), &hub);
             return false;
         };
-        // A missing proof is no failure of the hub: hubs have none without a leader or a document.
-        let is_stale = status.proof.is_some_and(|(_, age)| age >= MAX_HUB_PROOF_AGE);
-        if is_stale {
-            self.tier.borrow_mut().hubs.record_failure(self.now(), &hub);
+        let is_proved = is_current(&status);
+        {
+            let mut tier = self.tier.borrow_mut();
+            if status.proof.is_some() && !is_proved {
+                tier.hubs.record_failure(self.now(), &hub);
+            } else {
+                tier.hubs.record_answer(self.now(), &hub, is_proved);
+            }
         }
-        let is_proved = status.proof.is_some() && !is_stale;
         self.apply_hub_status(requested_at, status);
         is_proved
     }
@@ -476,7 +479,8 @@
         }
     }
 
-    fn apply_hub_status(&self, requested_at: MonotonicTime, status: HubStatus) {
+    pub(crate) fn apply_hub_status(&self, requested_at: MonotonicTime, status: HubStatus) {
+        let is_current = is_current(&status);
         let HubStatus { proof, drains, is_home_away, daemons, silent, lists } = status;
         self.adopt_drains(&drains);
         {
@@ -484,7 +488,12 @@
             tier.status_at = Some(requested_at);
             tier.daemons = usize::try_from(daemons).unwrap_or(usize::MAX);
             if let Some(lists) = lists {
-                tier.hubs.update(&lists.hubs);
+                if is_current {
+                    tier.hubs.update(&lists.hubs);
+                } else {
+                    // A hub that is cut off from the others lists none of them.
+                    lists.hubs.iter().for_each(|(hub, centre)| tier.hubs.add(hub, centre));
+                }
                 tier.lists = lists;
             }
         }
@@ -583,6 +592,11 @@
     }
 }
 
+/// Returns whether a hub's status has a recent proof.
+fn is_current(status: &HubStatus) -> bool {
+    status.proof.is_some_and(|(_, age)| age < MAX_HUB_PROOF_AGE)
+}
+
 fn lists_hash(lists: &MemberLists) -> u64 {
     let mut hasher = xxhash_rust::xxh3::Xxh3Default::new();
     lists.hash(&mut hasher);
--- /dev/null
+++ b/crates/gateway/src/hubs_tests.rs
@@ -0,0 +1,41 @@
+//! Tests of what a leaf learns from the status of a hub.
+
+use std::time::Duration;
+
+use oriolepass_units::{DataCentreId, InstanceId};
+
+use crate::clock_tests::gateway;
+use crate::peers::{HubStatus, MemberLists};
+
+fn hub(number: usize) -> (InstanceId, DataCentreId) {
+    let name = format!("10.200.0.{number}:7340");
+    (name.parse().expect("an instance"), "z".parse().expect("a data centre"))
+}
+
+/// The status of a hub that lists `hubs` as alive, with a proof of this age.
+fn status(hubs: &[(InstanceId, DataCentreId)], proof_age: Option<Duration>) -> HubStatus {
+    HubStatus {
+        proof: proof_age.map(|age| (None, age)),
+        drains: Default::default(),
+        is_home_away: false,
+        daemons: 9,
+        silent: Vec::new(),
+        lists: Some(MemberLists { hubs: hubs.to_vec(), ..MemberLists::default() }),
+    }
+}
+
+/// Guards against a leaf that serves by a replaced document because it asks only a hub that is cut off: such a
+/// hub lists no other hub as alive, and the leaf knew none any more.
+#[test]
+fn a_leaf_keeps_other_hubs_that_a_hub_without_a_current_proof_does_not_list() {
+    let gateway = gateway();
+    let all: Vec<(InstanceId, DataCentreId)> = (0..3).map(hub).collect();
+    gateway.apply_hub_status(gateway.now(), status(&all, Some(Duration::from_millis(100))));
+    assert_eq!(gateway.known_hubs().len(), 3);
+    for proof_age in [Some(Duration::from_secs(2)), None] {
+        gateway.apply_hub_status(gateway.now(), status(&all[..1], proof_age));
+        assert_eq!(gateway.known_hubs().len(), 3, "proof: {proof_age:?}");
+    }
+    gateway.apply_hub_status(gateway.now(), status(&all[..2], Some(Duration::ZERO)));
+    assert_eq!(gateway.known_hubs().len(), 2, "a current hub tells which hubs are gone");
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -56,6 +56,8 @@
 mod gossip_tests;
 mod home;
 mod hubs;
+#[cfg(test)]
+mod hubs_tests;
 mod lifecycle;
 mod limits;
 mod metrics;
--- a/crates/gateway/src/tiers.rs
+++ b/crates/gateway/src/tiers.rs
@@ -25,9 +25,15 @@
 /// leaf look dead.
 const HUBS_PER_LEAF: usize = 2;
 
-/// How long a leaf avoids a hub that failed to answer.
+/// How long a leaf avoids a hub after its first failure. The time doubles with each further failure.
 const HUB_RETRY_DELAY: Duration = Duration::from_secs(3);
 
+/// The maximum number of doublings of [`HUB_RETRY_DELAY`].
+const MAX_RETRY_DOUBLINGS: u32 = 3;
+
+/// How long a leaf asks a hub without a proof before it changes to another hub. An election takes less.
+const MAX_UNPROVED_TIME: Duration = Duration::from_millis(1_500);
+
 /// Returns whether a system of `daemons` daemons runs in tiers, with hysteresis by `was_tiered`.
 pub(crate) fn is_tiered(was_tiered: bool, daemons: usize, tiers_from: usize) -> bool {
     let threshold =
@@ -45,12 +51,21 @@
 struct HubEntry {
     data_centre: DataCentreId,
     retry_at: MonotonicTime,
+    /// The number of failures since the hub last proved a document current.
+    failures: u32,
+    /// Since when the hub has answered without a proof.
+    unproved_since: Option<MonotonicTime>,
 }
 
 impl HubSelector {
     /// Adds a hub if it is not known yet.
     pub(crate) fn add(&mut self, hub: &InstanceId, data_centre: &DataCentreId) {
-        let entry = || HubEntry { data_centre: data_centre.clone(), retry_at: MonotonicTime::ZERO };
+        let entry = || HubEntry {
+            data_centre: data_centre.clone(),
+            retry_at: MonotonicTime::ZERO,
+            failures: 0,
+            unproved_since: None,
+        };
         self.hubs.entry(hub.clone()).or_insert_with(entry);
     }
 
@@ -63,7 +78,26 @@
     /// Records that a hub did not answer or had no recent proof.
     pub(crate) fn record_failure(&mut self, now: MonotonicTime, hub: &InstanceId) {
         if let Some(entry) = self.hubs.get_mut(hub) {
-            entry.retry_at = now + HUB_RETRY_DELAY;
+            entry.retry_at =
+                now + HUB_RETRY_DELAY * 2_u32.pow(entry.failures.min(MAX_RETRY_DOUBLINGS));
+            entry.failures += 1;
+            entry.unproved_since = None;
+        }
+    }
+
+    /// Records whether the answer of a hub had a proof.
+    ///
+    /// All hubs lack one while there is no leader, and changing between them would not help. A hub that
+    /// lacks one for `MAX_UNPROVED_TIME`, or lacks it again, may be cut off from the others.
+    pub(crate) fn record_answer(&mut self, now: MonotonicTime, hub: &InstanceId, is_proved: bool) {
+        let Some(entry) = self.hubs.get_mut(hub) else { return };
+        if is_proved {
+            (entry.failures, entry.unproved_since) = (0, None);
+            return;
+        }
+        let since = *entry.unproved_since.get_or_insert(now);
+        if entry.failures > 0 || now.since(since) >= MAX_UNPROVED_TIME {
+            self.record_failure(now, hub);
         }
     }
 
--- a/crates/gateway/src/tiers_tests.rs
+++ b/crates/gateway/src/tiers_tests.rs
@@ -134,3 +134,43 @@
     distinct.dedup();
     assert_eq!(distinct.len(), 5);
 }
+
+/// Guards against a leaf that stays with a hub which lost the leader while another one is current, and against
+/// leaves that change between hubs in vain while there is no leader.
+#[test]
+fn a_leaf_changes_from_a_hub_that_proves_nothing_for_a_while() {
+    let (all, leaf) = (hubs(3, 3), instance(7));
+    let mut selector = selector(&all);
+    let primary =
+        |selector: &HubSelector, now| selector.attached(now, &leaf, &centre(0))[0].clone();
+    let first = primary(&selector, NOW);
+    let mut proved_at = NOW;
+    // One of the hubs has a proof: the leaf finds it, and looks back at the others for one answer at most.
+    let current = &all.iter().find(|(hub, _)| *hub != first).expect("another hub").0;
+    for round in 0..30 {
+        let now = NOW + Duration::from_millis(400) * round;
+        let before = primary(&selector, now);
+        selector.record_answer(now, &before, before == *current);
+        if before == *current {
+            proved_at = now;
+        }
+        let bound = if round < 12 { 4_400 } else { 900 };
+        assert!(now.since(proved_at) < Duration::from_millis(bound), "round {round}");
+    }
+}
+
+#[test]
+fn leaves_seldom_change_between_hubs_that_all_prove_nothing() {
+    let (all, leaf) = (hubs(3, 3), instance(7));
+    let mut selector = selector(&all);
+    let primary =
+        |selector: &HubSelector, now| selector.attached(now, &leaf, &centre(0))[0].clone();
+    let mut changes = 0;
+    for round in 0..25 {
+        let now = NOW + Duration::from_millis(400) * round;
+        let before = primary(&selector, now);
+        selector.record_answer(now, &before, false);
+        changes += usize::from(primary(&selector, now) != before);
+    }
+    assert!(changes <= 6, "{changes} changes in 10 s");
+}
