A leaf whose hubs have all failed asks the one that failed first

While all hubs were marked as failed, a leaf went on asking the nearest one, and the longer avoidance of hubs that had failed several times would have kept it from one that was back for up to 24 s after an outage of all instances.

Change: of failed hubs the one whose time is over first is asked, and a hub that only lacks a proof is not marked while no other hub is left to ask, so leaves do not change between hubs without a leader. A test in logical time: a hub that is back after 24 s in which all had failed is found within four asks; the earlier tests of hubs without proofs hold.

--- a/crates/gateway/src/front/placement.rs
+++ b/crates/gateway/src/front/placement.rs
@@ -35,8 +35,8 @@
 /// The reason for refusing a request if all endpoints of its service asked this daemon for rest.
 const ALL_REST: &str = "all endpoints rest";
 
-/// The part of the objective within which a rest has to end for a request to wait for it. The rest is
-/// for the request itself.
+/// The part of the objective within which a rest has to end for a request to wait for it. The remaining
+/// time is for the request itself.
 const REST_WAIT_SHARE: f64 = 0.5;
 
 /// The reason why no endpoint was selected for a send.
@@ -168,7 +168,7 @@
         max_wait: Duration,
     ) -> Result<Self, NoPlacement> {
         let began = Instant::now();
-        wait_for_rests(gateway, request, waiter, max_wait)?;
+        check_rests(gateway, request, waiter, max_wait)?;
         let found = if request.service.engine.is_some() {
             Self::find_engine(gateway, request, waiter, avoid, max_wait).await
         } else {
@@ -411,7 +411,7 @@
 
 /// Checks that an endpoint of the request's service does not rest, and that it is the request's turn if all
 /// of them rested until now.
-fn wait_for_rests(
+fn check_rests(
     gateway: &Gateway,
     request: &CallerRequest,
     waiter: WaiterId,
--- a/crates/gateway/src/rests.rs
+++ b/crates/gateway/src/rests.rs
@@ -103,8 +103,8 @@
         self.count_rests();
     }
 
-    /// Records a rest that an endpoint asked this daemon for while the daemon passed on a request of
-    /// another one.
+    /// Records a rest of which this daemon learns from another one: either passed on requests to the
+    /// endpoint for the other.
     pub(crate) fn record_relayed_rest(&self, endpoint: &EndpointStart, span: Duration) {
         self.record_rest(None, endpoint, RestStatement::For(span));
     }
--- a/crates/gateway/src/tiers.rs
+++ b/crates/gateway/src/tiers.rs
@@ -87,16 +87,19 @@
 
     /// Records whether the answer of a hub had a proof.
     ///
-    /// All hubs lack one while there is no leader, and changing between them would not help. A hub that
-    /// lacks one for `MAX_UNPROVED_TIME`, or lacks it again, may be cut off from the others.
+    /// A hub that lacks one for `MAX_UNPROVED_TIME`, or lacks it again, may be cut off from the others.
+    /// While there is no leader all hubs lack one, and changing between them further would not help.
     pub(crate) fn record_answer(&mut self, now: MonotonicTime, hub: &InstanceId, is_proved: bool) {
+        let has_alternative =
+            self.hubs.iter().any(|(other, entry)| other != hub && now >= entry.retry_at);
         let Some(entry) = self.hubs.get_mut(hub) else { return };
         if is_proved {
             (entry.failures, entry.unproved_since) = (0, None);
             return;
         }
         let since = *entry.unproved_since.get_or_insert(now);
-        if entry.failures > 0 || now.since(since) >= MAX_UNPROVED_TIME {
+        let is_failure = entry.failures > 0 || now.since(since) >= MAX_UNPROVED_TIME;
+        if is_failure && has_alternative {
             self.record_failure(now, hub);
         }
     }
@@ -121,8 +124,8 @@
 
     /// Returns the hubs that a leaf is attached to, the primary first.
     ///
-    /// Hubs that have not failed recently take precedence, then hubs of the leaf's own data centre.
-    /// The rank spreads leaves evenly over the hubs.
+    /// Hubs that have not failed recently take precedence, then those whose failure is the oldest, then
+    /// hubs of the leaf's own data centre. The rank spreads leaves evenly over the hubs.
     pub(crate) fn attached(
         &self,
         now: MonotonicTime,
@@ -130,7 +133,8 @@
         data_centre: &DataCentreId,
     ) -> Vec<InstanceId> {
         let order = |(hub, entry): &(&InstanceId, &HubEntry)| {
-            (now < entry.retry_at, entry.data_centre != *data_centre, rank(hub, leaf))
+            let retry_at = Some(entry.retry_at).filter(|retry_at| now < *retry_at);
+            (retry_at, entry.data_centre != *data_centre, rank(hub, leaf))
         };
         let mut hubs: Vec<(&InstanceId, &HubEntry)> = self.hubs.iter().collect();
         hubs.sort_by_cached_key(order);
--- a/crates/gateway/src/tiers_tests.rs
+++ b/crates/gateway/src/tiers_tests.rs
@@ -174,3 +174,26 @@
     }
     assert!(changes <= 6, "{changes} changes in 10 s");
 }
+
+/// Guards against a leaf that asks a hub that is gone for as long as it avoids the others, which are back.
+#[test]
+fn a_leaf_finds_the_hub_that_is_back_after_all_had_failed() {
+    let (all, leaf) = (hubs(3, 3), instance(7));
+    let mut selector = selector(&all);
+    let primary =
+        |selector: &HubSelector, now| selector.attached(now, &leaf, &centre(0))[0].clone();
+    let back = &all.iter().find(|(hub, _)| *hub != primary(&selector, NOW)).expect("another").0;
+    let asked = |selector: &mut HubSelector, from: u32, until: u32, is_back: bool| {
+        (from..until).find(|round| {
+            let now = NOW + Duration::from_millis(400) * *round;
+            let hub = primary(selector, now);
+            let answers = is_back && hub == *back;
+            if !answers {
+                selector.record_failure(now, &hub);
+            }
+            answers
+        })
+    };
+    assert_eq!(asked(&mut selector, 0, 60, false), None);
+    assert!(asked(&mut selector, 60, 70, true).is_some_and(|round| round < 64));
+}
