Tests of the daemon's processes use addresses that nothing else can take

Cause: the test drew twelve ports one by one, closed each, and gave them to the daemons. A port that was drawn twice, or taken by a connection meanwhile, ended a daemon at its start ("Address already in use", or "peers: write an address that differs from callers"), and the cluster did not form.

Change: the logs are printed, and the daemons listen on a loopback network that the test reserves, with ports below the ephemeral range. The checks are as before.

Conclusion: the fault was the test's.

--- a/crates/daemon/tests/processes.rs
+++ b/crates/daemon/tests/processes.rs
@@ -1,7 +1,7 @@
 //! Runs daemons as separate processes: settings, formation of a system, serving, a kill and a
 //! graceful shutdown.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
@@ -24,21 +24,42 @@
 
 struct Daemons {
     folder: tempfile::TempDir,
+    _network: Network,
     addresses: Vec<Addresses>,
     children: Vec<Option<Child>>,
 }
 
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("an address")
+/// Loopback addresses that no other running test uses. The ports of the daemons are below the
+/// ephemeral range, so that no connection can take them either.
+struct Network {
+    third_byte: u8,
+    /// Reserves the network while it is bound.
+    _lock: TcpListener,
+}
+
+impl Network {
+    fn reserve() -> Self {
+        let lock = |third_byte| TcpListener::bind((Ipv4Addr::new(127, 250, third_byte, 1), 7_100));
+        let reserved =
+            (0..=u8::MAX).find_map(|third_byte| Some((third_byte, lock(third_byte).ok()?)));
+        let (third_byte, lock) = reserved.expect("a free network");
+        Self { third_byte, _lock: lock }
+    }
+
+    fn addresses(&self, daemon: u8) -> Addresses {
+        let ip = Ipv4Addr::new(127, 250, self.third_byte, daemon + 1);
+        [7_101, 7_102, 7_103, 7_104].map(|port| SocketAddr::from((ip, port)))
+    }
 }
 
 impl Daemons {
     fn start() -> Self {
         let folder = tempfile::tempdir().expect("a folder");
         std::fs::write(folder.path().join("key"), "0123456789abcdef0123").expect("a key file");
-        let addresses: Vec<Addresses> = (0..3).map(|_| [0; 4].map(|_| free_address())).collect();
-        let mut daemons = Self { folder, addresses, children: vec![None, None, None] };
+        let network = Network::reserve();
+        let addresses: Vec<Addresses> = (0..3).map(|number| network.addresses(number)).collect();
+        let mut daemons =
+            Self { folder, _network: network, addresses, children: vec![None, None, None] };
         (0..3).for_each(|number| daemons.start_daemon(number));
         daemons
     }
@@ -91,7 +112,8 @@
             }
             tokio::time::sleep(Duration::from_millis(50)).await;
         }
-        panic!("daemon {number} is not ready");
+        let logs: Vec<String> = (0..3).map(|n| log_of(self.folder.path(), n)).collect();
+        panic!("daemon {number} is not ready; logs:\n{}", logs.join("\n"));
     }
 
     async fn put(&self, name: &str, spec: ObjectSpec) {
