From its third end on, a request is judged by itself and accuses no part of its prompt

Cause: a part that a fatal request shares with one prompt with a fatal part has the ends of both. It explains more ends than the request, so it took the blame: the request's odds fell to -5.3, the part's rose to 10.6 at once, and prompts with the part were refused until one of them was answered, which a refused one never is.

Change: the first two ends of a request count against its parts, later ones do not. No message changes.

--- a/crates/gateway/src/front/ends.rs
+++ b/crates/gateway/src/front/ends.rs
@@ -360,8 +360,7 @@
             let digest = run.suspects.request;
             gateway.record_endpoint_end(digest, endpoint, run.ended_at, run.duration);
             if let Some(duration) = run.answer_time {
-                let parts = &run.suspects.parts;
-                gateway.record_end_under_parts(parts, endpoint, run.ended_at, duration);
+                gateway.record_end_under_parts(&run.suspects, endpoint, run.ended_at, duration);
             }
         }
         (ProbeResult::Alive, ConnectionEnd::Closed) => {
--- a/crates/gateway/src/part_quarantine.rs
+++ b/crates/gateway/src/part_quarantine.rs
@@ -13,14 +13,15 @@
 use crate::events::EventKind;
 use crate::gateway::Gateway;
 use crate::peers::{PeerMessage, ProtocolLevel};
-use crate::quarantine::{MAX_CASES_PER_MESSAGE, TABLE_TIME_OFFSET};
+use crate::quarantine::{MAX_CASES_PER_MESSAGE, RequestSuspects, TABLE_TIME_OFFSET};
 
 impl Gateway {
-    /// Records that an endpoint ended at `seen` while it answered a prompt with these parts,
-    /// `duration` after the head of the answer. A part acts only once its engine writes an answer.
+    /// Records that an endpoint ended at `seen` while it answered a prompt, `duration` after the head
+    /// of the answer. A part acts only once its engine writes an answer. The end of the request is
+    /// recorded before.
     pub(crate) fn record_end_under_parts(
         &self,
-        parts: &[PartDigest],
+        suspects: &RequestSuspects,
         endpoint: &EndpointStart,
         seen: MonotonicTime,
         duration: Duration,
@@ -29,8 +30,11 @@
         let run = InterruptedRun { endpoint: endpoint.clone(), seen, duration: Some(duration) };
         let updates: Vec<CaseUpdate<PartDigest>> = {
             let table = &mut self.quarantine.borrow_mut().table;
+            if !table.accuses_parts(suspects.request) {
+                return;
+            }
             let record = |part: &PartDigest| table.record_interrupted_run(now, *part, &run);
-            parts.iter().filter_map(record).collect()
+            suspects.parts.iter().filter_map(record).collect()
         };
         self.broadcast_part_cases(&updates);
     }
--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -114,6 +114,14 @@
         Some(update)
     }
 
+    /// Returns whether the ends of a request count against the parts of its prompt. From the end on that
+    /// suffices to judge the request by itself, they do not: its quarantine affects no other prompts, and
+    /// other prompts with the same parts may be sound.
+    pub fn accuses_parts(&self, digest: RequestDigest) -> bool {
+        let case = self.cases.get(&SuspectId::Request(digest));
+        case.is_none_or(|case| case.open_ends().count() < MIN_QUARANTINE_ENDS)
+    }
+
     /// Clears a request or a part of all its ends, on an operator's behalf. Returns the update for
     /// the other instances if the case changed.
     pub fn release<D: Into<SuspectId> + Copy>(
--- a/crates/quarantine/tests/fatal_parts.rs
+++ b/crates/quarantine/tests/fatal_parts.rs
@@ -14,12 +14,16 @@
 /// Maximum share of sound prompts that are refused after the recovery time.
 const MAX_REFUSED_SHARE: f64 = 0.5;
 
+/// Maximum of [`PartReport::request_late_sends`].
+const MAX_REQUEST_LATE_SENDS: u64 = 3;
+
 const SMALL: PartShape = PartShape {
     instances: 10,
     engines: 14,
     fatal_parts: 1,
     has_companion: false,
     fatal_per_s: 6,
+    has_fatal_request: false,
     sound_per_s: 30,
     chance_interval_ms: 15_000,
     kill_interval_ms: 5_000,
@@ -33,8 +37,8 @@
     0..count.unwrap_or(default_count)
 }
 
-fn run(shape: PartShape, seeds: std::ops::Range<u64>) -> Vec<(u64, PartReport)> {
-    seeds.map(|seed| (seed, PartWorld::new(seed, shape).run())).collect()
+fn run(shape: PartShape, seeds: impl IntoIterator<Item = u64>) -> Vec<(u64, PartReport)> {
+    seeds.into_iter().map(|seed| (seed, PartWorld::new(seed, shape).run())).collect()
 }
 
 fn sum(reports: &[(u64, PartReport)], of: fn(&PartReport) -> u64) -> u64 {
@@ -44,8 +48,9 @@
 fn print(name: &str, reports: &[(u64, PartReport)]) {
     let late = reports.iter().flat_map(|(_, r)| &r.late_sends).max().copied().unwrap_or(0);
     let most_ends = reports.iter().flat_map(|(_, r)| &r.ends).max().copied().unwrap_or(0);
+    let of_request = reports.iter().map(|(_, r)| r.request_late_sends).max().unwrap_or(0);
     println!(
-        "{name}: {} runs, {} ends ({most_ends} at most of one part), {late} late sends at most, {} sound prompts cut, {} of {} refused after the recovery time, {} in all",
+        "{name}: {} runs, {} ends ({most_ends} at most of one part), {late} late sends at most, {of_request} of the request, {} sound prompts cut, {} of {} refused after the recovery time, {} in all",
         reports.len(),
         sum(reports, |r| r.ends.iter().sum()),
         sum(reports, |r| r.cut),
@@ -55,11 +60,12 @@
     );
 }
 
-fn check(name: &str, shape: PartShape, seeds: std::ops::Range<u64>) {
+fn check(name: &str, shape: PartShape, seeds: impl IntoIterator<Item = u64>) {
     let reports = run(shape, seeds);
     print(name, &reports);
     let is_bad = |(_, report): &&(u64, PartReport)| {
         report.late_sends.iter().any(|late| *late > MAX_LATE_SENDS)
+            || report.request_late_sends > MAX_REQUEST_LATE_SENDS
             || report.sound_refused as f64 > MAX_REFUSED_SHARE * report.sound as f64
     };
     let failed: Vec<_> = reports.iter().filter(is_bad).collect();
@@ -77,6 +83,15 @@
     check("two parts", PartShape { fatal_parts: 2, ..SMALL }, seeds(30));
 }
 
+/// Guards against a fatal request and a fatal part that are taken for each other, or for a sound part
+/// that the request shares with others.
+#[test]
+fn a_fatal_part_and_a_fatal_request_are_quarantined_in_time() {
+    let shape = PartShape { has_fatal_request: true, ..SMALL };
+    // In seed 280, a part that the request shares with others explains the ends of both.
+    check("beside a request", shape, seeds(30).chain([280]));
+}
+
 /// Guards against a fatal part that is not judged because another part has the same ends.
 #[test]
 fn a_fatal_part_that_always_comes_with_another_is_quarantined_in_time() {
--- a/crates/quarantine/tests/part_world/mod.rs
+++ b/crates/quarantine/tests/part_world/mod.rs
@@ -21,12 +21,19 @@
 const KNOWN_ENDS: u64 = 5;
 const KNOWN_DELAY_MS: u64 = 3_000;
 
+/// The number of ends after which a fatal request has to be known.
+const KNOWN_REQUEST_ENDS: u64 = 3;
+
 /// The time from the fifth end until sound prompts have to be served as before.
 const RECOVERY_DELAY_MS: u64 = 6_000;
 
 /// The number of parts that sound prompts and fatal ones share.
 const TOPICS: usize = 60;
 
+/// The topic of the fatal request, one of the rarest, and the interval at which it is sent.
+const FATAL_REQUEST_TOPIC: usize = 2;
+const FATAL_REQUEST_INTERVAL_MS: u64 = 200;
+
 /// The number of prompts that an engine runs concurrently.
 const SLOTS: usize = 12;
 
@@ -49,6 +56,9 @@
     /// Whether each fatal part always comes with another part of its own.
     pub has_companion: bool,
     pub fatal_per_s: u64,
+    /// Whether a request crashes its engines as well, and is sent again and again. Its prompt has a
+    /// topic that sound prompts share.
+    pub has_fatal_request: bool,
     pub sound_per_s: u64,
     /// Interval between ends of engines by chance.
     pub chance_interval_ms: u64,
@@ -67,6 +77,9 @@
     /// For each fatal part, the number of sends later than three seconds after its fifth end, by
     /// instances that were up meanwhile.
     pub late_sends: Vec<u64>,
+    /// The number of sends of the fatal request later than three seconds after its third end, by
+    /// instances that were up meanwhile.
+    pub request_late_sends: u64,
     /// Sound prompts that arrived from six seconds after the first fifth end on, and those of them
     /// that were refused.
     pub sound: u64,
@@ -80,8 +93,9 @@
 enum Event {
     ArriveSound,
     ArriveFatal,
+    ArriveFatalRequest,
     Begin { prompt: usize, run: u32 },
-    Crash { engine: usize, generation: u64, part: usize },
+    Crash { engine: usize, generation: u64, by: FatalCause },
     Finish { prompt: usize, run: u32 },
     EngineStarts(usize),
     ChanceEnd,
@@ -92,10 +106,17 @@
     Compare(usize),
 }
 
+/// What crashes the engines that run a prompt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum FatalCause {
+    Part(usize),
+    Request,
+}
+
 struct Prompt {
     digest: RequestDigest,
     parts: Vec<PartDigest>,
-    fatal_part: Option<usize>,
+    cause: Option<FatalCause>,
     instance: usize,
     boot: u64,
     engine: usize,
@@ -141,6 +162,9 @@
     /// For the rule that counts: the ends of each part since its last complete answer.
     counts: BTreeMap<PartDigest, usize>,
     fifth_end: Vec<Option<u64>>,
+    /// The number of ends under the fatal request, and the time of the third.
+    request_ends: u64,
+    third_request_end: Option<u64>,
     report: PartReport,
 }
 
@@ -171,6 +195,8 @@
             prompts: Vec::new(),
             counts: BTreeMap::new(),
             fifth_end: vec![None; shape.fatal_parts],
+            request_ends: 0,
+            third_request_end: None,
             report: PartReport {
                 ends: vec![0; shape.fatal_parts],
                 late_sends: vec![0; shape.fatal_parts],
@@ -179,6 +205,9 @@
         };
         world.schedule(0, Event::ArriveSound);
         world.schedule(2_000, Event::ArriveFatal);
+        if shape.has_fatal_request {
+            world.schedule(2_000, Event::ArriveFatalRequest);
+        }
         world.schedule(shape.chance_interval_ms, Event::ChanceEnd);
         world.schedule(shape.kill_interval_ms, Event::Kill);
         if let Some(at) = shape.kill_all_at_ms {
@@ -227,11 +256,15 @@
                 if self.shape.fatal_parts > 0 {
                     self.schedule_next(self.shape.fatal_per_s, Event::ArriveFatal);
                     let fatal = self.rng.random_range(0..self.shape.fatal_parts);
-                    self.arrive(Some(fatal));
+                    self.arrive(Some(FatalCause::Part(fatal)));
                 }
             }
+            Event::ArriveFatalRequest => {
+                self.schedule(FATAL_REQUEST_INTERVAL_MS, Event::ArriveFatalRequest);
+                self.arrive(Some(FatalCause::Request));
+            }
             Event::Begin { prompt, run } => self.begin(prompt, run),
-            Event::Crash { engine, generation, part } => self.crash(engine, generation, Some(part)),
+            Event::Crash { engine, generation, by } => self.crash(engine, generation, Some(by)),
             Event::Finish { prompt, run } => self.finish(prompt, run),
             Event::EngineStarts(engine) => {
                 self.engines[engine].generation += 1;
@@ -259,18 +292,22 @@
         }
     }
 
-    fn arrive(&mut self, fatal_part: Option<usize>) {
+    fn arrive(&mut self, cause: Option<FatalCause>) {
         let number = self.prompts.len();
-        // The square makes some topics far more frequent than others.
-        let topic = self.rng.random_range(0..TOPICS * TOPICS).isqrt();
+        // The square root makes some topics far more frequent than others.
+        let topic = match cause {
+            Some(FatalCause::Request) => FATAL_REQUEST_TOPIC,
+            _ => self.rng.random_range(0..TOPICS * TOPICS).isqrt(),
+        };
         let mut parts = vec![part("first"), part(&format!("topic-{topic}"))];
-        if let Some(fatal) = fatal_part {
+        if let Some(FatalCause::Part(fatal)) = cause {
             parts.push(part(&format!("fatal-{fatal}")));
             if self.shape.has_companion {
                 parts.push(part(&format!("companion-{fatal}")));
             }
         }
-        let path = format!("/{number}");
+        let is_repeated = cause == Some(FatalCause::Request);
+        let path = if is_repeated { "/repeated".to_owned() } else { format!("/{number}") };
         let identity =
             RequestIdentity { account: None, method: "POST", host: "h", path: &path, body: b"" };
         let up: Vec<usize> =
@@ -278,12 +315,12 @@
         let Some(instance) = up.choose(&mut self.rng).copied() else { return };
         let first_fifth = self.fifth_end.iter().flatten().min();
         let is_counted =
-            fatal_part.is_none() && first_fifth.is_some_and(|at| self.now > at + RECOVERY_DELAY_MS);
+            cause.is_none() && first_fifth.is_some_and(|at| self.now > at + RECOVERY_DELAY_MS);
         self.report.sound += u64::from(is_counted);
         self.prompts.push(Prompt {
             digest: identity.digest(),
             parts,
-            fatal_part,
+            cause,
             instance,
             boot: self.instances[instance].boot,
             engine: usize::MAX,
@@ -294,7 +331,7 @@
         });
         let is_refused = !self.send(number);
         self.report.sound_refused += u64::from(is_counted && is_refused);
-        self.report.sound_refused_in_all += u64::from(fatal_part.is_none() && is_refused);
+        self.report.sound_refused_in_all += u64::from(cause.is_none() && is_refused);
     }
 
     /// Returns whether a prompt is quarantined, and whether it is suspect.
@@ -335,13 +372,19 @@
         prompt.sends += 1;
         prompt.sent_at = self.now;
         prompt.began_at = None;
-        let (run, fatal_part, instance) = (prompt.run, prompt.fatal_part, prompt.instance);
-        if let Some(fatal) = fatal_part {
-            let fifth = self.fifth_end[fatal];
-            let bound = fifth.map(|at| at + KNOWN_DELAY_MS);
-            let was_up = self.now >= self.instances[instance].up_since + KNOWN_DELAY_MS;
-            let is_late = was_up && bound.is_some_and(|at| self.now > at);
-            self.report.late_sends[fatal] += u64::from(is_late);
+        let (run, cause, instance) = (prompt.run, prompt.cause, prompt.instance);
+        let was_up = self.now >= self.instances[instance].up_since + KNOWN_DELAY_MS;
+        let is_late = |known_end: Option<u64>| {
+            u64::from(was_up && known_end.is_some_and(|at| self.now > at + KNOWN_DELAY_MS))
+        };
+        match cause {
+            Some(FatalCause::Part(fatal)) => {
+                self.report.late_sends[fatal] += is_late(self.fifth_end[fatal]);
+            }
+            Some(FatalCause::Request) => {
+                self.report.request_late_sends += is_late(self.third_request_end);
+            }
+            None => {}
         }
         self.engines[engine].running.insert(number);
         let after = self.rng.random_range(30..400);
@@ -354,33 +397,42 @@
             return;
         }
         self.prompts[number].began_at = Some(self.now);
-        let (engine, fatal_part) = (self.prompts[number].engine, self.prompts[number].fatal_part);
-        if let Some(part) = fatal_part {
+        let (engine, cause) = (self.prompts[number].engine, self.prompts[number].cause);
+        if let Some(by) = cause {
             let generation = self.engines[engine].generation;
             let after = self.rng.random_range(60..240);
-            self.schedule(after, Event::Crash { engine, generation, part });
+            self.schedule(after, Event::Crash { engine, generation, by });
         } else {
             let after = self.rng.random_range(100..2_000);
             self.schedule(after, Event::Finish { prompt: number, run });
         }
     }
 
-    fn crash(&mut self, engine: usize, generation: u64, by: Option<usize>) {
+    fn crash(&mut self, engine: usize, generation: u64, by: Option<FatalCause>) {
         let state = &mut self.engines[engine];
         if !state.is_up || state.generation != generation {
             return;
         }
         state.is_up = false;
         let running = std::mem::take(&mut state.running);
-        if let Some(part) = by {
-            self.report.ends[part] += 1;
-            if self.report.ends[part] == KNOWN_ENDS {
-                self.fifth_end[part] = Some(self.now);
+        match by {
+            Some(FatalCause::Part(part)) => {
+                self.report.ends[part] += 1;
+                if self.report.ends[part] == KNOWN_ENDS {
+                    self.fifth_end[part] = Some(self.now);
+                }
+            }
+            Some(FatalCause::Request) => {
+                self.request_ends += 1;
+                if self.request_ends == KNOWN_REQUEST_ENDS {
+                    self.third_request_end = Some(self.now);
+                }
             }
+            None => {}
         }
         for number in running {
             self.prompts[number].run += 1;
-            self.report.cut += u64::from(self.prompts[number].fatal_part.is_none());
+            self.report.cut += u64::from(self.prompts[number].cause.is_none());
             self.record_end(number, engine, generation);
             if self.prompts[number].sends < 2 && self.rng.random_bool(0.5) {
                 self.send(number);
@@ -405,7 +457,7 @@
         let table = &mut self.instances[instance].table;
         let mut updates = Updates::default();
         updates.requests.extend(table.record_interrupted_run(now, digest, &of_request));
-        if let Some(run) = of_parts {
+        if let Some(run) = of_parts.filter(|_| table.accuses_parts(digest)) {
             for part in parts {
                 updates.parts.extend(table.record_interrupted_run(now, part, &run));
                 *self.counts.entry(part).or_default() += 1;
--- a/crates/quarantine/tests/parts.rs
+++ b/crates/quarantine/tests/parts.rs
@@ -34,8 +34,10 @@
         duration: Some(Duration::from_millis(ms_run)),
     };
     table.record_interrupted_run(at(ms), request, &run(300));
-    for part in parts {
-        table.record_interrupted_run(at(ms), *part, &run(100));
+    if table.accuses_parts(request) {
+        for part in parts {
+            table.record_interrupted_run(at(ms), *part, &run(100));
+        }
     }
 }
 
@@ -74,6 +76,25 @@
     assert!(matches!(table.standing(at(5_000), request(1)), Standing::Quarantined { .. }));
 }
 
+/// Guards against the refusal of sound prompts for a part that a fatal request shares with a prompt
+/// with a fatal part: the part explains the ends of both.
+#[test]
+fn ends_of_a_fatal_request_accuse_no_part_that_has_other_ends() {
+    for others in 1..9 {
+        let (shared, fatal) = (part(None, "shared"), part(None, "fatal"));
+        let mut table = QuarantineTable::default();
+        (0..5).for_each(|number| end(&mut table, number * 300, request(10 + number), &[fatal]));
+        for number in 0..others {
+            end(&mut table, number * 300 + 150, request(20 + number), &[shared, fatal]);
+        }
+        (1..7).for_each(|number| end(&mut table, number * 300 + 50, request(1), &[shared]));
+        assert!(is_refused(&table, 5_000, &[fatal]));
+        assert!(!is_refused(&table, 5_000, &[shared]), "shared with {others} others");
+        let standing = table.standing(at(5_000), request(1));
+        assert!(matches!(standing, Standing::Quarantined { .. }), "{others} others: {standing:?}");
+    }
+}
+
 /// Guards against a quarantine that another account can bring about.
 #[test]
 fn parts_of_another_account_or_service_are_not_affected() {
