--- a/crates/quarantine/src/attribution.rs
+++ b/crates/quarantine/src/attribution.rs
@@ -36,11 +36,6 @@
 /// Natural logarithm of the odds at which a request is quarantined after [`SETTLE_DELAY`].
 const SETTLED_LOG_ODDS: f64 = 5.5;
 
-/// Number of ends without a complete answer at which a request is quarantined whatever its odds. Where
-/// a fatal request ends most endpoints within seconds, nearly all requests have ends, and its own look
-/// like ends by chance.
-const CERTAIN_ENDS: usize = 10;
-
 /// Delay between a request's third end and its quarantine at [`SETTLED_LOG_ODDS`]. Within the delay, most
 /// requests that ran on the same endpoints are answered or lose another endpoint, which shows whether
 /// endpoints end by chance.
@@ -103,11 +98,7 @@
         if suspect.runs.len() < MIN_QUARANTINE_ENDS {
             continue;
         }
-        let log_odds = mean_log_odds(&evidence, &beliefs, number);
-        let is_certain =
-            matches!(suspect.suspect, Suspect::Request(_)) && suspect.runs.len() >= CERTAIN_ENDS;
-        let odds =
-            CauseLogOdds(if is_certain { log_odds.max(CONCLUSIVE_LOG_ODDS) } else { log_odds });
+        let odds = CauseLogOdds(mean_log_odds(&evidence, &beliefs, number));
         let members: Vec<SuspectId> = match &suspect.suspect {
             Suspect::Request(digest) => vec![SuspectId::Request(*digest)],
             Suspect::Parts(group) => {
