--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -114,9 +114,9 @@
         Some(update)
     }
 
-    /// Returns whether the ends of a request count against the parts of its prompt. From the end on that
-    /// suffices to judge the request by itself, they do not: its quarantine affects no other prompts, and
-    /// other prompts with the same parts may be sound.
+    /// Returns whether an end under a request counts against the parts of its prompt. Once the request has
+    /// enough ends to be quarantined itself, none does: its quarantine affects no other prompts, and other
+    /// prompts with the same parts may be sound.
     pub fn accuses_parts(&self, digest: RequestDigest) -> bool {
         let case = self.cases.get(&SuspectId::Request(digest));
         case.is_none_or(|case| case.open_ends().count() < MIN_QUARANTINE_ENDS)
