Types, settings and messages of scheduling under hard load; the fleet split by job

Change: a settings section [scheduling], everything off by default, as `PlacementFeatures` of the fleet. Messages carry a claim with a prompt's placement, the pace of answers with progress, and ranks with placed prompts, all as trailing fields that the version before ignores. The fleet is split: the state of one engine, the candidates for a prompt, the tracking of placed prompts, and the decision to refuse under overload. No decision changes.

Conclusion: none of it has an effect yet.

--- a/crates/gateway/src/cluster.rs
+++ b/crates/gateway/src/cluster.rs
@@ -477,8 +477,8 @@
                 gateway.answer_call(token, PeerReply::Permit(verdict));
             }
             PeerMessage::PermitUsed(endpoint) => gateway.on_permit_used(&endpoint),
-            PeerMessage::PlaceAsk { token, ask, cell, waiter, resting } => {
-                let ask = PromptAsk { waiter: waiter.0, resting: resting.0, ..ask };
+            PeerMessage::PlaceAsk { token, ask, cell, waiter, resting, claim } => {
+                let ask = PromptAsk { waiter: waiter.0, resting: resting.0, claim: claim.0, ..ask };
                 gateway.on_place_ask(from, token, &ask, cell);
             }
             PeerMessage::PlaceAnswer { token, verdict } => {
@@ -491,8 +491,8 @@
             PeerMessage::SilenceAnswer { token, is_expected } => {
                 gateway.answer_call(token, PeerReply::SilenceExpected(is_expected));
             }
-            PeerMessage::Progress(notes) => gateway.on_progress(&notes),
-            PeerMessage::Placed(prompts) => gateway.on_placed(prompts),
+            PeerMessage::Progress(notes, paces) => gateway.on_progress(&notes, &paces.0),
+            PeerMessage::Placed(prompts, ranks) => gateway.on_placed(prompts, ranks.0),
             PeerMessage::Cases(updates) => gateway.on_case_updates(from, &updates),
             PeerMessage::Breaks(notices) => gateway.on_broken_runs(from, &notices),
             PeerMessage::PartCases(updates) => gateway.on_part_updates(from, &updates),
--- a/crates/gateway/src/home.rs
+++ b/crates/gateway/src/home.rs
@@ -12,9 +12,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use oriolepass_limits::{PermitWaiter, RequestRank, WaiterId};
 use oriolepass_placement::{
-    EngineCell, EngineFacts, EngineFleet, EngineScope, PlacementRefusal, PromptAsk, PromptKey,
-    PromptPlan, RefusalReason,
+    EngineCell, EngineFacts, EngineFleet, EngineScope, PaceNote, PlacementFeatures,
+    PlacementRefusal, PromptAsk, PromptKey, PromptPlan, RefusalReason,
 };
 use oriolepass_routing::{ColdStart, RoutingRevision};
 use oriolepass_units::{EndpointStart, InstanceId, MonotonicTime};
@@ -150,7 +151,7 @@
     fn report_placement_to_home(&self, ask: &PromptAsk, plan: &PromptPlan) {
         if let Some(leader) = self.leader_instance() {
             let placed = PlacedPrompt { ask: ask.clone(), plan: plan.clone(), has_begun: false };
-            self.mesh.send(&leader, &PeerMessage::Placed(vec![placed]));
+            self.send_placed(&leader, vec![placed]);
         }
     }
 
@@ -164,8 +165,9 @@
     ) -> Option<PlaceVerdict> {
         let waiter = TrailingField(ask.waiter.clone());
         let resting = TrailingField(ask.resting.clone());
+        let claim = TrailingField(ask.claim);
         let request =
-            |token| PeerMessage::PlaceAsk { token, ask: ask.clone(), cell, waiter, resting };
+            |token| PeerMessage::PlaceAsk { token, ask: ask.clone(), cell, waiter, resting, claim };
         let reply = self.call(home, max_wait, request).await;
         let Some(PeerReply::Placed(verdict)) = reply else { return None };
         if let Ok(plan) = &verdict {
@@ -271,7 +273,7 @@
 
     /// Records the progress of a prompt, and reports it to the home and the notified deputies.
     pub(crate) fn report_progress(&self, note: ProgressNote) {
-        self.on_progress(std::slice::from_ref(&note));
+        self.on_progress(std::slice::from_ref(&note), &[]);
         match &note {
             ProgressNote::Begun(key) => {
                 if let Some(placed) = self.home.borrow_mut().own_prompts.get_mut(key) {
@@ -293,10 +295,10 @@
                 .cloned()
                 .collect()
         };
-        self.mesh.send_all(&to, &PeerMessage::Progress(vec![note]));
+        self.mesh.send_all(&to, &PeerMessage::Progress(vec![note], TrailingField::default()));
     }
 
-    pub(crate) fn on_progress(&self, notes: &[ProgressNote]) {
+    pub(crate) fn on_progress(&self, notes: &[ProgressNote], _paces: &[PaceNote]) {
         let now = self.now();
         let mut home = self.home.borrow_mut();
         for note in notes {
@@ -317,8 +319,13 @@
         }
     }
 
-    /// Adds prompts that another daemon placed.
-    pub(crate) fn on_placed(&self, prompts: Vec<PlacedPrompt>) {
+    /// Adds prompts that another daemon placed, with their ranks if the daemon sent them.
+    pub(crate) fn on_placed(&self, mut prompts: Vec<PlacedPrompt>, ranks: Vec<RequestRank>) {
+        for (placed, rank) in prompts.iter_mut().zip(ranks) {
+            let key = placed.ask.key;
+            let id = WaiterId { entry: key.entry, number: key.number };
+            placed.ask.waiter = Some(PermitWaiter { id, rank, patience: Duration::ZERO });
+        }
         self.refresh_fleet();
         let now = self.now();
         let mut home = self.home.borrow_mut();
@@ -337,10 +344,18 @@
     fn send_own_prompts(&self, home: &InstanceId) {
         let prompts: Vec<PlacedPrompt> = self.home.borrow().own_prompts.values().cloned().collect();
         if !prompts.is_empty() {
-            self.mesh.send(home, &PeerMessage::Placed(prompts));
+            self.send_placed(home, prompts);
         }
     }
 
+    fn send_placed(&self, home: &InstanceId, prompts: Vec<PlacedPrompt>) {
+        let rank = |placed: &PlacedPrompt| {
+            placed.ask.waiter.as_ref().map(|waiter| waiter.rank.clone()).unwrap_or_default()
+        };
+        let ranks = prompts.iter().map(rank).collect();
+        self.mesh.send(home, &PeerMessage::Placed(prompts, TrailingField(ranks)));
+    }
+
     /// Updates the fleet from the endpoint registry and the document in force, and removes the
     /// prompts of entries that are gone.
     fn refresh_fleet(&self) {
@@ -400,6 +415,7 @@
             })
             .collect();
         let home = &mut *home;
+        home.fleet.set_features(self.placement_features());
         home.fleet.update(facts);
         home.last_good_answer.retain(|_, at| now.since(*at) < GOOD_ANSWER_TTL);
         // A leaf that acts as a deputy does not have the full list of live entries.
@@ -409,6 +425,15 @@
         }
     }
 
+    fn placement_features(&self) -> PlacementFeatures {
+        let scheduling = self.settings().scheduling;
+        PlacementFeatures {
+            learns_speeds: scheduling.engine_speeds,
+            shares_accounts: scheduling.account_shares,
+            keeps_claims: scheduling.return_claims,
+        }
+    }
+
     /// Returns the key of a new prompt.
     pub(crate) fn prompt_key(self: &Rc<Self>) -> PromptKey {
         PromptKey { entry: self.boot, number: self.next_number() }
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -7,8 +7,10 @@
 use std::time::Duration;
 
 use oriolepass_consensus::Envelope;
-use oriolepass_limits::{LimitNotice, PermitAsk, PermitVerdict, PermitWaiter};
-use oriolepass_placement::{EngineCell, PlacementRefusal, PromptAsk, PromptKey, PromptPlan};
+use oriolepass_limits::{LimitNotice, PermitAsk, PermitVerdict, PermitWaiter, RequestRank};
+use oriolepass_placement::{
+    ClaimId, EngineCell, PaceNote, PlacementRefusal, PromptAsk, PromptKey, PromptPlan,
+};
 use oriolepass_quarantine::{CaseUpdate, PartDigest};
 use oriolepass_routing::{
     DrainCommand, DrainOutcome, DrainRegister, RegisterOutcome, RoutingRevision, RoutingText,
@@ -163,6 +165,8 @@
         waiter: TrailingField<Option<PermitWaiter>>,
         /// Engines that asked the sender for rest, on which the prompt must not be placed.
         resting: TrailingField<Vec<EndpointStart>>,
+        /// Identifies the prompt across its caller's attempts, if claims are kept.
+        claim: TrailingField<Option<ClaimId>>,
     },
     /// The answer to `PlaceAsk`.
     PlaceAnswer { token: u64, verdict: PlaceVerdict },
@@ -170,10 +174,12 @@
     SilenceAsk { token: u64, endpoint: EndpointStart, silence: Duration },
     /// The answer to `SilenceAsk`.
     SilenceAnswer { token: u64, is_expected: bool },
-    /// Progress of prompts that the receiver placed.
-    Progress(Vec<ProgressNote>),
-    /// Prompts in progress of the sender's callers that the receiving home did not place.
-    Placed(Vec<PlacedPrompt>),
+    /// Progress of prompts that the receiver placed, and the pace of answers that are written more
+    /// slowly than predicted.
+    Progress(Vec<ProgressNote>, TrailingField<Vec<PaceNote>>),
+    /// Prompts in progress of the sender's callers that the receiving home did not place, and the
+    /// ranks of these prompts.
+    Placed(Vec<PlacedPrompt>, TrailingField<Vec<RequestRank>>),
     /// Quarantine cases: requests during which endpoints ended.
     Cases(Vec<CaseUpdate>),
     /// The hash of the sender's quarantine cases. A receiver with another hash sends its own cases.
--- a/crates/gateway/src/peers/message_tests.rs
+++ b/crates/gateway/src/peers/message_tests.rs
@@ -66,10 +66,12 @@
             resting: Vec::new(),
             is_suspect: false,
             waiter: None,
+            claim: None,
         },
         cell: Some(EngineCell { index: 1, count: 3 }),
         waiter: TrailingField(waiter),
         resting: TrailingField(resting.iter().map(|name| name.parse().expect("a start")).collect()),
+        claim: TrailingField(None),
     }
 }
 
@@ -109,12 +111,26 @@
     }
 }
 
+/// Guards against reports of the version before that close the connection because they lack the pace
+/// of answers or the ranks of prompts.
+#[test]
+fn progress_and_placed_prompts_of_the_version_before_are_read() {
+    let progress = PeerMessage::Progress(Vec::new(), TrailingField::default());
+    let placed = PeerMessage::Placed(Vec::new(), TrailingField::default());
+    for message in [progress, placed] {
+        let bytes = postcard::to_stdvec(&message).expect("bytes");
+        // The added list is the last field, and its length is one byte.
+        let earlier = &bytes[..bytes.len() - 1];
+        assert_eq!(postcard::from_bytes(earlier), Ok(message));
+    }
+}
+
 /// Guards against prompts of the version before that are not placed because they lack the engines that rest.
 #[test]
 fn a_placement_asked_for_by_the_version_before_excludes_no_engine() {
     let asked = place_ask(Some(waiter()), &[]);
     let bytes = postcard::to_stdvec(&asked).expect("bytes");
-    // The list of engines is the last field, and its length is one byte.
-    let earlier = &bytes[..bytes.len() - 1];
+    // The list of engines is the last field but one, and its length is one byte, as is the claim.
+    let earlier = &bytes[..bytes.len() - 2];
     assert_eq!(postcard::from_bytes(earlier), Ok(asked));
 }
--- a/crates/placement/src/choice.rs
+++ b/crates/placement/src/choice.rs
@@ -2,11 +2,13 @@
 //! size with the least.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
+use oriolepass_routing::EngineProfile;
 use oriolepass_units::EndpointStart;
 
 use crate::cost::{EngineView, LongDemand, ReadCost, ShortDemand, lateness, millis, risk};
-use crate::plan::{PromptAsk, PromptKey};
+use crate::plan::{HelperPart, PromptAsk, PromptKey, PromptPlan};
 
 /// Group sizes that are considered for one prompt. The maximum is the engines' own limit on helpers
 /// plus the main engine, which writes the answer.
@@ -204,7 +206,7 @@
 
 /// Divides a prompt that exceeds the main engine's memory among the engines of the group by their
 /// free memory. The main engine keeps the remainder.
-pub(crate) fn reserves(
+fn reserves(
     ask: &PromptAsk,
     views: &[(EndpointStart, EngineView)],
     best: &Candidate,
@@ -227,3 +229,39 @@
     }
     reserves
 }
+
+/// Builds the plan that the entry receives.
+pub(crate) fn build_plan(
+    job: &Job<'_>,
+    views: &[(EndpointStart, EngineView)],
+    profile: &EngineProfile,
+    best: &Candidate,
+) -> PromptPlan {
+    let reserves = reserves(job.ask, views, best);
+    let main_pass_ms = views
+        .iter()
+        .find(|(endpoint, _)| *endpoint == best.main)
+        .map_or(0.0, |(_, view)| view.writing_pass_ms)
+        .max(profile.step_ms * f64::from(profile.steps_per_pass));
+    let passes = job.ask.answer_tokens as f64 / f64::from(profile.steps_per_pass);
+    let helper = |endpoint: &EndpointStart| HelperPart {
+        endpoint: endpoint.clone(),
+        reserve_tokens: reserves.get(endpoint).copied(),
+    };
+    PromptPlan {
+        main: best.main.clone(),
+        helpers: best.helpers.iter().map(helper).collect(),
+        engine_priority: engine_priority(job.ask),
+        first_event: Duration::from_secs_f64(best.first_ms.max(0.0) / 1_000.0),
+        whole: Duration::from_secs_f64((best.first_ms + passes * main_pass_ms) / 1_000.0),
+    }
+}
+
+/// Maps the objective to the engines' priorities: prompts that are due soon are admitted first.
+fn engine_priority(ask: &PromptAsk) -> u8 {
+    match ask.objective.as_millis() {
+        0..=500 => 2,
+        501..=1_800 => 4,
+        _ => 6,
+    }
+}
--- a/crates/placement/src/fleet.rs
+++ b/crates/placement/src/fleet.rs
@@ -1,26 +1,26 @@
 //! Tracks the engines of all services and the prompts placed on them, and chooses the engines for a
 //! prompt.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::hash::{Hash, Hasher};
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
-use oriolepass_limits::{
-    IssuerRole, PermitBucket, PermitForecast, PermitQueue, PermitWaiter, QueueVerdict, RequestRank,
-    WaiterId,
-};
+use oriolepass_limits::PermitQueue;
 use oriolepass_routing::EngineProfile;
-use oriolepass_units::{EndpointStart, MonotonicTime, RequestRate, ServiceName};
+use oriolepass_units::{EndpointStart, MonotonicTime, ServiceName};
 
-use crate::choice::{Candidate, Job, best_group, reserves, without_backlog};
-use crate::cost::{EngineView, Neighbour, ReadCost, WaitingPart, caller_timeout_ms, millis};
-use crate::crowd::is_crowded_out;
+use crate::candidates::{gather_weight, least_disturbing, rendezvous_hash, sample_engines};
+use crate::choice::{Job, best_group, build_plan, without_backlog};
+use crate::cost::{EngineView, Neighbour, ReadCost, WaitingPart, millis};
 use crate::demand::{DemandMeter, RecordedPrompt};
+use crate::engine::{EngineEntry, EngineFacts};
 use crate::farm::EngineFarm;
-use crate::passes::{EnginePasses, PassPrompt};
-use crate::plan::{HelperPart, PlacementRefusal, PromptAsk, PromptKey, PromptPlan, RefusalReason};
+use crate::features::PlacementFeatures;
+use crate::overload;
+use crate::passes::EnginePasses;
+use crate::plan::{PlacementRefusal, PromptAsk, PromptKey, PromptPlan, RefusalReason};
 use crate::scope::EngineScope;
+use crate::tracking::PlacedPrompt;
 
 /// Share of an engine's memory that placements use. The rest, a sixteenth for sixteen slots, is for
 /// answers longer than expected.
@@ -28,19 +28,7 @@
 
 /// Time without new work for an engine after its first failure, a few passes long. It doubles with
 /// each further failure.
-const FAILURE_BACKOFF: Duration = Duration::from_millis(400);
-
-/// Maximum number of doublings of [`FAILURE_BACKOFF`], which gives 6.4 s: longer than most faults
-/// of the platform last.
-const MAX_BACKOFF_DOUBLINGS: u32 = 4;
-
-/// Maximum share of a service's engines in backoff at a time. More would overload the remaining
-/// engines.
-const MAX_BACKOFF_SHARE: f64 = 0.5;
-
-/// Retry delay of a prompt that is refused because of load. Surges last longer, but callers spend
-/// at most a third of their time on waiting.
-const OVERLOAD_RETRY_DELAY: Duration = Duration::from_millis(4_000);
+pub(crate) const FAILURE_BACKOFF: Duration = Duration::from_millis(400);
 
 /// Share of a service's engines above which a simultaneous silence is not attributed to the single
 /// engines. The usual faults of the platform affect 15 % of the engines at a time.
@@ -49,113 +37,28 @@
 /// Time for which a reported silence counts as present.
 const SILENCE_TTL: Duration = Duration::from_millis(2_000);
 
-/// The state of an engine according to its own announcements.
-#[derive(Debug, Clone, PartialEq)]
-pub struct EngineFacts {
-    /// The engine.
-    pub endpoint: EndpointStart,
-    /// The service to which the engine belongs.
-    pub service: ServiceName,
-    /// Whether the engine accepts new work.
-    pub takes_work: bool,
-    /// Maximum number of prompts placed on the engine within a second, if limited.
-    pub max_prompts_per_s: Option<u32>,
-    /// The request rate that the engine takes from all instances together, if it names one.
-    pub limit: Option<RequestRate>,
-    /// The published behaviour of the engine.
-    pub profile: Arc<EngineProfile>,
-}
-
-#[derive(Debug)]
-struct EngineEntry {
-    facts: EngineFacts,
-    /// End of the backoff after a failure; no new work is placed before.
-    backoff_until: MonotonicTime,
-    failures: u32,
-    /// Time of the last silence that no reading explains.
-    silent_at: Option<MonotonicTime>,
-    /// The prompts whose main engine this is.
-    mains: Vec<PromptKey>,
-    /// Times of recent placements. Times that no longer count are removed with the next placement.
-    recent_placements: VecDeque<MonotonicTime>,
-    /// The permits of an engine that names a limit.
-    permits: Option<PermitBucket>,
-}
-
-impl EngineEntry {
-    /// Sets the rate at which permits are issued from now on.
-    fn update_permits(&mut self, now: MonotonicTime, role: IssuerRole) {
-        let Some(limit) = self.facts.limit else {
-            self.permits = None;
-            return;
-        };
-        let rate = role.rate(limit);
-        let bucket = self.permits.get_or_insert_with(|| PermitBucket::empty(now, rate));
-        bucket.set_rate(now, rate);
-    }
-
-    /// Returns whether the engine names no limit, or has a permit for a request.
-    fn has_permit(&self, now: MonotonicTime) -> bool {
-        self.permits.is_none_or(|bucket| PermitForecast::of(now, [&bucket]).available() > 0)
-    }
-
-    /// Charges a request to the permits of an engine that names a limit.
-    fn charge_permit(&mut self, now: MonotonicTime) {
-        if let Some(bucket) = &mut self.permits {
-            bucket.charge(now);
-        }
-    }
-
-    /// Records a placement and removes those that no longer count towards the limit.
-    fn record_placement(&mut self, now: MonotonicTime) {
-        self.recent_placements.push_back(now);
-        while self.recent_placements.front().is_some_and(|at| now.since(*at) >= ONE_SECOND) {
-            self.recent_placements.pop_front();
-        }
-    }
-
-    /// Returns whether fewer than `max_per_s` prompts were placed within the last second.
-    fn is_below_limit(&self, now: MonotonicTime, max_per_s: u32) -> bool {
-        let recent =
-            self.recent_placements.iter().filter(|at| now.since(**at) < ONE_SECOND).count();
-        recent < max_per_s as usize
-    }
-}
-
-const ONE_SECOND: Duration = Duration::from_secs(1);
-
-#[derive(Debug, Clone)]
-struct PlacedPrompt {
-    value: f64,
-    pause_ms: f64,
-    caller_timeout_ms: f64,
-    due_ms: f64,
-    has_begun: bool,
-    has_late_pause: bool,
-    is_short: bool,
-    is_suspect: bool,
-    /// What this home recorded of a long prompt, with the service.
-    demand: Option<(ServiceName, RecordedPrompt)>,
-    /// Whether the main engine has failed a request since.
-    main_failed: bool,
-}
-
 /// The engines of all services, as seen by one home.
 #[derive(Debug, Default)]
 pub struct EngineFleet {
-    engines: BTreeMap<EndpointStart, EngineEntry>,
-    farm: EngineFarm,
-    placed: BTreeMap<PromptKey, PlacedPrompt>,
-    demand: BTreeMap<ServiceName, DemandMeter>,
+    pub(crate) engines: BTreeMap<EndpointStart, EngineEntry>,
+    pub(crate) farm: EngineFarm,
+    pub(crate) placed: BTreeMap<PromptKey, PlacedPrompt>,
+    pub(crate) demand: BTreeMap<ServiceName, DemandMeter>,
     /// The prompts that wait for permits of engines with limits.
-    permit_queues: BTreeMap<ServiceName, PermitQueue>,
+    pub(crate) permit_queues: BTreeMap<ServiceName, PermitQueue>,
+    pub(crate) features: PlacementFeatures,
 }
 
-fn time_ms(now: MonotonicTime) -> f64 {
+pub(crate) fn time_ms(now: MonotonicTime) -> f64 {
     now.0 as f64 / 1_000.0
 }
 
 impl EngineFleet {
+    /// Sets which optional parts of the placement take effect.
+    pub fn set_features(&mut self, features: PlacementFeatures) {
+        self.features = features;
+    }
+
     /// Replaces the set of known engines.
     pub fn update(&mut self, facts: Vec<EngineFacts>) {
         let present: BTreeSet<EndpointStart> = facts.iter().map(|f| f.endpoint.clone()).collect();
@@ -166,16 +69,7 @@
             match self.engines.get_mut(&fact.endpoint) {
                 Some(engine) => engine.facts = fact,
                 None => {
-                    let entry = EngineEntry {
-                        backoff_until: MonotonicTime::ZERO,
-                        failures: 0,
-                        silent_at: None,
-                        mains: Vec::new(),
-                        recent_placements: VecDeque::new(),
-                        permits: None,
-                        facts: fact,
-                    };
-                    self.engines.insert(entry.facts.endpoint.clone(), entry);
+                    self.engines.insert(fact.endpoint.clone(), EngineEntry::new(fact));
                 }
             }
         }
@@ -280,12 +174,13 @@
             });
         };
         let job = self.job(now, ask, &profile, &views);
+        let refuse = |reason| {
+            let retry_after = overload::retry_after(reason, ask);
+            Err(PlacementRefusal { reason, retry_after })
+        };
         let views = without_backlog(&job, views);
         if views.is_empty() {
-            return Err(PlacementRefusal {
-                reason: RefusalReason::Backlog,
-                retry_after: OVERLOAD_RETRY_DELAY,
-            });
+            return refuse(RefusalReason::Backlog);
         }
         let separate =
             ask.is_suspect.then(|| best_group(&job, &least_disturbing(&views))).flatten();
@@ -293,20 +188,8 @@
             reason: RefusalReason::NoMemory,
             retry_after: FAILURE_BACKOFF,
         })?;
-        if is_crowded_out(&job, &views, best.first_ms) {
-            return Err(PlacementRefusal {
-                reason: RefusalReason::Crowded,
-                retry_after: OVERLOAD_RETRY_DELAY,
-            });
-        }
-        let counts_risk = job.long_demand.counts_risk(job.engines);
-        let loss = if counts_risk { best.adjusted_loss } else { best.loss };
-        if !job.cost.is_short() && loss > job.value {
-            // The other prompts on its engines would lose more than this prompt gains.
-            return Err(PlacementRefusal {
-                reason: RefusalReason::TooDear,
-                retry_after: OVERLOAD_RETRY_DELAY,
-            });
+        if let Some(reason) = overload::refusal_reason(&job, &views, &best) {
+            return refuse(reason);
         }
         if best.first_ms > millis(ask.deadline) {
             // The prompt would only take engines from prompts that can still be on time.
@@ -314,7 +197,7 @@
             let retry_after = Duration::from_secs_f64(spare_ms / 1_000.0);
             return Err(PlacementRefusal { reason: RefusalReason::TooLate, retry_after });
         }
-        let plan = plan(&job, &views, &profile, &best);
+        let plan = build_plan(&job, &views, &profile, &best);
         let (is_short, value, work_ms) = (job.cost.is_short(), job.value, job.cost.whole_ms);
         self.record_plan(now, ask, &plan, false);
         let meter = self.demand.entry(ask.service.clone()).or_default();
@@ -430,321 +313,4 @@
         };
         engine.unread_parts().filter_map(waiting_part).collect()
     }
-
-    /// Records a prompt that another home placed, so that its engines count as busy. If this home
-    /// placed the prompt on a different main engine, its response to the entry came too late, and
-    /// the other home's placement applies.
-    pub fn adopt(&mut self, now: MonotonicTime, ask: &PromptAsk, plan: &PromptPlan, begun: bool) {
-        let has_same_main = self.farm.engines_of(ask.key).first() == Some(&plan.main);
-        if has_same_main || !self.engines.contains_key(&plan.main) {
-            return;
-        }
-        if self.placed.contains_key(&ask.key) {
-            self.ended(now, ask.key);
-        }
-        self.farm.advance(time_ms(now));
-        self.record_plan(now, ask, plan, begun);
-    }
-
-    /// Records that a prompt's first event has come.
-    pub fn first_event(&mut self, now: MonotonicTime, key: PromptKey) {
-        let Some(placed) = self.placed.get_mut(&key) else { return };
-        placed.has_begun = true;
-        let now_ms = time_ms(now);
-        self.farm.advance(now_ms);
-        self.farm.first_event(now_ms, key);
-        for endpoint in self.farm.engines_of(key) {
-            if let Some(engine) = self.engines.get_mut(endpoint) {
-                engine.failures = 0;
-            }
-        }
-    }
-
-    /// Records the end of a prompt, regardless of how it ended.
-    pub fn ended(&mut self, now: MonotonicTime, key: PromptKey) {
-        self.farm.advance(time_ms(now));
-        if let Some(main) = self.farm.engines_of(key).first()
-            && let Some(engine) = self.engines.get_mut(main)
-        {
-            engine.mains.retain(|other| *other != key);
-        }
-        self.farm.remove(key);
-        if let Some(placed) = self.placed.remove(&key)
-            && placed.main_failed
-            && !placed.has_begun
-            && let Some((service, recorded)) = placed.demand
-            && let Some(meter) = self.demand.get_mut(&service)
-        {
-            meter.withdraw_long(time_ms(now), &recorded);
-        }
-    }
-
-    /// Removes the prompts of entries that are gone.
-    pub fn forget_entries(&mut self, now: MonotonicTime, is_gone: impl Fn(u64) -> bool) {
-        let gone: Vec<PromptKey> =
-            self.placed.keys().filter(|key| is_gone(key.entry)).copied().collect();
-        gone.into_iter().for_each(|key| self.ended(now, key));
-    }
-
-    /// Records that an engine failed a request. The engine gets no new work for a while, unless too
-    /// many engines are in backoff already.
-    pub fn failed(&mut self, now: MonotonicTime, endpoint: &EndpointStart) {
-        let Some(service) = self.engines.get(endpoint).map(|e| e.facts.service.clone()) else {
-            return;
-        };
-        let of_service = self.engines.values().filter(|e| e.facts.service == service);
-        let (all, in_backoff) = of_service.fold((0.0, 0.0), |(all, in_backoff), engine| {
-            (all + 1.0, in_backoff + f64::from(u8::from(now < engine.backoff_until)))
-        });
-        let Some(engine) = self.engines.get_mut(endpoint) else { return };
-        for key in &engine.mains {
-            if let Some(placed) = self.placed.get_mut(key) {
-                placed.main_failed = true;
-            }
-        }
-        engine.failures += 1;
-        if in_backoff + 1.0 <= all * MAX_BACKOFF_SHARE {
-            let doublings = (engine.failures - 1).min(MAX_BACKOFF_DOUBLINGS);
-            engine.backoff_until = now + FAILURE_BACKOFF * 2_u32.pow(doublings);
-        }
-    }
-
-    fn usable(
-        &self,
-        now: MonotonicTime,
-        ask: &PromptAsk,
-        scope: EngineScope,
-    ) -> Vec<EndpointStart> {
-        let takes_work = |engine: &&EngineEntry| {
-            let facts = &engine.facts;
-            let is_within_limit = |max_per_s| {
-                scope.allows_limited(&facts.endpoint) && engine.is_below_limit(now, max_per_s)
-            };
-            facts.service == ask.service
-                && facts.takes_work
-                && !ask.resting.contains(&facts.endpoint)
-                && now >= engine.backoff_until
-                && (facts.limit.is_none() || scope.allows_limited(&facts.endpoint))
-                && facts.max_prompts_per_s.is_none_or(is_within_limit)
-        };
-        let all: Vec<EndpointStart> = self
-            .engines
-            .values()
-            .filter(takes_work)
-            .map(|engine| engine.facts.endpoint.clone())
-            .collect();
-        let preferred: Vec<EndpointStart> =
-            all.iter().filter(|endpoint| !ask.avoid.contains(endpoint)).cloned().collect();
-        if preferred.is_empty() { all } else { preferred }
-    }
-
-    /// Returns the engines without a limit and those with a permit for a request. If all engines
-    /// name limits, the prompts that wait take the permits in turn.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`RefusalReason::AtLimit`] with the time after which the prompt should ask again.
-    fn with_permits(
-        &mut self,
-        now: MonotonicTime,
-        ask: &PromptAsk,
-        scope: EngineScope,
-        mut usable: Vec<EndpointStart>,
-    ) -> Result<Vec<EndpointStart>, PlacementRefusal> {
-        let mut limited = 0;
-        for endpoint in &usable {
-            if let Some(engine) = self.engines.get_mut(endpoint) {
-                engine.update_permits(now, scope.issuer_role());
-                limited += usize::from(engine.permits.is_some());
-            }
-        }
-        if limited == 0 {
-            return Ok(usable);
-        }
-        if limited == usable.len() {
-            let buckets = usable.iter().filter_map(|e| self.engines.get(e)?.permits.as_ref());
-            let forecast = PermitForecast::of(now, buckets);
-            let waiter = ask.waiter.clone().unwrap_or_else(|| PermitWaiter {
-                id: WaiterId { entry: ask.key.entry, number: ask.key.number },
-                rank: RequestRank::default(),
-                patience: ask.patience,
-            });
-            let queue = self.permit_queues.entry(ask.service.clone()).or_default();
-            match queue.ask(now, &waiter, &forecast) {
-                QueueVerdict::Take => {}
-                QueueVerdict::Wait(after) | QueueVerdict::Refuse(after) => {
-                    let reason = RefusalReason::AtLimit;
-                    return Err(PlacementRefusal { reason, retry_after: after });
-                }
-            }
-        }
-        usable.retain(|endpoint| self.engines.get(endpoint).is_some_and(|e| e.has_permit(now)));
-        Ok(usable)
-    }
-
-    fn record_plan(&mut self, now: MonotonicTime, ask: &PromptAsk, plan: &PromptPlan, begun: bool) {
-        let Some(main) = self.engines.get_mut(&plan.main) else { return };
-        let cost = ReadCost::new(&main.facts.profile, ask.prompt_tokens);
-        main.mains.push(ask.key);
-        main.record_placement(now);
-        if !begun {
-            self.charge_permits(now, plan);
-        }
-        let parts = plan.helpers.len() + 1;
-        let prompt = PassPrompt {
-            key: ask.key,
-            prompt_tokens: ask.prompt_tokens,
-            parts: u32::try_from(parts).unwrap_or(u32::MAX),
-            answer_tokens: ask.answer_tokens,
-            priority: plan.engine_priority,
-            tokens_at_helpers: plan.helpers.iter().filter_map(|helper| helper.reserve_tokens).sum(),
-        };
-        let engines: Vec<EndpointStart> = std::iter::once(&plan.main)
-            .chain(plan.helpers.iter().map(|helper| &helper.endpoint))
-            .cloned()
-            .collect();
-        if begun {
-            // All parts have been read. Simulating their reading again would end passes in which
-            // parts of other prompts are read, and those parts would count as read too early.
-            self.farm.take_written(time_ms(now), &plan.main, &plan.helpers, &prompt);
-        } else {
-            self.mark_late_pauses(cost.part_ms(parts), &engines);
-            self.farm.take(time_ms(now), &plan.main, &plan.helpers, &prompt);
-        }
-        let placed = PlacedPrompt {
-            value: cost.value(),
-            pause_ms: millis(ask.pause),
-            caller_timeout_ms: caller_timeout_ms(ask),
-            due_ms: time_ms(now) + millis(ask.objective),
-            has_begun: begun,
-            has_late_pause: false,
-            is_short: cost.is_short(),
-            is_suspect: ask.is_suspect,
-            demand: None,
-            main_failed: false,
-        };
-        self.placed.insert(ask.key, placed);
-    }
-
-    /// Charges a request to the main engine of a plan, and its part of the prompt to each helper.
-    fn charge_permits(&mut self, now: MonotonicTime, plan: &PromptPlan) {
-        let helpers = plan.helpers.iter().map(|helper| &helper.endpoint);
-        for endpoint in std::iter::once(&plan.main).chain(helpers) {
-            if let Some(engine) = self.engines.get_mut(endpoint) {
-                engine.charge_permit(now);
-            }
-        }
-    }
-
-    /// Marks the answers whose next pause will be too long, so that the next prompt may use engines
-    /// whose answers are late anyway.
-    fn mark_late_pauses(&mut self, part_ms: f64, engines: &[EndpointStart]) {
-        for endpoint in engines {
-            let (Some(entry), Some(engine)) =
-                (self.engines.get(endpoint), self.farm.engine(endpoint))
-            else {
-                continue;
-            };
-            let pass_ms = engine.writing_pass_ms() + engine.unread_ms() + part_ms;
-            for key in &entry.mains {
-                if let Some(placed) = self.placed.get_mut(key).filter(|placed| placed.has_begun) {
-                    placed.has_late_pause |= pass_ms > placed.pause_ms * SURELY_LATE_PAUSE_RATIO;
-                }
-            }
-        }
-    }
-}
-
-/// Number of idle engines to keep for long prompts: enough for three at a time, each read by at
-/// most sixteen engines.
-const IDLE_RESERVE: f64 = 48.0;
-
-/// Returns the weight for gathering answers on few engines: 1 with up to `IDLE_RESERVE` idle
-/// engines, decreasing linearly to 0 at twice that number.
-///
-/// With enough idle engines, gathering only delays first events, which wait for the pass of other
-/// answers on the same engine.
-fn gather_weight(views: &[(EndpointStart, EngineView)]) -> f64 {
-    let idle = views.iter().filter(|(_, view)| view.is_idle()).count() as f64;
-    (1.0 - (idle - IDLE_RESERVE) / IDLE_RESERVE).clamp(0.0, 1.0)
-}
-
-/// Number of engines considered for a short prompt if at least twice as many are usable. Bounds the
-/// time of a decision and is large enough that the sample likely contains an idle engine.
-const SHORT_SAMPLE: usize = 128;
-
-/// Reduces `engines` to `SHORT_SAMPLE` consecutive ones if there are at least twice as many. The
-/// start depends on the prompt, so that prompts are spread over all engines.
-fn sample_engines(key: PromptKey, engines: &mut Vec<EndpointStart>) {
-    if engines.len() >= 2 * SHORT_SAMPLE {
-        let mut hasher = xxhash_rust::xxh3::Xxh3Default::new();
-        key.entry.hash(&mut hasher);
-        key.number.hash(&mut hasher);
-        let start = (hasher.finish() % engines.len() as u64) as usize;
-        engines.rotate_left(start);
-        engines.truncate(SHORT_SAMPLE);
-    }
-}
-
-/// Returns a hash of prompt and engine that orders the engines differently for each prompt.
-fn rendezvous_hash(key: PromptKey, endpoint: &EndpointStart) -> u64 {
-    let mut hasher = xxhash_rust::xxh3::Xxh3Default::new();
-    key.entry.hash(&mut hasher);
-    key.number.hash(&mut hasher);
-    endpoint.hash(&mut hasher);
-    hasher.finish()
-}
-
-/// Returns the engines with the fewest suspects, and among them those with the fewest prompts.
-///
-/// A suspect is a prompt that engines were serving when they ended. On the returned engines, a
-/// further end interrupts as few other streams as possible. It also identifies the cause: when a
-/// dozen prompts lose one engine together, each of them is placed on a different engine.
-fn least_disturbing(views: &[(EndpointStart, EngineView)]) -> Vec<(EndpointStart, EngineView)> {
-    let disturbs = |view: &EngineView| {
-        let suspects = view.neighbours.iter().filter(|neighbour| neighbour.is_suspect).count();
-        (suspects, view.load)
-    };
-    let least = views.iter().map(|(_, view)| disturbs(view)).min();
-    views.iter().filter(|(_, view)| Some(disturbs(view)) == least).cloned().collect()
-}
-
-/// Builds the plan that the entry receives.
-fn plan(
-    job: &Job<'_>,
-    views: &[(EndpointStart, EngineView)],
-    profile: &EngineProfile,
-    best: &Candidate,
-) -> PromptPlan {
-    let reserves = reserves(job.ask, views, best);
-    let main_pass_ms = views
-        .iter()
-        .find(|(endpoint, _)| *endpoint == best.main)
-        .map_or(0.0, |(_, view)| view.writing_pass_ms)
-        .max(profile.step_ms * f64::from(profile.steps_per_pass));
-    let passes = job.ask.answer_tokens as f64 / f64::from(profile.steps_per_pass);
-    let helper = |endpoint: &EndpointStart| HelperPart {
-        endpoint: endpoint.clone(),
-        reserve_tokens: reserves.get(endpoint).copied(),
-    };
-    PromptPlan {
-        main: best.main.clone(),
-        helpers: best.helpers.iter().map(helper).collect(),
-        engine_priority: engine_priority(job.ask),
-        first_event: Duration::from_secs_f64(best.first_ms.max(0.0) / 1_000.0),
-        whole: Duration::from_secs_f64((best.first_ms + passes * main_pass_ms) / 1_000.0),
-    }
-}
-
-/// Ratio of a predicted pause to the longest one on time from which the pause is late despite the
-/// prediction error.
-const SURELY_LATE_PAUSE_RATIO: f64 = 1.2;
-
-/// Maps the objective to the engines' priorities: prompts that are due soon are admitted first.
-fn engine_priority(ask: &PromptAsk) -> u8 {
-    match ask.objective.as_millis() {
-        0..=500 => 2,
-        501..=1_800 => 4,
-        _ => 6,
-    }
 }
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -16,19 +16,30 @@
 //!
 //! The crate does no I/O: every call takes the present time, and no call blocks.
 
+mod candidates;
 mod choice;
+mod claim;
 mod cost;
 mod crowd;
 mod demand;
+mod engine;
 mod farm;
+mod features;
 mod fleet;
+mod overload;
 mod passes;
 mod plan;
 mod scope;
+mod speed;
+mod tracking;
 
+pub use claim::{ClaimId, ClaimIdError};
 pub use cost::ReadCost;
+pub use engine::EngineFacts;
 pub use farm::{EngineFarm, FarmEvent};
-pub use fleet::{EngineFacts, EngineFleet};
+pub use features::PlacementFeatures;
+pub use fleet::EngineFleet;
 pub use passes::{AnswerEnd, EnginePasses, PassEvent, PassPrompt};
 pub use plan::{HelperPart, PlacementRefusal, PromptAsk, PromptKey, PromptPlan, RefusalReason};
 pub use scope::{EngineCell, EngineScope};
+pub use speed::PaceNote;
--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -6,6 +6,8 @@
 use oriolepass_units::{EndpointStart, ServiceName};
 use serde::{Deserialize, Serialize};
 
+use crate::claim::ClaimId;
+
 /// Identifies a placed prompt by its entry, the instance that serves its caller, and a number that
 /// the entry assigns.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -52,6 +54,10 @@
     /// separately.
     #[serde(skip)]
     pub waiter: Option<PermitWaiter>,
+    /// Identifies the prompt across its caller's attempts, if claims are kept. Messages carry it
+    /// separately.
+    #[serde(skip)]
+    pub claim: Option<ClaimId>,
 }
 
 /// An engine that reads a part of a prompt.
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -219,6 +219,46 @@
         Some("20000"),
         "The longest reservation of an engine's memory.",
     ),
+    spec(
+        "scheduling",
+        "engine_speeds",
+        BOOLEAN,
+        "",
+        Some("false"),
+        "Whether the real speed of each engine is learned and used to place prompts.",
+    ),
+    spec(
+        "scheduling",
+        "account_shares",
+        BOOLEAN,
+        "",
+        Some("false"),
+        "Whether scarce engines are shared among client accounts.",
+    ),
+    spec(
+        "scheduling",
+        "return_claims",
+        BOOLEAN,
+        "",
+        Some("false"),
+        "Whether a prompt that was refused because of load has a claim when it returns as told.",
+    ),
+    spec(
+        "scheduling",
+        "second_send_ratio",
+        SettingKind::Decimal { min: 0.0, max: 1.0 },
+        "",
+        Some("0"),
+        "Second sends of slow requests to a service, as a part of its requests, over all daemons.",
+    ),
+    spec(
+        "scheduling",
+        "second_send_work_ratio",
+        SettingKind::Decimal { min: 0.0, max: 1.0 },
+        "",
+        Some("0"),
+        "Work of second sends on engines, as a part of the engines' work, over all daemons.",
+    ),
     spec(
         "limits",
         "memory_mb",
@@ -304,6 +344,22 @@
     pub reservation_max: Duration,
 }
 
+/// The parts of the scheduling that a deployment switches on.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct SchedulingSettings {
+    /// Whether the real speed of each engine is learned and used to place prompts.
+    pub engine_speeds: bool,
+    /// Whether scarce engines are shared among client accounts.
+    pub account_shares: bool,
+    /// Whether a prompt that was refused because of load has a claim when it returns as told.
+    pub return_claims: bool,
+    /// Maximum ratio of second sends of slow requests to all requests of a service, over all
+    /// daemons.
+    pub second_send_ratio: f64,
+    /// Maximum ratio of the work of second sends on engines to the engines' work, over all daemons.
+    pub second_send_work_ratio: f64,
+}
+
 /// Validated settings of a gateway.
 #[derive(Debug, Clone, PartialEq)]
 pub struct GatewaySettings {
@@ -324,6 +380,8 @@
     pub tiers_from: usize,
     /// Bounds that the platform sets.
     pub bounds: GatewayBounds,
+    /// The parts of the scheduling that are switched on.
+    pub scheduling: SchedulingSettings,
     /// Memory limit of the process, in megabytes.
     pub memory_mb: u64,
     /// Maximum number of file descriptors of the process.
@@ -393,6 +451,7 @@
             },
             tiers_from: self.parsed("cluster", "tiers_from")?,
             bounds: self.bounds()?,
+            scheduling: self.scheduling()?,
             memory_mb: self.parsed("limits", "memory_mb")?,
             descriptors: self.parsed("limits", "descriptors")?,
         })
@@ -414,6 +473,16 @@
         })
     }
 
+    fn scheduling(&self) -> Option<SchedulingSettings> {
+        Some(SchedulingSettings {
+            engine_speeds: self.parsed("scheduling", "engine_speeds")?,
+            account_shares: self.parsed("scheduling", "account_shares")?,
+            return_claims: self.parsed("scheduling", "return_claims")?,
+            second_send_ratio: self.parsed("scheduling", "second_send_ratio")?,
+            second_send_work_ratio: self.parsed("scheduling", "second_send_work_ratio")?,
+        })
+    }
+
     fn seconds(&self, section: &'static str, key: &'static str) -> Option<Duration> {
         self.parsed(section, key).map(Duration::from_secs_f64)
     }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -16,7 +16,8 @@
     DaemonSettings, InstanceSettings, LimitSettings, ListenSettings, TimingSettings, VoterAddress,
 };
 pub use gateway::{
-    GATEWAY_SPECS, GatewayBounds, GatewayListen, GatewaySettings, SeedSettings, ToleranceSettings,
+    GATEWAY_SPECS, GatewayBounds, GatewayListen, GatewaySettings, SchedulingSettings, SeedSettings,
+    ToleranceSettings,
 };
 pub use problem::{SettingProblem, SettingsError};
 pub use reference::reference_page;
