Appointments instead of claims, a word that the project uses for requests that must not be repeated

Cause: the glossary has 'claim' for the committed right to run a request once.

Change: names only.

Conclusion: one word, one meaning.

--- a/crates/experiment/src/fleet_run.rs
+++ b/crates/experiment/src/fleet_run.rs
@@ -266,7 +266,7 @@
             resting: Vec::new(),
             is_suspect: false,
             waiter: None,
-            claim: None,
+            appointment: None,
         };
         let single_engine_plan = |main: usize| {
             Some(PromptPlan {
--- a/crates/gateway/src/cluster.rs
+++ b/crates/gateway/src/cluster.rs
@@ -477,8 +477,13 @@
                 gateway.answer_call(token, PeerReply::Permit(verdict));
             }
             PeerMessage::PermitUsed(endpoint) => gateway.on_permit_used(&endpoint),
-            PeerMessage::PlaceAsk { token, ask, cell, waiter, resting, claim } => {
-                let ask = PromptAsk { waiter: waiter.0, resting: resting.0, claim: claim.0, ..ask };
+            PeerMessage::PlaceAsk { token, ask, cell, waiter, resting, appointment } => {
+                let ask = PromptAsk {
+                    waiter: waiter.0,
+                    resting: resting.0,
+                    appointment: appointment.0,
+                    ..ask
+                };
                 gateway.on_place_ask(from, token, &ask, cell);
             }
             PeerMessage::PlaceAnswer { token, verdict } => {
--- a/crates/gateway/src/front/placement.rs
+++ b/crates/gateway/src/front/placement.rs
@@ -478,6 +478,6 @@
             || gateway.prompt_standing(|| request.parts()).0 != Standing::Clear
             || gateway.has_broken_run(|| request.digest()),
         waiter: Some(request.waiter(waiter, max_wait)),
-        claim: None,
+        appointment: None,
     }
 }
--- a/crates/gateway/src/home.rs
+++ b/crates/gateway/src/home.rs
@@ -165,9 +165,15 @@
     ) -> Option<PlaceVerdict> {
         let waiter = TrailingField(ask.waiter.clone());
         let resting = TrailingField(ask.resting.clone());
-        let claim = TrailingField(ask.claim);
-        let request =
-            |token| PeerMessage::PlaceAsk { token, ask: ask.clone(), cell, waiter, resting, claim };
+        let appointment = TrailingField(ask.appointment);
+        let request = |token| PeerMessage::PlaceAsk {
+            token,
+            ask: ask.clone(),
+            cell,
+            waiter,
+            resting,
+            appointment,
+        };
         let reply = self.call(home, max_wait, request).await;
         let Some(PeerReply::Placed(verdict)) = reply else { return None };
         if let Ok(plan) = &verdict {
@@ -430,7 +436,7 @@
         PlacementFeatures {
             learns_speeds: scheduling.engine_speeds,
             shares_accounts: scheduling.account_shares,
-            keeps_claims: scheduling.return_claims,
+            keeps_appointments: scheduling.return_appointments,
         }
     }
 
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -9,7 +9,7 @@
 use oriolepass_consensus::Envelope;
 use oriolepass_limits::{LimitNotice, PermitAsk, PermitVerdict, PermitWaiter, RequestRank};
 use oriolepass_placement::{
-    ClaimId, EngineCell, PaceNote, PlacementRefusal, PromptAsk, PromptKey, PromptPlan,
+    AppointmentId, EngineCell, PaceNote, PlacementRefusal, PromptAsk, PromptKey, PromptPlan,
 };
 use oriolepass_quarantine::{CaseUpdate, PartDigest};
 use oriolepass_routing::{
@@ -165,8 +165,8 @@
         waiter: TrailingField<Option<PermitWaiter>>,
         /// Engines that asked the sender for rest, on which the prompt must not be placed.
         resting: TrailingField<Vec<EndpointStart>>,
-        /// Identifies the prompt across its caller's attempts, if claims are kept.
-        claim: TrailingField<Option<ClaimId>>,
+        /// Identifies the prompt across its caller's attempts, if appointments are kept.
+        appointment: TrailingField<Option<AppointmentId>>,
     },
     /// The answer to `PlaceAsk`.
     PlaceAnswer { token: u64, verdict: PlaceVerdict },
--- a/crates/gateway/src/peers/message_tests.rs
+++ b/crates/gateway/src/peers/message_tests.rs
@@ -66,12 +66,12 @@
             resting: Vec::new(),
             is_suspect: false,
             waiter: None,
-            claim: None,
+            appointment: None,
         },
         cell: Some(EngineCell { index: 1, count: 3 }),
         waiter: TrailingField(waiter),
         resting: TrailingField(resting.iter().map(|name| name.parse().expect("a start")).collect()),
-        claim: TrailingField(None),
+        appointment: TrailingField(None),
     }
 }
 
@@ -130,7 +130,7 @@
 fn a_placement_asked_for_by_the_version_before_excludes_no_engine() {
     let asked = place_ask(Some(waiter()), &[]);
     let bytes = postcard::to_stdvec(&asked).expect("bytes");
-    // The list of engines is the last field but one, and its length is one byte, as is the claim.
+    // The list of engines is the last field but one, and its length is one byte, as is the appointment.
     let earlier = &bytes[..bytes.len() - 2];
     assert_eq!(postcard::from_bytes(earlier), Ok(asked));
 }
--- a/crates/placement/src/features.rs
+++ b/crates/placement/src/features.rs
@@ -7,6 +7,6 @@
     pub learns_speeds: bool,
     /// Whether scarce engines are shared among client accounts.
     pub shares_accounts: bool,
-    /// Whether prompts that were refused because of load have a claim when they return as told.
-    pub keeps_claims: bool,
+    /// Whether prompts that were refused because of load keep their turn when they return as told.
+    pub keeps_appointments: bool,
 }
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -16,9 +16,9 @@
 //!
 //! The crate does no I/O: every call takes the present time, and no call blocks.
 
+mod appointment;
 mod candidates;
 mod choice;
-mod claim;
 mod cost;
 mod crowd;
 mod demand;
@@ -33,7 +33,7 @@
 mod speed;
 mod tracking;
 
-pub use claim::{ClaimId, ClaimIdError};
+pub use appointment::{AppointmentId, AppointmentIdError};
 pub use cost::ReadCost;
 pub use engine::EngineFacts;
 pub use farm::{EngineFarm, FarmEvent};
--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -6,7 +6,7 @@
 use oriolepass_units::{EndpointStart, ServiceName};
 use serde::{Deserialize, Serialize};
 
-use crate::claim::ClaimId;
+use crate::appointment::AppointmentId;
 
 /// Identifies a placed prompt by its entry, the instance that serves its caller, and a number that
 /// the entry assigns.
@@ -54,10 +54,10 @@
     /// separately.
     #[serde(skip)]
     pub waiter: Option<PermitWaiter>,
-    /// Identifies the prompt across its caller's attempts, if claims are kept. Messages carry it
+    /// Identifies the prompt across its caller's attempts, if appointments are kept. Messages carry it
     /// separately.
     #[serde(skip)]
-    pub claim: Option<ClaimId>,
+    pub appointment: Option<AppointmentId>,
 }
 
 /// An engine that reads a part of a prompt.
--- a/crates/placement/tests/common/mod.rs
+++ b/crates/placement/tests/common/mod.rs
@@ -62,6 +62,6 @@
         resting: Vec::new(),
         is_suspect: false,
         waiter: None,
-        claim: None,
+        appointment: None,
     }
 }
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -237,11 +237,11 @@
     ),
     spec(
         "scheduling",
-        "return_claims",
+        "return_appointments",
         BOOLEAN,
         "",
         Some("false"),
-        "Whether a prompt that was refused because of load has a claim when it returns as told.",
+        "Whether a prompt that was refused because of load keeps its turn when it returns as told.",
     ),
     spec(
         "scheduling",
@@ -351,8 +351,8 @@
     pub engine_speeds: bool,
     /// Whether scarce engines are shared among client accounts.
     pub account_shares: bool,
-    /// Whether a prompt that was refused because of load has a claim when it returns as told.
-    pub return_claims: bool,
+    /// Whether a prompt that was refused because of load keeps its turn when it returns as told.
+    pub return_appointments: bool,
     /// Maximum ratio of second sends of slow requests to all requests of a service, over all
     /// daemons.
     pub second_send_ratio: f64,
@@ -477,7 +477,7 @@
         Some(SchedulingSettings {
             engine_speeds: self.parsed("scheduling", "engine_speeds")?,
             account_shares: self.parsed("scheduling", "account_shares")?,
-            return_claims: self.parsed("scheduling", "return_claims")?,
+            return_appointments: self.parsed("scheduling", "return_appointments")?,
             second_send_ratio: self.parsed("scheduling", "second_send_ratio")?,
             second_send_work_ratio: self.parsed("scheduling", "second_send_work_ratio")?,
         })
