A prompt that an engine answered with an error is not sent to the same engine again

Cause: an answer with a server error did not enter the list of endpoints to avoid, and the engine that had just failed looks idle, so the second send of a prompt went there as well and used up its attempts.

Change: the outcome of a send names the endpoint that answered, and a failed answer adds it to those to avoid.

It is still red: the engine gets each prompt first, and the second sends use up the retry budget.

--- a/crates/gateway/src/front/sends.rs
+++ b/crates/gateway/src/front/sends.rs
@@ -33,7 +33,8 @@
 
 /// The outcome of one send.
 pub(super) enum SendOutcome {
-    Answer(BufferedAnswer),
+    /// The answer, and the endpoint that gave it.
+    Answer(BufferedAnswer, EndpointStart),
     Stream(Box<OpenStream>),
     /// The request reached no endpoint.
     NotDelivered {
@@ -202,7 +203,8 @@
             placement.record_begun();
             let mut head = forwarded_head(gateway, parts);
             head.extensions.insert(framing);
-            SendOutcome::Answer(Response::from_parts(head, body.to_bytes()))
+            let answer = Response::from_parts(head, body.to_bytes());
+            SendOutcome::Answer(answer, placement.endpoint.clone())
         }
         Err(error) => handle_broken(gateway, request, &placement, error.to_string()).await,
     }
--- a/crates/gateway/src/front/tries.rs
+++ b/crates/gateway/src/front/tries.rs
@@ -227,7 +227,7 @@
             end = &mut first => (end, true),
             end = &mut second => (end, false),
         };
-        let is_answered = matches!(end, SendOutcome::Answer(_) | SendOutcome::Stream(_));
+        let is_answered = matches!(end, SendOutcome::Answer(..) | SendOutcome::Stream(_));
         if is_answered
             && !first_ended
             && !is_reported
@@ -236,7 +236,7 @@
             endpoint_failed(gateway, request, &first_endpoint, FaultKind::Silent);
         }
         match end {
-            SendOutcome::Answer(_) | SendOutcome::Stream(_) => return end,
+            SendOutcome::Answer(..) | SendOutcome::Stream(_) => return end,
             SendOutcome::NotRun { .. } => self.attempts.record_not_run(),
             SendOutcome::NotDelivered { .. } => self.attempts.record_not_delivered(),
             _ => {}
@@ -254,7 +254,9 @@
     ) -> Option<RequestOutcome> {
         match end {
             SendOutcome::Stream(open) => Some(RequestOutcome::Stream(open)),
-            SendOutcome::Answer(answer) => self.conclude_answer(request, answer),
+            SendOutcome::Answer(answer, endpoint) => {
+                self.conclude_answer(request, answer, endpoint)
+            }
             SendOutcome::NotRun { reason, endpoint } => {
                 self.attempts.record_not_run();
                 self.conclude_not_run(gateway, request, &reason, endpoint)
@@ -301,12 +303,14 @@
         &mut self,
         request: &CallerRequest,
         answer: BufferedAnswer,
+        endpoint: EndpointStart,
     ) -> Option<RequestOutcome> {
         let is_failure = answer.status().is_server_error();
         if !is_failure || !self.may_send_again(request) {
             return Some(RequestOutcome::Answer(answer));
         }
         self.failure = Some(answer);
+        self.avoid.push(endpoint);
         None
     }
 
