The home learns that an engine answers prompts with errors

Cause: an answer with a server error counted as the first event of its prompt, which cleared the engine's failures at the home, and as a fault only for plain endpoints. An engine that fails at once looks idle, so it got each next prompt.

Change: a complete answer with a server error reports a failure of the engine, with its backoff, instead of a first event. Ruled out as a failure: 504, which an engine gives at the deadline because it is late, and answers by which an endpoint leaves or asks for rest.

--- a/crates/gateway/src/front/sends.rs
+++ b/crates/gateway/src/front/sends.rs
@@ -196,11 +196,7 @@
                 return answer_lost(gateway, request, &placement, reason);
             }
             gateway.metrics.sends.with_label_values(&["answered"]).inc();
-            if status.is_server_error() && !wish.wants_nothing() {
-                let endpoint = &placement.endpoint;
-                gateway.endpoint_fault(&request.id, endpoint, FaultKind::Failure);
-            }
-            placement.record_begun();
+            record_status(gateway, request, &placement, status, wish.wants_nothing());
             let mut head = forwarded_head(gateway, parts);
             head.extensions.insert(framing);
             let answer = Response::from_parts(head, body.to_bytes());
@@ -210,6 +206,29 @@
     }
 }
 
+/// Records what the status of a complete answer says about its endpoint.
+///
+/// An engine that answers with errors at once looks idle and fast. The home therefore has to learn
+/// of a failure instead of a first event.
+fn record_status(
+    gateway: &Gateway,
+    request: &CallerRequest,
+    placement: &Placement,
+    status: StatusCode,
+    wants_nothing: bool,
+) {
+    let is_failure = status.is_server_error() && !wants_nothing;
+    // An answer at the deadline shows that the endpoint is late, not that it fails its requests.
+    if is_failure && status != StatusCode::GATEWAY_TIMEOUT {
+        endpoint_failed(gateway, request, &placement.endpoint, FaultKind::Failure);
+        return;
+    }
+    if is_failure {
+        gateway.endpoint_fault(&request.id, &placement.endpoint, FaultKind::Failure);
+    }
+    placement.record_begun();
+}
+
 /// Waits for a stream's first event. Until it arrives, the request can be sent to another endpoint
 /// without the caller noticing.
 async fn open_stream(
