A failing engine replaces one in backoff that may have recovered

Cause: at most half of a service's engines are in backoff. With three engines, one that failed each prompt was chosen again and again while another one, which had recovered, was still in backoff; and an engine's own backoff counted against lengthening it, so that many failures at once gave the shortest backoff.

Change: an engine that fails replaces the one in backoff whose last failure is the earliest, unless that is as recent as the failures of engines that fail together. An engine's own backoff does not count as another's.

Conclusion: the bound on engines in backoff stays.

--- a/crates/placement/src/engine.rs
+++ b/crates/placement/src/engine.rs
@@ -33,6 +33,8 @@
     /// End of the backoff after a failure; no new work is placed before.
     pub(crate) backoff_until: MonotonicTime,
     pub(crate) failures: u32,
+    /// Time of the last failure.
+    pub(crate) failed_at: MonotonicTime,
     /// Time of the last silence that no reading explains.
     pub(crate) silent_at: Option<MonotonicTime>,
     /// The prompts whose main engine this is.
@@ -50,6 +52,7 @@
             facts,
             backoff_until: MonotonicTime::ZERO,
             failures: 0,
+            failed_at: MonotonicTime::ZERO,
             silent_at: None,
             mains: Vec::new(),
             recent_placements: VecDeque::new(),
--- a/crates/placement/src/tracking.rs
+++ b/crates/placement/src/tracking.rs
@@ -4,6 +4,7 @@
 
 use crate::cost::{ReadCost, caller_timeout_ms, millis};
 use crate::demand::RecordedPrompt;
+use crate::engine::EngineEntry;
 use crate::fleet::{EngineFleet, FAILURE_BACKOFF, time_ms};
 use crate::passes::PassPrompt;
 use crate::plan::{PromptAsk, PromptKey, PromptPlan};
@@ -93,16 +94,19 @@
         gone.into_iter().for_each(|key| self.ended(now, key));
     }
 
-    /// Records that an engine failed a request. The engine gets no new work for a while, unless too
-    /// many engines are in backoff already.
+    /// Records that an engine failed a request. The engine gets no new work for a while. If too many
+    /// engines are in backoff already, it replaces the one that has had the most time to recover.
     pub fn failed(&mut self, now: MonotonicTime, endpoint: &EndpointStart) {
         let Some(service) = self.engines.get(endpoint).map(|e| e.facts.service.clone()) else {
             return;
         };
         let of_service = self.engines.values().filter(|e| e.facts.service == service);
         let (all, in_backoff) = of_service.fold((0.0, 0.0), |(all, in_backoff), engine| {
-            (all + 1.0, in_backoff + f64::from(u8::from(now < engine.backoff_until)))
+            let is_other = engine.facts.endpoint != *endpoint && now < engine.backoff_until;
+            (all + 1.0, in_backoff + f64::from(u8::from(is_other)))
         });
+        let is_full = in_backoff + 1.0 > all * MAX_BACKOFF_SHARE;
+        let rested = is_full.then(|| self.longest_in_backoff(now, &service)).flatten();
         let Some(engine) = self.engines.get_mut(endpoint) else { return };
         for key in &engine.mains {
             if let Some(placed) = self.placed.get_mut(key) {
@@ -110,10 +114,31 @@
             }
         }
         engine.failures += 1;
-        if in_backoff + 1.0 <= all * MAX_BACKOFF_SHARE {
+        engine.failed_at = now;
+        let is_replacing = rested.is_some() && now >= engine.backoff_until;
+        if !is_full || is_replacing {
             let doublings = (engine.failures - 1).min(MAX_BACKOFF_DOUBLINGS);
             engine.backoff_until = now + FAILURE_BACKOFF * 2_u32.pow(doublings);
         }
+        let replaced = rested.filter(|_| is_replacing);
+        if let Some(replaced) = replaced.and_then(|endpoint| self.engines.get_mut(&endpoint)) {
+            replaced.backoff_until = now;
+        }
+    }
+
+    /// Returns the engine in backoff of a service whose last failure is the earliest, unless that is
+    /// as recent as the failures of engines that fail together.
+    fn longest_in_backoff(
+        &self,
+        now: MonotonicTime,
+        service: &ServiceName,
+    ) -> Option<EndpointStart> {
+        let is_in_backoff = |engine: &&EngineEntry| {
+            let is_recent = now.since(engine.failed_at) < FAILURE_BACKOFF;
+            engine.facts.service == *service && now < engine.backoff_until && !is_recent
+        };
+        let in_backoff = self.engines.values().filter(is_in_backoff);
+        in_backoff.min_by_key(|engine| engine.failed_at).map(|e| e.facts.endpoint.clone())
     }
 
     pub(crate) fn record_plan(
--- a/crates/placement/tests/placing.rs
+++ b/crates/placement/tests/placing.rs
@@ -254,6 +254,37 @@
     assert_eq!(fleet.place(at(2), &avoiding).unwrap().main, endpoint(3));
 }
 
+/// Guards against an engine of a small service that fails each prompt and gets the next one, because an
+/// engine that failed before it is still in backoff. Load: one prompt each 25 ms.
+#[test]
+fn an_engine_that_fails_replaces_one_in_backoff_that_may_have_recovered() {
+    let mut fleet = fleet(3);
+    [0, 500, 1_500, 3_500].into_iter().for_each(|ms| fleet.failed(at(ms), &endpoint(0)));
+    let mut failures = 0;
+    for number in 0..40 {
+        let now = at(4_600 + number * 25);
+        let main = fleet.place(now, &ask(number, 2_000)).unwrap().main;
+        if main == endpoint(1) {
+            fleet.failed(now, &main);
+            failures += 1;
+        }
+        fleet.ended(now, key(number));
+    }
+    assert!((1..=4).contains(&failures), "{failures} of 40 prompts failed");
+}
+
+/// Guards against an engine of a small service that is used again at once after many of its prompts
+/// failed, because its own backoff counts as that of another engine. Load: 15 prompts that hang.
+#[test]
+fn each_failure_of_an_engine_lengthens_its_backoff_in_a_small_service_too() {
+    let mut fleet = fleet(3);
+    (0..15).for_each(|number| fleet.failed(at(number), &endpoint(0)));
+    for number in 0..30 {
+        let plan = fleet.place(at(1_000 + number), &ask(number, 2_000)).unwrap();
+        assert_ne!(plan.main, endpoint(0));
+    }
+}
+
 #[test]
 fn a_silence_is_expected_while_an_engine_reads() {
     let mut fleet = fleet(1);
