Bounds in bytes and time on answers, streams and slow callers

Cause: bytes without an event counted as life of a stream, interim answers before a head had no bound, what is held for answers and streams had none for the whole instance, and a caller that does not read held its answer and its endpoint.

Change: only an event with an id beyond the last is progress; comments and events without an id are returned with the next event and bounded, and an endpoint that exceeds a bound counts as broken, not as lost. A head, with the interim answers before it, has 128 kB. The splitter searches each byte once.

An endless stream of events with rising ids is bounded by the request's time only.

--- a/crates/gateway/src/front/body.rs
+++ b/crates/gateway/src/front/body.rs
@@ -9,7 +9,17 @@
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
+
+use crate::held_bytes::ByteHold;
+
+/// The size of the pieces in which a buffered body is passed on. The rest is held until the caller has
+/// read most of the pieces before it.
+const BUFFERED_PIECE_BYTES: usize = 64 * 1024;
+
+/// The maximum number of bytes queued for a slow caller of a stream, unless a single piece has more.
+/// Engines write a few hundred bytes at a time.
+const MAX_QUEUED_BYTES: usize = 16 * 1024;
 
 /// The error of a body that cannot be completed. It aborts the caller's connection, so that the
 /// caller recognises the response as incomplete.
@@ -33,14 +43,60 @@
 /// The body of a response to a caller.
 pub(super) enum ResponseBody {
     /// A body that is completely in memory.
-    Buffered(Option<Bytes>),
+    Buffered(Option<HeldBody>),
     /// A body whose pieces are forwarded as they arrive.
     Streamed(PieceReceiver),
 }
 
+/// A buffered body, and the memory that is held for it.
+pub(super) struct HeldBody {
+    bytes: Bytes,
+    /// `None` for a short body of this process itself.
+    _hold: Option<ByteHold>,
+}
+
+impl HeldBody {
+    pub(super) fn new(bytes: Bytes, hold: Option<ByteHold>) -> Self {
+        Self { bytes, _hold: hold }
+    }
+}
+
+/// The bytes that are queued for a caller.
+struct QueuedBytes {
+    bytes: Cell<usize>,
+    hold: Option<ByteHold>,
+    shrunk: Notify,
+}
+
+impl QueuedBytes {
+    /// Changes the number of queued bytes. Returns false if there is no memory for them.
+    fn set(&self, bytes: usize) -> bool {
+        let is_held = self.hold.as_ref().is_none_or(|hold| hold.resize(bytes));
+        if is_held {
+            self.bytes.set(bytes);
+        }
+        is_held
+    }
+
+    fn remove(&self, bytes: usize) {
+        // There is always memory for fewer bytes.
+        self.set(self.bytes.get() - bytes);
+        self.shrunk.notify_one();
+    }
+
+    /// Waits until there is room for a piece, and adds it. Returns false if there is no memory for it.
+    async fn add(&self, bytes: usize) -> bool {
+        while self.bytes.get() > 0 && self.bytes.get() + bytes > MAX_QUEUED_BYTES {
+            self.shrunk.notified().await;
+        }
+        self.set(self.bytes.get() + bytes)
+    }
+}
+
 /// The receiving side of a streamed body.
 pub(super) struct PieceReceiver {
     pieces: mpsc::Receiver<Bytes>,
+    queued: Rc<QueuedBytes>,
     is_complete: Rc<Cell<bool>>,
 }
 
@@ -48,21 +104,29 @@
 /// aborted after the pieces that were sent.
 pub(super) struct PieceSender {
     pieces: mpsc::Sender<Bytes>,
+    queued: Rc<QueuedBytes>,
     is_complete: Rc<Cell<bool>>,
 }
 
-/// The error of a piece that was sent after the caller had left.
-#[derive(Debug)]
-pub(super) struct CallerLeft;
+/// The reason that a piece was not queued for its caller.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum NotQueued {
+    CallerLeft,
+    /// There is no memory for the piece.
+    NoMemory,
+}
 
 impl PieceSender {
     /// Sends a piece. Waits while the queue is full.
     ///
     /// # Errors
     ///
-    /// Returns an error if the caller has left.
-    pub(super) async fn send(&self, piece: Bytes) -> Result<(), CallerLeft> {
-        self.pieces.send(piece).await.map_err(|_| CallerLeft)
+    /// Returns the reason if the caller has left or there is no memory for the piece.
+    pub(super) async fn send(&self, piece: Bytes) -> Result<(), NotQueued> {
+        if !self.queued.add(piece.len()).await {
+            return Err(NotQueued::NoMemory);
+        }
+        self.pieces.send(piece).await.map_err(|_| NotQueued::CallerLeft)
     }
 
     /// Returns a future that completes when the caller has left.
@@ -77,12 +141,27 @@
     }
 }
 
-/// Creates a streamed body that queues at most `max_pieces` pieces.
-pub(super) fn streamed_body(max_pieces: usize) -> (PieceSender, ResponseBody) {
+/// Creates a streamed body that queues at most `max_pieces` pieces, whose bytes `hold` counts.
+pub(super) fn streamed_body(
+    max_pieces: usize,
+    hold: Option<ByteHold>,
+) -> (PieceSender, ResponseBody) {
     let (sender, receiver) = mpsc::channel(max_pieces);
     let is_complete = Rc::new(Cell::new(false));
-    let body = PieceReceiver { pieces: receiver, is_complete: Rc::clone(&is_complete) };
-    (PieceSender { pieces: sender, is_complete }, ResponseBody::Streamed(body))
+    let queued = Rc::new(QueuedBytes { bytes: Cell::new(0), hold, shrunk: Notify::new() });
+    let body = PieceReceiver {
+        pieces: receiver,
+        queued: Rc::clone(&queued),
+        is_complete: Rc::clone(&is_complete),
+    };
+    (PieceSender { pieces: sender, queued, is_complete }, ResponseBody::Streamed(body))
+}
+
+impl ResponseBody {
+    /// Returns a short body of this process itself.
+    pub(super) fn short(bytes: Bytes) -> Self {
+        Self::Buffered(Some(HeldBody::new(bytes, None)))
+    }
 }
 
 impl Body for ResponseBody {
@@ -94,9 +173,19 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyAborted>>> {
         match self.get_mut() {
-            Self::Buffered(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Self::Buffered(rest) => {
+                let Some(mut body) = rest.take() else { return Poll::Ready(None) };
+                let piece = body.bytes.split_to(body.bytes.len().min(BUFFERED_PIECE_BYTES));
+                if !body.bytes.is_empty() {
+                    *rest = Some(body);
+                }
+                Poll::Ready(Some(Ok(Frame::data(piece))))
+            }
             Self::Streamed(body) => body.pieces.poll_recv(cx).map(|piece| match piece {
-                Some(piece) => Some(Ok(Frame::data(piece))),
+                Some(piece) => {
+                    body.queued.remove(piece.len());
+                    Some(Ok(Frame::data(piece)))
+                }
                 None if body.is_complete.get() => None,
                 None => Some(Err(BodyAborted)),
             }),
@@ -109,8 +198,8 @@
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            Self::Buffered(bytes) => {
-                SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
+            Self::Buffered(rest) => {
+                SizeHint::with_exact(rest.as_ref().map_or(0, |body| body.bytes.len() as u64))
             }
             Self::Streamed(_) => SizeHint::default(),
         }
--- a/crates/gateway/src/front/body_tests.rs
+++ b/crates/gateway/src/front/body_tests.rs
@@ -1,9 +1,12 @@
 //! Tests how streamed bodies end.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use http_body_util::BodyExt;
+use tokio::time::timeout;
 
-use super::body::{ResponseBody, streamed_body};
+use super::body::{HeldBody, ResponseBody, streamed_body};
 
 /// Reads a body to its end. Returns the pieces before the end, and whether the end is proper.
 async fn read(mut body: ResponseBody) -> (usize, bool) {
@@ -21,7 +24,7 @@
 /// stream broke.
 #[tokio::test]
 async fn a_stream_that_breaks_while_the_queue_is_full_does_not_look_complete() {
-    let (pieces, body) = streamed_body(1);
+    let (pieces, body) = streamed_body(1, None);
     pieces.send(Bytes::from_static(b"data: x\n\n")).await.unwrap();
     drop(pieces);
     assert_eq!(read(body).await, (1, false));
@@ -29,8 +32,29 @@
 
 #[tokio::test]
 async fn a_complete_stream_ends_properly() {
-    let (pieces, body) = streamed_body(1);
+    let (pieces, body) = streamed_body(1, None);
     pieces.send(Bytes::from_static(b"data: x\n\n")).await.unwrap();
     pieces.complete();
     assert_eq!(read(body).await, (1, true));
 }
+
+/// Guards against a caller that reads slowly and for which as many large events are held as small ones.
+#[tokio::test]
+async fn large_pieces_wait_until_the_caller_has_read_those_before_them() {
+    let (pieces, mut body) = streamed_body(8, None);
+    let large = Bytes::from(vec![b'x'; 10_000]);
+    pieces.send(large.clone()).await.unwrap();
+    let mut second = Box::pin(pieces.send(large.clone()));
+    let waited = timeout(Duration::ZERO, &mut second).await;
+    assert!(waited.is_err(), "the queue is full");
+    assert!(body.frame().await.is_some());
+    assert_eq!(second.await, Ok(()));
+}
+
+/// Guards against a slow caller for which the whole of a large answer is handed to the HTTP library.
+#[tokio::test]
+async fn a_large_buffered_body_is_passed_on_in_pieces() {
+    let body = HeldBody::new(Bytes::from(vec![b'x'; 200_000]), None);
+    assert_eq!(read(ResponseBody::Buffered(Some(body))).await, (4, true));
+    assert_eq!(read(ResponseBody::short(Bytes::new())).await, (1, true));
+}
--- a/crates/gateway/src/front/caller.rs
+++ b/crates/gateway/src/front/caller.rs
@@ -1,7 +1,7 @@
 //! Handles one request of a caller: reads it, looks up its route and key, sends it to an endpoint
 //! and returns the answer.
 
-use std::cell::{Cell, OnceCell};
+use std::cell::OnceCell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -30,6 +30,7 @@
 use crate::events::EventKind;
 use crate::framing::BodyFraming;
 use crate::gateway::Gateway;
+use crate::held_bytes::{ByteHold, HeldKind};
 use crate::quarantine::RequestSuspects;
 
 /// The `Retry-After` of refusals whose cause is short-lived.
@@ -53,9 +54,6 @@
 /// The time-out of reading and discarding a rejected body.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Request bodies may take up the memory limit divided by this number.
-const BODY_MEMORY_DIVISOR: usize = 4;
-
 /// The upper bound of deadlines. It keeps arithmetic on times in range.
 const MAX_DEADLINE: Duration = Duration::from_secs(3_600);
 
@@ -81,14 +79,14 @@
     pub(super) needs_proof: bool,
     digest: OnceCell<RequestDigest>,
     parts: OnceCell<Rc<[PartDigest]>>,
-    buffered: BufferedBytes,
+    buffered: ByteHold,
 }
 
 impl CallerRequest {
     /// Returns the remaining time of the request. Suspensions count, so that a machine that resumes
     /// from one does not send requests whose callers have given up.
     pub(super) fn time_left(&self) -> Duration {
-        self.clock_deadline.since(self.buffered.gateway.now())
+        self.clock_deadline.since(self.buffered.gateway().now())
     }
 
     /// Returns the place of the request among others that wait for endpoints with limits. The priority of
@@ -134,36 +132,6 @@
     }
 }
 
-/// Counts the bytes of a request's body against the memory limit for bodies while it exists.
-struct BufferedBytes {
-    gateway: Rc<Gateway>,
-    bytes: Cell<usize>,
-}
-
-impl BufferedBytes {
-    fn new(gateway: &Rc<Gateway>) -> Self {
-        Self { gateway: Rc::clone(gateway), bytes: Cell::new(0) }
-    }
-
-    /// Adds bytes to the count. Returns false and adds nothing if they exceed the limit.
-    fn add(&self, bytes: usize) -> bool {
-        let total = self.gateway.buffered_bytes.get() + bytes;
-        let memory = usize::try_from(self.gateway.settings().memory_mb).unwrap_or(usize::MAX);
-        if total > memory.saturating_mul(1 << 20) / BODY_MEMORY_DIVISOR {
-            return false;
-        }
-        self.gateway.buffered_bytes.set(total);
-        self.bytes.set(self.bytes.get() + bytes);
-        true
-    }
-}
-
-impl Drop for BufferedBytes {
-    fn drop(&mut self) {
-        self.gateway.buffered_bytes.set(self.gateway.buffered_bytes.get() - self.bytes.get());
-    }
-}
-
 /// The route and account of a request, for its log line and metrics.
 struct RequestTarget {
     route: Arc<RouteSpec>,
@@ -274,7 +242,12 @@
 
 impl Drop for EndGuard {
     fn drop(&mut self) {
-        self.write("caller gone", "the caller closed its connection");
+        let reason = if self.watch.has_stalled() {
+            "the caller did not read its answer"
+        } else {
+            "the caller closed its connection"
+        };
+        self.write("caller gone", reason);
         self.gateway.active_requests.set(self.gateway.active_requests.get() - 1);
         self.gateway.metrics.active.dec();
         self.watch.end_request();
@@ -326,7 +299,7 @@
             return Err(refusal);
         }
     };
-    let buffered = BufferedBytes::new(gateway);
+    let buffered = ByteHold::new(gateway, HeldKind::RequestBody);
     let body_timeout = facts.deadline.unwrap_or(BODY_TIMEOUT).min(BODY_TIMEOUT);
     let collected =
         timeout(body_timeout, collect(&mut body, limits.max_body_bytes, &buffered)).await;
@@ -429,7 +402,7 @@
 async fn collect(
     body: &mut Incoming,
     max_bytes: usize,
-    buffered: &BufferedBytes,
+    buffered: &ByteHold,
 ) -> Result<Bytes, Refusal> {
     let too_long = || {
         let remedy = format!("the body is longer than {max_bytes} bytes; send less");
@@ -448,7 +421,7 @@
         if collected.len() + data.len() > max_bytes {
             return Err(too_long());
         }
-        if !buffered.add(data.len()) {
+        if !buffered.resize(collected.len() + data.len()) {
             return Err(Refusal::not_run("too many bodies in memory", SHORT_RETRY_AFTER).closing());
         }
         collected.extend_from_slice(&data);
@@ -509,7 +482,7 @@
         f.debug_struct("CallerRequest")
             .field("id", &self.id)
             .field("route", &self.route.name)
-            .field("buffered", &self.buffered.bytes.get())
+            .field("buffered", &self.buffered)
             .finish_non_exhaustive()
     }
 }
--- a/crates/gateway/src/front/events.rs
+++ b/crates/gateway/src/front/events.rs
@@ -1,18 +1,37 @@
 //! Splits a server-sent event stream into complete events, so that a caller never receives part of
 //! an event twice when the stream is resumed at another endpoint.
+//!
+//! Only an event with an id beyond the last one counts as progress. Comments and events without an
+//! id are returned together with the next event that makes progress, or at the end of the stream:
+//! until then nothing tells them from the bytes of an endpoint that sends no answer.
 
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::{Bytes, BytesMut};
 
 /// The maximum length of an event. A longer event is treated as a fault of the endpoint.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
+/// The maximum number of bytes without progress before an event: a comment a second for the longest
+/// deadline.
+const MAX_STALLED_BYTES: usize = 128 * 1024;
+
 /// Buffers bytes and returns complete events, each of them once.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
+    /// Complete comments and events without an id, then an event that is not complete yet.
     buffer: BytesMut,
-    /// The length of the buffer's prefix that has been searched for the end of an event.
+    /// The start of the incomplete event in the buffer.
+    event_start: usize,
+    /// The start of its last line, which is not complete either.
+    line_start: usize,
+    /// The length of the buffer's prefix that has been searched for the end of a line.
     searched_bytes: usize,
+    /// The id of the incomplete event.
+    buffered_id: Option<u64>,
     last_id: Option<u64>,
+    /// The id of the last event received, which the caller may have from another endpoint.
+    received_id: Option<u64>,
+    /// The number of bytes in complete comments and events since the last event that made progress.
+    stalled_bytes: usize,
 }
 
 impl EventSplitter {
@@ -28,18 +47,23 @@
 
     /// Returns whether the buffer holds an incomplete event.
     pub fn has_partial(&self) -> bool {
-        !self.buffer.is_empty()
+        self.event_start < self.buffer.len()
     }
 
-    /// Discards an incomplete event before the stream is resumed at another endpoint.
-    pub fn drop_partial(&mut self) {
-        self.buffer.clear();
-        self.searched_bytes = 0;
+    /// Returns the number of bytes that have not been returned.
+    pub fn held_bytes(&self) -> usize {
+        self.buffer.len()
     }
 
-    /// Returns whether the buffered event exceeds the maximum length.
-    pub fn is_overlong(&self) -> bool {
-        self.buffer.len() > MAX_EVENT_BYTES
+    /// Returns why the stream is no answer, if it has exceeded a bound.
+    pub fn excess(&self) -> Option<&'static str> {
+        if self.buffer.len() - self.event_start > MAX_EVENT_BYTES {
+            Some("an event exceeds the maximum length")
+        } else if self.stalled_bytes > MAX_STALLED_BYTES {
+            Some("too many bytes without a new event")
+        } else {
+            None
+        }
     }
 
     /// Appends bytes and returns the complete events that the caller does not have yet. Returns an
@@ -47,41 +71,66 @@
     pub fn push(&mut self, bytes: &[u8]) -> Bytes {
         self.buffer.extend_from_slice(bytes);
         let mut whole = BytesMut::new();
-        while let Some(end) = self.event_end() {
-            let event = self.buffer.copy_to_bytes(end);
-            self.searched_bytes = 0;
-            let id = event_id(&event);
-            let is_repeated = id.is_some() && id <= self.last_id;
-            if !is_repeated {
-                self.last_id = id.or(self.last_id);
-                whole.extend_from_slice(&event);
+        while self.find_event_end() {
+            let id = self.buffered_id.take();
+            self.stalled_bytes += self.line_start - self.event_start;
+            if id > self.received_id {
+                self.received_id = id;
+                self.stalled_bytes = 0;
+            }
+            if id.is_none() {
+                self.event_start = self.line_start;
+            } else if id <= self.last_id {
+                // The caller has the event.
+                drop(self.take_complete());
+            } else {
+                whole.extend_from_slice(&self.take_complete());
+                self.last_id = id;
             }
         }
         whole.freeze()
     }
 
-    /// Returns the end offset of the first event in the buffer. An empty line ends an event.
-    fn event_end(&mut self) -> Option<usize> {
-        let from = self.searched_bytes.saturating_sub(3);
-        let rest = &self.buffer[from..];
-        let lf = find(rest, b"\n\n").map(|at| from + at + 2);
-        let crlf = find(rest, b"\r\n\r\n").map(|at| from + at + 4);
-        self.searched_bytes = self.buffer.len();
-        match (lf, crlf) {
-            (Some(lf), Some(crlf)) => Some(lf.min(crlf)),
-            (lf, crlf) => lf.or(crlf),
+    /// Returns the comments and events without an id that follow the last event, at the end of the
+    /// stream.
+    pub fn take_unnumbered(&mut self) -> Bytes {
+        self.line_start = self.event_start;
+        self.take_complete().freeze()
+    }
+
+    /// Searches for the end of the incomplete event, which is an empty line. Returns whether the event
+    /// is complete.
+    fn find_event_end(&mut self) -> bool {
+        while let Some(length) = find_line_end(&self.buffer[self.searched_bytes..]) {
+            let line_end = self.searched_bytes + length;
+            let line = &self.buffer[self.line_start..line_end];
+            let line = line.strip_suffix(b"\r").unwrap_or(line);
+            let is_empty = line.is_empty();
+            self.buffered_id = self.buffered_id.or_else(|| event_id(line));
+            (self.searched_bytes, self.line_start) = (line_end + 1, line_end + 1);
+            if is_empty {
+                return true;
+            }
         }
+        self.searched_bytes = self.buffer.len();
+        false
+    }
+
+    /// Removes the buffer's complete lines.
+    fn take_complete(&mut self) -> BytesMut {
+        let complete = self.buffer.split_to(self.line_start);
+        self.searched_bytes = self.searched_bytes.saturating_sub(complete.len());
+        (self.event_start, self.line_start) = (0, 0);
+        complete
     }
 }
 
-fn find(haystack: &[u8], needle: &[u8]) -> Option<usize> {
-    haystack.windows(needle.len()).position(|window| window == needle)
+fn find_line_end(bytes: &[u8]) -> Option<usize> {
+    bytes.iter().position(|byte| *byte == b'\n')
 }
 
-fn event_id(event: &[u8]) -> Option<u64> {
-    event
-        .split(|byte| *byte == b'\n')
-        .find_map(|line| line.strip_prefix(b"id:"))
-        .and_then(|value| std::str::from_utf8(value).ok())
-        .and_then(|value| value.trim().parse().ok())
+/// Returns the id of an event if a line states it.
+fn event_id(line: &[u8]) -> Option<u64> {
+    let value = line.strip_prefix(b"id:")?;
+    std::str::from_utf8(value).ok()?.trim().parse().ok()
 }
--- a/crates/gateway/src/front/listener.rs
+++ b/crates/gateway/src/front/listener.rs
@@ -21,6 +21,7 @@
 
 use super::body::ResponseBody;
 use super::caller;
+use super::read_pace::ReadPace;
 use crate::gateway::Gateway;
 use crate::lifecycle::Lifecycle;
 use crate::net;
@@ -57,6 +58,7 @@
     /// The time of the first byte of a head, while the head is incomplete.
     head_started_at: Cell<Option<Instant>>,
     idle_since: Cell<Instant>,
+    read_pace: Cell<ReadPace>,
 }
 
 impl ConnectionWatch {
@@ -65,9 +67,27 @@
             active_requests: Cell::new(0),
             head_started_at: Cell::new(None),
             idle_since: Cell::new(Instant::now()),
+            read_pace: Cell::default(),
         })
     }
 
+    /// Records an attempt to write `offered` bytes to the caller.
+    fn record_write(&self, polled: &Poll<std::io::Result<usize>>, offered: usize) {
+        let written = match polled {
+            Poll::Ready(Ok(written)) => *written,
+            Poll::Ready(Err(_)) => return,
+            Poll::Pending => 0,
+        };
+        let mut pace = self.read_pace.get();
+        pace.record_write(Instant::now(), written, offered);
+        self.read_pace.set(pace);
+    }
+
+    /// Returns whether the caller does not read its answer.
+    pub(super) fn has_stalled(&self) -> bool {
+        self.read_pace.get().has_stalled(Instant::now())
+    }
+
     pub(super) fn begin_request(&self) {
         self.active_requests.set(self.active_requests.get() + 1);
         self.head_started_at.set(None);
@@ -122,6 +142,8 @@
     loop {
         let check_at = next_check(&gateway, &watch);
         tokio::select! {
+            // After a suspension of the process, the caller's reads count before the time that passed.
+            biased;
             // A caller that closed its connection receives no answer.
             _ = poll_fn(|cx| Pin::new(&mut connection).poll(cx)) => return,
             _ = lifecycle.wait_for(|phase| *phase == Lifecycle::Stopped) => return,
@@ -130,6 +152,7 @@
         match overdue(&gateway, &watch) {
             Overdue::Nothing => {}
             Overdue::Idle => Pin::new(&mut connection).graceful_shutdown(),
+            Overdue::Read => return,
             Overdue::Head => {
                 let mut stream = connection.into_parts().io.into_inner().stream;
                 // Errors are ignored: the caller may have disconnected.
@@ -146,6 +169,7 @@
     Nothing,
     Idle,
     Head,
+    Read,
 }
 
 /// Returns the time-outs of a request's head and of an idle connection.
@@ -167,6 +191,9 @@
 
 fn overdue(gateway: &Gateway, watch: &ConnectionWatch) -> Overdue {
     let (head, idle) = connection_timeouts(gateway);
+    if watch.has_stalled() {
+        return Overdue::Read;
+    }
     if watch.active_requests.get() > 0 {
         return Overdue::Nothing;
     }
@@ -178,7 +205,7 @@
     }
 }
 
-/// A connection that records when a request's head begins to arrive.
+/// A connection that records when a request's head begins to arrive, and whether the caller reads.
 struct WatchedStream {
     stream: TcpStream,
     watch: Rc<ConnectionWatch>,
@@ -210,7 +237,10 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut self.get_mut().stream).poll_write(cx, buf)
+        let this = self.get_mut();
+        let polled = Pin::new(&mut this.stream).poll_write(cx, buf);
+        this.watch.record_write(&polled, buf.len());
+        polled
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
@@ -226,7 +256,10 @@
         cx: &mut Context<'_>,
         bufs: &[std::io::IoSlice<'_>],
     ) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut self.get_mut().stream).poll_write_vectored(cx, bufs)
+        let this = self.get_mut();
+        let polled = Pin::new(&mut this.stream).poll_write_vectored(cx, bufs);
+        this.watch.record_write(&polled, bufs.iter().map(|buf| buf.len()).sum());
+        polled
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -13,6 +13,7 @@
 mod listener;
 mod placement;
 mod presence;
+mod read_pace;
 mod refusal;
 mod reserve;
 mod sends;
--- a/crates/gateway/src/front/refusal.rs
+++ b/crates/gateway/src/front/refusal.rs
@@ -55,7 +55,7 @@
 
     pub(super) fn response(&self) -> Response<ResponseBody> {
         let body = serde_json::json!({ "error": self.remedy, "reason": self.reason }).to_string();
-        let mut response = Response::new(ResponseBody::Buffered(Some(Bytes::from(body))));
+        let mut response = Response::new(ResponseBody::short(Bytes::from(body)));
         *response.status_mut() = self.status;
         let headers = response.headers_mut();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
--- a/crates/gateway/src/front/sends.rs
+++ b/crates/gateway/src/front/sends.rs
@@ -3,12 +3,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Incoming};
 use hyper::http::response::Parts;
 use hyper::{Request, Response, StatusCode};
 use oriolepass_units::EndpointStart;
+use tokio::time::{sleep, timeout};
 
+use super::body::HeldBody;
 use super::caller::CallerRequest;
 use super::ends::{is_answer_complete, probe_for_end};
 use super::headers::strip_hop_by_hop_headers;
@@ -22,14 +25,24 @@
 use crate::events::EventKind;
 use crate::framing::BodyFraming;
 use crate::gateway::Gateway;
+use crate::held_bytes::{ByteHold, HeldKind};
 use crate::paths::EndpointWay;
 use crate::upstream::{self, EndpointTarget, SendFailure, Upstream};
 
 /// The maximum length of an answer that is buffered before it is forwarded.
 const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
 
+/// How long an answer waits for memory before it is given up: small answers take a few milliseconds.
+const MEMORY_WAIT: Duration = Duration::from_millis(100);
+
+/// The reason for giving up an answer for which there is no memory.
+const NO_ANSWER_MEMORY: &str = "no memory for an answer of this length";
+
+/// The interval between attempts to get memory for an answer.
+const MEMORY_RETRY_DELAY: Duration = Duration::from_millis(20);
+
 /// An answer with its complete body.
-pub(super) type BufferedAnswer = Response<Bytes>;
+pub(super) type BufferedAnswer = Response<HeldBody>;
 
 /// The outcome of one send.
 pub(super) enum SendOutcome {
@@ -185,7 +198,7 @@
     }
     let framing = upstream.framing;
     let (parts, body) = upstream.response.into_parts();
-    match Limited::new(body, MAX_ANSWER_BYTES).collect().await {
+    match collect_answer(gateway, body).await {
         Ok(body) => {
             if framing != BodyFraming::Connection {
                 gateway.record_complete_answer(|| request.suspects(), placement.run_time());
@@ -202,9 +215,63 @@
             placement.record_begun();
             let mut head = forwarded_head(gateway, parts);
             head.extensions.insert(framing);
-            SendOutcome::Answer(Response::from_parts(head, body.to_bytes()))
+            SendOutcome::Answer(Response::from_parts(head, body))
+        }
+        Err(AnswerFault::Broken(reason)) => {
+            handle_broken(gateway, request, &placement, reason).await
+        }
+        Err(AnswerFault::Overlong(reason)) => {
+            answer_lost(gateway, request, &placement, reason.to_owned())
         }
-        Err(error) => handle_broken(gateway, request, &placement, error.to_string()).await,
+    }
+}
+
+/// The reason that an answer's body was not read to its end.
+enum AnswerFault {
+    /// The connection broke.
+    Broken(String),
+    /// The body exceeds a bound. Its endpoint was alive until the end.
+    Overlong(&'static str),
+}
+
+/// Reads the body of an answer into memory.
+async fn collect_answer(
+    gateway: &Rc<Gateway>,
+    mut body: Incoming,
+) -> Result<HeldBody, AnswerFault> {
+    let too_long = Err(AnswerFault::Overlong("the answer exceeds the maximum length"));
+    if body.size_hint().lower() > MAX_ANSWER_BYTES as u64 {
+        return too_long;
+    }
+    let hold = ByteHold::new(gateway, HeldKind::Answer);
+    let mut collected = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| AnswerFault::Broken(upstream::describe(&error)))?;
+        let Ok(data) = frame.into_data() else { continue };
+        let length = collected.len() + data.len();
+        if length > MAX_ANSWER_BYTES {
+            return too_long;
+        }
+        if length > collected.capacity() {
+            let capacity = (2 * collected.capacity()).max(length).min(MAX_ANSWER_BYTES);
+            // Both buffers are in memory while the bytes are moved.
+            let wait = wait_for_memory(&hold, collected.capacity() + capacity);
+            timeout(MEMORY_WAIT, wait)
+                .await
+                .map_err(|_| AnswerFault::Overlong(NO_ANSWER_MEMORY))?;
+            let mut larger = BytesMut::with_capacity(capacity);
+            larger.extend_from_slice(&collected);
+            collected = larger;
+            hold.resize(capacity);
+        }
+        collected.extend_from_slice(&data);
+    }
+    Ok(HeldBody::new(collected.freeze(), Some(hold)))
+}
+
+async fn wait_for_memory(hold: &ByteHold, bytes: usize) {
+    while !hold.resize(bytes) {
+        sleep(MEMORY_RETRY_DELAY).await;
     }
 }
 
@@ -219,7 +286,7 @@
 ) -> SendOutcome {
     let framing = upstream.framing;
     let (parts, body) = upstream.response.into_parts();
-    let mut source = EventSource::new(body, framing, upstream.guard, last_event);
+    let mut source = EventSource::new(gateway, body, framing, upstream.guard, last_event);
     let first = match source.next().await {
         NextEvents::Events(first) => Some(first),
         NextEvents::Ended => None,
@@ -232,6 +299,9 @@
         NextEvents::Broken(reason) => {
             return handle_broken(gateway, request, &placement, reason).await;
         }
+        NextEvents::Overlong(reason) => {
+            return answer_lost(gateway, request, &placement, reason.to_owned());
+        }
     };
     gateway.metrics.sends.with_label_values(&["answered"]).inc();
     placement.record_begun();
--- a/crates/gateway/src/front/stream.rs
+++ b/crates/gateway/src/front/stream.rs
@@ -12,7 +12,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep_until, timeout};
 
-use super::body::{PieceSender, ResponseBody, streamed_body};
+use super::body::{NotQueued, PieceSender, ResponseBody, streamed_body};
 use super::caller::{CallerRequest, EndGuard};
 use super::ends::{is_answer_complete, probe_for_end};
 use super::events::EventSplitter;
@@ -23,6 +23,7 @@
 use crate::events::EventKind;
 use crate::framing::BodyFraming;
 use crate::gateway::Gateway;
+use crate::held_bytes::{ByteHold, HeldKind};
 use crate::task_guard::TaskGuard;
 use crate::upstream::describe;
 
@@ -37,6 +38,9 @@
 /// most of a second.
 const MIN_SILENCE_TIMEOUT: Duration = Duration::from_millis(1_200);
 
+/// The reason for giving up a stream whose events do not fit into the memory.
+const NO_EVENT_MEMORY: &str = "no memory for events of this length";
+
 /// The pause objective of a stream if its route does not state it.
 const DEFAULT_PAUSE_OBJECTIVE: Duration = Duration::from_millis(500);
 
@@ -51,6 +55,9 @@
     Closed,
     /// The stream broke before its end. Holds the reason.
     Broken(String),
+    /// The endpoint sends more than an answer has, or more than this process can hold. Holds the
+    /// reason. The endpoint was alive until then.
+    Overlong(&'static str),
 }
 
 /// An endpoint's stream, read as complete events.
@@ -58,17 +65,21 @@
     body: Incoming,
     framing: BodyFraming,
     splitter: EventSplitter,
+    /// Counts the bytes that are not returned yet.
+    hold: ByteHold,
     _guard: TaskGuard,
 }
 
 impl EventSource {
     pub(super) fn new(
+        gateway: &Rc<Gateway>,
         body: Incoming,
         framing: BodyFraming,
         guard: TaskGuard,
         last_event: Option<u64>,
     ) -> Self {
-        Self { body, framing, splitter: EventSplitter::new(last_event), _guard: guard }
+        let hold = ByteHold::new(gateway, HeldKind::Stream);
+        Self { body, framing, splitter: EventSplitter::new(last_event), hold, _guard: guard }
     }
 
     /// Returns the id of the last event returned.
@@ -76,28 +87,39 @@
         self.splitter.last_id()
     }
 
-    /// Waits for the next complete events. Cancel-safe: no data is lost if the future is dropped.
+    /// Waits for the next complete events. Bytes that contain no event beyond the last one are waited
+    /// out like silence. Cancel-safe: no data is lost if the future is dropped.
     pub(super) async fn next(&mut self) -> NextEvents {
         loop {
             match self.body.frame().await {
                 Some(Ok(frame)) => {
                     let Ok(data) = frame.into_data() else { continue };
                     let events = self.splitter.push(&data);
+                    let is_held = self.hold.resize(self.splitter.held_bytes());
                     if !events.is_empty() {
                         return NextEvents::Events(events);
                     }
-                    if self.splitter.is_overlong() {
-                        return NextEvents::Broken(
-                            "an event exceeds the maximum length".to_owned(),
-                        );
+                    if let Some(reason) = self.splitter.excess() {
+                        return NextEvents::Overlong(reason);
+                    }
+                    if !is_held {
+                        return NextEvents::Overlong(NO_EVENT_MEMORY);
                     }
                 }
                 Some(Err(error)) => return NextEvents::Broken(describe(&error)),
                 None if self.splitter.has_partial() => {
                     return NextEvents::Broken("the stream ended within an event".to_owned());
                 }
-                None if self.framing == BodyFraming::Connection => return NextEvents::Closed,
-                None => return NextEvents::Ended,
+                None => {
+                    let rest = self.splitter.take_unnumbered();
+                    return if !rest.is_empty() {
+                        NextEvents::Events(rest)
+                    } else if self.framing == BodyFraming::Connection {
+                        NextEvents::Closed
+                    } else {
+                        NextEvents::Ended
+                    };
+                }
             }
         }
     }
@@ -119,7 +141,8 @@
     open: Box<OpenStream>,
     guard: EndGuard,
 ) -> Response<ResponseBody> {
-    let (pieces, body) = streamed_body(MAX_QUEUED_PIECES);
+    let hold = ByteHold::new(gateway, HeldKind::Stream);
+    let (pieces, body) = streamed_body(MAX_QUEUED_PIECES, Some(hold));
     let head = open.head.clone();
     let forwarder =
         StreamForwarder { gateway: Rc::clone(gateway), request, history, pieces, guard };
@@ -216,6 +239,10 @@
                     probe_for_end(&self.gateway, &self.request, &open.placement).await;
                     return self.resume_broken(open, &reason).await;
                 }
+                Ok(NextEvents::Overlong(reason)) => {
+                    self.record_overlong(&open);
+                    return self.resume_broken(open, reason).await;
+                }
                 Err(_) => {
                     if let Some(next) =
                         self.resume_silent_stream(&mut open, silence_timeout).await?
@@ -248,6 +275,13 @@
         endpoint_failed(&self.gateway, &self.request, endpoint, FaultKind::Broken);
     }
 
+    /// Records that an endpoint sent more than an answer has. Neither its path nor its process is in
+    /// doubt.
+    fn record_overlong(&self, open: &OpenStream) {
+        let endpoint = &open.placement.endpoint;
+        endpoint_failed(&self.gateway, &self.request, endpoint, FaultKind::Broken);
+    }
+
     async fn resume_broken(
         &mut self,
         open: Box<OpenStream>,
@@ -260,7 +294,10 @@
 
     async fn forward(&mut self, piece: Bytes) -> Result<(), ForwardEnd> {
         self.guard.record_piece();
-        self.pieces.send(piece).await.map_err(|_| ForwardEnd::CallerGone)
+        self.pieces.send(piece).await.map_err(|error| match error {
+            NotQueued::CallerLeft => ForwardEnd::CallerGone,
+            NotQueued::NoMemory => ForwardEnd::Broken(NO_EVENT_MEMORY.to_owned()),
+        })
     }
 
     /// Returns whether the stream may be resumed at another endpoint.
@@ -337,6 +374,10 @@
                     probe_for_end(&self.gateway, &self.request, &open.placement).await;
                     resumed_stream(resumed.await, &reason)
                 }
+                NextEvents::Overlong(reason) => {
+                    endpoint_failed(&self.gateway, &self.request, &endpoint, FaultKind::Broken);
+                    resumed_stream(resumed.await, reason)
+                }
             },
             outcome = &mut resumed => match outcome {
                 RequestOutcome::Stream(next) => Ok(Some(next)),
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -24,6 +24,7 @@
 use crate::founding::FoundingSurvey;
 use crate::front::ends::PendingEnds;
 use crate::front::helpers::HelperChecks;
+use crate::held_bytes::HeldLedger;
 use crate::home::HomeState;
 use crate::hubs::TierState;
 use crate::lifecycle::Lifecycle;
@@ -107,7 +108,7 @@
     /// The total time of suspension that has been recorded.
     pub(crate) suspended: Cell<Duration>,
     pub(crate) active_requests: Cell<u64>,
-    pub(crate) buffered_bytes: Cell<usize>,
+    pub(crate) held: RefCell<HeldLedger>,
     pending_calls: RefCell<HashMap<u64, oneshot::Sender<PeerReply>>>,
     /// The number of links to each daemon that have come up so far.
     link_counts: RefCell<HashMap<InstanceId, u64>>,
@@ -175,7 +176,7 @@
             was_ready: Cell::new(false),
             suspended: Cell::new(Duration::ZERO),
             active_requests: Cell::new(0),
-            buffered_bytes: Cell::new(0),
+            held: RefCell::default(),
             pending_calls: RefCell::default(),
             link_counts: RefCell::default(),
             link_up: Notify::new(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 //! | `balancer`, `budget` | load balancing over endpoints that are not engines; the retry budget |
 //! | `limits` | the limits on their request rates that endpoints name in their answers |
 //! | `upstream`, `dial`, `paths`, `tunnel` | connections to endpoints: sends and calls; the two ways, directly and through other daemons; which endpoints this daemon reaches; tunnels for others |
+//! | `held_bytes` | the memory for bodies, answers, streams and tunnels, by kind |
 //! | `quarantine`, `part_quarantine`, `quarantine_disk`, `broken_runs` | quarantine of requests and of parts of prompts that end their endpoints: replication to other daemons, storage on disk; care with requests whose connections broke |
 //! | `front` | the callers' listener: requests, sends, retries and answers |
 //! | `directory`, `lifecycle` | the instances that callers should use; start, readiness, reload, shutdown |
@@ -54,6 +55,7 @@
 mod gossip;
 #[cfg(test)]
 mod gossip_tests;
+mod held_bytes;
 mod home;
 mod hubs;
 #[cfg(test)]
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -2,8 +2,8 @@
 
 use prometheus::core::Collector;
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
 };
 
 /// Histogram buckets for latencies, in seconds: from a hop between data centres to the longest
@@ -77,6 +77,8 @@
     pub(crate) syncs: IntCounter,
     /// Reservations of engine memory by outcome.
     pub(crate) reservations: IntCounterVec,
+    /// Bytes held for callers and endpoints, by kind.
+    pub(crate) held_bytes: IntGaugeVec,
     /// Log lines dropped and not yet reported.
     pub(crate) lines_dropped: IntGauge,
 }
@@ -189,6 +191,13 @@
                 "Reservations of engines' memory",
                 "outcome",
             ),
+            held_bytes: registered_metric(
+                &registry,
+                IntGaugeVec::new(
+                    Opts::new("oriolepass_held_bytes", "Bytes held for callers and endpoints"),
+                    &["kind"],
+                ),
+            ),
             lines_dropped: gauge("oriolepass_log_lines_dropped", "Dropped and not reported yet"),
             registry,
         }
--- a/crates/gateway/src/operators.rs
+++ b/crates/gateway/src/operators.rs
@@ -10,6 +10,7 @@
 
 use crate::calls::{WholeAnswer, WholeCall, answer};
 use crate::gateway::Gateway;
+use crate::held_bytes::HeldKind;
 
 /// The path that lists the requests and the parts of prompts under which endpoints ended.
 const QUARANTINE_PATH: &str = "/quarantine";
@@ -36,6 +37,10 @@
         _ => {
             let dropped = i64::try_from(gateway.log.dropped()).unwrap_or(i64::MAX);
             gateway.metrics.lines_dropped.set(dropped);
+            for kind in HeldKind::ALL {
+                let bytes = i64::try_from(gateway.held.borrow().bytes(kind)).unwrap_or(i64::MAX);
+                gateway.metrics.held_bytes.with_label_values(&[kind.name()]).set(bytes);
+            }
             answer(200, gateway.metrics.render())
         }
     }
--- a/crates/gateway/src/tunnel.rs
+++ b/crates/gateway/src/tunnel.rs
@@ -25,6 +25,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::gateway::Gateway;
+use crate::held_bytes::{ByteHold, HeldKind};
 use crate::hubs::Tier;
 use crate::net;
 use crate::paths::EndpointWay;
@@ -47,10 +48,12 @@
 /// How long an instance that gave no tunnel is asked after all others.
 const PEER_RETRY_DELAY: Duration = Duration::from_secs(3);
 
-/// The maximum number of tunnels through one instance. Each has two connections and two buffers of
-/// 8 kB.
+/// The maximum number of tunnels through one instance. Each has two connections.
 const MAX_TUNNELS: u32 = 256;
 
+/// The length of a tunnel's two buffers.
+const TUNNEL_BUFFER_BYTES: usize = 2 * 8 * 1024;
+
 /// The time added to the life of a tunnel that the asking instance states. Its own time-outs end the
 /// tunnel earlier, unless it is lost.
 const LIFE_MARGIN: Duration = Duration::from_secs(1);
@@ -305,20 +308,25 @@
 }
 
 /// Counts a tunnel while it is open.
-struct TunnelCount(Rc<Gateway>);
+struct TunnelCount {
+    gateway: Rc<Gateway>,
+    _buffers: ByteHold,
+}
 
 impl TunnelCount {
     fn begin(gateway: &Rc<Gateway>) -> Self {
         gateway.open_tunnels.set(gateway.open_tunnels.get() + 1);
         gateway.metrics.open_tunnels.inc();
-        Self(Rc::clone(gateway))
+        let buffers = ByteHold::new(gateway, HeldKind::Tunnel);
+        buffers.resize(TUNNEL_BUFFER_BYTES);
+        Self { gateway: Rc::clone(gateway), _buffers: buffers }
     }
 }
 
 impl Drop for TunnelCount {
     fn drop(&mut self) {
-        self.0.open_tunnels.set(self.0.open_tunnels.get() - 1);
-        self.0.metrics.open_tunnels.dec();
+        self.gateway.open_tunnels.set(self.gateway.open_tunnels.get() - 1);
+        self.gateway.metrics.open_tunnels.dec();
     }
 }
 
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -5,8 +5,11 @@
 //! written, so that the sender cannot know whether the request ran; a late answer to an earlier
 //! request; and bytes that remain from an earlier answer.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -17,6 +20,8 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use oriolepass_units::EndpointStart;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 use crate::dial::{DialPlan, EndpointConnection, FailureKind, SHORT_LIFE, dial};
@@ -28,6 +33,14 @@
 /// The time-out of a call to an endpoint's own interface.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// The HTTP library's buffer for an endpoint's connection, which is also the maximum length of an
+/// answer's head.
+const ENDPOINT_BUFFER_BYTES: usize = 32 * 1024;
+
+/// The maximum number of bytes that an endpoint sends before the head of its answer is complete: a few
+/// interim answers, the head, and what the HTTP library reads ahead.
+const MAX_HEAD_BYTES: usize = 128 * 1024;
+
 /// A start of an endpoint and its address.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct EndpointTarget {
@@ -84,8 +97,11 @@
     connection: EndpointConnection,
     request: Request<Full<Bytes>>,
 ) -> Result<Upstream, SendFailure> {
+    let head_bytes = Rc::new(Cell::new(Some(0)));
+    let limited = Rc::clone(&head_bytes);
     let (mut sender, connection) = http1::Builder::new()
-        .handshake(TokioIo::new(connection.stream))
+        .max_buf_size(ENDPOINT_BUFFER_BYTES)
+        .handshake(TokioIo::new(HeadLimitedStream { stream: connection.stream, head_bytes }))
         .await
         .map_err(|error| SendFailure::NotSent(error.to_string()))?;
     let guard = TaskGuard::spawn(async move {
@@ -94,6 +110,7 @@
     });
     match sender.try_send_request(request).await {
         Ok(response) => {
+            limited.set(None);
             let framing = BodyFraming::of(&response);
             Ok(Upstream { response, framing, guard })
         }
@@ -110,6 +127,65 @@
     }
 }
 
+/// A connection that breaks if the head of the answer takes too many bytes. The HTTP library bounds the
+/// length of a head, but not the number of interim answers before it.
+struct HeadLimitedStream {
+    stream: TcpStream,
+    /// The number of bytes received, until the head is complete.
+    head_bytes: Rc<Cell<Option<usize>>>,
+}
+
+impl AsyncRead for HeadLimitedStream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        let this = self.get_mut();
+        let before = buf.filled().len();
+        let polled = Pin::new(&mut this.stream).poll_read(cx, buf);
+        if let Some(received) = this.head_bytes.get() {
+            let received = received + buf.filled().len() - before;
+            this.head_bytes.set(Some(received));
+            if received > MAX_HEAD_BYTES {
+                let reason = "the head of the answer exceeds the maximum length";
+                return Poll::Ready(Err(std::io::Error::other(reason)));
+            }
+        }
+        polled
+    }
+}
+
+impl AsyncWrite for HeadLimitedStream {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<std::io::Result<usize>> {
+        Pin::new(&mut self.get_mut().stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[std::io::IoSlice<'_>],
+    ) -> Poll<std::io::Result<usize>> {
+        Pin::new(&mut self.get_mut().stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
+
 /// Returns the message of an error together with its source's.
 pub(crate) fn describe(error: &hyper::Error) -> String {
     match std::error::Error::source(error) {
--- a/crates/gateway/tests/parts.rs
+++ b/crates/gateway/tests/parts.rs
@@ -56,6 +56,60 @@
     }
 }
 
+// Guards against an endpoint that holds its callers with comments, events without ids, or repeated
+// events without end.
+#[test]
+fn only_events_beyond_the_last_one_count_as_progress() {
+    for filler in [": alive\n\n", "data: x\n\n", "id: 1\ndata: a\n\n", "\n", "id: 9\ndata: x\n"] {
+        let mut splitter = EventSplitter::new(None);
+        assert!(!splitter.push(b"id: 1\ndata: a\n\n").is_empty());
+        let mut sent = 0;
+        while splitter.excess().is_none() {
+            assert!(splitter.push(filler.repeat(1_000).as_bytes()).is_empty(), "{filler:?}");
+            sent += filler.len() * 1_000;
+            assert!(sent < 2 << 20, "{filler:?} is taken for an answer");
+        }
+        assert!(splitter.held_bytes() <= sent);
+    }
+}
+
+// Guards against a resumed stream that is cut because its endpoint begins with what the caller has.
+#[test]
+fn repeated_events_in_order_are_no_excess() {
+    let event = |id: u64| format!("id: {id}\ndata: {}\n\n", "x".repeat(1_000));
+    let mut splitter = EventSplitter::new(Some(1_000));
+    for id in 1..=1_000 {
+        assert!(splitter.push(event(id).as_bytes()).is_empty());
+        assert_eq!(splitter.excess(), None);
+    }
+    assert_eq!(splitter.push(event(1_001).as_bytes()), event(1_001));
+}
+
+// Guards against honest streams that are cut: one large event, and comments that keep it alive.
+#[test]
+fn a_large_event_after_comments_is_no_excess() {
+    let mut splitter = EventSplitter::new(None);
+    for _ in 0..3_600 {
+        assert!(splitter.push(b": alive since the last event\n\n").is_empty());
+    }
+    let event = format!("id: 1\ndata: {}\n\n", "x".repeat((1 << 20) - 16));
+    let (begin, end) = event.as_bytes().split_at(500_000);
+    assert!(splitter.push(begin).is_empty());
+    assert_eq!(splitter.excess(), None);
+    assert_eq!(splitter.push(end).len(), 3_600 * 30 + event.len());
+    assert_eq!((splitter.excess(), splitter.held_bytes()), (None, 0));
+}
+
+// Guards against a stream that loses what follows its last event.
+#[test]
+fn what_follows_the_last_event_is_returned_at_the_end() {
+    let mut splitter = EventSplitter::new(None);
+    assert_eq!(&splitter.push(b"id: 1\n\n: bye\n\ndata: done\n\n")[..], b"id: 1\n\n");
+    assert!(!splitter.has_partial());
+    assert_eq!(&splitter.take_unnumbered()[..], b": bye\n\ndata: done\n\n");
+    assert!(splitter.take_unnumbered().is_empty());
+}
+
 // Guards against a late heartbeat that reverts a newer one or adds an endpoint that has left.
 #[test]
 fn late_heartbeats_are_ignored() {
