Placement learns the real speed of each engine

Cause: all engines of a service counted as equally fast. Streams on an engine that is several times slower for some seconds are late, and the next prompt was placed there again.

Change: with `[scheduling] engine_speeds`, the home compares first events and reported pauses with the published profile. Entries report the pauses of answers that are written 2.5 times more slowly than planned, at most once a second each. Without the setting nothing changes.

Tests of placement, gateway, cli and experiment are green.

--- a/crates/cli/src/commands/explain.rs
+++ b/crates/cli/src/commands/explain.rs
@@ -47,7 +47,7 @@
 }
 
 /// Prints the events of a request in order of time, with the events of the endpoints that it used and
-/// the rests that were in force at its instances.
+/// the rests and slow engines that were in force for it.
 pub(super) fn explain(request: &str, logs: &[PathBuf], json: bool) -> Result<()> {
     let lines = read_logs(logs)?;
     // A digest identifies a request across its attempts, or a part across the prompts that share
@@ -70,9 +70,24 @@
             && line.time <= until
             && rest_end >= first.time
     };
+    // The newest line before the request applies to it, besides those while it runs.
+    let is_slow_engine_in_force = |line: &LogLine| {
+        let is_later = |other: &LogLine| {
+            line.time < other.time
+                && other.time < first.time
+                && other.text("event") == "engine-speed"
+                && other.text("endpoint") == line.text("endpoint")
+        };
+        line.text("event") == "engine-speed"
+            && endpoints.contains(line.text("endpoint"))
+            && line.time <= until
+            && (line.time >= first.time
+                || line.text("outcome") == "slow" && !lines.iter().any(is_later))
+    };
     let is_shown = |line: &&LogLine| {
         is_own(line)
             || is_rest_in_force(line)
+            || is_slow_engine_in_force(line)
             || ((from..=until).contains(&line.time)
                 && endpoints.contains(line.text("endpoint"))
                 && ["endpoint", "endpoint-fault", "endpoint-end"].contains(&line.text("event")))
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -88,3 +88,12 @@
     assert_eq!(events, ["rest", "rest", "no-place", "end"], "{report}");
     assert!(report.contains("endpoint=i-a") && report.contains("endpoint=i-b"), "{report}");
 }
+
+/// Guards against a late answer that cannot be explained because its engine had turned slow long before.
+#[test]
+fn explain_lists_the_slow_engines_in_force_for_a_request() {
+    let report = expect_success(&["explain", "late-1", "slow-engines.log"]);
+    let lines: Vec<&str> = report.lines().filter(|line| line.contains("engine-speed")).collect();
+    assert_eq!(lines.len(), 1, "{report}");
+    assert!(lines[0].contains("endpoint=i-a") && lines[0].contains("slowdown=4.2"), "{report}");
+}
--- a/crates/experiment/src/fleet_run.rs
+++ b/crates/experiment/src/fleet_run.rs
@@ -293,7 +293,7 @@
     }
 
     fn advance_to(&mut self, now_ms: f64) {
-        for FarmEvent { at_ms, key, is_last } in self.farm.advance(now_ms) {
+        for FarmEvent { at_ms, key, is_last, .. } in self.farm.advance(now_ms) {
             self.record_event(at_ms, key.number);
             if is_last {
                 self.record_end(at_ms, key.number);
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -105,6 +105,8 @@
     End = "end";
     /// A request waited for this daemon to start; `outcome` says whether it had by then.
     StartWait = "start-wait";
+    /// An engine began or ceased to count as slow; `slowdown` is the duration of its passes relative to the published one, `ratios` the newest observations, corrected by what their `entries` see elsewhere, `common_ratio` that of all engines of the service.
+    EngineSpeed = "engine-speed";
     /// A prompt could not be placed; `retry_after_ms` says when to come back.
     NoPlace = "no-place";
     /// The home of the engines, or the deputy for it, did not answer a prompt in time.
--- a/crates/gateway/src/front/body.rs
+++ b/crates/gateway/src/front/body.rs
@@ -65,6 +65,11 @@
         self.pieces.send(piece).await.map_err(|_| CallerLeft)
     }
 
+    /// Returns whether the next piece has to wait for the caller to read.
+    pub(super) fn is_full(&self) -> bool {
+        self.pieces.capacity() == 0
+    }
+
     /// Returns a future that completes when the caller has left.
     pub(super) fn closed(&self) -> impl Future<Output = ()> + use<> {
         let pieces = self.pieces.clone();
--- a/crates/gateway/src/front/events.rs
+++ b/crates/gateway/src/front/events.rs
@@ -13,6 +13,7 @@
     /// The length of the buffer's prefix that has been searched for the end of an event.
     searched_bytes: usize,
     last_id: Option<u64>,
+    returned_events: u32,
 }
 
 impl EventSplitter {
@@ -26,6 +27,11 @@
         self.last_id
     }
 
+    /// Returns the number of events returned.
+    pub fn returned_events(&self) -> u32 {
+        self.returned_events
+    }
+
     /// Returns whether the buffer holds an incomplete event.
     pub fn has_partial(&self) -> bool {
         !self.buffer.is_empty()
@@ -54,6 +60,7 @@
             let is_repeated = id.is_some() && id <= self.last_id;
             if !is_repeated {
                 self.last_id = id.or(self.last_id);
+                self.returned_events = self.returned_events.wrapping_add(1);
                 whole.extend_from_slice(&event);
             }
         }
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -11,6 +11,7 @@
 mod headers;
 pub(crate) mod helpers;
 mod listener;
+mod pace;
 mod placement;
 mod presence;
 mod refusal;
--- a/crates/gateway/src/front/placement.rs
+++ b/crates/gateway/src/front/placement.rs
@@ -6,12 +6,13 @@
 use std::time::Duration;
 
 use oriolepass_limits::{PermitAsk, PermitVerdict, QueueVerdict, WaiterId};
-use oriolepass_placement::{PromptAsk, PromptKey, PromptPlan, RefusalReason};
+use oriolepass_placement::{PaceNote, PromptAsk, PromptKey, PromptPlan, RefusalReason};
 use oriolepass_quarantine::Standing;
 use oriolepass_units::{EndpointStart, InstanceId, MonotonicTime};
 use tokio::time::Instant;
 
 use super::caller::{CallerRequest, SHORT_RETRY_AFTER};
+use super::pace::{MeasuredPauses, PaceMeter};
 use super::reserve::Reservations;
 use crate::balancer::FaultKind;
 use crate::dial::EndpointConnection;
@@ -150,6 +151,8 @@
     /// When the head of the answer arrived.
     answer_began: Cell<Option<MonotonicTime>>,
     key: Option<PromptKey>,
+    /// The expected pause between events, if the speeds of engines are learned.
+    expected_pause: Option<Duration>,
     has_begun: Cell<bool>,
     _reservations: Option<Reservations>,
 }
@@ -210,6 +213,7 @@
             sent_at: gateway.now(),
             answer_began: Cell::new(None),
             key: None,
+            expected_pause: None,
             has_begun: Cell::new(false),
             _reservations: None,
         })
@@ -245,6 +249,7 @@
             sent_at: gateway.now(),
             answer_began: Cell::new(None),
             key: Some(ask.key),
+            expected_pause: expected_pause(gateway, request, &ask, &plan),
             has_begun: Cell::new(false),
             _reservations: None,
             plan: Some(plan.clone()),
@@ -276,6 +281,19 @@
         Ok(placement)
     }
 
+    /// Returns a meter of the stream's pace, if the speeds of engines are learned.
+    pub(super) fn pace_meter(&self) -> Option<PaceMeter> {
+        self.expected_pause.map(PaceMeter::new)
+    }
+
+    /// Reports an answer that is written more slowly than expected.
+    pub(super) fn report_pace(&self, measured: MeasuredPauses) {
+        if let Some(key) = self.key {
+            let MeasuredPauses { pauses, total } = measured;
+            self.gateway.report_pace(PaceNote { key, pauses, total });
+        }
+    }
+
     /// Returns the endpoint with its address.
     pub(super) fn target(&self) -> EndpointTarget {
         EndpointTarget { endpoint: self.endpoint.clone(), address: self.address }
@@ -309,6 +327,19 @@
     }
 }
 
+/// Returns the expected pause between two events of a prompt's answer, if the speeds of engines are
+/// learned.
+fn expected_pause(
+    gateway: &Gateway,
+    request: &CallerRequest,
+    ask: &PromptAsk,
+    plan: &PromptPlan,
+) -> Option<Duration> {
+    let profile = request.service.engine.as_ref()?;
+    let is_learned = gateway.settings().scheduling.engine_speeds;
+    is_learned.then(|| plan.pause(ask.answer_tokens, profile.steps_per_pass))
+}
+
 /// Records that an endpoint failed a request.
 pub(super) fn endpoint_failed(
     gateway: &Gateway,
--- a/crates/gateway/src/front/stream.rs
+++ b/crates/gateway/src/front/stream.rs
@@ -16,6 +16,7 @@
 use super::caller::{CallerRequest, EndGuard};
 use super::ends::{is_answer_complete, probe_for_end};
 use super::events::EventSplitter;
+use super::pace::PaceMeter;
 use super::placement::{Placement, endpoint_failed};
 use super::presence::while_alive;
 use super::tries::{RequestOutcome, SendHistory, may_resume};
@@ -76,6 +77,11 @@
         self.splitter.last_id()
     }
 
+    /// Returns the number of events returned.
+    fn returned_events(&self) -> u32 {
+        self.splitter.returned_events()
+    }
+
     /// Waits for the next complete events. Cancel-safe: no data is lost if the future is dropped.
     pub(super) async fn next(&mut self) -> NextEvents {
         loop {
@@ -198,9 +204,17 @@
         self.guard.record_framing(open.source.framing);
         let pause = self.request.route.pause_objective.unwrap_or(DEFAULT_PAUSE_OBJECTIVE);
         let mut silence_timeout = (pause * SILENCE_PAUSE_RATIO).max(MIN_SILENCE_TIMEOUT);
+        let mut meter = open.placement.pace_meter();
         loop {
+            let events_before = open.source.returned_events();
             match timeout(silence_timeout, self.next_piece(&mut open)).await {
-                Ok(NextEvents::Events(piece)) => self.forward(piece).await?,
+                Ok(NextEvents::Events(piece)) => {
+                    if let Some(meter) = &mut meter {
+                        let events = open.source.returned_events().wrapping_sub(events_before);
+                        self.measure_pace(meter, &open.placement, events);
+                    }
+                    self.forward(piece).await?;
+                }
                 Ok(NextEvents::Ended) => {
                     return Err(ForwardEnd::Complete(Some(open.placement.run_time())));
                 }
@@ -222,6 +236,9 @@
                     {
                         return Ok(next);
                     }
+                    if let Some(meter) = &mut meter {
+                        meter.skip_pause();
+                    }
                     // The next attempt to resume elsewhere follows only after a longer silence.
                     silence_timeout += MIN_SILENCE_TIMEOUT / 2;
                 }
@@ -258,6 +275,17 @@
         self.resume_elsewhere(endpoint, last, reason).await
     }
 
+    /// Measures the pause before events that have just arrived, and reports a slow pace. While the
+    /// caller does not read, the gateway does not read from the endpoint either.
+    fn measure_pace(&self, meter: &mut PaceMeter, placement: &Placement, events: u32) {
+        if let Some(measured) = meter.record_events(self.gateway.now(), events) {
+            placement.report_pace(measured);
+        }
+        if self.pieces.is_full() {
+            meter.skip_pause();
+        }
+    }
+
     async fn forward(&mut self, piece: Bytes) -> Result<(), ForwardEnd> {
         self.guard.record_piece();
         self.pieces.send(piece).await.map_err(|_| ForwardEnd::CallerGone)
--- a/crates/gateway/src/home.rs
+++ b/crates/gateway/src/home.rs
@@ -230,7 +230,25 @@
 
     fn place_here(&self, ask: &PromptAsk, scope: EngineScope) -> PlaceVerdict {
         self.refresh_fleet();
-        self.home.borrow_mut().fleet.place_among(self.now(), ask, scope)
+        let verdict = self.home.borrow_mut().fleet.place_among(self.now(), ask, scope);
+        self.log_speed_changes();
+        verdict
+    }
+
+    /// Logs the engines that began or ceased to count as slow.
+    fn log_speed_changes(&self) {
+        let changes = self.home.borrow_mut().fleet.take_speed_changes();
+        for change in changes {
+            let ratios: Vec<String> =
+                change.observations.iter().map(|ratio| format!("{ratio:.1}")).collect();
+            self.line(EventKind::EngineSpeed)
+                .text("endpoint", &change.endpoint)
+                .text("outcome", if change.is_slow { "slow" } else { "recovered" })
+                .number("slowdown", format!("{:.2}", change.slowdown))
+                .text("ratios", ratios.join(","))
+                .number("entries", change.entries)
+                .number("common_ratio", format!("{:.2}", change.common));
+        }
     }
 
     pub(crate) fn on_place_ask(
@@ -291,22 +309,30 @@
             }
             ProgressNote::Failed(_) => {}
         }
+        let message = PeerMessage::Progress(vec![note], TrailingField::default());
+        self.mesh.send_all(&self.placing_daemons(), &message);
+    }
+
+    /// Records the pace of a slow answer, and reports it to the home and the notified deputies.
+    pub(crate) fn report_pace(&self, pace: PaceNote) {
+        self.on_progress(&[], &[pace]);
+        let message = PeerMessage::Progress(Vec::new(), TrailingField(vec![pace]));
+        self.mesh.send_all(&self.placing_daemons(), &message);
+    }
+
+    /// Returns the home, unless it is this daemon, and the notified deputies.
+    fn placing_daemons(&self) -> Vec<InstanceId> {
         let leader = self.leader_instance().filter(|leader| *leader != self.own);
-        let to: Vec<InstanceId> = {
-            let home = self.home.borrow();
-            let notified = home.watch.notified_deputies(self.now()).iter();
-            notified
-                .filter(|deputy| Some(*deputy) != leader.as_ref())
-                .chain(&leader)
-                .cloned()
-                .collect()
-        };
-        self.mesh.send_all(&to, &PeerMessage::Progress(vec![note], TrailingField::default()));
+        let home = self.home.borrow();
+        let notified = home.watch.notified_deputies(self.now()).iter();
+        let others = notified.filter(|deputy| Some(*deputy) != leader.as_ref());
+        others.chain(&leader).cloned().collect()
     }
 
-    pub(crate) fn on_progress(&self, notes: &[ProgressNote], _paces: &[PaceNote]) {
+    pub(crate) fn on_progress(&self, notes: &[ProgressNote], paces: &[PaceNote]) {
         let now = self.now();
         let mut home = self.home.borrow_mut();
+        home.fleet.observe_paces(now, paces);
         for note in notes {
             match note {
                 ProgressNote::Begun(key) => {
@@ -423,6 +449,8 @@
         let home = &mut *home;
         home.fleet.set_features(self.placement_features());
         home.fleet.update(facts);
+        let slow_engines = home.fleet.slow_engines();
+        self.metrics.slow_engines.set(i64::try_from(slow_engines).unwrap_or(i64::MAX));
         home.last_good_answer.retain(|_, at| now.since(*at) < GOOD_ANSWER_TTL);
         // A leaf that acts as a deputy does not have the full list of live entries.
         if self.tier() != Tier::Leaf {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -63,6 +63,8 @@
     pub(crate) limited_endpoints: IntGauge,
     /// Endpoints that asked this daemon for a rest that has not ended.
     pub(crate) resting_endpoints: IntGauge,
+    /// Engines that count as slow where this daemon places prompts.
+    pub(crate) slow_engines: IntGauge,
     /// Answers in which endpoints asked this daemon for rest, by outcome.
     pub(crate) rests: IntCounterVec,
     /// Whether this daemon reaches no endpoint by itself.
@@ -167,6 +169,10 @@
                 "oriolepass_resting_endpoints",
                 "Endpoints that asked this daemon for a rest that has not ended",
             ),
+            slow_engines: gauge(
+                "oriolepass_slow_engines",
+                "Engines that are slower than published",
+            ),
             rests: counters(
                 "oriolepass_rests_total",
                 "Answers in which endpoints asked this daemon for rest",
--- a/crates/placement/src/choice.rs
+++ b/crates/placement/src/choice.rs
@@ -132,7 +132,13 @@
     } else {
         job.long_demand.price(job.engines, job.cost.whole_ms)
     };
-    let loss = pause_loss + delays + short + future + busy + lateness(first_ms, job.ask, job.value);
+    let loss = pause_loss
+        + delays
+        + short
+        + future
+        + busy
+        + lateness(first_ms, job.ask, job.value)
+        + main.view.own_pause_loss(job.ask, job.value);
     let adjusted_loss = loss + risk(first_ms, job.ask, job.value, size - 1);
     let helpers = scored.iter().map(|s| s.endpoint).filter(|e| *e != main.endpoint).cloned();
     Some(Candidate {
@@ -196,7 +202,7 @@
         // The score of a short prompt contains this cost already.
         let answer = if job.cost.is_short() { 0.0 } else { s.view.long_answer_cost() };
         let wait = s.view.slot_free_in_ms / millis(job.ask.whole_objective).max(1.0);
-        lacks + s.score + answer + wait
+        lacks + s.score + answer + wait + s.view.own_pause_loss(job.ask, job.value)
     };
     let least = |(_, left): &(usize, &Scored<'_>), (_, right): &(usize, &Scored<'_>)| {
         adjusted_loss(left).total_cmp(&adjusted_loss(right))
@@ -241,7 +247,7 @@
     let main_pass_ms = views
         .iter()
         .find(|(endpoint, _)| *endpoint == best.main)
-        .map_or(0.0, |(_, view)| view.writing_pass_ms)
+        .map_or(0.0, |(_, view)| view.answer_pass_ms())
         .max(profile.step_ms * f64::from(profile.steps_per_pass));
     let passes = job.ask.answer_tokens as f64 / f64::from(profile.steps_per_pass);
     let helper = |endpoint: &EndpointStart| HelperPart {
--- a/crates/placement/src/cost.rs
+++ b/crates/placement/src/cost.rs
@@ -158,9 +158,27 @@
     /// Factor on the cost of a sparsely used engine, from 0 (answers are not gathered on few
     /// engines) to 1 (fully gathered).
     pub(crate) gather_weight: f64,
+    /// Duration of a pass relative to the published one.
+    pub(crate) slowdown: f64,
+    /// Duration of a pass that writes a single answer, if the engine is slow. It is 0 otherwise,
+    /// because a pass of published duration disturbs no answer.
+    pub(crate) slow_pass_ms: f64,
 }
 
 impl EngineView {
+    /// Returns the duration of a pass that writes one more answer.
+    pub(crate) fn answer_pass_ms(&self) -> f64 {
+        self.writing_pass_ms.max(self.slow_pass_ms)
+    }
+
+    /// Returns the loss of a prompt through the pauses of its own answer on a slow engine.
+    pub(crate) fn own_pause_loss(&self, ask: &PromptAsk, value: f64) -> f64 {
+        if self.slow_pass_ms <= 0.0 {
+            return 0.0;
+        }
+        lateness_ratio(self.answer_pass_ms() / millis(ask.pause).max(1.0)) * LATE_LOSS_SHARE * value
+    }
+
     /// Returns the duration of the next pass with `part_ms` more to read, of which at most `cap_ms`
     /// fit into one pass.
     fn next_pass_ms(&self, part_ms: f64, cap_ms: f64) -> f64 {
@@ -170,6 +188,7 @@
     /// Returns the time until a part would have been read, in milliseconds. The first event comes
     /// at the end of the pass in which that happens.
     pub(crate) fn read_in_ms(&self, part_ms: f64, cap_ms: f64, is_main: bool) -> f64 {
+        let (part_ms, cap_ms) = (part_ms * self.slowdown, cap_ms * self.slowdown);
         // Helpers' parts are read before all other parts.
         let ahead = if is_main { self.unread_ms } else { 0.0 };
         let reading = ahead + part_ms;
@@ -220,6 +239,7 @@
     /// Returns the loss of the answers on this engine through the pauses that another part to read
     /// causes. The part is a helper's or a prompt's own.
     pub(crate) fn pause_loss(&self, part_ms: f64, cap_ms: f64, is_helper: bool) -> f64 {
+        let (part_ms, cap_ms) = (part_ms * self.slowdown, cap_ms * self.slowdown);
         let (before, after) = (self.next_pass_ms(0.0, cap_ms), self.next_pass_ms(part_ms, cap_ms));
         // A late answer can still lose the rest of its value if its caller leaves during a pause.
         let left = |neighbour: &Neighbour| {
@@ -236,6 +256,7 @@
     /// Returns the loss of each waiting prompt through a helper's part, which is read before the
     /// prompt's own part.
     pub(crate) fn delays(&self, part_ms: f64) -> impl Iterator<Item = (PromptKey, f64)> {
+        let part_ms = part_ms * self.slowdown;
         self.waiting.iter().map(move |part| (part.key, part.delay_loss(part_ms)))
     }
 
@@ -247,11 +268,12 @@
     /// Returns whether a short prompt would be on time on this engine.
     pub(crate) fn is_clear(&self) -> bool {
         let full = self.load as f64 >= self.slots as f64 * 0.9;
-        !full && self.residual_ms.max(self.writing_pass_ms + self.unread_ms) < MAX_CLEAR_PASS_MS
+        !full && self.residual_ms.max(self.answer_pass_ms() + self.unread_ms) < MAX_CLEAR_PASS_MS
     }
 
     /// Returns how long another part to read keeps the engine from being clear, in milliseconds.
     pub(crate) fn blocked_ms(&self, part_ms: f64, cap_ms: f64) -> f64 {
+        let (part_ms, cap_ms) = (part_ms * self.slowdown, cap_ms * self.slowdown);
         let passes = (self.unread_ms + part_ms) / cap_ms.max(1.0);
         let blocked = self.next_pass_ms(part_ms, cap_ms) * passes.max(1.0) - MAX_CLEAR_PASS_MS;
         blocked.max(0.0)
--- a/crates/placement/src/engine.rs
+++ b/crates/placement/src/engine.rs
@@ -9,6 +9,7 @@
 use oriolepass_units::{EndpointStart, MonotonicTime, RequestRate, ServiceName};
 
 use crate::plan::PromptKey;
+use crate::speed::EngineSpeed;
 
 /// The state of an engine according to its own announcements.
 #[derive(Debug, Clone, PartialEq)]
@@ -41,6 +42,7 @@
     recent_placements: VecDeque<MonotonicTime>,
     /// The permits of an engine that names a limit.
     pub(crate) permits: Option<PermitBucket>,
+    pub(crate) speed: EngineSpeed,
 }
 
 impl EngineEntry {
@@ -54,6 +56,7 @@
             mains: Vec::new(),
             recent_placements: VecDeque::new(),
             permits: None,
+            speed: EngineSpeed::default(),
         }
     }
 
--- a/crates/placement/src/farm.rs
+++ b/crates/placement/src/farm.rs
@@ -19,6 +19,8 @@
     pub key: PromptKey,
     /// Whether it was the last event of the answer.
     pub is_last: bool,
+    /// Published duration of all passes of the main engine up to the event, in milliseconds.
+    pub work_ms: f64,
 }
 
 #[derive(Debug, Clone)]
@@ -60,6 +62,13 @@
         self.engines.get(endpoint)
     }
 
+    /// Sets the duration of an engine's passes relative to the published one.
+    pub fn set_slowdown(&mut self, now_ms: f64, endpoint: &EndpointStart, slowdown: f64) {
+        if let Some(engine) = self.engines.get_mut(endpoint) {
+            engine.set_slowdown(now_ms, slowdown);
+        }
+    }
+
     /// Returns the engines of a prompt, the main engine first.
     pub fn engines_of(&self, key: PromptKey) -> &[EndpointStart] {
         self.open.get(&key).map_or(&[], |open| &open.engines)
@@ -176,10 +185,13 @@
 
     fn end_pass(&mut self, at_ms: f64, endpoint: &EndpointStart, events: &mut Vec<FarmEvent>) {
         let Some(engine) = self.engines.get_mut(endpoint) else { return };
-        for event in engine.end_pass() {
-            match event {
-                PassEvent::Event(key) => events.push(FarmEvent { at_ms, key, is_last: false }),
-                PassEvent::Ended(key) => events.push(FarmEvent { at_ms, key, is_last: true }),
+        let pass_events = engine.end_pass();
+        let work_ms = engine.work_ms(at_ms);
+        let event = |key, is_last| FarmEvent { at_ms, key, is_last, work_ms };
+        for pass_event in pass_events {
+            match pass_event {
+                PassEvent::Event(key) => events.push(event(key, false)),
+                PassEvent::Ended(key) => events.push(event(key, true)),
                 PassEvent::PartRead(key) => self.part_read(at_ms, key, events),
             }
         }
@@ -198,8 +210,8 @@
             return;
         }
         // The first event comes at the end of the pass in which the last part has been read.
-        events.push(FarmEvent { at_ms, key, is_last: false });
         if let Some(main) = open.engines.first().and_then(|main| self.engines.get_mut(main)) {
+            events.push(FarmEvent { at_ms, key, is_last: false, work_ms: main.work_ms(at_ms) });
             main.all_read(at_ms, key);
         }
     }
--- a/crates/placement/src/fleet.rs
+++ b/crates/placement/src/fleet.rs
@@ -16,6 +16,7 @@
 use crate::engine::{EngineEntry, EngineFacts};
 use crate::farm::EngineFarm;
 use crate::features::PlacementFeatures;
+use crate::observing::SpeedState;
 use crate::overload;
 use crate::passes::EnginePasses;
 use crate::plan::{PlacementRefusal, PromptAsk, PromptKey, PromptPlan, RefusalReason};
@@ -47,6 +48,7 @@
     /// The prompts that wait for permits of engines with limits.
     pub(crate) permit_queues: BTreeMap<ServiceName, PermitQueue>,
     pub(crate) features: PlacementFeatures,
+    pub(crate) speeds: SpeedState,
 }
 
 pub(crate) fn time_ms(now: MonotonicTime) -> f64 {
@@ -89,7 +91,8 @@
         endpoint: &EndpointStart,
         silence: Duration,
     ) -> bool {
-        self.farm.advance(time_ms(now));
+        self.advance(now);
+        self.update_speeds(now);
         let engine = self.farm.engine(endpoint);
         if engine.is_some_and(|engine| engine.explains_silence(time_ms(now), millis(silence))) {
             return true;
@@ -144,7 +147,8 @@
         if self.placed.contains_key(&ask.key) {
             self.ended(now, ask.key);
         }
-        self.farm.advance(time_ms(now));
+        self.advance(now);
+        self.update_speeds(now);
         let usable = scope.narrow(self.usable(now, ask, scope), self.is_short(ask));
         let mut usable = self.with_permits(now, ask, scope, usable)?;
         if self.is_short(ask) {
@@ -270,6 +274,8 @@
             waiting: self.waiting(now_ms, engine, firsts),
             helped_share,
             gather_weight: 1.0,
+            slowdown: engine.slowdown(),
+            slow_pass_ms: if engine.slowdown() > 1.0 { engine.single_pass_ms() } else { 0.0 },
         };
         Some((endpoint, view))
     }
--- a/crates/placement/src/passes.rs
+++ b/crates/placement/src/passes.rs
@@ -85,6 +85,11 @@
     /// Memory reserved for prompts that other engines write, in tokens.
     reserved: Vec<(PromptKey, u64)>,
     pass_end_ms: Option<f64>,
+    pass_begin_ms: f64,
+    /// Duration of a pass relative to the published one.
+    slowdown: f64,
+    /// Published duration of the passes before the present one, in milliseconds.
+    ended_work_ms: f64,
     /// End and duration of the last long pass, in milliseconds. The end may be in the future.
     long_pass: (f64, f64),
     end_events: Vec<PassEvent>,
@@ -118,6 +123,9 @@
             answers: Vec::new(),
             reserved: Vec::new(),
             pass_end_ms: None,
+            pass_begin_ms: 0.0,
+            slowdown: 1.0,
+            ended_work_ms: 0.0,
             long_pass: (f64::MIN, 0.0),
             end_events: Vec::new(),
         }
@@ -128,6 +136,34 @@
         self.pass_end_ms
     }
 
+    /// Returns the duration of a pass relative to the published one.
+    pub fn slowdown(&self) -> f64 {
+        self.slowdown
+    }
+
+    /// Sets the duration of a pass relative to the published one. The rest of the present pass
+    /// lasts accordingly longer or shorter.
+    pub fn set_slowdown(&mut self, now_ms: f64, slowdown: f64) {
+        if let Some(end_ms) = self.pass_end_ms {
+            let work_ms = self.work_ms(now_ms);
+            let new_end_ms = now_ms + self.residual_ms(now_ms) * slowdown / self.slowdown;
+            let pass_ms = new_end_ms - self.pass_begin_ms;
+            if self.long_pass.0 == end_ms || pass_ms >= MIN_LONG_PASS_MS {
+                self.long_pass = (new_end_ms, pass_ms);
+            }
+            self.pass_end_ms = Some(new_end_ms);
+            self.ended_work_ms = work_ms - (now_ms - self.pass_begin_ms) / slowdown;
+        }
+        self.slowdown = slowdown;
+    }
+
+    /// Returns the published duration of all passes up to now, in milliseconds. The present pass
+    /// counts as far as it has progressed.
+    pub fn work_ms(&self, now_ms: f64) -> f64 {
+        let in_pass = |end_ms: f64| (now_ms.min(end_ms) - self.pass_begin_ms) / self.slowdown;
+        self.ended_work_ms + self.pass_end_ms.map_or(0.0, in_pass)
+    }
+
     /// Returns the number of prompts that run or wait on this engine, without parts read as a
     /// helper.
     pub fn load(&self) -> usize {
@@ -143,7 +179,7 @@
     pub fn unread_ms(&self) -> f64 {
         let begun: f64 = self.reading.iter().map(|r| r.left_tokens * r.ms_per_token).sum();
         let waiting: f64 = self.queue.iter().map(|prompt| self.part(prompt).whole_ms()).sum();
-        begun + waiting
+        (begun + waiting) * self.slowdown
     }
 
     /// Returns the prompts with an unread part on this engine, each with the time of reading until
@@ -152,7 +188,7 @@
         let waiting = self.queue.iter().map(|prompt| self.part(prompt));
         let parts = self.reading.iter().cloned().chain(waiting);
         parts.scan(0.0, |read_ms, part| {
-            *read_ms += part.whole_ms();
+            *read_ms += part.whole_ms() * self.slowdown;
             Some((part.key, *read_ms))
         })
     }
@@ -163,7 +199,13 @@
         if self.answers.is_empty() {
             return 0.0;
         }
-        self.step_ms(self.answers.iter()) * f64::from(self.profile.steps_per_pass)
+        let steps = f64::from(self.profile.steps_per_pass);
+        self.step_ms(self.answers.iter()) * steps * self.slowdown
+    }
+
+    /// Returns the duration of a pass that writes a single answer, in milliseconds.
+    pub fn single_pass_ms(&self) -> f64 {
+        self.profile.step_ms * f64::from(self.profile.steps_per_pass) * self.slowdown
     }
 
     /// Returns whether a long pass may explain that the engine has been silent for `silent_ms`.
@@ -270,7 +312,10 @@
 
     /// Ends the present pass and returns its events.
     pub fn end_pass(&mut self) -> Vec<PassEvent> {
-        self.pass_end_ms = None;
+        if let Some(end_ms) = self.pass_end_ms {
+            self.ended_work_ms = self.work_ms(end_ms);
+            self.pass_end_ms = None;
+        }
         let events = std::mem::take(&mut self.end_events);
         let present = |key: &PromptKey| self.answers.iter().any(|a| a.prompt.key == *key);
         // An answer that was removed during the pass has no further events.
@@ -338,7 +383,8 @@
                 self.end_events.push(PassEvent::Ended(answer.prompt.key));
             }
         }
-        let pass_ms = step * f64::from(steps) + read_ms;
+        let pass_ms = (step * f64::from(steps) + read_ms) * self.slowdown;
+        self.pass_begin_ms = now_ms;
         self.pass_end_ms = Some(now_ms + pass_ms);
         if pass_ms >= MIN_LONG_PASS_MS {
             self.long_pass = (now_ms + pass_ms, pass_ms);
--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -84,6 +84,14 @@
     pub whole: Duration,
 }
 
+impl PromptPlan {
+    /// Returns the expected pause between two events of an answer of `answer_tokens`.
+    pub fn pause(&self, answer_tokens: u64, steps_per_pass: u32) -> Duration {
+        let passes = answer_tokens as f64 / f64::from(steps_per_pass.max(1));
+        self.whole.saturating_sub(self.first_event).div_f64(passes.max(1.0))
+    }
+}
+
 /// The reason why a prompt is not placed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RefusalReason {
--- a/crates/placement/src/tracking.rs
+++ b/crates/placement/src/tracking.rs
@@ -7,6 +7,7 @@
 use crate::fleet::{EngineFleet, FAILURE_BACKOFF, time_ms};
 use crate::passes::PassPrompt;
 use crate::plan::{PromptAsk, PromptKey, PromptPlan};
+use crate::speed::ExpectedPace;
 
 /// Maximum number of doublings of [`FAILURE_BACKOFF`], which gives 6.4 s: longer than most faults
 /// of the platform last.
@@ -35,6 +36,8 @@
     pub(crate) demand: Option<(ServiceName, RecordedPrompt)>,
     /// Whether the main engine has failed a request since.
     pub(crate) main_failed: bool,
+    /// The expected times of its events, if speeds are learned.
+    pub(crate) pace: Option<ExpectedPace>,
 }
 
 impl EngineFleet {
@@ -49,16 +52,19 @@
         if self.placed.contains_key(&ask.key) {
             self.ended(now, ask.key);
         }
-        self.farm.advance(time_ms(now));
+        self.advance(now);
         self.record_plan(now, ask, plan, begun);
     }
 
     /// Records that a prompt's first event has come.
     pub fn first_event(&mut self, now: MonotonicTime, key: PromptKey) {
-        let Some(placed) = self.placed.get_mut(&key) else { return };
-        placed.has_begun = true;
         let now_ms = time_ms(now);
-        self.farm.advance(now_ms);
+        let Some(placed) = self.placed.get_mut(&key) else { return };
+        let is_first = !std::mem::replace(&mut placed.has_begun, true);
+        self.advance(now);
+        if is_first {
+            self.observe_first_event(now, key);
+        }
         self.farm.first_event(now_ms, key);
         for endpoint in self.farm.engines_of(key) {
             if let Some(engine) = self.engines.get_mut(endpoint) {
@@ -69,7 +75,7 @@
 
     /// Records the end of a prompt, regardless of how it ended.
     pub fn ended(&mut self, now: MonotonicTime, key: PromptKey) {
-        self.farm.advance(time_ms(now));
+        self.advance(now);
         if let Some(main) = self.farm.engines_of(key).first()
             && let Some(engine) = self.engines.get_mut(main)
         {
@@ -162,8 +168,12 @@
             is_suspect: ask.is_suspect,
             demand: None,
             main_failed: false,
+            pace: self.expected_pace(now, ask, plan, begun),
         };
         self.placed.insert(ask.key, placed);
+        if !begun {
+            self.record_probe(now, &plan.main);
+        }
     }
 
     /// Charges a request to the main engine of a plan, and its part of the prompt to each helper.
@@ -185,7 +195,8 @@
             else {
                 continue;
             };
-            let pass_ms = engine.writing_pass_ms() + engine.unread_ms() + part_ms;
+            let own_ms = part_ms * engine.slowdown();
+            let pass_ms = engine.writing_pass_ms() + engine.unread_ms() + own_ms;
             for key in &entry.mains {
                 if let Some(placed) = self.placed.get_mut(key).filter(|placed| placed.has_begun) {
                     placed.has_late_pause |= pass_ms > placed.pause_ms * SURELY_LATE_PAUSE_RATIO;
