--- a/crates/gateway/src/front/events.rs
+++ b/crates/gateway/src/front/events.rs
@@ -32,6 +32,8 @@
     received_id: Option<u64>,
     /// The number of bytes in complete comments and events since the last event that made progress.
     stalled_bytes: usize,
+    /// The number of events returned.
+    returned_events: u32,
 }
 
 impl EventSplitter {
@@ -45,6 +47,11 @@
         self.last_id
     }
 
+    /// Returns the number of events returned.
+    pub fn returned_events(&self) -> u32 {
+        self.returned_events
+    }
+
     /// Returns whether the buffer holds an incomplete event.
     pub fn has_partial(&self) -> bool {
         self.event_start < self.buffer.len()
@@ -86,6 +93,7 @@
             } else {
                 whole.extend_from_slice(&self.take_complete());
                 self.last_id = id;
+                self.returned_events = self.returned_events.wrapping_add(1);
             }
         }
         whole.freeze()
