Prompts that were refused because of load have their turn when they return

Cause: a prompt that was refused because of load waited for 0.22 of its objective, was told four seconds whatever the engines had to do, and came back as a newcomer. Surges came back as they had come, and prompts were refused twice.

Change: with `[scheduling] return_appointments`, the home tells a refused prompt a time that follows from the engines' work and from the turns before it, and keeps a turn for it; newcomers of the same or a lower rank that would delay it come later. Entries hand the turns to a new home. A refusal whose time is beyond the entry's wait is passed on at once, unless the engines that the prompt needs may end within that wait. `explain` links the attempts. Without the setting, nothing changes.

--- a/crates/cli/src/commands/explain.rs
+++ b/crates/cli/src/commands/explain.rs
@@ -34,6 +34,9 @@
     "quarantine",
 ];
 
+/// Fields that name a request, or a part of its prompt.
+const OWN_FIELDS: [&str; 5] = ["request", "digest", "part", "parts", "appointment"];
+
 fn details(line: &LogLine) -> String {
     let shown = |key: &str| !["time", "instance", "event", "request"].contains(&key);
     let pairs = line.fields.iter().filter(|(key, _)| shown(key));
@@ -46,16 +49,20 @@
     texts.join("  ")
 }
 
-/// Prints the events of a request in order of time, with the events of the endpoints that it used and
-/// the rests that were in force at its instances.
+/// Prints the events of a request in order of time, with the other attempts of the same prompt, the
+/// events of the endpoints that it used and the rests that were in force at its instances.
 pub(super) fn explain(request: &str, logs: &[PathBuf], json: bool) -> Result<()> {
     let lines = read_logs(logs)?;
-    // A digest identifies a request across its attempts, or a part across the prompts that share
-    // it.
+    // A digest or an appointment identifies a request across its attempts, or a part across the
+    // prompts that share it.
     let names = |line: &LogLine, key| line.text(key).split(',').any(|name| name == request);
-    let is_own =
-        |line: &&LogLine| ["request", "digest", "part", "parts"].iter().any(|key| names(line, key));
+    let is_own = |line: &&LogLine| OWN_FIELDS.iter().any(|key| names(line, key));
     let own: Vec<&LogLine> = lines.iter().filter(is_own).collect();
+    let appointments: BTreeSet<&str> =
+        own.iter().map(|line| line.text("appointment")).filter(|text| !text.is_empty()).collect();
+    let of_prompt = lines.iter().filter(|line| appointments.contains(line.text("appointment")));
+    let attempts: BTreeSet<&str> = of_prompt.map(|line| line.text("request")).collect();
+    let is_other_attempt = |line: &LogLine| attempts.contains(line.text("request"));
     let (Some(first), Some(last)) = (own.first(), own.last()) else {
         bail!("no event names the request {request}; pass the logs of all gateways of that time");
     };
@@ -72,6 +79,7 @@
     };
     let is_shown = |line: &&LogLine| {
         is_own(line)
+            || is_other_attempt(line)
             || is_rest_in_force(line)
             || ((from..=until).contains(&line.time)
                 && endpoints.contains(line.text("endpoint"))
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -88,3 +88,15 @@
     assert_eq!(events, ["rest", "rest", "no-place", "end"], "{report}");
     assert!(report.contains("endpoint=i-a") && report.contains("endpoint=i-b"), "{report}");
 }
+
+/// Guards against a refusal whose story ends with the first attempt: a prompt that returned to
+/// another instance.
+#[test]
+fn explain_links_the_attempts_of_a_prompt() {
+    for name in ["a1", "a2", "00c0ffee00c0ffee"] {
+        let report = expect_success(&["explain", name, "returned.log"]);
+        let events: Vec<&str> =
+            report.lines().filter_map(|line| line.split_whitespace().nth(2)).collect();
+        assert_eq!(events, ["no-place", "end", "send", "end"], "{report}");
+    }
+}
--- a/crates/gateway/src/cluster.rs
+++ b/crates/gateway/src/cluster.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use oriolepass_consensus::ConsensusNode;
-use oriolepass_placement::PromptAsk;
+use oriolepass_placement::{PlacementRefusal, PromptAsk};
 use oriolepass_units::{DataCentreId, InstanceId, LeaderTerm, MonotonicTime};
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
@@ -486,7 +486,9 @@
                 };
                 gateway.on_place_ask(from, token, &ask, cell);
             }
-            PeerMessage::PlaceAnswer { token, verdict } => {
+            PeerMessage::PlaceAnswer { token, verdict, turn } => {
+                let verdict =
+                    verdict.map_err(|refusal| PlacementRefusal { turn: turn.0, ..refusal });
                 gateway.answer_call(token, PeerReply::Placed(verdict));
             }
             PeerMessage::SilenceAsk { token, endpoint, silence } => {
@@ -504,6 +506,7 @@
             PeerMessage::PartCaseHash { hash, is_answer } => {
                 gateway.on_part_case_hash(from, hash, is_answer);
             }
+            PeerMessage::Appointments(appointments) => gateway.on_appointments(&appointments),
             PeerMessage::CaseHash { hash, is_answer } => {
                 gateway.on_case_hash(from, hash, is_answer);
             }
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -31,6 +31,8 @@
     pub resume_after: Option<u64>,
     /// The parts of the prompt that other prompts may share, in order.
     pub shared_parts: Vec<PromptPartId>,
+    /// The part of the prompt that belongs to this request or its session.
+    pub own_part: Option<PromptPartId>,
 }
 
 /// A helper: an engine that reads a part of a prompt, as described to the engine that generates
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -105,7 +105,7 @@
     End = "end";
     /// A request waited for this daemon to start; `outcome` says whether it had by then.
     StartWait = "start-wait";
-    /// A prompt could not be placed; `retry_after_ms` says when to come back.
+    /// A prompt could not be placed; `retry_after_ms` says when to come back, `appointment` names the prompt across its attempts.
     NoPlace = "no-place";
     /// The home of the engines, or the deputy for it, did not answer a prompt in time.
     HomeLost = "home-lost";
--- a/crates/gateway/src/front/caller.rs
+++ b/crates/gateway/src/front/caller.rs
@@ -13,9 +13,11 @@
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response, StatusCode};
 use oriolepass_limits::{PermitWaiter, RequestRank, WaiterId};
+use oriolepass_placement::AppointmentId;
 use oriolepass_quarantine::{PartDigest, PartIdentity, RequestDigest, RequestIdentity};
 use oriolepass_routing::{KeyHolder, RouteSpec, RoutingTable, ServiceSpec};
 use oriolepass_units::MonotonicTime;
+use sha2::{Digest, Sha256};
 use tokio::time::{Instant, timeout, timeout_at};
 
 use super::body::ResponseBody;
@@ -123,6 +125,24 @@
         RequestSuspects { request: self.digest(), parts: self.parts() }
     }
 
+    /// Returns the id of the prompt across its attempts. It depends on the account that the caller's
+    /// key belongs to, so that no account can use the turn of another one.
+    pub(super) fn appointment(&self) -> AppointmentId {
+        let mut hasher = Sha256::new();
+        let mut add_field = |field: &str| {
+            // Length prefixes prevent collisions by moving bytes between adjacent fields.
+            hasher.update((field.len() as u64).to_le_bytes());
+            hasher.update(field);
+        };
+        add_field(&self.digest().to_string());
+        add_field(self.service.name.as_str());
+        add_field(&self.facts.prompt_tokens.unwrap_or(0).to_string());
+        let parts = self.facts.shared_parts.iter().chain(&self.facts.own_part);
+        parts.for_each(|part| add_field(part.as_str()));
+        let bytes = hasher.finalize();
+        AppointmentId(bytes.iter().take(8).fold(0, |id, byte| id << 8 | u64::from(*byte)))
+    }
+
     /// Returns the digests of the parts of the prompt that other prompts may share.
     pub(super) fn parts(&self) -> Rc<[PartDigest]> {
         let digest = |part| {
--- a/crates/gateway/src/front/placement.rs
+++ b/crates/gateway/src/front/placement.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 
 use oriolepass_limits::{PermitAsk, PermitVerdict, QueueVerdict, WaiterId};
-use oriolepass_placement::{PromptAsk, PromptKey, PromptPlan, RefusalReason};
+use oriolepass_placement::{
+    AppointmentId, PromptAsk, PromptKey, PromptPlan, RefusalReason, ReturnTurn,
+};
 use oriolepass_quarantine::Standing;
 use oriolepass_units::{EndpointStart, InstanceId, MonotonicTime};
 use tokio::time::Instant;
@@ -56,6 +58,9 @@
     /// All endpoints that accept requests are at the limits that they name. Holds the reason and the
     /// time after which the request may ask again.
     AtLimit(&'static str, Duration),
+    /// The engines have too much work. Holds the reason and the time after which the request may
+    /// ask again, which follows from that work.
+    Busy(&'static str, Duration),
 }
 
 impl NoPlacement {
@@ -64,7 +69,8 @@
         match self {
             Self::NoEndpoint(reason, after)
             | Self::Refused(reason, after)
-            | Self::AtLimit(reason, after) => (reason, after),
+            | Self::AtLimit(reason, after)
+            | Self::Busy(reason, after) => (reason, after),
             Self::Resting(after) => (ALL_REST, after),
             Self::NoMemory => ("no engine memory", SHORT_RETRY_AFTER),
         }
@@ -144,6 +150,8 @@
     pub(super) placed_by: &'static str,
     /// Whether the request is sent for the first time and may be sent again.
     pub(super) may_fail: bool,
+    /// Identifies the prompt across its caller's attempts, if appointments are kept.
+    pub(super) appointment: Option<AppointmentId>,
     pub(super) connection: SendConnection,
     /// When the request was sent.
     sent_at: MonotonicTime,
@@ -206,6 +214,7 @@
             helpers: Vec::new(),
             placed_by: "balancer",
             may_fail: false,
+            appointment: None,
             connection: SendConnection::default(),
             sent_at: gateway.now(),
             answer_began: Cell::new(None),
@@ -228,6 +237,8 @@
             let (reason, after) = (error.reason.name(), error.retry_after);
             if error.reason == RefusalReason::AtLimit {
                 NoPlacement::AtLimit(reason, after)
+            } else if error.turn != ReturnTurn::Unknown {
+                NoPlacement::Busy(reason, after)
             } else if error.reason.is_transient() {
                 no_endpoint(gateway, request, reason, after)
             } else {
@@ -241,6 +252,7 @@
             helpers: Vec::new(),
             placed_by: by.name(),
             may_fail: false,
+            appointment: ask.appointment,
             connection: SendConnection::default(),
             sent_at: gateway.now(),
             answer_began: Cell::new(None),
@@ -478,6 +490,8 @@
             || gateway.prompt_standing(|| request.parts()).0 != Standing::Clear
             || gateway.has_broken_run(|| request.digest()),
         waiter: Some(request.waiter(waiter, max_wait)),
-        appointment: None,
+        // A prompt that was sent before may be running, and its caller is not told to return.
+        appointment: (gateway.settings().scheduling.return_appointments && avoid.is_empty())
+            .then(|| request.appointment()),
     }
 }
--- a/crates/gateway/src/front/tries.rs
+++ b/crates/gateway/src/front/tries.rs
@@ -318,14 +318,16 @@
     ) -> Option<RequestOutcome> {
         let delay = match error {
             NoPlacement::Refused(..) => None,
-            NoPlacement::AtLimit(_, after) | NoPlacement::Resting(after) => {
-                Some(after.max(MIN_PERMIT_DELAY))
-            }
+            NoPlacement::AtLimit(_, after)
+            | NoPlacement::Resting(after)
+            | NoPlacement::Busy(_, after) => Some(after.max(MIN_PERMIT_DELAY)),
             NoPlacement::NoEndpoint(..) | NoPlacement::NoMemory => Some(ENDPOINT_RETRY_DELAY),
         };
-        // A permit that is expected too late is not waited for.
+        // A permit or a turn that is expected too late is not waited for.
         let is_in_time = |delay: &Duration| match error {
-            NoPlacement::AtLimit(..) => Instant::now() + *delay <= self.endpoint_wait_until,
+            NoPlacement::AtLimit(..) | NoPlacement::Busy(..) => {
+                Instant::now() + *delay <= self.endpoint_wait_until
+            }
             // The request was told to wait because its turn comes in time.
             NoPlacement::Resting(_) => true,
             _ => Instant::now() < self.endpoint_wait_until,
@@ -335,7 +337,10 @@
             return None;
         }
         let (reason, after) = error.reason_and_retry_after();
-        no_place_line(gateway, request, reason).millis("retry_after_ms", after);
+        let appointment = matches!(error, NoPlacement::Busy(..)).then(|| request.appointment());
+        no_place_line(gateway, request, reason)
+            .millis("retry_after_ms", after)
+            .maybe("appointment", appointment);
         Some(self.give_up(reason, after))
     }
 
--- a/crates/gateway/src/front/try_lines.rs
+++ b/crates/gateway/src/front/try_lines.rs
@@ -51,7 +51,8 @@
             .millis("proof_age_ms", proof_age.unwrap_or(Duration::MAX))
             .millis("left_ms", request.time_left())
             .maybe("limit_per_s", gateway.limits.borrow().table().limit(&placement.endpoint))
-            .maybe("after_event", self.last_event);
+            .maybe("after_event", self.last_event)
+            .maybe("appointment", placement.appointment);
         if let Some(plan) = &placement.plan {
             line = line
                 .number("prompt_tokens", request.facts.prompt_tokens.unwrap_or(0))
--- a/crates/gateway/src/home.rs
+++ b/crates/gateway/src/home.rs
@@ -14,8 +14,9 @@
 
 use oriolepass_limits::{PermitWaiter, RequestRank, WaiterId};
 use oriolepass_placement::{
-    EngineCell, EngineFacts, EngineFleet, EngineScope, PaceNote, PlacementFeatures,
-    PlacementRefusal, PromptAsk, PromptKey, PromptPlan, RefusalReason,
+    Appointment, EngineCell, EngineFacts, EngineFleet, EngineScope, EntryAppointments, PaceNote,
+    PlacementFeatures, PlacementRefusal, PromptAsk, PromptKey, PromptPlan, RefusalReason,
+    ReturnTurn,
 };
 use oriolepass_routing::{ColdStart, RoutingRevision};
 use oriolepass_units::{EndpointStart, InstanceId, MonotonicTime};
@@ -94,6 +95,8 @@
     fleet_source: Option<FleetSource>,
     /// The running prompts of this daemon's callers.
     own_prompts: BTreeMap<PromptKey, PlacedPrompt>,
+    /// The appointments that this daemon passed on to its callers.
+    appointments: EntryAppointments,
     /// When each engine last gave a good answer.
     last_good_answer: BTreeMap<EndpointStart, MonotonicTime>,
     /// Endpoints that recently sent a heartbeat to this daemon directly.
@@ -176,6 +179,7 @@
         };
         let reply = self.call(home, max_wait, request).await;
         let Some(PeerReply::Placed(verdict)) = reply else { return None };
+        self.record_verdict(ask, &verdict);
         if let Ok(plan) = &verdict {
             self.refresh_fleet();
             self.home.borrow_mut().fleet.adopt(self.now(), ask, plan, false);
@@ -186,12 +190,24 @@
 
     fn place_and_record(&self, ask: &PromptAsk, scope: EngineScope) -> PlaceVerdict {
         let verdict = self.place_here(ask, scope);
+        self.record_verdict(ask, &verdict);
         if let Ok(plan) = &verdict {
             self.record_own(ask, plan);
         }
         verdict
     }
 
+    /// Records the appointment that a refusal of an own prompt gives, or that the prompt needs none
+    /// any longer.
+    fn record_verdict(&self, ask: &PromptAsk, verdict: &PlaceVerdict) {
+        let appointments = &mut self.home.borrow_mut().appointments;
+        match (verdict, ask.appointment) {
+            (Ok(_), Some(id)) => appointments.forget(id),
+            (Err(refusal), Some(_)) => appointments.record(self.now(), ask, refusal),
+            (_, None) => {}
+        }
+    }
+
     /// Returns the deputies, which place prompts while the home is away. This daemon can be one of
     /// them.
     pub(crate) fn deputies(&self) -> Vec<InstanceId> {
@@ -230,7 +246,12 @@
 
     fn place_here(&self, ask: &PromptAsk, scope: EngineScope) -> PlaceVerdict {
         self.refresh_fleet();
-        self.home.borrow_mut().fleet.place_among(self.now(), ask, scope)
+        let mut home = self.home.borrow_mut();
+        let verdict = home.fleet.place_among(self.now(), ask, scope);
+        if self.settings().scheduling.return_appointments {
+            self.metrics.record_appointments(&home.fleet.take_appointment_counts());
+        }
+        verdict
     }
 
     pub(crate) fn on_place_ask(
@@ -242,7 +263,9 @@
     ) {
         let verdict = self.place_here(ask, cell.map_or(EngineScope::All, EngineScope::Cell));
         let verdict = verdict.map_err(|refusal| self.refusal_for(from, refusal));
-        self.mesh.send(from, &PeerMessage::PlaceAnswer { token, verdict });
+        let turn =
+            TrailingField(verdict.as_ref().err().map_or_else(ReturnTurn::default, |r| r.turn));
+        self.mesh.send(from, &PeerMessage::PlaceAnswer { token, verdict, turn });
     }
 
     /// Returns a refusal as a daemon of its version can read it.
@@ -340,10 +363,26 @@
         }
     }
 
-    /// Sends the running prompts to a new home.
+    /// Sends the running prompts, and the appointments of refused ones, to a new home.
     pub(crate) fn on_new_home(&self) {
-        if let Some(leader) = self.leader_instance().filter(|leader| *leader != self.own) {
-            self.send_own_prompts(&leader);
+        let Some(leader) = self.leader_instance() else { return };
+        let appointments = self.home.borrow().appointments.open(self.now());
+        if leader == self.own {
+            self.on_appointments(&appointments);
+            return;
+        }
+        self.send_own_prompts(&leader);
+        let understands = self.roster.borrow().understands(&leader, ProtocolLevel::SCHEDULING);
+        if understands && !appointments.is_empty() {
+            self.mesh.send(&leader, &PeerMessage::Appointments(appointments));
+        }
+    }
+
+    /// Adds appointments that another home gave.
+    pub(crate) fn on_appointments(&self, appointments: &[Appointment]) {
+        if !appointments.is_empty() {
+            self.refresh_fleet();
+            self.home.borrow_mut().fleet.adopt_appointments(self.now(), appointments);
         }
     }
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters, gauges and histograms in the Prometheus text format.
 
+use oriolepass_placement::AppointmentCounts;
 use prometheus::core::Collector;
 use prometheus::{
     Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
@@ -39,6 +40,8 @@
     pub(crate) start_waits: HistogramVec,
     /// Requests refused, by reason.
     pub(crate) refusals: IntCounterVec,
+    /// Appointments of prompts that were refused because of load, by outcome.
+    pub(crate) appointments: IntCounterVec,
     /// Requests in progress.
     pub(crate) active: IntGauge,
     /// The revision of the routing document in force.
@@ -141,6 +144,11 @@
                 "outcome",
             ),
             refusals: counters("oriolepass_refusals_total", "Requests refused", "reason"),
+            appointments: counters(
+                "oriolepass_appointments_total",
+                "Appointments of prompts refused because of load",
+                "outcome",
+            ),
             active: gauge("oriolepass_active_requests", "Requests under way"),
             revision: gauge("oriolepass_routing_revision", "Revision in force"),
             proof_age: gauge("oriolepass_routing_proof_age_ms", "Age of the proof of freshness"),
@@ -194,6 +202,20 @@
         }
     }
 
+    /// Adds outcomes of appointments.
+    pub(crate) fn record_appointments(&self, counts: &AppointmentCounts) {
+        let outcomes = [
+            ("given", counts.given),
+            ("declined", counts.declined),
+            ("kept", counts.kept),
+            ("lapsed", counts.lapsed),
+            ("adopted", counts.adopted),
+        ];
+        for (outcome, count) in outcomes.into_iter().filter(|(_, count)| *count > 0) {
+            self.appointments.with_label_values(&[outcome]).inc_by(count);
+        }
+    }
+
     /// Encodes all metrics in the text format.
     pub(crate) fn render(&self) -> Vec<u8> {
         let mut text = Vec::new();
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -9,7 +9,8 @@
 use oriolepass_consensus::Envelope;
 use oriolepass_limits::{LimitNotice, PermitAsk, PermitVerdict, PermitWaiter, RequestRank};
 use oriolepass_placement::{
-    AppointmentId, EngineCell, PaceNote, PlacementRefusal, PromptAsk, PromptKey, PromptPlan,
+    Appointment, AppointmentId, EngineCell, PaceNote, PlacementRefusal, PromptAsk, PromptKey,
+    PromptPlan, ReturnTurn,
 };
 use oriolepass_quarantine::{CaseUpdate, PartDigest};
 use oriolepass_routing::{
@@ -169,7 +170,12 @@
         appointment: TrailingField<Option<AppointmentId>>,
     },
     /// The answer to `PlaceAsk`.
-    PlaceAnswer { token: u64, verdict: PlaceVerdict },
+    PlaceAnswer {
+        token: u64,
+        verdict: PlaceVerdict,
+        /// What a refusal says about the prompt's return.
+        turn: TrailingField<ReturnTurn>,
+    },
     /// Queries whether an engine is expected to be silent for this long.
     SilenceAsk { token: u64, endpoint: EndpointStart, silence: Duration },
     /// The answer to `SilenceAsk`.
@@ -218,6 +224,8 @@
     /// The hash of the sender's quarantine cases of parts. A receiver with another hash sends its
     /// own cases.
     PartCaseHash { hash: u64, is_answer: bool },
+    /// Appointments that another home gave to prompts of the sender's callers.
+    Appointments(Vec<Appointment>),
 }
 
 impl PeerMessage {
@@ -250,6 +258,7 @@
             Self::CaseHash { .. } => "case-hash",
             Self::PartCases(..) => "part-cases",
             Self::PartCaseHash { .. } => "part-case-hash",
+            Self::Appointments(..) => "appointments",
             Self::Breaks(..) => "breaks",
             Self::ProposeDrain { .. } => "propose-drain",
             Self::ProposeDrainAnswer { .. } => "propose-drain-answer",
--- a/crates/gateway/src/peers/message_tests.rs
+++ b/crates/gateway/src/peers/message_tests.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use oriolepass_limits::{PermitWaiter, RequestRank, WaiterId};
-use oriolepass_placement::{EngineCell, PromptAsk, PromptKey};
+use oriolepass_placement::{
+    EngineCell, PlacementRefusal, PromptAsk, PromptKey, RefusalReason, ReturnTurn,
+};
 use oriolepass_units::LeaderTerm;
 
 use super::{PeerMessage, ProtocolLevel, TrailingField};
@@ -130,7 +132,28 @@
 fn a_placement_asked_for_by_the_version_before_excludes_no_engine() {
     let asked = place_ask(Some(waiter()), &[]);
     let bytes = postcard::to_stdvec(&asked).expect("bytes");
-    // The list of engines is the last field but one, and its length is one byte, as is the appointment.
+    // The list of engines is the last field but one, and its length is one byte, as is the
+    // appointment.
     let earlier = &bytes[..bytes.len() - 2];
     assert_eq!(postcard::from_bytes(earlier), Ok(asked));
 }
+
+/// Guards against a home of the version before, whose refusals say nothing about a turn, and against
+/// entries of the version before, which ignore what follows the verdict.
+#[test]
+fn refusals_of_the_version_before_give_no_turn() {
+    let refusal = PlacementRefusal {
+        reason: RefusalReason::TooDear,
+        retry_after: Duration::from_millis(1_200),
+        turn: ReturnTurn::default(),
+    };
+    let answer = |turn| {
+        let turn = TrailingField(turn);
+        PeerMessage::PlaceAnswer { token: 8, verdict: Err(refusal), turn }
+    };
+    let bytes = postcard::to_stdvec(&answer(ReturnTurn::Appointed)).expect("bytes");
+    assert_eq!(postcard::from_bytes(&bytes), Ok(answer(ReturnTurn::Appointed)));
+    // The turn is the last field, and takes one byte.
+    let earlier = &bytes[..bytes.len() - 1];
+    assert_eq!(postcard::from_bytes(earlier), Ok(answer(ReturnTurn::Unknown)));
+}
--- a/crates/placement/src/candidates.rs
+++ b/crates/placement/src/candidates.rs
@@ -5,6 +5,7 @@
 use oriolepass_limits::{PermitForecast, PermitWaiter, QueueVerdict, RequestRank, WaiterId};
 use oriolepass_units::{EndpointStart, MonotonicTime};
 
+use crate::appointment::ReturnTurn;
 use crate::cost::EngineView;
 use crate::engine::EngineEntry;
 use crate::fleet::EngineFleet;
@@ -77,7 +78,8 @@
                 QueueVerdict::Take => {}
                 QueueVerdict::Wait(after) | QueueVerdict::Refuse(after) => {
                     let reason = RefusalReason::AtLimit;
-                    return Err(PlacementRefusal { reason, retry_after: after });
+                    let turn = ReturnTurn::Unknown;
+                    return Err(PlacementRefusal { reason, retry_after: after, turn });
                 }
             }
         }
--- a/crates/placement/src/demand.rs
+++ b/crates/placement/src/demand.rs
@@ -82,6 +82,12 @@
         self.updated_ms = now_ms;
     }
 
+    /// Returns how long a short prompt holds a slot on average, in milliseconds; 0 if none has been
+    /// recorded.
+    pub(crate) fn hold_ms(&self) -> f64 {
+        self.held_ms
+    }
+
     /// Returns the present demand of short prompts.
     pub(crate) fn demand(&mut self, now_ms: f64, profile: &EngineProfile) -> ShortDemand {
         self.decay(now_ms);
--- a/crates/placement/src/fleet.rs
+++ b/crates/placement/src/fleet.rs
@@ -9,6 +9,8 @@
 use oriolepass_routing::EngineProfile;
 use oriolepass_units::{EndpointStart, MonotonicTime, ServiceName};
 
+use crate::appointment::ReturnTurn;
+use crate::appointment_book::AppointmentBook;
 use crate::candidates::{gather_weight, least_disturbing, rendezvous_hash, sample_engines};
 use crate::choice::{Job, best_group, build_plan, without_backlog};
 use crate::cost::{EngineView, Neighbour, ReadCost, WaitingPart, millis};
@@ -16,7 +18,7 @@
 use crate::engine::{EngineEntry, EngineFacts};
 use crate::farm::EngineFarm;
 use crate::features::PlacementFeatures;
-use crate::overload;
+use crate::overload::{self, WorkLine};
 use crate::passes::EnginePasses;
 use crate::plan::{PlacementRefusal, PromptAsk, PromptKey, PromptPlan, RefusalReason};
 use crate::scope::EngineScope;
@@ -47,6 +49,8 @@
     /// The prompts that wait for permits of engines with limits.
     pub(crate) permit_queues: BTreeMap<ServiceName, PermitQueue>,
     pub(crate) features: PlacementFeatures,
+    /// The turns of refused prompts.
+    pub(crate) appointments: BTreeMap<ServiceName, AppointmentBook>,
 }
 
 pub(crate) fn time_ms(now: MonotonicTime) -> f64 {
@@ -57,6 +61,9 @@
     /// Sets which optional parts of the placement take effect.
     pub fn set_features(&mut self, features: PlacementFeatures) {
         self.features = features;
+        if !features.keeps_appointments {
+            self.appointments.clear();
+        }
     }
 
     /// Replaces the set of known engines.
@@ -147,6 +154,7 @@
         self.farm.advance(time_ms(now));
         let usable = scope.narrow(self.usable(now, ask, scope), self.is_short(ask));
         let mut usable = self.with_permits(now, ask, scope, usable)?;
+        let engines = usable.len();
         if self.is_short(ask) {
             sample_engines(ask.key, &mut usable);
         }
@@ -171,35 +179,47 @@
             return Err(PlacementRefusal {
                 reason: RefusalReason::NoEngine,
                 retry_after: FAILURE_BACKOFF,
+                turn: ReturnTurn::Unknown,
             });
         };
         let job = self.job(now, ask, &profile, &views);
-        let refuse = |reason| {
-            let retry_after = overload::retry_after(reason, ask);
-            Err(PlacementRefusal { reason, retry_after })
-        };
-        let views = without_backlog(&job, views);
+        let hold_ms = self.demand.get(&ask.service).map_or(0.0, DemandMeter::hold_ms);
+        let line = self.keeps_turns(scope).then(|| WorkLine::new(&job, &views, engines, hold_ms));
+        let has_turn = line.is_some() && self.has_turn(now, ask);
+        // A prompt that cannot wait for its turn at its entry takes the engines as they are.
+        let waits = line.as_ref().is_none_or(|line| self.can_wait(&job, line));
+        let views = if has_turn || !waits { views } else { without_backlog(&job, views) };
         if views.is_empty() {
-            return refuse(RefusalReason::Backlog);
+            return Err(self.refuse_for_load(now, &job, line.as_ref(), RefusalReason::Backlog));
         }
         let separate =
             ask.is_suspect.then(|| best_group(&job, &least_disturbing(&views))).flatten();
         let best = separate.or_else(|| best_group(&job, &views)).ok_or(PlacementRefusal {
             reason: RefusalReason::NoMemory,
             retry_after: FAILURE_BACKOFF,
+            turn: ReturnTurn::Unknown,
         })?;
-        if let Some(reason) = overload::refusal_reason(&job, &views, &best) {
-            return refuse(reason);
+        let delays_turns = || {
+            let reason =
+                if job.cost.is_short() { RefusalReason::Crowded } else { RefusalReason::TooDear };
+            line.as_ref().is_some_and(|line| self.delays_turns(now, &job, line)).then_some(reason)
+        };
+        let reason = overload::refusal_reason(&job, &views, &best).or_else(delays_turns);
+        let is_served_in_turn = has_turn && overload::is_served_in_turn(&job, &best);
+        if let Some(reason) = reason.filter(|_| !is_served_in_turn) {
+            return Err(self.refuse_for_load(now, &job, line.as_ref(), reason));
         }
         if best.first_ms > millis(ask.deadline) {
             // The prompt would only take engines from prompts that can still be on time.
             let spare_ms = (best.first_ms - millis(ask.deadline)).clamp(500.0, 4_000.0);
             let retry_after = Duration::from_secs_f64(spare_ms / 1_000.0);
-            return Err(PlacementRefusal { reason: RefusalReason::TooLate, retry_after });
+            let turn = if line.is_some() { ReturnTurn::Timed } else { ReturnTurn::Unknown };
+            return Err(PlacementRefusal { reason: RefusalReason::TooLate, retry_after, turn });
         }
         let plan = build_plan(&job, &views, &profile, &best);
         let (is_short, value, work_ms) = (job.cost.is_short(), job.value, job.cost.whole_ms);
         self.record_plan(now, ask, &plan, false);
+        self.record_return(now, ask);
         let meter = self.demand.entry(ask.service.clone()).or_default();
         if is_short {
             meter.record_short(time_ms(now), millis(plan.whole));
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -17,6 +17,7 @@
 //! The crate does no I/O: every call takes the present time, and no call blocks.
 
 mod appointment;
+mod appointment_book;
 mod candidates;
 mod choice;
 mod cost;
@@ -29,11 +30,15 @@
 mod overload;
 mod passes;
 mod plan;
+mod returns;
 mod scope;
 mod speed;
 mod tracking;
 
-pub use appointment::{AppointmentId, AppointmentIdError};
+pub use appointment::{
+    Appointment, AppointmentId, AppointmentIdError, EntryAppointments, ReturnTurn,
+};
+pub use appointment_book::AppointmentCounts;
 pub use cost::ReadCost;
 pub use engine::EngineFacts;
 pub use farm::{EngineFarm, FarmEvent};
--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -2,11 +2,11 @@
 
 use std::time::Duration;
 
-use oriolepass_limits::PermitWaiter;
+use oriolepass_limits::{PermitWaiter, RequestRank};
 use oriolepass_units::{EndpointStart, ServiceName};
 use serde::{Deserialize, Serialize};
 
-use crate::appointment::AppointmentId;
+use crate::appointment::{AppointmentId, ReturnTurn};
 
 /// Identifies a placed prompt by its entry, the instance that serves its caller, and a number that
 /// the entry assigns.
@@ -54,12 +54,19 @@
     /// separately.
     #[serde(skip)]
     pub waiter: Option<PermitWaiter>,
-    /// Identifies the prompt across its caller's attempts, if appointments are kept. Messages carry it
-    /// separately.
+    /// Identifies the prompt across its caller's attempts, if appointments are kept. Messages carry
+    /// it separately.
     #[serde(skip)]
     pub appointment: Option<AppointmentId>,
 }
 
+impl PromptAsk {
+    /// Returns the rank of the prompt, if the entry sent it.
+    pub(crate) fn rank(&self) -> Option<RequestRank> {
+        self.waiter.as_ref().map(|waiter| waiter.rank.clone())
+    }
+}
+
 /// An engine that reads a part of a prompt.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HelperPart {
@@ -132,4 +139,7 @@
     pub reason: RefusalReason,
     /// Delay after which a retry may succeed.
     pub retry_after: Duration,
+    /// What the delay means. Messages carry it separately.
+    #[serde(skip)]
+    pub turn: ReturnTurn,
 }
