--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -97,3 +97,15 @@
     assert_eq!(lines.len(), 1, "{report}");
     assert!(lines[0].contains("endpoint=i-a") && lines[0].contains("slowdown=4.2"), "{report}");
 }
+
+/// Guards against a refusal whose story ends with the first attempt: a prompt that returned to
+/// another instance.
+#[test]
+fn explain_links_the_attempts_of_a_prompt() {
+    for name in ["a1", "a2", "00c0ffee00c0ffee"] {
+        let report = expect_success(&["explain", name, "returned.log"]);
+        let events: Vec<&str> =
+            report.lines().filter_map(|line| line.split_whitespace().nth(2)).collect();
+        assert_eq!(events, ["no-place", "end", "send", "end"], "{report}");
+    }
+}
--- a/crates/gateway/src/front/placement.rs
+++ b/crates/gateway/src/front/placement.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 
 use oriolepass_limits::{PermitAsk, PermitVerdict, QueueVerdict, WaiterId};
-use oriolepass_placement::{PaceNote, PromptAsk, PromptKey, PromptPlan, RefusalReason};
+use oriolepass_placement::{
+    AppointmentId, PaceNote, PromptAsk, PromptKey, PromptPlan, RefusalReason, ReturnTurn,
+};
 use oriolepass_quarantine::Standing;
 use oriolepass_units::{EndpointStart, InstanceId, MonotonicTime};
 use tokio::time::Instant;
@@ -57,6 +59,9 @@
     /// All endpoints that accept requests are at the limits that they name. Holds the reason and the
     /// time after which the request may ask again.
     AtLimit(&'static str, Duration),
+    /// The engines have too much work. Holds the reason and the time after which the request may
+    /// ask again, which follows from that work.
+    Busy(&'static str, Duration),
 }
 
 impl NoPlacement {
@@ -65,7 +70,8 @@
         match self {
             Self::NoEndpoint(reason, after)
             | Self::Refused(reason, after)
-            | Self::AtLimit(reason, after) => (reason, after),
+            | Self::AtLimit(reason, after)
+            | Self::Busy(reason, after) => (reason, after),
             Self::Resting(after) => (ALL_REST, after),
             Self::NoMemory => ("no engine memory", SHORT_RETRY_AFTER),
         }
@@ -145,6 +151,8 @@
     pub(super) placed_by: &'static str,
     /// Whether the request is sent for the first time and may be sent again.
     pub(super) may_fail: bool,
+    /// Identifies the prompt across its caller's attempts, if appointments are kept.
+    pub(super) appointment: Option<AppointmentId>,
     pub(super) connection: SendConnection,
     /// When the request was sent.
     sent_at: MonotonicTime,
@@ -209,6 +217,7 @@
             helpers: Vec::new(),
             placed_by: "balancer",
             may_fail: false,
+            appointment: None,
             connection: SendConnection::default(),
             sent_at: gateway.now(),
             answer_began: Cell::new(None),
@@ -232,6 +241,8 @@
             let (reason, after) = (error.reason.name(), error.retry_after);
             if error.reason == RefusalReason::AtLimit {
                 NoPlacement::AtLimit(reason, after)
+            } else if error.turn != ReturnTurn::Unknown {
+                NoPlacement::Busy(reason, after)
             } else if error.reason.is_transient() {
                 no_endpoint(gateway, request, reason, after)
             } else {
@@ -245,6 +256,7 @@
             helpers: Vec::new(),
             placed_by: by.name(),
             may_fail: false,
+            appointment: ask.appointment,
             connection: SendConnection::default(),
             sent_at: gateway.now(),
             answer_began: Cell::new(None),
@@ -509,6 +521,8 @@
             || gateway.prompt_standing(|| request.parts()).0 != Standing::Clear
             || gateway.has_broken_run(|| request.digest()),
         waiter: Some(request.waiter(waiter, max_wait)),
-        appointment: None,
+        // A prompt that was sent before may be running, and its caller is not told to return.
+        appointment: (gateway.settings().scheduling.return_appointments && avoid.is_empty())
+            .then(|| request.appointment()),
     }
 }
