Second sends of slow requests within a limit that operators set

Cause: a request that may run twice waits for a slow endpoint while others are idle. The only second send there is follows silence, at 0.65 of the objective for calls and past the objective for streams, and neither has a limit of its own.

Change: with [scheduling] second_send_ratio (and second_send_work_ratio for engines) above 0, a request that takes longer than nine in ten of its kind, and is expected to take clearly longer than a new send, also goes to a second endpoint; the first answer is used and the other send is dropped. The new package second-sends decides (sans-IO) and keeps the allowance: each first send adds its ratio, a second one takes it. New messages at the end of the enum, for daemons of the new protocol level only; the first send in a placement question as a trailing field.

Conclusion: whole for calls and for streams before the first event; off by default.

--- a/crates/experiment/src/fleet_run.rs
+++ b/crates/experiment/src/fleet_run.rs
@@ -267,6 +267,7 @@
             is_suspect: false,
             waiter: None,
             appointment: None,
+            second: None,
         };
         let single_engine_plan = |main: usize| {
             Some(PromptPlan {
--- a/crates/gateway/src/balancer.rs
+++ b/crates/gateway/src/balancer.rs
@@ -20,6 +20,10 @@
 /// The cost of a failure of weight 1, in outstanding requests.
 const FAULT_COST: f64 = 3.0;
 
+/// The weight from which an endpoint counts as having failed recently. A rejection for lack of
+/// capacity counts for a half-life.
+const RECENT_FAULT_WEIGHT: f64 = 0.2;
+
 /// The cost of an endpoint in another data centre, in outstanding requests. It is less than one, so
 /// that avoiding a queue takes precedence over the price of traffic between data centres.
 const REMOTE_DATA_CENTRE_COST: f64 = 0.4;
@@ -112,6 +116,12 @@
         best.get(index).map(|beat| **beat)
     }
 
+    /// Returns whether an endpoint failed a request recently, or turned one away because it was
+    /// full.
+    pub fn has_recent_fault(&self, now: MonotonicTime, endpoint: &EndpointStart) -> bool {
+        self.loads.get(endpoint).is_some_and(|load| load.faults_at(now) >= RECENT_FAULT_WEIGHT)
+    }
+
     /// Records that a request is sent to an endpoint.
     pub fn begin(&mut self, endpoint: &EndpointStart) {
         self.loads.entry(endpoint.clone()).or_default().outstanding += 1;
--- a/crates/gateway/src/cluster.rs
+++ b/crates/gateway/src/cluster.rs
@@ -456,6 +456,13 @@
             PeerMessage::RepeatAnswer { token, is_granted } => {
                 gateway.answer_call(token, PeerReply::Repeat(is_granted));
             }
+            PeerMessage::SecondSendAsk { token, service, deposit } => {
+                let is_granted = gateway.grant_second_send(&service, deposit);
+                gateway.mesh.send(from, &PeerMessage::SecondSendAnswer { token, is_granted });
+            }
+            PeerMessage::SecondSendAnswer { token, is_granted } => {
+                gateway.answer_call(token, PeerReply::SecondSend(is_granted));
+            }
             PeerMessage::LeafAnswer { token, status } => {
                 gateway.answer_call(token, PeerReply::Hub(status));
             }
@@ -477,11 +484,12 @@
                 gateway.answer_call(token, PeerReply::Permit(verdict));
             }
             PeerMessage::PermitUsed(endpoint) => gateway.on_permit_used(&endpoint),
-            PeerMessage::PlaceAsk { token, ask, cell, waiter, resting, appointment } => {
+            PeerMessage::PlaceAsk { token, ask, cell, waiter, resting, appointment, second } => {
                 let ask = PromptAsk {
                     waiter: waiter.0,
                     resting: resting.0,
                     appointment: appointment.0,
+                    second: second.0,
                     ..ask
                 };
                 gateway.on_place_ask(from, token, &ask, cell);
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -99,6 +99,8 @@
     Send = "send";
     /// An endpoint's answer to a send did not do; `next` says what follows.
     SendFailed = "send-failed";
+    /// A slow request was sent to a second endpoint, that send ended, or the request was not sent again; `reason` says why, `outcome` which answer was used, `elapsed_ms` how long the first endpoint took so far, `remaining_ms` how much longer it was expected to take.
+    SecondSend = "second-send";
     /// A stream goes on at another endpoint.
     Resume = "resume";
     /// A request has ended; `status` is what the caller got, `ends_by` how the end of the endpoint's answer is recognised: by a length, by chunks or only by its connection.
--- a/crates/gateway/src/front/caller.rs
+++ b/crates/gateway/src/front/caller.rs
@@ -480,6 +480,7 @@
 ) -> Response<ResponseBody> {
     let service = request.service.name.clone();
     gateway.budget.borrow_mut().count_request(gateway.now(), &gateway.budget_rule(), &service);
+    gateway.earn_second_send(&service);
     let start_wait = starting::startup_wait(gateway, Some(request.time_left()));
     let mut history = SendHistory::new(&request, start_wait);
     let result =
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -15,6 +15,7 @@
 mod presence;
 mod refusal;
 mod reserve;
+mod second_sends;
 mod sends;
 mod starting;
 #[cfg(test)]
--- a/crates/gateway/src/front/placement.rs
+++ b/crates/gateway/src/front/placement.rs
@@ -6,8 +6,9 @@
 use std::time::Duration;
 
 use oriolepass_limits::{PermitAsk, PermitVerdict, QueueVerdict, WaiterId};
-use oriolepass_placement::{PromptAsk, PromptKey, PromptPlan, RefusalReason};
+use oriolepass_placement::{PromptAsk, PromptKey, PromptPlan, RefusalReason, SecondSend};
 use oriolepass_quarantine::Standing;
+use oriolepass_second_sends::SkipReason;
 use oriolepass_units::{EndpointStart, InstanceId, MonotonicTime};
 use tokio::time::Instant;
 
@@ -197,8 +198,13 @@
             Some(beat) => beat.clone(),
             None => return Err(no_endpoint(gateway, request, NO_ENDPOINT, SHORT_RETRY_AFTER)),
         };
+        Ok(Self::at_plain(gateway, beat))
+    }
+
+    /// Creates the placement of a request at an endpoint that is not an engine.
+    fn at_plain(gateway: &Rc<Gateway>, beat: EndpointBeat) -> Self {
         gateway.balancer.borrow_mut().begin(&beat.endpoint);
-        Ok(Self {
+        Self {
             gateway: Rc::clone(gateway),
             endpoint: beat.endpoint,
             address: beat.address,
@@ -212,7 +218,7 @@
             key: None,
             has_begun: Cell::new(false),
             _reservations: None,
-        })
+        }
     }
 
     async fn find_engine(
@@ -234,21 +240,7 @@
                 NoPlacement::Refused(reason, after)
             }
         })?;
-        let mut placement = Self {
-            gateway: Rc::clone(gateway),
-            endpoint: plan.main.clone(),
-            address: SocketAddr::from(([0, 0, 0, 0], 0)),
-            helpers: Vec::new(),
-            placed_by: by.name(),
-            may_fail: false,
-            connection: SendConnection::default(),
-            sent_at: gateway.now(),
-            answer_began: Cell::new(None),
-            key: Some(ask.key),
-            has_begun: Cell::new(false),
-            _reservations: None,
-            plan: Some(plan.clone()),
-        };
+        let mut placement = Self::at_engine(gateway, ask.key, &plan, by.name());
         let registry_address = |endpoint: &EndpointStart| {
             gateway.endpoints.borrow().takes_work(endpoint).map(|beat| beat.address)
         };
@@ -276,6 +268,65 @@
         Ok(placement)
     }
 
+    /// Creates the placement of a prompt according to a plan, without its address and its helpers.
+    fn at_engine(
+        gateway: &Rc<Gateway>,
+        key: PromptKey,
+        plan: &PromptPlan,
+        placed_by: &'static str,
+    ) -> Self {
+        Self {
+            gateway: Rc::clone(gateway),
+            endpoint: plan.main.clone(),
+            address: SocketAddr::from(([0, 0, 0, 0], 0)),
+            plan: Some(plan.clone()),
+            helpers: Vec::new(),
+            placed_by,
+            may_fail: false,
+            connection: SendConnection::default(),
+            sent_at: gateway.now(),
+            answer_began: Cell::new(None),
+            key: Some(key),
+            has_begun: Cell::new(false),
+            _reservations: None,
+        }
+    }
+
+    /// Selects an endpoint for a second send of a request that is slow at its first one. The limit
+    /// on second sends is charged.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason if there is no endpoint or the limit is used up.
+    pub(super) async fn find_second(
+        gateway: &Rc<Gateway>,
+        request: &CallerRequest,
+        first: Option<PromptKey>,
+        first_remaining: Duration,
+        avoid: &[EndpointStart],
+    ) -> Result<Self, SkipReason> {
+        let Some(first) = first else {
+            gateway.take_second_send(&request.service.name).await?;
+            let candidates = PlainCandidates::of_second(gateway, request, avoid);
+            let beat = candidates.choose(gateway, |_| true).ok_or(SkipReason::NoOtherEndpoint)?;
+            return Ok(Self::at_plain(gateway, beat.clone()));
+        };
+        let waiter = gateway.waiter_id();
+        let mut ask = prompt_ask(gateway, request, waiter, avoid, Duration::ZERO);
+        ask.second = Some(Box::new(SecondSend { first, first_remaining }));
+        ask.appointment = None;
+        let plan = gateway.place_second(&ask).await?;
+        let mut placement = Self::at_engine(gateway, ask.key, &plan, "home, second send");
+        let address = gateway.endpoints.borrow().takes_work(&plan.main).map(|beat| beat.address);
+        placement.address = address.ok_or(SkipReason::NoOtherEndpoint)?;
+        Ok(placement)
+    }
+
+    /// Returns the key of the prompt, if the endpoint is an engine.
+    pub(super) fn prompt_key(&self) -> Option<PromptKey> {
+        self.key
+    }
+
     /// Returns the endpoint with its address.
     pub(super) fn target(&self) -> EndpointTarget {
         EndpointTarget { endpoint: self.endpoint.clone(), address: self.address }
@@ -354,6 +405,23 @@
         Self(candidates.into_iter().cloned().collect())
     }
 
+    /// Returns the candidates for a second send: endpoints that have not served the request, are
+    /// warm, neither rest nor name a limit, and have not failed a request recently.
+    fn of_second(gateway: &Gateway, request: &CallerRequest, avoid: &[EndpointStart]) -> Self {
+        let registry = gateway.endpoints.borrow();
+        let balancer = gateway.balancer.borrow();
+        let (now, cold_start) = (gateway.now(), request.service.cold_start);
+        let is_free = |beat: &&EndpointBeat| {
+            let endpoint = &beat.endpoint;
+            !avoid.contains(endpoint)
+                && !gateway.is_resting(endpoint)
+                && !gateway.names_limit(endpoint)
+                && !cold_start.is_some_and(|cold| registry.is_cold(now, endpoint, cold.span))
+                && !balancer.has_recent_fault(now, endpoint)
+        };
+        Self(registry.serving(&request.service.name).filter(is_free).cloned().collect())
+    }
+
     /// Returns the best of the candidates for which `is_allowed` holds.
     fn choose(
         &self,
@@ -409,6 +477,15 @@
     }
 }
 
+/// Returns the number of endpoints without engines that may get a second send of a request.
+pub(super) fn count_second_endpoints(
+    gateway: &Gateway,
+    request: &CallerRequest,
+    avoid: &[EndpointStart],
+) -> usize {
+    PlainCandidates::of_second(gateway, request, avoid).0.len()
+}
+
 /// Checks that an endpoint of the request's service does not rest, and that it is the request's turn if all
 /// of them rested until now.
 fn check_rests(
@@ -479,5 +556,6 @@
             || gateway.has_broken_run(|| request.digest()),
         waiter: Some(request.waiter(waiter, max_wait)),
         appointment: None,
+        second: None,
     }
 }
--- a/crates/gateway/src/front/tries.rs
+++ b/crates/gateway/src/front/tries.rs
@@ -19,6 +19,7 @@
 use super::caller::{CallerRequest, ELECTION_RETRY_AFTER};
 use super::placement::{NoPlacement, Placement, endpoint_failed};
 use super::refusal::Refusal;
+use super::second_sends::FirstSend;
 use super::sends::{BufferedAnswer, SendOutcome, send_once};
 use super::stream::OpenStream;
 use super::try_lines::no_place_line;
@@ -148,10 +149,48 @@
         request.route.repeat.may_repeat() && self.attempts.runs() < request.route.max_attempts
     }
 
-    fn may_send_again(&self, request: &CallerRequest) -> bool {
+    pub(super) fn may_send_again(&self, request: &CallerRequest) -> bool {
         self.may_run_again(request) && self.sends() < MAX_SENDS
     }
 
+    /// Returns the endpoints that failed the request, and the given one.
+    pub(super) fn avoid_with(&self, endpoint: &EndpointStart) -> Vec<EndpointStart> {
+        self.avoid.iter().chain(std::iter::once(endpoint)).cloned().collect()
+    }
+
+    /// Counts a second send beside a slow one.
+    pub(super) fn record_second_send(&mut self) {
+        self.attempts.record_send();
+    }
+
+    /// Records the end of one of two sends that is no answer for the caller, while the other one
+    /// runs.
+    pub(super) fn record_failed_send(
+        &mut self,
+        gateway: &Gateway,
+        request: &CallerRequest,
+        end: SendOutcome,
+    ) {
+        let (reason, endpoint) = match end {
+            SendOutcome::Answer(answer) => {
+                self.failure = Some(answer);
+                return;
+            }
+            SendOutcome::NotRun { reason, endpoint } => {
+                self.attempts.record_not_run();
+                (reason, endpoint)
+            }
+            SendOutcome::NotDelivered { reason, endpoint } => {
+                self.attempts.record_not_delivered();
+                (reason, endpoint)
+            }
+            SendOutcome::MayHaveRun { reason, endpoint } => (reason, Some(endpoint)),
+            _ => return,
+        };
+        self.log_failure(gateway, request, endpoint.as_ref(), &reason, true);
+        self.avoid.extend(endpoint);
+    }
+
     /// Sends a request until it has an answer or no further send is allowed.
     ///
     /// The caller drops the future when the request's time is over.
@@ -184,12 +223,25 @@
         let may_hedge = self.may_run_again(request);
         let (first_endpoint, connection) =
             (placement.endpoint.clone(), placement.connection.clone());
+        let mut observed = FirstSend::observe(gateway, request, &placement, self.last_event);
         let mut first = std::pin::pin!(send_once(gateway, request, placement, self.last_event));
         let began = Instant::now();
+        let mut wait = silence_timeout;
+        if let Some(observed) = &mut observed {
+            let answer = first.as_mut();
+            let end = self
+                .await_or_send_second(gateway, request, observed, answer, silence_timeout)
+                .await;
+            if let Some(end) = end {
+                return end;
+            }
+            wait = Duration::ZERO;
+        }
         loop {
-            if let Ok(end) = timeout(silence_timeout, &mut first).await {
+            if let Ok(end) = timeout(wait, &mut first).await {
                 return end;
             }
+            wait = silence_timeout;
             let is_engine = request.service.engine.is_some();
             let silence = began.elapsed();
             if !is_engine || !gateway.silence_is_expected(&first_endpoint, silence).await {
@@ -398,8 +450,8 @@
         Ok(placement)
     }
 
-    /// Delays a request whose connections broke repeatedly. It may have ended its endpoints, and the
-    /// delay leaves time for the proof.
+    /// Delays a request whose connections broke repeatedly. It may have ended its endpoints, and
+    /// the delay leaves time for the proof.
     async fn wait_for_resend(&mut self, gateway: &Gateway, request: &CallerRequest) {
         let delay = gateway.resend_delay(|| request.digest());
         if !delay.is_zero() {
@@ -444,8 +496,8 @@
     }
 }
 
-/// Returns the time without an answer's head, or a stream's first event, after which an endpoint counts
-/// as silent and the request is hedged if it may run again.
+/// Returns the time without an answer's head, or a stream's first event, after which an endpoint
+/// counts as silent and the request is hedged if it may run again.
 fn silence_timeout(request: &CallerRequest, placement: &Placement) -> Duration {
     let objective = request.route.objective;
     match &placement.plan {
@@ -456,7 +508,7 @@
 }
 
 /// Takes one repeated send from the retry budget. Returns whether the budget allowed it.
-async fn take_from_budget(gateway: &Gateway, request: &CallerRequest) -> bool {
+pub(super) async fn take_from_budget(gateway: &Gateway, request: &CallerRequest) -> bool {
     let granted = gateway.take_repeated_send(&request.service.name).await;
     if !granted {
         gateway.metrics.budget_refusals.inc();
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -38,6 +38,7 @@
 use crate::replica::ReplicaDriver;
 use crate::rests::RestState;
 use crate::roster::{DaemonNote, DaemonRoster};
+use crate::second_sends::SecondSendState;
 
 /// Another daemon's answer to a call.
 pub(crate) enum PeerReply {
@@ -49,6 +50,7 @@
     Hub(HubStatus),
     Repeat(bool),
     Permit(PermitVerdict),
+    SecondSend(bool),
 }
 
 /// The state that the tasks of the event loop share. Each part is borrowed only for the duration of
@@ -88,6 +90,7 @@
     pub(crate) balancer: RefCell<EndpointBalancer>,
     pub(crate) budget: RefCell<RetryBudget>,
     pub(crate) limits: RefCell<LimitState>,
+    pub(crate) second_sends: RefCell<SecondSendState>,
     pub(crate) rests: RefCell<RestState>,
     /// The paths from this daemon to endpoints.
     pub(crate) paths: RefCell<EndpointPaths>,
@@ -161,6 +164,7 @@
             balancer: RefCell::default(),
             budget: RefCell::default(),
             limits: RefCell::default(),
+            second_sends: RefCell::default(),
             rests: RefCell::default(),
             paths: RefCell::default(),
             tunnel_failures: RefCell::default(),
--- a/crates/gateway/src/home.rs
+++ b/crates/gateway/src/home.rs
@@ -15,7 +15,7 @@
 use oriolepass_limits::{PermitWaiter, RequestRank, WaiterId};
 use oriolepass_placement::{
     EngineCell, EngineFacts, EngineFleet, EngineScope, PaceNote, PlacementFeatures,
-    PlacementRefusal, PromptAsk, PromptKey, PromptPlan, RefusalReason,
+    PlacementRefusal, PromptAsk, PromptKey, PromptPlan, RefusalReason, SecondSend,
 };
 use oriolepass_routing::{ColdStart, RoutingRevision};
 use oriolepass_units::{EndpointStart, InstanceId, MonotonicTime};
@@ -156,7 +156,7 @@
     }
 
     /// Asks another daemon to place a prompt. Returns `None` if it does not answer in time.
-    async fn ask_to_place(
+    pub(crate) async fn ask_to_place(
         &self,
         home: &InstanceId,
         max_wait: Duration,
@@ -166,6 +166,7 @@
         let waiter = TrailingField(ask.waiter.clone());
         let resting = TrailingField(ask.resting.clone());
         let appointment = TrailingField(ask.appointment);
+        let second = TrailingField(ask.second.clone());
         let request = |token| PeerMessage::PlaceAsk {
             token,
             ask: ask.clone(),
@@ -173,6 +174,7 @@
             waiter,
             resting,
             appointment,
+            second,
         };
         let reply = self.call(home, max_wait, request).await;
         let Some(PeerReply::Placed(verdict)) = reply else { return None };
@@ -184,6 +186,16 @@
         Some(verdict)
     }
 
+    /// Places a second send of a prompt of one of this daemon's callers, as the home.
+    pub(crate) fn place_and_record_second(&self, ask: &PromptAsk) -> PlaceVerdict {
+        self.place_and_record(ask, EngineScope::All)
+    }
+
+    /// Returns whether the home has not answered recently.
+    pub(crate) fn is_home_away(&self) -> bool {
+        self.home.borrow().watch.is_away()
+    }
+
     fn place_and_record(&self, ask: &PromptAsk, scope: EngineScope) -> PlaceVerdict {
         let verdict = self.place_here(ask, scope);
         if let Ok(plan) = &verdict {
@@ -229,8 +241,27 @@
     }
 
     fn place_here(&self, ask: &PromptAsk, scope: EngineScope) -> PlaceVerdict {
+        if let Some(second) = &ask.second {
+            return self.place_second_here(ask, second);
+        }
+        self.refresh_fleet();
+        let verdict = self.home.borrow_mut().fleet.place_among(self.now(), ask, scope);
+        if verdict.is_ok() {
+            self.earn_engine_work(ask);
+        }
+        verdict
+    }
+
+    /// Places a second send of a prompt in the fleet.
+    pub(crate) fn place_second_in_fleet(
+        &self,
+        now: MonotonicTime,
+        ask: &PromptAsk,
+        second: &SecondSend,
+        is_allowed: impl FnOnce(f64) -> bool,
+    ) -> PlaceVerdict {
         self.refresh_fleet();
-        self.home.borrow_mut().fleet.place_among(self.now(), ask, scope)
+        self.home.borrow_mut().fleet.place_second(now, ask, second, is_allowed)
     }
 
     pub(crate) fn on_place_ask(
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 //! | `home`, `deputies` | placing prompts on engines, as the home or by asking it; the deputies that replace the home while it does not answer |
 //! | `balancer`, `budget` | load balancing over endpoints that are not engines; the retry budget |
 //! | `limits` | the limits on their request rates that endpoints name in their answers |
+//! | `second_sends` | the limit on second sends of slow requests, and the answer times by which requests count as slow |
 //! | `upstream`, `dial`, `paths`, `tunnel` | connections to endpoints: sends and calls; the two ways, directly and through other daemons; which endpoints this daemon reaches; tunnels for others |
 //! | `quarantine`, `part_quarantine`, `quarantine_disk`, `broken_runs` | quarantine of requests and of parts of prompts that end their endpoints: replication to other daemons, storage on disk; care with requests whose connections broke |
 //! | `front` | the callers' listener: requests, sends, retries and answers |
@@ -81,6 +82,7 @@
 mod roster;
 #[cfg(test)]
 mod roster_tests;
+mod second_sends;
 mod start;
 mod task_guard;
 mod tiers;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -33,6 +33,12 @@
     pub(crate) quarantined_parts: IntGauge,
     /// Repeated sends that the retry budget refused.
     pub(crate) budget_refusals: IntCounter,
+    /// Second sends of slow requests, by outcome.
+    pub(crate) second_sends: IntCounterVec,
+    /// Work of second sends to engines, in milliseconds of reading.
+    pub(crate) second_send_work: IntCounter,
+    /// Slow requests without a second send, by reason.
+    pub(crate) second_sends_skipped: IntCounterVec,
     /// Streams that were resumed at another endpoint.
     pub(crate) resumes: IntCounter,
     /// Time that requests waited for this daemon to start, by outcome.
@@ -134,6 +140,20 @@
                 "oriolepass_retry_budget_refusals_total",
                 "Repeated sends that the budget refused",
             ),
+            second_sends: counters(
+                "oriolepass_second_sends_total",
+                "Second sends of slow requests",
+                "outcome",
+            ),
+            second_send_work: counter(
+                "oriolepass_second_send_work_ms_total",
+                "Engines' reading for second sends, in milliseconds",
+            ),
+            second_sends_skipped: counters(
+                "oriolepass_second_sends_skipped_total",
+                "Slow requests without a second send",
+                "reason",
+            ),
             resumes: counter("oriolepass_stream_resumes_total", "Streams that moved on"),
             start_waits: seconds(
                 "oriolepass_start_wait_seconds",
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -10,6 +10,7 @@
 use oriolepass_limits::{LimitNotice, PermitAsk, PermitVerdict, PermitWaiter, RequestRank};
 use oriolepass_placement::{
     AppointmentId, EngineCell, PaceNote, PlacementRefusal, PromptAsk, PromptKey, PromptPlan,
+    SecondSend,
 };
 use oriolepass_quarantine::{CaseUpdate, PartDigest};
 use oriolepass_routing::{
@@ -167,6 +168,8 @@
         resting: TrailingField<Vec<EndpointStart>>,
         /// Identifies the prompt across its caller's attempts, if appointments are kept.
         appointment: TrailingField<Option<AppointmentId>>,
+        /// The first send of the prompt, if this is a second one beside it.
+        second: TrailingField<Option<Box<SecondSend>>>,
     },
     /// The answer to `PlaceAsk`.
     PlaceAnswer { token: u64, verdict: PlaceVerdict },
@@ -218,6 +221,11 @@
     /// The hash of the sender's quarantine cases of parts. A receiver with another hash sends its
     /// own cases.
     PartCaseHash { hash: u64, is_answer: bool },
+    /// Asks the home to grant one second send of a slow request to a service without engines, and
+    /// deposits what the sender's own requests allow of one.
+    SecondSendAsk { token: u64, service: ServiceName, deposit: f64 },
+    /// The answer to `SecondSendAsk`.
+    SecondSendAnswer { token: u64, is_granted: bool },
 }
 
 impl PeerMessage {
@@ -264,6 +272,8 @@
             Self::PermitUsed(..) => "permit-used",
             Self::EndpointView { .. } => "endpoint-view",
             Self::AttachedLeaves { .. } => "attached-leaves",
+            Self::SecondSendAsk { .. } => "second-send-ask",
+            Self::SecondSendAnswer { .. } => "second-send-answer",
         }
     }
 }
--- a/crates/gateway/src/peers/message_tests.rs
+++ b/crates/gateway/src/peers/message_tests.rs
@@ -67,11 +67,13 @@
             is_suspect: false,
             waiter: None,
             appointment: None,
+            second: None,
         },
         cell: Some(EngineCell { index: 1, count: 3 }),
         waiter: TrailingField(waiter),
         resting: TrailingField(resting.iter().map(|name| name.parse().expect("a start")).collect()),
         appointment: TrailingField(None),
+        second: TrailingField(None),
     }
 }
 
@@ -130,7 +132,8 @@
 fn a_placement_asked_for_by_the_version_before_excludes_no_engine() {
     let asked = place_ask(Some(waiter()), &[]);
     let bytes = postcard::to_stdvec(&asked).expect("bytes");
-    // The list of engines is the last field but one, and its length is one byte, as is the appointment.
-    let earlier = &bytes[..bytes.len() - 2];
+    // The list of engines is the last field but two, and its length is one byte, as are the other
+    // two fields.
+    let earlier = &bytes[..bytes.len() - 3];
     assert_eq!(postcard::from_bytes(earlier), Ok(asked));
 }
--- a/crates/placement/src/choice.rs
+++ b/crates/placement/src/choice.rs
@@ -83,7 +83,7 @@
 
 /// Finds the best group of one size: the main engine, which receives the request and is the best
 /// one for writing, and as helpers the engines that a part disturbs least.
-fn best_of_size(
+pub(crate) fn best_of_size(
     job: &Job<'_>,
     views: &[(EndpointStart, EngineView)],
     size: usize,
--- a/crates/placement/src/fleet.rs
+++ b/crates/placement/src/fleet.rs
@@ -35,7 +35,7 @@
 const COMMON_SILENCE_SHARE: f64 = 0.25;
 
 /// Time for which a reported silence counts as present.
-const SILENCE_TTL: Duration = Duration::from_millis(2_000);
+pub(crate) const SILENCE_TTL: Duration = Duration::from_millis(2_000);
 
 /// The engines of all services, as seen by one home.
 #[derive(Debug, Default)]
@@ -102,7 +102,7 @@
 
     /// Returns whether so many engines of a service are silent that moving their prompts would only
     /// make the other engines read the same prompts again.
-    fn is_silence_common(&self, now: MonotonicTime, service: &ServiceName) -> bool {
+    pub(crate) fn is_silence_common(&self, now: MonotonicTime, service: &ServiceName) -> bool {
         let of_service = || self.engines.values().filter(|e| e.facts.service == *service);
         let is_silent =
             |engine: &&EngineEntry| engine.silent_at.is_some_and(|at| now.since(at) < SILENCE_TTL);
@@ -213,13 +213,13 @@
         Ok(plan)
     }
 
-    fn is_short(&self, ask: &PromptAsk) -> bool {
+    pub(crate) fn is_short(&self, ask: &PromptAsk) -> bool {
         let mut profiles = self.engines.values().filter(|e| e.facts.service == ask.service);
         let profile = profiles.next().map(|engine| &engine.facts.profile);
         profile.is_some_and(|profile| ReadCost::new(profile, ask.prompt_tokens).is_short())
     }
 
-    fn job<'a>(
+    pub(crate) fn job<'a>(
         &mut self,
         now: MonotonicTime,
         ask: &'a PromptAsk,
@@ -245,7 +245,7 @@
     /// Returns the present state of an engine. `firsts` holds the expected first events of all
     /// prompts. It is empty for a prompt that delays no others, and the waiting prompts are then
     /// left out.
-    fn view(
+    pub(crate) fn view(
         &self,
         now: MonotonicTime,
         endpoint: EndpointStart,
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -9,6 +9,9 @@
 //! requests is least. A long prompt is read in parts by a group of engines: the main engine, which
 //! receives the request and writes the answer, and helpers, which each read a part.
 //!
+//! A prompt whose first event is overdue may be placed on a second engine, if that would begin
+//! clearly earlier and disturbs no other prompt ([`EngineFleet::place_second`]).
+//!
 //! The predictions are corrected by the observations of the entries, the instances that receive the
 //! callers' requests: first events, ends and failures. The home, the daemon that places prompts for
 //! all engines, holds the fleet. While it does not answer in time, deputies place prompts, each on
@@ -30,6 +33,7 @@
 mod passes;
 mod plan;
 mod scope;
+mod second_sends;
 mod speed;
 mod tracking;
 
@@ -42,4 +46,5 @@
 pub use passes::{AnswerEnd, EnginePasses, PassEvent, PassPrompt};
 pub use plan::{HelperPart, PlacementRefusal, PromptAsk, PromptKey, PromptPlan, RefusalReason};
 pub use scope::{EngineCell, EngineScope};
+pub use second_sends::SecondSend;
 pub use speed::PaceNote;
--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::appointment::AppointmentId;
+use crate::second_sends::SecondSend;
 
 /// Identifies a placed prompt by its entry, the instance that serves its caller, and a number that
 /// the entry assigns.
@@ -54,10 +55,14 @@
     /// separately.
     #[serde(skip)]
     pub waiter: Option<PermitWaiter>,
-    /// Identifies the prompt across its caller's attempts, if appointments are kept. Messages carry it
-    /// separately.
+    /// Identifies the prompt across its caller's attempts, if appointments are kept. Messages carry
+    /// it separately.
     #[serde(skip)]
     pub appointment: Option<AppointmentId>,
+    /// The first send of the prompt, if this is a second one beside it. Messages carry it
+    /// separately.
+    #[serde(skip)]
+    pub second: Option<Box<SecondSend>>,
 }
 
 /// An engine that reads a part of a prompt.
@@ -102,6 +107,12 @@
     Crowded,
     /// All engines that accept work name limits on their request rates and have no permit left.
     AtLimit,
+    /// No other engine would begin a second send of the prompt clearly before the first one.
+    NoLead,
+    /// The engines that are slow at present are so many that a second one would be no better.
+    AllSlow,
+    /// The limit on the work of second sends is used up.
+    SecondLimit,
 }
 
 impl RefusalReason {
@@ -121,6 +132,9 @@
             Self::TooDear => "engines too busy for a prompt of this size",
             Self::Crowded => "all places of the engines are taken",
             Self::AtLimit => "engines are at the limits that they name",
+            Self::NoLead => "no other engine would begin earlier",
+            Self::AllSlow => "many engines are slow",
+            Self::SecondLimit => "second sends are at their limit",
         }
     }
 }
--- a/crates/placement/tests/common/mod.rs
+++ b/crates/placement/tests/common/mod.rs
@@ -63,5 +63,6 @@
         is_suspect: false,
         waiter: None,
         appointment: None,
+        second: None,
     }
 }
