--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -17,6 +17,7 @@
 mod read_pace;
 mod refusal;
 mod reserve;
+mod second_sends;
 mod sends;
 mod starting;
 #[cfg(test)]
--- a/crates/gateway/src/home.rs
+++ b/crates/gateway/src/home.rs
@@ -16,7 +16,7 @@
 use oriolepass_placement::{
     Appointment, EngineCell, EngineFacts, EngineFleet, EngineScope, EntryAppointments, PaceNote,
     PlacementFeatures, PlacementRefusal, PromptAsk, PromptKey, PromptPlan, RefusalReason,
-    ReturnTurn,
+    ReturnTurn, SecondSend,
 };
 use oriolepass_routing::{ColdStart, RoutingRevision};
 use oriolepass_units::{EndpointStart, InstanceId, MonotonicTime};
@@ -159,7 +159,7 @@
     }
 
     /// Asks another daemon to place a prompt. Returns `None` if it does not answer in time.
-    async fn ask_to_place(
+    pub(crate) async fn ask_to_place(
         &self,
         home: &InstanceId,
         max_wait: Duration,
@@ -169,6 +169,7 @@
         let waiter = TrailingField(ask.waiter.clone());
         let resting = TrailingField(ask.resting.clone());
         let appointment = TrailingField(ask.appointment);
+        let second = TrailingField(ask.second.clone());
         let request = |token| PeerMessage::PlaceAsk {
             token,
             ask: ask.clone(),
@@ -176,6 +177,7 @@
             waiter,
             resting,
             appointment,
+            second,
         };
         let reply = self.call(home, max_wait, request).await;
         let Some(PeerReply::Placed(verdict)) = reply else { return None };
@@ -188,6 +190,16 @@
         Some(verdict)
     }
 
+    /// Places a second send of a prompt of one of this daemon's callers, as the home.
+    pub(crate) fn place_and_record_second(&self, ask: &PromptAsk) -> PlaceVerdict {
+        self.place_and_record(ask, EngineScope::All)
+    }
+
+    /// Returns whether the home has not answered recently.
+    pub(crate) fn is_home_away(&self) -> bool {
+        self.home.borrow().watch.is_away()
+    }
+
     fn place_and_record(&self, ask: &PromptAsk, scope: EngineScope) -> PlaceVerdict {
         let verdict = self.place_here(ask, scope);
         self.record_verdict(ask, &verdict);
@@ -245,6 +257,9 @@
     }
 
     fn place_here(&self, ask: &PromptAsk, scope: EngineScope) -> PlaceVerdict {
+        if let Some(second) = &ask.second {
+            return self.place_second_here(ask, second);
+        }
         self.refresh_fleet();
         let verdict = self.home.borrow_mut().fleet.place_among(self.now(), ask, scope);
         if self.settings().scheduling.return_appointments {
@@ -252,6 +267,9 @@
             self.metrics.record_appointments(&counts);
         }
         self.log_speed_changes();
+        if verdict.is_ok() {
+            self.earn_engine_work(ask);
+        }
         verdict
     }
 
@@ -271,6 +289,18 @@
         }
     }
 
+    /// Places a second send of a prompt in the fleet.
+    pub(crate) fn place_second_in_fleet(
+        &self,
+        now: MonotonicTime,
+        ask: &PromptAsk,
+        second: &SecondSend,
+        is_allowed: impl FnOnce(f64) -> bool,
+    ) -> PlaceVerdict {
+        self.refresh_fleet();
+        self.home.borrow_mut().fleet.place_second(now, ask, second, is_allowed)
+    }
+
     pub(crate) fn on_place_ask(
         &self,
         from: &InstanceId,
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -10,7 +10,7 @@
 use oriolepass_limits::{LimitNotice, PermitAsk, PermitVerdict, PermitWaiter, RequestRank};
 use oriolepass_placement::{
     Appointment, AppointmentId, EngineCell, PaceNote, PlacementRefusal, PromptAsk, PromptKey,
-    PromptPlan, ReturnTurn,
+    PromptPlan, ReturnTurn, SecondSend,
 };
 use oriolepass_quarantine::{CaseUpdate, PartDigest};
 use oriolepass_routing::{
@@ -168,6 +168,8 @@
         resting: TrailingField<Vec<EndpointStart>>,
         /// Identifies the prompt across its caller's attempts, if appointments are kept.
         appointment: TrailingField<Option<AppointmentId>>,
+        /// The first send of the prompt, if this is a second one beside it.
+        second: TrailingField<Option<Box<SecondSend>>>,
     },
     /// The answer to `PlaceAsk`.
     PlaceAnswer {
@@ -226,6 +228,11 @@
     PartCaseHash { hash: u64, is_answer: bool },
     /// Appointments that another home gave to prompts of the sender's callers.
     Appointments(Vec<Appointment>),
+    /// Asks the home to grant one second send of a slow request to a service without engines, and
+    /// deposits what the sender's own requests allow of one.
+    SecondSendAsk { token: u64, service: ServiceName, deposit: f64 },
+    /// The answer to `SecondSendAsk`.
+    SecondSendAnswer { token: u64, is_granted: bool },
 }
 
 impl PeerMessage {
@@ -273,6 +280,8 @@
             Self::PermitUsed(..) => "permit-used",
             Self::EndpointView { .. } => "endpoint-view",
             Self::AttachedLeaves { .. } => "attached-leaves",
+            Self::SecondSendAsk { .. } => "second-send-ask",
+            Self::SecondSendAnswer { .. } => "second-send-answer",
         }
     }
 }
--- a/crates/gateway/src/peers/trailing.rs
+++ b/crates/gateway/src/peers/trailing.rs
@@ -33,7 +33,7 @@
     /// Quarantine cases of parts of prompts.
     pub(crate) const PARTS: Self = Self(3);
 
-    /// Scheduling under load: appointments of refused prompts.
+    /// Scheduling under load: appointments of refused prompts, and second sends of slow requests.
     pub(crate) const SCHEDULING: Self = Self(4);
 
     /// The level of this version.
