Urgency and shares of client accounts count where engines are scarce

Cause: the priority of a route or an account decided only about endpoints that name limits. On engines every prompt counted by its tokens, so that giants of low urgency spoilt or delayed urgent short prompts, and one account could take all engines.

Change: the value of a prompt is multiplied by its weight, wherever values are weighed: choice of engines, neighbours, waiting parts, demand, refusal. Each more urgent priority that asks for the same service halves it, down to a quarter; with one priority it is exactly 1. With `[scheduling] account_shares`, prompts of an account above its fair share weigh down to a half while engines are scarce. Short prompts of less weight are refused at a shorter queue. A prompt that only its weight keeps out for longer than it may wait is refused at once, with a reason that says so; daemons of the version before get the earlier reason.

--- a/crates/gateway/src/front/caller.rs
+++ b/crates/gateway/src/front/caller.rs
@@ -91,12 +91,17 @@
         self.clock_deadline.since(self.buffered.gateway.now())
     }
 
-    /// Returns the place of the request among others that wait for endpoints with limits. The priority of
-    /// the client account takes precedence over that of the route.
-    pub(super) fn waiter(&self, id: WaiterId, patience: Duration) -> PermitWaiter {
+    /// Returns the priority of the request. That of the client account takes precedence over that
+    /// of the route.
+    pub(super) fn priority(&self) -> u8 {
         let of_account = self.holder.as_ref().and_then(|holder| holder.priority);
+        of_account.unwrap_or(self.route.priority)
+    }
+
+    /// Returns the place of the request among others that wait for the same endpoints.
+    pub(super) fn waiter(&self, id: WaiterId, patience: Duration) -> PermitWaiter {
         let rank = RequestRank {
-            priority: of_account.unwrap_or(self.route.priority),
+            priority: self.priority(),
             account: self.holder.as_ref().map(|holder| holder.account.clone()),
         };
         PermitWaiter { id, rank, patience }
--- a/crates/gateway/src/front/try_lines.rs
+++ b/crates/gateway/src/front/try_lines.rs
@@ -55,6 +55,7 @@
         if let Some(plan) = &placement.plan {
             line = line
                 .number("prompt_tokens", request.facts.prompt_tokens.unwrap_or(0))
+                .number("priority", request.priority())
                 .number("helpers", placement.helpers.len())
                 .maybe("helped_by", helped_by(placement))
                 .millis("predicted_first_ms", plan.first_event);
@@ -75,6 +76,7 @@
         .text("request", &request.id)
         .text("service", &request.service.name)
         .number("prompt_tokens", request.facts.prompt_tokens.unwrap_or(0))
+        .number("priority", request.priority())
         .millis("waited_ms", request.arrived.elapsed())
         .millis("left_ms", request.time_left())
         .text("reason", reason)
--- a/crates/gateway/src/home.rs
+++ b/crates/gateway/src/home.rs
@@ -53,6 +53,19 @@
     (cold_start.max_requests_per_s * COLD_LIMIT_SHARE).max(1.0) as u32
 }
 
+/// Returns the reason for a refusal as a daemon with a protocol level can read it.
+fn reason_for(level: ProtocolLevel, reason: RefusalReason) -> RefusalReason {
+    match reason {
+        RefusalReason::AtLimit if level < ProtocolLevel::LIMITS => RefusalReason::NoEngine,
+        RefusalReason::Outranked | RefusalReason::OverShare
+            if level < ProtocolLevel::SCHEDULING =>
+        {
+            RefusalReason::TooDear
+        }
+        reason => reason,
+    }
+}
+
 /// The daemon that placed a prompt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum PlacedBy {
@@ -230,7 +243,21 @@
 
     fn place_here(&self, ask: &PromptAsk, scope: EngineScope) -> PlaceVerdict {
         self.refresh_fleet();
-        self.home.borrow_mut().fleet.place_among(self.now(), ask, scope)
+        let mut home = self.home.borrow_mut();
+        let verdict = home.fleet.place_among(self.now(), ask, scope);
+        let priority = ask.waiter.as_ref().map(|waiter| waiter.rank.priority.to_string());
+        let label = [priority.as_deref().unwrap_or("unknown")];
+        match &verdict {
+            Ok(_) => {
+                let work_ms = home.fleet.work_ms(ask.key).unwrap_or_default();
+                self.metrics.engine_work.with_label_values(&label).inc_by(work_ms as u64);
+            }
+            Err(refusal) if refusal.is_final_for(ask) => {
+                self.metrics.engine_refusals.with_label_values(&label).inc();
+            }
+            Err(_) => {}
+        }
+        verdict
     }
 
     pub(crate) fn on_place_ask(
@@ -247,10 +274,8 @@
 
     /// Returns a refusal as a daemon of its version can read it.
     fn refusal_for(&self, to: &InstanceId, refusal: PlacementRefusal) -> PlacementRefusal {
-        let is_known = refusal.reason != RefusalReason::AtLimit
-            || self.roster.borrow().understands(to, ProtocolLevel::LIMITS);
-        let reason = if is_known { refusal.reason } else { RefusalReason::NoEngine };
-        PlacementRefusal { reason, ..refusal }
+        let level = self.roster.borrow().protocol_level(to);
+        PlacementRefusal { reason: reason_for(level, refusal.reason), ..refusal }
     }
 
     pub(crate) fn explains_silence(&self, endpoint: &EndpointStart, silence: Duration) -> bool {
@@ -423,6 +448,9 @@
         let home = &mut *home;
         home.fleet.set_features(self.placement_features());
         home.fleet.update(facts);
+        let counts_shares = self.is_leader() && self.placement_features().shares_accounts;
+        let over_share = if counts_shares { home.fleet.accounts_over_share(now) } else { 0 };
+        self.metrics.accounts_over_share.set(i64::try_from(over_share).unwrap_or(i64::MAX));
         home.last_good_answer.retain(|_, at| now.since(*at) < GOOD_ANSWER_TTL);
         // A leaf that acts as a deputy does not have the full list of live entries.
         if self.tier() != Tier::Leaf {
@@ -445,3 +473,21 @@
         PromptKey { entry: self.boot, number: self.next_number() }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against a refusal that a daemon of the version before cannot decode, so that it
+    /// closes the link to the home.
+    #[test]
+    fn reasons_reach_daemons_of_earlier_versions_in_words_that_they_know() {
+        let told = |level, reason| reason_for(level, reason);
+        for reason in [RefusalReason::Outranked, RefusalReason::OverShare] {
+            assert_eq!(told(ProtocolLevel::PARTS, reason), RefusalReason::TooDear);
+            assert_eq!(told(ProtocolLevel::CURRENT, reason), reason);
+        }
+        assert_eq!(told(ProtocolLevel::default(), RefusalReason::AtLimit), RefusalReason::NoEngine);
+        assert_eq!(told(ProtocolLevel::LIMITS, RefusalReason::AtLimit), RefusalReason::AtLimit);
+    }
+}
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -39,6 +39,12 @@
     pub(crate) start_waits: HistogramVec,
     /// Requests refused, by reason.
     pub(crate) refusals: IntCounterVec,
+    /// Prompts that this daemon refused to place, by priority. Those that ask again are left out.
+    pub(crate) engine_refusals: IntCounterVec,
+    /// Time that engines need to read the prompts that this daemon placed, by priority.
+    pub(crate) engine_work: IntCounterVec,
+    /// Client accounts above their share of the engines, at the home.
+    pub(crate) accounts_over_share: IntGauge,
     /// Requests in progress.
     pub(crate) active: IntGauge,
     /// The revision of the routing document in force.
@@ -141,6 +147,20 @@
                 "outcome",
             ),
             refusals: counters("oriolepass_refusals_total", "Requests refused", "reason"),
+            engine_refusals: counters(
+                "oriolepass_engine_refusals_total",
+                "Prompts that this daemon refused to place",
+                "priority",
+            ),
+            engine_work: counters(
+                "oriolepass_engine_work_ms_total",
+                "Time of engines for reading the prompts that this daemon placed",
+                "priority",
+            ),
+            accounts_over_share: gauge(
+                "oriolepass_accounts_over_share",
+                "Client accounts above their share of the engines, at the home",
+            ),
             active: gauge("oriolepass_active_requests", "Requests under way"),
             revision: gauge("oriolepass_routing_revision", "Revision in force"),
             proof_age: gauge("oriolepass_routing_proof_age_ms", "Age of the proof of freshness"),
--- a/crates/gateway/src/peers/trailing.rs
+++ b/crates/gateway/src/peers/trailing.rs
@@ -33,6 +33,9 @@
     /// Quarantine cases of parts of prompts.
     pub(crate) const PARTS: Self = Self(3);
 
+    /// Refusals of prompts because of their urgency or their account's share.
+    pub(crate) const SCHEDULING: Self = Self(4);
+
     /// The level of this version.
-    pub(crate) const CURRENT: Self = Self::PARTS;
+    pub(crate) const CURRENT: Self = Self::SCHEDULING;
 }
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -258,8 +258,13 @@
 
     /// Returns whether a daemon is known to understand the messages of a level.
     pub(crate) fn understands(&self, instance: &InstanceId, level: ProtocolLevel) -> bool {
+        self.protocol_level(instance) >= level
+    }
+
+    /// Returns the level of messages that a daemon is known to understand.
+    pub(crate) fn protocol_level(&self, instance: &InstanceId) -> ProtocolLevel {
         let note = self.entries.get(instance).and_then(|entry| entry.note.as_ref());
-        note.is_some_and(|note| note.protocol.0 >= level)
+        note.map(|note| note.protocol.0).unwrap_or_default()
     }
 
     /// Returns all known daemons.
--- a/crates/placement/src/choice.rs
+++ b/crates/placement/src/choice.rs
@@ -7,6 +7,7 @@
 use oriolepass_routing::EngineProfile;
 use oriolepass_units::EndpointStart;
 
+use crate::contention::PromptWeight;
 use crate::cost::{EngineView, LongDemand, ReadCost, ShortDemand, lateness, millis, risk};
 use crate::plan::{HelperPart, PromptAsk, PromptKey, PromptPlan};
 
@@ -33,7 +34,9 @@
 pub(crate) struct Job<'a> {
     pub(crate) ask: &'a PromptAsk,
     pub(crate) cost: ReadCost,
+    /// The value of the prompt, multiplied by its weight.
     pub(crate) value: f64,
+    pub(crate) weight: PromptWeight,
     /// Maximum time of reading that fits into one pass.
     pub(crate) cap_ms: f64,
     /// Number of engines that accept work.
--- a/crates/placement/src/cost.rs
+++ b/crates/placement/src/cost.rs
@@ -7,11 +7,12 @@
 
 use oriolepass_routing::EngineProfile;
 
+use crate::demand::LONG_AVERAGING_TIME_MS;
 use crate::plan::{PromptAsk, PromptKey};
 
 /// Value of a prompt per token, in addition to 1 per prompt. It approximates the weights that
-/// deployments give to their kinds of prompts: 1.3 for 5,000 tokens, 3.1 for 45,000, 22 for 210,000.
-/// Within a kind, they weight prompts by size.
+/// deployments give to their kinds of prompts: 1.3 for 5,000 tokens, 3.1 for 45,000, 22 for
+/// 210,000. Within a kind, they weight prompts by size.
 const VALUE_PER_TOKEN: f64 = 1.0 / 10_000.0;
 
 /// Share of a prompt's value that is lost when it is late. Deployments count a late answer as about
@@ -321,8 +322,8 @@
 /// The demand of short prompts, which prices the time in which a clear engine is lacking.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct ShortDemand {
-    /// Arrivals of short prompts per millisecond.
-    pub(crate) per_ms: f64,
+    /// Arrivals of short prompts per millisecond, where each counts with its weight.
+    pub(crate) value_per_ms: f64,
     /// Number of engines that the short prompts keep busy.
     pub(crate) engines: f64,
 }
@@ -335,7 +336,7 @@
         let needed = self.engines + 1.0;
         let lacking = ((needed - (clear as f64 - taken as f64)) / needed).clamp(0.0, 1.0);
         let each_ms = blocked_ms / taken.max(1) as f64;
-        self.per_ms * each_ms * lacking * LATE_LOSS_SHARE
+        self.value_per_ms * each_ms * lacking * LATE_LOSS_SHARE
     }
 }
 
@@ -358,7 +359,7 @@
 
 impl LongDemand {
     /// Returns the share of the time of `all` engines that long prompts take.
-    fn busy_share(&self, all: usize) -> f64 {
+    pub(crate) fn busy_share(&self, all: usize) -> f64 {
         (self.busy_engines / all.max(1) as f64).min(1.0)
     }
 
@@ -386,6 +387,14 @@
         let busy = self.busy_share(all);
         self.value_per_ms / self.busy_engines * busy * busy * work_ms
     }
+
+    /// Returns the shortest time after which the price of a prompt can be at most `limit`, in
+    /// milliseconds: the time that the demand takes to decay if no further prompt arrives.
+    pub(crate) fn ms_until_price(&self, all: usize, work_ms: f64, limit: f64) -> f64 {
+        let ratio = self.price(all, work_ms) / limit.max(f64::MIN_POSITIVE);
+        // The price falls with the square of the busy share.
+        ratio.max(1.0).ln() / 2.0 * LONG_AVERAGING_TIME_MS
+    }
 }
 
 pub(crate) fn millis(span: Duration) -> f64 {
--- a/crates/placement/src/crowd.rs
+++ b/crates/placement/src/crowd.rs
@@ -10,6 +10,7 @@
 
 use crate::choice::Job;
 use crate::cost::{EngineView, millis};
+use crate::plan::RefusalReason;
 
 /// Share of engines without a free slot from which prompts are refused. Below it, late prompts have
 /// other causes, such as a long prompt that is read on the same engine.
@@ -20,16 +21,27 @@
 /// short prompts.
 const SURELY_LATE_RATIO: f64 = 1.5;
 
-/// Returns whether a short prompt would only take a slot from another one that can still be on
-/// time.
-pub(crate) fn is_crowded_out(
+/// The ratio for prompts of the least weight. They leave the slots to the others before those would
+/// be late.
+const MIN_LATE_RATIO: f64 = 0.75;
+
+/// Returns why a short prompt is refused that would only take a slot from another one that can
+/// still be on time. Prompts of less weight are refused at a shorter queue.
+pub(crate) fn crowding_reason(
     job: &Job<'_>,
     views: &[(EndpointStart, EngineView)],
     first_ms: f64,
-) -> bool {
-    if !job.cost.is_short() || first_ms < millis(job.ask.whole_objective) * SURELY_LATE_RATIO {
-        return false;
+) -> Option<RefusalReason> {
+    let late_ratio =
+        (SURELY_LATE_RATIO * job.weight.whole()).clamp(MIN_LATE_RATIO, SURELY_LATE_RATIO);
+    let objective_ms = millis(job.ask.whole_objective);
+    if !job.cost.is_short() || first_ms < objective_ms * late_ratio {
+        return None;
     }
     let full = views.iter().filter(|(_, view)| view.load >= view.slots).count();
-    full as f64 >= views.len() as f64 * MIN_FULL_SHARE
+    if (full as f64) < views.len() as f64 * MIN_FULL_SHARE {
+        return None;
+    }
+    let is_late = first_ms >= objective_ms * SURELY_LATE_RATIO;
+    Some(if is_late { RefusalReason::Crowded } else { job.weight.refusal_reason() })
 }
--- a/crates/placement/src/demand.rs
+++ b/crates/placement/src/demand.rs
@@ -15,6 +15,7 @@
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct DemandMeter {
     per_ms: f64,
+    value_per_ms: f64,
     held_ms: f64,
     updated_ms: f64,
     long_value_per_ms: f64,
@@ -23,7 +24,7 @@
 }
 
 /// Averaging time of long prompts, which are rarer than short ones.
-const LONG_AVERAGING_TIME_MS: f64 = 4_000.0;
+pub(crate) const LONG_AVERAGING_TIME_MS: f64 = 4_000.0;
 
 /// Weight of a new prompt in averages over prompts: about the last twenty dominate.
 const NEW_PROMPT_WEIGHT: f64 = 0.05;
@@ -37,10 +38,11 @@
 }
 
 impl DemandMeter {
-    /// Records a short prompt that will hold a slot for `held_ms`.
-    pub(crate) fn record_short(&mut self, now_ms: f64, held_ms: f64) {
+    /// Records a short prompt of a weight that will hold a slot for `held_ms`.
+    pub(crate) fn record_short(&mut self, now_ms: f64, held_ms: f64, weight: f64) {
         self.decay(now_ms);
         self.per_ms += 1.0 / AVERAGING_TIME_MS;
+        self.value_per_ms += weight / AVERAGING_TIME_MS;
         self.held_ms = average(self.held_ms, held_ms);
     }
 
@@ -78,7 +80,9 @@
 
     fn decay(&mut self, now_ms: f64) {
         let span = (now_ms - self.updated_ms).max(0.0);
-        self.per_ms *= (-span / AVERAGING_TIME_MS).exp();
+        let kept = (-span / AVERAGING_TIME_MS).exp();
+        self.per_ms *= kept;
+        self.value_per_ms *= kept;
         self.updated_ms = now_ms;
     }
 
@@ -86,7 +90,7 @@
     pub(crate) fn demand(&mut self, now_ms: f64, profile: &EngineProfile) -> ShortDemand {
         self.decay(now_ms);
         let slots = f64::from(profile.slots) * TARGET_FILL_RATIO;
-        ShortDemand { per_ms: self.per_ms, engines: self.per_ms * self.held_ms / slots }
+        ShortDemand { value_per_ms: self.value_per_ms, engines: self.per_ms * self.held_ms / slots }
     }
 }
 
--- a/crates/placement/src/fleet.rs
+++ b/crates/placement/src/fleet.rs
@@ -11,6 +11,7 @@
 
 use crate::candidates::{gather_weight, least_disturbing, rendezvous_hash, sample_engines};
 use crate::choice::{Job, best_group, build_plan, without_backlog};
+use crate::contention::ServiceContention;
 use crate::cost::{EngineView, Neighbour, ReadCost, WaitingPart, millis};
 use crate::demand::{DemandMeter, RecordedPrompt};
 use crate::engine::{EngineEntry, EngineFacts};
@@ -21,6 +22,7 @@
 use crate::plan::{PlacementRefusal, PromptAsk, PromptKey, PromptPlan, RefusalReason};
 use crate::scope::EngineScope;
 use crate::tracking::PlacedPrompt;
+use crate::urgency::UrgencyWeights;
 
 /// Share of an engine's memory that placements use. The rest, a sixteenth for sixteen slots, is for
 /// answers longer than expected.
@@ -46,6 +48,8 @@
     pub(crate) demand: BTreeMap<ServiceName, DemandMeter>,
     /// The prompts that wait for permits of engines with limits.
     pub(crate) permit_queues: BTreeMap<ServiceName, PermitQueue>,
+    /// What competes for the engines of each service.
+    contention: BTreeMap<ServiceName, ServiceContention>,
     pub(crate) features: PlacementFeatures,
 }
 
@@ -139,8 +143,34 @@
         ask: &PromptAsk,
         scope: EngineScope,
     ) -> Result<PromptPlan, PlacementRefusal> {
-        // If the prompt is placed already, the response to the earlier request was lost, and the new
-        // placement replaces the earlier one.
+        self.contention_of(ask).record_ask(time_ms(now), ask);
+        self.choose_plan(now, ask, scope)
+    }
+
+    /// Returns what competes for the engines of a prompt's service.
+    pub(crate) fn contention_of(&mut self, ask: &PromptAsk) -> &mut ServiceContention {
+        self.contention.entry(ask.service.clone()).or_default()
+    }
+
+    /// Returns the time that one engine needs to read a placed prompt, in milliseconds.
+    pub fn work_ms(&self, key: PromptKey) -> Option<f64> {
+        self.placed.get(&key).map(|placed| placed.work_ms)
+    }
+
+    /// Returns the number of client accounts that lately used more than their fair share of a
+    /// service's engines, over all services.
+    pub fn accounts_over_share(&self, now: MonotonicTime) -> usize {
+        self.contention.values().map(|contention| contention.over_share(time_ms(now))).sum()
+    }
+
+    fn choose_plan(
+        &mut self,
+        now: MonotonicTime,
+        ask: &PromptAsk,
+        scope: EngineScope,
+    ) -> Result<PromptPlan, PlacementRefusal> {
+        // If the prompt is placed already, the response to the earlier request was lost, and the
+        // new placement replaces the earlier one.
         if self.placed.contains_key(&ask.key) {
             self.ended(now, ask.key);
         }
@@ -155,9 +185,10 @@
         // Short prompts have no helpers, so they delay the reading of no other prompt.
         let firsts =
             if self.is_short(ask) { BTreeMap::new() } else { self.farm.first_events(time_ms(now)) };
+        let urgency = self.contention_of(ask).urgency(time_ms(now));
         let mut views: Vec<(EndpointStart, EngineView)> = usable
             .into_iter()
-            .filter_map(|endpoint| self.view(now, endpoint, helped_share, &firsts))
+            .filter_map(|endpoint| self.view(now, endpoint, helped_share, &firsts, &urgency))
             .collect();
         let gather_weight = gather_weight(&views);
         if gather_weight < 1.0 {
@@ -199,10 +230,11 @@
         }
         let plan = build_plan(&job, &views, &profile, &best);
         let (is_short, value, work_ms) = (job.cost.is_short(), job.value, job.cost.whole_ms);
-        self.record_plan(now, ask, &plan, false);
+        let weight = job.weight;
+        self.record_plan(now, ask, &plan, false, weight.share);
         let meter = self.demand.entry(ask.service.clone()).or_default();
         if is_short {
-            meter.record_short(time_ms(now), millis(plan.whole));
+            meter.record_short(time_ms(now), millis(plan.whole), weight.whole());
         } else {
             let recorded = RecordedPrompt { recorded_ms: time_ms(now), value, work_ms };
             meter.record_long(&recorded);
@@ -230,13 +262,19 @@
         let per_pass = profile.prefill_tokens_per_step * u64::from(profile.steps_per_pass);
         let ms_per_token = cost.whole_ms / ask.prompt_tokens.max(1) as f64;
         let meter = self.demand.entry(ask.service.clone()).or_default();
+        let long_demand = meter.long_demand(time_ms(now));
+        let demand = meter.demand(time_ms(now), profile);
+        let used_share = long_demand.busy_share(views.len()).max(slots_used_share(views));
+        let shares_accounts = self.features.shares_accounts;
+        let weight = self.contention_of(ask).weight(time_ms(now), ask, used_share, shares_accounts);
         Job {
-            value: cost.value(),
+            value: cost.value() * weight.whole(),
+            weight,
             cap_ms: (per_pass as f64 * ms_per_token).max(1.0),
             engines: views.len(),
             clear: views.iter().filter(|(_, view)| view.is_clear()).count(),
-            demand: meter.demand(time_ms(now), profile),
-            long_demand: meter.long_demand(time_ms(now)),
+            demand,
+            long_demand,
             ask,
             cost,
         }
@@ -251,6 +289,7 @@
         endpoint: EndpointStart,
         helped_share: f64,
         firsts: &BTreeMap<PromptKey, f64>,
+        urgency: &UrgencyWeights,
     ) -> Option<(EndpointStart, EngineView)> {
         let now_ms = time_ms(now);
         let entry = self.engines.get(&endpoint)?;
@@ -266,8 +305,12 @@
             slots: profile.slots as usize,
             usable_tokens,
             free_tokens: usable_tokens.saturating_sub(engine.held_tokens()),
-            neighbours: entry.mains.iter().filter_map(|key| self.neighbour(*key, firsts)).collect(),
-            waiting: self.waiting(now_ms, engine, firsts),
+            neighbours: entry
+                .mains
+                .iter()
+                .filter_map(|key| self.neighbour(*key, firsts, urgency))
+                .collect(),
+            waiting: self.waiting(now_ms, engine, firsts, urgency),
             helped_share,
             gather_weight: 1.0,
         };
@@ -275,10 +318,15 @@
     }
 
     /// Returns what determines how another prompt disturbs this one on its engine.
-    fn neighbour(&self, key: PromptKey, firsts: &BTreeMap<PromptKey, f64>) -> Option<Neighbour> {
+    fn neighbour(
+        &self,
+        key: PromptKey,
+        firsts: &BTreeMap<PromptKey, f64>,
+        urgency: &UrgencyWeights,
+    ) -> Option<Neighbour> {
         let placed = self.placed.get(&key)?;
         Some(Neighbour {
-            value: placed.value,
+            value: placed.value * urgency.weight(placed.priority),
             pause_ms: placed.pause_ms.max(1.0),
             caller_timeout_ms: placed.caller_timeout_ms,
             has_begun: placed.has_begun,
@@ -296,6 +344,7 @@
         now_ms: f64,
         engine: &EnginePasses,
         firsts: &BTreeMap<PromptKey, f64>,
+        urgency: &UrgencyWeights,
     ) -> Vec<WaitingPart> {
         if firsts.is_empty() {
             return Vec::new();
@@ -305,7 +354,7 @@
             let placed = self.placed.get(&key)?;
             Some(WaitingPart {
                 key,
-                value: placed.value,
+                value: placed.value * urgency.weight(placed.priority),
                 read_in_ms: residual_ms + read_ms,
                 first_in_ms: *firsts.get(&key)?,
                 due_in_ms: placed.due_ms - now_ms,
@@ -314,3 +363,11 @@
         engine.unread_parts().filter_map(waiting_part).collect()
     }
 }
+
+/// Returns the share of the slots of all engines that are in use.
+fn slots_used_share(views: &[(EndpointStart, EngineView)]) -> f64 {
+    let (used, all) = views.iter().fold((0, 0), |(used, all), (_, view)| {
+        (used + view.load.min(view.slots), all + view.slots)
+    });
+    used as f64 / all.max(1) as f64
+}
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -14,11 +14,16 @@
 //! all engines, holds the fleet. While it does not answer in time, deputies place prompts, each on
 //! a cell of the engines.
 //!
+//! Where engines are scarce, the value of a prompt is multiplied by its weight: less urgent prompts
+//! weigh less than those of more urgent priorities that compete with them, and, if the settings say
+//! so, prompts of accounts that used more than their share weigh less than those of others.
+//!
 //! The crate does no I/O: every call takes the present time, and no call blocks.
 
 mod appointment;
 mod candidates;
 mod choice;
+mod contention;
 mod cost;
 mod crowd;
 mod demand;
@@ -30,8 +35,10 @@
 mod passes;
 mod plan;
 mod scope;
+mod shares;
 mod speed;
 mod tracking;
+mod urgency;
 
 pub use appointment::{AppointmentId, AppointmentIdError};
 pub use cost::ReadCost;
--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -54,8 +54,8 @@
     /// separately.
     #[serde(skip)]
     pub waiter: Option<PermitWaiter>,
-    /// Identifies the prompt across its caller's attempts, if appointments are kept. Messages carry it
-    /// separately.
+    /// Identifies the prompt across its caller's attempts, if appointments are kept. Messages carry
+    /// it separately.
     #[serde(skip)]
     pub appointment: Option<AppointmentId>,
 }
@@ -102,13 +102,19 @@
     Crowded,
     /// All engines that accept work name limits on their request rates and have no permit left.
     AtLimit,
+    /// More urgent prompts would lose more than this prompt gains at its priority, for longer than
+    /// it may wait.
+    Outranked,
+    /// Other prompts would lose more than this prompt gains after its account has used more than
+    /// its share, for longer than it may wait.
+    OverShare,
 }
 
 impl RefusalReason {
     /// Returns whether the reason may cease to apply within the part of its objective that a prompt
     /// may wait.
     pub fn is_transient(self) -> bool {
-        self != Self::Crowded
+        !matches!(self, Self::Crowded | Self::Outranked | Self::OverShare)
     }
 
     /// Returns the reason as text for logs and refusals.
@@ -121,6 +127,8 @@
             Self::TooDear => "engines too busy for a prompt of this size",
             Self::Crowded => "all places of the engines are taken",
             Self::AtLimit => "engines are at the limits that they name",
+            Self::Outranked => "engines are left to more urgent prompts",
+            Self::OverShare => "engines are left to accounts with less use",
         }
     }
 }
@@ -133,3 +141,10 @@
     /// Delay after which a retry may succeed.
     pub retry_after: Duration,
 }
+
+impl PlacementRefusal {
+    /// Returns whether a prompt is refused for good, rather than to ask again.
+    pub fn is_final_for(&self, ask: &PromptAsk) -> bool {
+        !self.reason.is_transient() || ask.patience.is_zero()
+    }
+}
--- a/crates/placement/src/tracking.rs
+++ b/crates/placement/src/tracking.rs
@@ -2,6 +2,7 @@
 
 use oriolepass_units::{EndpointStart, MonotonicTime, ServiceName};
 
+use crate::contention;
 use crate::cost::{ReadCost, caller_timeout_ms, millis};
 use crate::demand::RecordedPrompt;
 use crate::fleet::{EngineFleet, FAILURE_BACKOFF, time_ms};
@@ -23,7 +24,12 @@
 /// A prompt on its engines.
 #[derive(Debug, Clone)]
 pub(crate) struct PlacedPrompt {
+    /// The value of the prompt, multiplied by the part of its weight that does not change.
     pub(crate) value: f64,
+    /// The priority, by which the value is weighed in addition.
+    pub(crate) priority: Option<u8>,
+    /// Time that one engine needs to read the prompt.
+    pub(crate) work_ms: f64,
     pub(crate) pause_ms: f64,
     pub(crate) caller_timeout_ms: f64,
     pub(crate) due_ms: f64,
@@ -50,7 +56,8 @@
             self.ended(now, ask.key);
         }
         self.farm.advance(time_ms(now));
-        self.record_plan(now, ask, plan, begun);
+        self.contention_of(ask).record_ask(time_ms(now), ask);
+        self.record_plan(now, ask, plan, begun, 1.0);
     }
 
     /// Records that a prompt's first event has come.
@@ -116,12 +123,14 @@
         }
     }
 
+    /// Records a placed prompt with the part of its weight that does not change.
     pub(crate) fn record_plan(
         &mut self,
         now: MonotonicTime,
         ask: &PromptAsk,
         plan: &PromptPlan,
         begun: bool,
+        weight: f64,
     ) {
         let Some(main) = self.engines.get_mut(&plan.main) else { return };
         let cost = ReadCost::new(&main.facts.profile, ask.prompt_tokens);
@@ -152,7 +161,9 @@
             self.farm.take(time_ms(now), &plan.main, &plan.helpers, &prompt);
         }
         let placed = PlacedPrompt {
-            value: cost.value(),
+            value: cost.value() * weight,
+            priority: contention::priority(ask),
+            work_ms: cost.whole_ms,
             pause_ms: millis(ask.pause),
             caller_timeout_ms: caller_timeout_ms(ask),
             due_ms: time_ms(now) + millis(ask.objective),
@@ -164,6 +175,7 @@
             main_failed: false,
         };
         self.placed.insert(ask.key, placed);
+        self.contention_of(ask).record_work(time_ms(now), ask, cost.whole_ms);
     }
 
     /// Charges a request to the main engine of a plan, and its part of the prompt to each helper.
