--- a/crates/gateway/src/peers/trailing.rs
+++ b/crates/gateway/src/peers/trailing.rs
@@ -33,7 +33,8 @@
     /// Quarantine cases of parts of prompts.
     pub(crate) const PARTS: Self = Self(3);
 
-    /// Scheduling under load: appointments of refused prompts, and second sends of slow requests.
+    /// Scheduling under load: appointments of refused prompts, second sends of slow requests, and
+    /// refusals because of urgency or an account's share.
     pub(crate) const SCHEDULING: Self = Self(4);
 
     /// The level of this version.
--- a/crates/gateway/src/second_sends.rs
+++ b/crates/gateway/src/second_sends.rs
@@ -213,7 +213,9 @@
         RefusalReason::NoMemory
         | RefusalReason::Backlog
         | RefusalReason::TooDear
-        | RefusalReason::Crowded => SkipReason::EndpointsFull,
+        | RefusalReason::Crowded
+        | RefusalReason::Outranked
+        | RefusalReason::OverShare => SkipReason::EndpointsFull,
     }
 }
 
--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -128,13 +128,19 @@
     AllSlow,
     /// The limit on the work of second sends is used up.
     SecondLimit,
+    /// More urgent prompts would lose more than this prompt gains at its priority, for longer than
+    /// it may wait.
+    Outranked,
+    /// Other prompts would lose more than this prompt gains after its account has used more than
+    /// its share, for longer than it may wait.
+    OverShare,
 }
 
 impl RefusalReason {
     /// Returns whether the reason may cease to apply within the part of its objective that a prompt
     /// may wait.
     pub fn is_transient(self) -> bool {
-        self != Self::Crowded
+        !matches!(self, Self::Crowded | Self::Outranked | Self::OverShare)
     }
 
     /// Returns the reason as text for logs and refusals.
@@ -150,6 +156,8 @@
             Self::NoLead => "no other engine would begin earlier",
             Self::AllSlow => "many engines are slow",
             Self::SecondLimit => "second sends are at their limit",
+            Self::Outranked => "engines are left to more urgent prompts",
+            Self::OverShare => "engines are left to accounts with less use",
         }
     }
 }
@@ -165,3 +173,10 @@
     #[serde(skip)]
     pub turn: ReturnTurn,
 }
+
+impl PlacementRefusal {
+    /// Returns whether a prompt is refused for good, rather than to ask again.
+    pub fn is_final_for(&self, ask: &PromptAsk) -> bool {
+        !self.reason.is_transient() || ask.patience.is_zero()
+    }
+}
--- a/crates/placement/src/second_sends.rs
+++ b/crates/placement/src/second_sends.rs
@@ -92,14 +92,15 @@
             return refuse(RefusalReason::SecondLimit);
         }
         let plan = build_plan(&job, &harmless, &profile, &best);
-        self.record_plan(now, ask, &plan, false);
+        let share = job.weight.share;
+        self.record_plan(now, ask, &plan, false, share);
         Ok(plan)
     }
 
     /// Returns the engines that a second send may use: not those of the first one, none that was
     /// silent recently, and none with a limit, whose permits are for first sends.
     fn second_views(
-        &self,
+        &mut self,
         now: MonotonicTime,
         ask: &PromptAsk,
         first: PromptKey,
@@ -118,7 +119,11 @@
             sample_engines(ask.key, &mut usable);
         }
         let firsts = self.farm.first_events(time_ms(now));
-        usable.into_iter().filter_map(|endpoint| self.view(now, endpoint, 0.0, &firsts)).collect()
+        let urgency = self.contention_of(ask).urgency(time_ms(now));
+        usable
+            .into_iter()
+            .filter_map(|endpoint| self.view(now, endpoint, 0.0, &firsts, &urgency))
+            .collect()
     }
 }
 
