--- a/crates/gateway/src/front/second_sends.rs
+++ b/crates/gateway/src/front/second_sends.rs
@@ -60,7 +60,7 @@
         if !is_allowed || !request.route.repeat.may_repeat() || last_event.is_some() {
             return None;
         }
-        let tokens = request.facts.prompt_tokens.filter(|_| is_engine).unwrap_or(0);
+        let tokens = request.facts.prompt_tokens.filter(|_| is_engine);
         let prediction = placement.plan.as_ref().map(|plan| plan.first_event.max(MIN_PREDICTION));
         Some(Self {
             gateway: Rc::clone(gateway),
@@ -82,8 +82,7 @@
     /// Records the time of a send of this kind: until its answer, or a lower bound.
     fn record_time(&self, time: Duration) {
         let mut state = self.gateway.second_sends.borrow_mut();
-        let times = state.times.entry(self.kind.clone()).or_default();
-        times.record(self.gateway.now(), time, self.scale);
+        state.record_time(self.gateway.now(), &self.kind, time, self.scale);
     }
 
     /// Records the time of the send, if it ended with an answer.
@@ -119,7 +118,7 @@
             slow_endpoints: state.slow_endpoints(is_serving),
             other_endpoints,
         };
-        let Some(times) = state.times.get(&self.kind) else {
+        let Some(times) = state.times(gateway.now(), &self.kind) else {
             return SecondSendVerdict::Never(SkipReason::FewSamples);
         };
         judge(gateway.now(), &slow, times)
@@ -243,7 +242,7 @@
         if request.time_left().is_zero() {
             return Err(SkipReason::TooLittleTime);
         }
-        self.record_second_send();
+        self.attempts.record_send();
         placement.record_sent();
         self.log_send(gateway, request, &placement);
         let work_ms = match &request.service.engine {
@@ -320,6 +319,34 @@
         }
         other
     }
+
+    /// Returns the endpoints that failed the request, and the given one.
+    fn avoid_with(&self, endpoint: &EndpointStart) -> Vec<EndpointStart> {
+        self.avoid.iter().chain(std::iter::once(endpoint)).cloned().collect()
+    }
+
+    /// Records the end of one of two sends that is no answer for the caller, while the other one
+    /// runs.
+    fn record_failed_send(&mut self, gateway: &Gateway, request: &CallerRequest, end: SendOutcome) {
+        let (reason, endpoint) = match end {
+            SendOutcome::Answer(answer) => {
+                self.failure = Some(answer);
+                return;
+            }
+            SendOutcome::NotRun { reason, endpoint } => {
+                self.attempts.record_not_run();
+                (reason, endpoint)
+            }
+            SendOutcome::NotDelivered { reason, endpoint } => {
+                self.attempts.record_not_delivered();
+                (reason, endpoint)
+            }
+            SendOutcome::MayHaveRun { reason, endpoint } => (reason, Some(endpoint)),
+            _ => return,
+        };
+        self.log_failure(gateway, request, endpoint.as_ref(), &reason, true);
+        self.avoid.extend(endpoint);
+    }
 }
 
 /// Records that a first send is silent while a second one runs.
--- a/crates/gateway/src/front/tries.rs
+++ b/crates/gateway/src/front/tries.rs
@@ -88,13 +88,13 @@
 
 /// The state of one request across its sends.
 pub(super) struct SendHistory {
-    attempts: AttemptCount,
+    pub(super) attempts: AttemptCount,
     /// Endpoints that failed this request.
-    avoid: Vec<EndpointStart>,
+    pub(super) avoid: Vec<EndpointStart>,
     /// The id of the last event that the caller has.
     pub(super) last_event: Option<u64>,
     /// A server error from an endpoint, which is returned if no other answer arrives.
-    failure: Option<BufferedAnswer>,
+    pub(super) failure: Option<BufferedAnswer>,
     /// The time until which the request waits for an endpoint.
     endpoint_wait_until: Instant,
     /// Identifies the search for the next send's endpoint, until one is found.
@@ -153,44 +153,6 @@
         self.may_run_again(request) && self.sends() < MAX_SENDS
     }
 
-    /// Returns the endpoints that failed the request, and the given one.
-    pub(super) fn avoid_with(&self, endpoint: &EndpointStart) -> Vec<EndpointStart> {
-        self.avoid.iter().chain(std::iter::once(endpoint)).cloned().collect()
-    }
-
-    /// Counts a second send beside a slow one.
-    pub(super) fn record_second_send(&mut self) {
-        self.attempts.record_send();
-    }
-
-    /// Records the end of one of two sends that is no answer for the caller, while the other one
-    /// runs.
-    pub(super) fn record_failed_send(
-        &mut self,
-        gateway: &Gateway,
-        request: &CallerRequest,
-        end: SendOutcome,
-    ) {
-        let (reason, endpoint) = match end {
-            SendOutcome::Answer(answer) => {
-                self.failure = Some(answer);
-                return;
-            }
-            SendOutcome::NotRun { reason, endpoint } => {
-                self.attempts.record_not_run();
-                (reason, endpoint)
-            }
-            SendOutcome::NotDelivered { reason, endpoint } => {
-                self.attempts.record_not_delivered();
-                (reason, endpoint)
-            }
-            SendOutcome::MayHaveRun { reason, endpoint } => (reason, Some(endpoint)),
-            _ => return,
-        };
-        self.log_failure(gateway, request, endpoint.as_ref(), &reason, true);
-        self.avoid.extend(endpoint);
-    }
-
     /// Sends a request until it has an answer or no further send is allowed.
     ///
     /// The caller drops the future when the request's time is over.
--- a/crates/gateway/src/second_sends.rs
+++ b/crates/gateway/src/second_sends.rs
@@ -18,7 +18,7 @@
     PlacementRefusal, PromptAsk, PromptPlan, ReadCost, RefusalReason, SecondSend,
 };
 use oriolepass_second_sends::{AnswerTimes, SkipReason, WorkAllowance};
-use oriolepass_units::{EndpointStart, InstanceId, ServiceName};
+use oriolepass_units::{EndpointStart, InstanceId, MonotonicTime, ServiceName};
 
 use crate::gateway::{Gateway, PeerReply};
 use crate::home::HOME_ANSWER_TIMEOUT;
@@ -29,15 +29,19 @@
 pub(crate) struct RequestKind {
     service: ServiceName,
     route: String,
-    /// Logarithm of the tokens of the prompt to the base 4; 0 without a prompt.
-    size_class: u32,
+    /// Logarithm of the tokens of the prompt to the base 4; `None` for all sizes together.
+    size_class: Option<u32>,
 }
 
 impl RequestKind {
-    pub(crate) fn new(service: &ServiceName, route: &str, prompt_tokens: u64) -> Self {
-        let size_class = prompt_tokens.max(1).ilog2() / 2;
+    pub(crate) fn new(service: &ServiceName, route: &str, prompt_tokens: Option<u64>) -> Self {
+        let size_class = prompt_tokens.map(|tokens| tokens.max(1).ilog2() / 2);
         Self { service: service.clone(), route: route.to_owned(), size_class }
     }
+
+    fn of_all_sizes(&self) -> Self {
+        Self { size_class: None, ..self.clone() }
+    }
 }
 
 /// The allowances of a service with engines.
@@ -51,7 +55,7 @@
 /// The state of second sends at one instance.
 #[derive(Debug, Default)]
 pub(crate) struct SecondSendState {
-    pub(crate) times: HashMap<RequestKind, AnswerTimes>,
+    times: HashMap<RequestKind, AnswerTimes>,
     /// The number of slow requests that wait for each endpoint at present.
     slow_requests: BTreeMap<EndpointStart, u32>,
     /// The allowance from the requests of this daemon's own callers.
@@ -63,6 +67,27 @@
 }
 
 impl SecondSendState {
+    /// Records the time of a send.
+    pub(crate) fn record_time(
+        &mut self,
+        now: MonotonicTime,
+        kind: &RequestKind,
+        time: Duration,
+        scale: Duration,
+    ) {
+        self.times.entry(kind.clone()).or_default().record(now, time, scale);
+        if kind.size_class.is_some() {
+            self.times.entry(kind.of_all_sizes()).or_default().record(now, time, scale);
+        }
+    }
+
+    /// Returns the times of a kind. Where prompts of a size are few, the times of all sizes of the
+    /// route are used: they are multiples of predictions, which take the size into account.
+    pub(crate) fn times(&self, now: MonotonicTime, kind: &RequestKind) -> Option<&AnswerTimes> {
+        let of_size = self.times.get(kind).filter(|times| times.has_enough(now));
+        of_size.or_else(|| self.times.get(&kind.of_all_sizes()))
+    }
+
     /// Returns the number of endpoints that a slow request waits for at present.
     pub(crate) fn slow_endpoints(&self, is_counted: impl Fn(&EndpointStart) -> bool) -> usize {
         self.slow_requests.keys().filter(|endpoint| is_counted(endpoint)).count()
--- a/crates/placement/src/candidates.rs
+++ b/crates/placement/src/candidates.rs
@@ -36,9 +36,15 @@
             .filter(takes_work)
             .map(|engine| engine.facts.endpoint.clone())
             .collect();
+        let is_slow = |endpoint: &EndpointStart| {
+            self.engines.get(endpoint).is_some_and(|engine| now < engine.slow_until)
+        };
         let preferred: Vec<EndpointStart> =
             all.iter().filter(|endpoint| !ask.avoid.contains(endpoint)).cloned().collect();
-        if preferred.is_empty() { all } else { preferred }
+        let preferred = if preferred.is_empty() { all } else { preferred };
+        let quick: Vec<EndpointStart> =
+            preferred.iter().filter(|endpoint| !is_slow(endpoint)).cloned().collect();
+        if quick.is_empty() { preferred } else { quick }
     }
 
     /// Returns the engines without a limit and those with a permit for a request. If all engines
--- a/crates/placement/src/engine.rs
+++ b/crates/placement/src/engine.rs
@@ -35,6 +35,8 @@
     pub(crate) failures: u32,
     /// Time of the last silence that no reading explains.
     pub(crate) silent_at: Option<MonotonicTime>,
+    /// Until when other engines are preferred, because a prompt was slow here.
+    pub(crate) slow_until: MonotonicTime,
     /// The prompts whose main engine this is.
     pub(crate) mains: Vec<PromptKey>,
     /// Times of recent placements. Times that no longer count are removed with the next placement.
@@ -51,6 +53,7 @@
             backoff_until: MonotonicTime::ZERO,
             failures: 0,
             silent_at: None,
+            slow_until: MonotonicTime::ZERO,
             mains: Vec::new(),
             recent_placements: VecDeque::new(),
             permits: None,
--- a/crates/placement/src/second_sends.rs
+++ b/crates/placement/src/second_sends.rs
@@ -21,6 +21,10 @@
 /// below the loss that one late pause counts for.
 const MAX_DISTURBANCE: f64 = 0.05;
 
+/// The time for which other engines are preferred to one that was slow with a prompt. It is a few
+/// passes long, and an answer of the engine ends it.
+const SLOW_SPAN: Duration = Duration::from_millis(1_000);
+
 /// What a home needs to know of a prompt's first send to place a second one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SecondSend {
@@ -91,9 +95,19 @@
         }
         let plan = build_plan(&job, &harmless, &profile, &best);
         self.record_plan(now, ask, &plan, false);
+        self.prefer_others(now, second.first);
         Ok(plan)
     }
 
+    /// Prefers other engines to the main engine of a slow prompt for a while, or until it answers.
+    /// If the prompt is cancelled there, the engine would look idle and attract the next ones.
+    fn prefer_others(&mut self, now: MonotonicTime, first: PromptKey) {
+        let main = self.farm.engines_of(first).first();
+        if let Some(engine) = main.and_then(|main| self.engines.get_mut(main)) {
+            engine.slow_until = now + SLOW_SPAN;
+        }
+    }
+
     /// Returns the engines that a second send may use: not those of the first one, none that was
     /// silent recently, and none with a limit, whose permits are for first sends.
     fn second_views(
--- a/crates/placement/src/tracking.rs
+++ b/crates/placement/src/tracking.rs
@@ -63,6 +63,7 @@
         for endpoint in self.farm.engines_of(key) {
             if let Some(engine) = self.engines.get_mut(endpoint) {
                 engine.failures = 0;
+                engine.slow_until = MonotonicTime::ZERO;
             }
         }
     }
--- a/crates/placement/tests/second_sends.rs
+++ b/crates/placement/tests/second_sends.rs
@@ -53,6 +53,27 @@
     assert_eq!(fleet.placed_count(), 1, "the cancelled send takes no engine");
 }
 
+/// Guards against an engine that answers nothing and looks idle, because each prompt there is
+/// cancelled after a second send: 20 prompts a second.
+#[test]
+fn a_slow_engine_does_not_attract_the_next_prompts() {
+    let mut fleet = fleet();
+    let first = fleet.place(at(0), &ask(1, 5_000)).expect("a plan");
+    let second = place_second(&mut fleet, 200, &ask(2, 5_000), 400).expect("a plan");
+    fleet.first_event(at(250), key(2));
+    fleet.ended(at(250), key(1));
+    for number in 10..30 {
+        let next = fleet.place(at(250), &ask(number, 10_000)).expect("a plan");
+        assert_ne!(next.main, first.main);
+    }
+    assert_ne!(second.main, first.main);
+    fleet.ended(at(300), key(2));
+    let mains: Vec<_> = (30..60)
+        .filter_map(|number| Some(fleet.place(at(1_300 + number), &ask(number, 5_000)).ok()?.main))
+        .collect();
+    assert!(mains.contains(&first.main), "it is used again after a second");
+}
+
 /// Guards against second sends that begin no earlier than the first one.
 #[test]
 fn a_prompt_that_is_about_to_begin_is_not_sent_again() {
--- a/crates/second-sends/src/times.rs
+++ b/crates/second-sends/src/times.rs
@@ -47,6 +47,12 @@
         }
     }
 
+    /// Returns whether there are enough samples for a statement about the tail.
+    pub fn has_enough(&self, now: MonotonicTime) -> bool {
+        let is_counted = |at: MonotonicTime| now.since(at) <= SAMPLE_TTL;
+        self.samples.iter().filter(|(at, _)| is_counted(*at)).count() >= MIN_SAMPLES
+    }
+
     /// Returns a quantile of the times, or `None` if there are too few samples.
     pub fn quantile(&self, now: MonotonicTime, quantile: f64) -> Option<f64> {
         quantile_of(&mut self.values(now, SAMPLE_TTL), quantile, MIN_SAMPLES)
--- a/crates/second-sends/tests/judging.rs
+++ b/crates/second-sends/tests/judging.rs
@@ -60,6 +60,16 @@
 /// Sends requests to three endpoints, of which `took` returns the time at one, and second sends
 /// within a limit. The slowest cancelled send counts by the time until then.
 fn run(ratio: f64, took: impl Fn(u64, usize, &mut StdRng) -> u64) -> Run {
+    let judged = |now, elapsed, times: &AnswerTimes| judge(now, &slow_request(elapsed), times);
+    run_with(judged, ratio, took)
+}
+
+/// Like `run`, with another decision on a request that has taken a time so far.
+fn run_with(
+    judge: impl Fn(MonotonicTime, Duration, &AnswerTimes) -> SecondSendVerdict,
+    ratio: f64,
+    took: impl Fn(u64, usize, &mut StdRng) -> u64,
+) -> Run {
     let mut random = StdRng::seed_from_u64(5);
     let (mut times, mut allowance) = (AnswerTimes::default(), WorkAllowance::default());
     let (mut totals, mut extra) = (Vec::new(), 0);
@@ -72,7 +82,7 @@
         let mut total = first;
         while elapsed < first {
             let now = at(sent_ms) + elapsed;
-            match judge(now, &slow_request(elapsed), &times) {
+            match judge(now, elapsed, &times) {
                 SecondSendVerdict::Wait(wait) => elapsed += wait,
                 SecondSendVerdict::Skip(_, again) => elapsed += again,
                 SecondSendVerdict::Never(_) => break,
@@ -131,6 +141,43 @@
     assert!(run.extra < 0.01, "{} second sends per request", run.extra);
 }
 
+/// Guards against a second send after a fixed time, which cuts the tail late, or after a quantile of
+/// the times alone, which doubles the load on endpoints that are all slow.
+#[test]
+fn the_observed_tail_is_better_than_a_fixed_time_or_a_quantile_alone() {
+    let one_slow = |_, endpoint, random: &mut StdRng| {
+        let is_slow = endpoint == 0 && random.random_bool(0.05);
+        if is_slow { 600 } else { with_jitter(random) }
+    };
+    let all_slow = |ms: u64, _, random: &mut StdRng| {
+        let factor = if ms > REQUESTS * INTERVAL_MS / 2 { 5 } else { 1 };
+        with_jitter(random) * factor
+    };
+    let send_from = |from: Duration, elapsed: Duration| {
+        if elapsed >= from {
+            SecondSendVerdict::Send { remaining: Duration::ZERO }
+        } else {
+            SecondSendVerdict::Wait(from - elapsed)
+        }
+    };
+    let fixed = |_, elapsed, _: &AnswerTimes| send_from(SCALE.mul_f64(0.65), elapsed);
+    let quantile = |now, elapsed, times: &AnswerTimes| match times.quantile(now, 0.9) {
+        Some(trigger) => send_from(SCALE.mul_f64(trigger), elapsed),
+        None => SecondSendVerdict::Never(SkipReason::FewSamples),
+    };
+    let of_fixed = (run_with(fixed, 0.1, one_slow), run_with(fixed, 0.1, all_slow));
+    let of_quantile = (run_with(quantile, 0.1, one_slow), run_with(quantile, 0.1, all_slow));
+    let observed = (run(0.1, one_slow), run(0.1, all_slow));
+    for (name, (one, all)) in
+        [("fixed", &of_fixed), ("quantile", &of_quantile), ("observed", &observed)]
+    {
+        println!("{name}: p99 {}, extra {}; all slow: extra {}", one.p99, one.extra, all.extra);
+    }
+    assert!(observed.0.p99 * 3 < of_fixed.0.p99);
+    assert!(observed.0.extra < of_quantile.0.extra * 0.6);
+    assert!(observed.1.extra * 3.0 < of_quantile.1.extra);
+}
+
 /// Guards against second sends beside answers that are only a little later than others.
 #[test]
 fn a_short_tail_causes_few_second_sends() {
