--- a/crates/placement/src/engine.rs
+++ b/crates/placement/src/engine.rs
@@ -38,6 +38,8 @@
     pub(crate) failed_at: MonotonicTime,
     /// Time of the last silence that no reading explains.
     pub(crate) silent_at: Option<MonotonicTime>,
+    /// Until when other engines are preferred, because a prompt was slow here.
+    pub(crate) slow_until: MonotonicTime,
     /// The prompts whose main engine this is.
     pub(crate) mains: Vec<PromptKey>,
     /// Times of recent placements. Times that no longer count are removed with the next placement.
@@ -56,6 +58,7 @@
             failures: 0,
             failed_at: MonotonicTime::ZERO,
             silent_at: None,
+            slow_until: MonotonicTime::ZERO,
             mains: Vec::new(),
             recent_placements: VecDeque::new(),
             permits: None,
