--- a/crates/gateway/src/front/listener.rs
+++ b/crates/gateway/src/front/listener.rs
@@ -78,8 +78,11 @@
             Poll::Ready(Err(_)) => return,
             Poll::Pending => 0,
         };
-        let mut pace = self.read_pace.get();
-        pace.record_write(Instant::now(), written, offered);
+        let mut pace = ReadPace::default();
+        if written < offered {
+            pace = self.read_pace.get();
+            pace.record_write(Instant::now(), written, offered);
+        }
         self.read_pace.set(pace);
     }
 
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -39,7 +39,7 @@
 
 /// The maximum number of bytes that an endpoint sends before the head of its answer is complete: a few
 /// interim answers, the head, and what the HTTP library reads ahead.
-const MAX_HEAD_BYTES: usize = 128 * 1024;
+const MAX_HEAD_BYTES: usize = 256 * 1024;
 
 /// A start of an endpoint and its address.
 #[derive(Debug, Clone, PartialEq, Eq)]
