--- a/crates/placement/src/observing.rs
+++ b/crates/placement/src/observing.rs
@@ -6,7 +6,7 @@
 
 use oriolepass_units::{EndpointStart, MonotonicTime, ServiceName};
 
-use crate::cost::millis;
+use crate::cost::{ReadCost, millis};
 use crate::engine::EngineEntry;
 use crate::fleet::{EngineFleet, time_ms};
 use crate::passes::EnginePasses;
@@ -98,12 +98,17 @@
             return None;
         }
         let engine = self.farm.engine(&plan.main)?;
-        let steps_per_pass = self.engines.get(&plan.main)?.facts.profile.steps_per_pass;
+        let profile = &self.engines.get(&plan.main)?.facts.profile;
+        let read_ms = ReadCost::new(profile, ask.prompt_tokens).part_ms(plan.helpers.len() + 1);
+        let own_pass_ms =
+            read_ms + profile.step_ms.max(engine.writing_pass_ms() / engine.slowdown());
         let work_ms = engine.work_ms(time_ms(now));
         Some(ExpectedPace {
             placed_ms: time_ms(now),
             first_event_ms: millis(plan.first_event) / engine.slowdown(),
-            pause_ms: millis(plan.pause(ask.answer_tokens, steps_per_pass)) / engine.slowdown(),
+            own_pass_ms,
+            pause_ms: millis(plan.pause(ask.answer_tokens, profile.steps_per_pass))
+                / engine.slowdown(),
             is_unsplit: plan.helpers.is_empty(),
             placed_work_ms: work_ms,
             first_work_ms: begun.then_some(work_ms),
--- a/crates/placement/src/tracking.rs
+++ b/crates/placement/src/tracking.rs
@@ -129,6 +129,7 @@
         plan: &PromptPlan,
         begun: bool,
     ) {
+        let pace = self.expected_pace(now, ask, plan, begun);
         let Some(main) = self.engines.get_mut(&plan.main) else { return };
         let cost = ReadCost::new(&main.facts.profile, ask.prompt_tokens);
         main.mains.push(ask.key);
@@ -168,7 +169,7 @@
             is_suspect: ask.is_suspect,
             demand: None,
             main_failed: false,
-            pace: self.expected_pace(now, ask, plan, begun),
+            pace,
         };
         self.placed.insert(ask.key, placed);
         if !begun {
