A prompt whose turn cannot be served while it waits gets a new time; turns are not too early

Cause: a prompt in its turn that the engines could not serve was passed on with the 50 ms after which its entry would have asked again, so its caller came back at once and was refused again. Turns within a tenth of the objective came back amid the surge that had refused them.

Change: the turn is kept while the prompt waits at its entry, and afterwards a new one is given; a long prompt's turn comes after 0.4 of its objective at the earliest. Whether an entry waits or passes a refusal on is a function of its own, with tests.

--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -21,6 +21,8 @@
 mod starting_tests;
 mod stream;
 mod tries;
+#[cfg(test)]
+mod tries_tests;
 mod try_lines;
 
 pub use attempts::AttemptCount;
--- a/crates/gateway/src/front/tries.rs
+++ b/crates/gateway/src/front/tries.rs
@@ -316,23 +316,8 @@
         request: &CallerRequest,
         error: NoPlacement,
     ) -> Option<RequestOutcome> {
-        let delay = match error {
-            NoPlacement::Refused(..) => None,
-            NoPlacement::AtLimit(_, after)
-            | NoPlacement::Resting(after)
-            | NoPlacement::Busy(_, after) => Some(after.max(MIN_PERMIT_DELAY)),
-            NoPlacement::NoEndpoint(..) | NoPlacement::NoMemory => Some(ENDPOINT_RETRY_DELAY),
-        };
-        // A permit or a turn that is expected too late is not waited for.
-        let is_in_time = |delay: &Duration| match error {
-            NoPlacement::AtLimit(..) | NoPlacement::Busy(..) => {
-                Instant::now() + *delay <= self.endpoint_wait_until
-            }
-            // The request was told to wait because its turn comes in time.
-            NoPlacement::Resting(_) => true,
-            _ => Instant::now() < self.endpoint_wait_until,
-        };
-        if let Some(delay) = delay.filter(is_in_time) {
+        let wait_left = self.endpoint_wait_until.saturating_duration_since(Instant::now());
+        if let Some(delay) = search_delay(error, wait_left) {
             sleep(delay).await;
             return None;
         }
@@ -449,6 +434,23 @@
     }
 }
 
+/// Returns the time after which a request that may wait for `wait_left` searches again, or `None` if
+/// the refusal is passed on at once.
+pub(super) fn search_delay(error: NoPlacement, wait_left: Duration) -> Option<Duration> {
+    match error {
+        NoPlacement::Refused(..) => None,
+        // The request was told to wait because its turn comes in time.
+        NoPlacement::Resting(after) => Some(after.max(MIN_PERMIT_DELAY)),
+        // A permit or a turn that is expected too late is not waited for.
+        NoPlacement::AtLimit(_, after) | NoPlacement::Busy(_, after) => {
+            Some(after.max(MIN_PERMIT_DELAY)).filter(|delay| *delay <= wait_left)
+        }
+        NoPlacement::NoEndpoint(..) | NoPlacement::NoMemory => {
+            (!wait_left.is_zero()).then_some(ENDPOINT_RETRY_DELAY)
+        }
+    }
+}
+
 /// Returns the time without an answer's head, or a stream's first event, after which an endpoint counts
 /// as silent and the request is hedged if it may run again.
 fn silence_timeout(request: &CallerRequest, placement: &Placement) -> Duration {
--- a/crates/placement/src/appointment_book.rs
+++ b/crates/placement/src/appointment_book.rs
@@ -120,20 +120,25 @@
     }
 
     /// Returns the time until a refused prompt's turn, in milliseconds. A prompt that has a place in
-    /// the line keeps it; any other gets the last one of its rank. Returns `None` if the turn would
+    /// the line keeps it for as long as it waits; any other gets the last one of its rank. Returns `None` if the turn would
     /// come after `max_wait_ms`, or if its account has its share of the line.
     pub(crate) fn book(
         &mut self,
         now_ms: f64,
         holder: &TurnHolder,
         line: &WorkLine,
+        patience_ms: f64,
         max_wait_ms: f64,
     ) -> Option<f64> {
         let id = holder.id?;
         if let Some(turn) = self.turns.iter_mut().find(|turn| turn.holder.id == Some(id)) {
-            // A prompt that has returned keeps its turn while it waits.
-            turn.due_ms = turn.due_ms.max(now_ms);
-            return Some((turn.due_ms - now_ms).max(TURN_ASK_INTERVAL_MS));
+            let is_early = now_ms < turn.due_ms - EARLY_TOLERANCE_MS;
+            if is_early || patience_ms >= TURN_ASK_INTERVAL_MS {
+                // A prompt that has returned keeps its turn while it waits.
+                turn.due_ms = turn.due_ms.max(now_ms);
+                return Some((turn.due_ms - now_ms).max(TURN_ASK_INTERVAL_MS));
+            }
+            self.turns.retain(|turn| turn.holder.id != Some(id));
         }
         let wait_ms = self.wait_ms(holder, line);
         let is_of_account = |turn: &&BookedTurn| {
--- a/crates/placement/src/overload.rs
+++ b/crates/placement/src/overload.rs
@@ -47,8 +47,12 @@
 /// Minimum delay of a short prompt's return: some passes, at whose ends slots become free.
 const MIN_SHORT_DELAY_MS: f64 = 100.0;
 
+/// Minimum delay of a long prompt's return, as a share of its objective. Parts that are read on the
+/// engines now have been read by then, also those that prompts placed later have delayed.
+const MIN_LONG_DELAY_SHARE: f64 = 0.4;
+
 /// Share of its objective in which a long prompt is to be read, which determines the size of its
-/// group. It is also the minimum delay of its return: the engines need as long for one more.
+/// group.
 const PART_SHARE: f64 = 0.1;
 
 /// Share of the engines that long prompts can use at least, however many short ones arrive.
@@ -120,7 +124,7 @@
         let parts = (job.cost.whole_ms / (objective_ms * PART_SHARE).max(1.0)).ceil() as usize;
         let last_part = parts.clamp(1, backlogs.len().max(1)) - 1;
         Self {
-            min_delay_ms: objective_ms * PART_SHARE,
+            min_delay_ms: objective_ms * MIN_LONG_DELAY_SHARE,
             queued: backlogs.iter().sum::<f64>() * scale,
             group_free_ms: backlogs.get(last_part).copied().unwrap_or_default(),
             free: 0.0,
--- a/crates/placement/src/returns.rs
+++ b/crates/placement/src/returns.rs
@@ -101,7 +101,7 @@
             let retry_after = Duration::from_secs_f64(wait_ms / 1_000.0);
             return PlacementRefusal { reason, retry_after, turn: ReturnTurn::Unknown };
         }
-        let wait_ms = book.book(time_ms(now), &holder, line, max_wait_ms);
+        let wait_ms = book.book(time_ms(now), &holder, line, patience_ms, max_wait_ms);
         let turn = if wait_ms.is_some() { ReturnTurn::Appointed } else { ReturnTurn::Timed };
         let wait_ms = wait_ms.unwrap_or_else(|| spread_wait_ms(ask, max_wait_ms));
         PlacementRefusal { reason, retry_after: Duration::from_secs_f64(wait_ms / 1_000.0), turn }
