Long answers are collected in pieces

Cause: a growing answer was counted with its earlier buffer, so that on an instance with 160 MB an honest answer of over some 5 MB was given up for lack of memory, which before it was not.

Change: the body of an answer is collected in pieces of 64 kB, which go to the caller as they are; nothing is moved but the first piece.

Figures: the new test of the collector is green, with the other tests of bodies; it needs the new type, so it was not red before. Read off the code: 4 MiB and 8 MiB together exceed a sixteenth of 160 MB.

Conclusion: the ledger counts what is held, and the longest answer allowed fits.

--- a/crates/gateway/src/front/body.rs
+++ b/crates/gateway/src/front/body.rs
@@ -1,13 +1,14 @@
 //! Defines the bodies of responses to callers.
 
 use std::cell::Cell;
+use std::collections::VecDeque;
 use std::convert::Infallible;
 use std::fmt;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use hyper::body::{Body, Frame, SizeHint};
 use tokio::sync::{Notify, mpsc};
 
@@ -50,14 +51,75 @@
 
 /// A buffered body, and the memory that is held for it.
 pub(super) struct HeldBody {
-    bytes: Bytes,
+    pieces: VecDeque<Bytes>,
     /// `None` for a short body of this process itself.
     _hold: Option<ByteHold>,
 }
 
 impl HeldBody {
-    pub(super) fn new(bytes: Bytes, hold: Option<ByteHold>) -> Self {
-        Self { bytes, _hold: hold }
+    fn len(&self) -> usize {
+        self.pieces.iter().map(Bytes::len).sum()
+    }
+}
+
+/// Collects a body in pieces. A buffer that grows as a whole would be in memory twice while it is
+/// moved.
+pub(super) struct BodyCollector {
+    full: VecDeque<Bytes>,
+    last: BytesMut,
+    hold: Option<ByteHold>,
+}
+
+impl BodyCollector {
+    pub(super) fn new(hold: Option<ByteHold>) -> Self {
+        Self { full: VecDeque::new(), last: BytesMut::new(), hold }
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.full.len() * BUFFERED_PIECE_BYTES + self.last.len()
+    }
+
+    /// Returns the memory that the collected pieces take up, in bytes.
+    #[cfg(test)]
+    pub(super) fn held_bytes(&self) -> usize {
+        self.full.len() * BUFFERED_PIECE_BYTES + self.last.capacity()
+    }
+
+    /// Returns whether there is no room for further bytes.
+    pub(super) fn is_full(&self) -> bool {
+        self.last.len() == self.last.capacity()
+    }
+
+    /// Makes room for up to `added` bytes, at most a piece. Returns false if there is no memory for
+    /// them.
+    pub(super) fn make_room(&mut self, added: usize) -> bool {
+        let is_whole = self.last.len() == BUFFERED_PIECE_BYTES;
+        let kept = if is_whole { 0 } else { self.last.len() };
+        let capacity = (2 * kept).max(kept + added).min(BUFFERED_PIECE_BYTES);
+        let next_bytes = self.len() - kept + capacity;
+        if self.hold.as_ref().is_some_and(|hold| !hold.resize(next_bytes)) {
+            return false;
+        }
+        let mut next = BytesMut::with_capacity(capacity);
+        if is_whole {
+            self.full.push_back(std::mem::take(&mut self.last).freeze());
+        } else {
+            next.extend_from_slice(&self.last);
+        }
+        self.last = next;
+        true
+    }
+
+    /// Takes as many bytes as there is room for.
+    pub(super) fn take(&mut self, data: &mut Bytes) {
+        let room = self.last.capacity() - self.last.len();
+        self.last.extend_from_slice(&data.split_to(room.min(data.len())));
+    }
+
+    /// Returns the body.
+    pub(super) fn into_body(mut self) -> HeldBody {
+        self.full.push_back(self.last.freeze());
+        HeldBody { pieces: self.full, _hold: self.hold }
     }
 }
 
@@ -165,7 +227,7 @@
 impl ResponseBody {
     /// Returns a short body of this process itself.
     pub(super) fn short(bytes: Bytes) -> Self {
-        Self::Buffered(Some(HeldBody::new(bytes, None)))
+        Self::Buffered(Some(HeldBody { pieces: VecDeque::from([bytes]), _hold: None }))
     }
 }
 
@@ -180,11 +242,11 @@
         match self.get_mut() {
             Self::Buffered(rest) => {
                 let Some(mut body) = rest.take() else { return Poll::Ready(None) };
-                let piece = body.bytes.split_to(body.bytes.len().min(BUFFERED_PIECE_BYTES));
-                if !body.bytes.is_empty() {
+                let piece = body.pieces.pop_front();
+                if !body.pieces.is_empty() {
                     *rest = Some(body);
                 }
-                Poll::Ready(Some(Ok(Frame::data(piece))))
+                Poll::Ready(piece.map(|piece| Ok(Frame::data(piece))))
             }
             Self::Streamed(body) => body.pieces.poll_recv(cx).map(|piece| match piece {
                 Some(piece) => {
@@ -204,7 +266,7 @@
     fn size_hint(&self) -> SizeHint {
         match self {
             Self::Buffered(rest) => {
-                SizeHint::with_exact(rest.as_ref().map_or(0, |body| body.bytes.len() as u64))
+                SizeHint::with_exact(rest.as_ref().map_or(0, |body| body.len() as u64))
             }
             Self::Streamed(_) => SizeHint::default(),
         }
--- a/crates/gateway/src/front/body_tests.rs
+++ b/crates/gateway/src/front/body_tests.rs
@@ -6,7 +6,7 @@
 use http_body_util::BodyExt;
 use tokio::time::timeout;
 
-use super::body::{HeldBody, ResponseBody, streamed_body};
+use super::body::{BodyCollector, ResponseBody, streamed_body};
 
 /// Reads a body to its end. Returns the pieces before the end, and whether the end is proper.
 async fn read(mut body: ResponseBody) -> (usize, bool) {
@@ -51,10 +51,32 @@
     assert_eq!(second.await, Ok(()));
 }
 
+fn collect(collector: &mut BodyCollector, length: usize) {
+    let mut data = Bytes::from(vec![b'x'; length]);
+    while !data.is_empty() {
+        if collector.is_full() {
+            assert!(collector.make_room(data.len()));
+        }
+        collector.take(&mut data);
+    }
+}
+
+/// Guards against a long answer that is given up because its memory counts twice while it grows.
+#[test]
+fn a_growing_body_takes_up_its_length_and_at_most_one_piece() {
+    let mut collector = BodyCollector::new(None);
+    for _ in 0..700 {
+        collect(&mut collector, 12_345);
+        assert!(collector.held_bytes() <= collector.len() + 64 * 1024);
+    }
+    assert_eq!(collector.len(), 700 * 12_345);
+}
+
 /// Guards against a slow caller for which the whole of a large answer is handed to the HTTP library.
 #[tokio::test]
 async fn a_large_buffered_body_is_passed_on_in_pieces() {
-    let body = HeldBody::new(Bytes::from(vec![b'x'; 200_000]), None);
-    assert_eq!(read(ResponseBody::Buffered(Some(body))).await, (4, true));
+    let mut collector = BodyCollector::new(None);
+    collect(&mut collector, 200_000);
+    assert_eq!(read(ResponseBody::Buffered(Some(collector.into_body()))).await, (4, true));
     assert_eq!(read(ResponseBody::short(Bytes::new())).await, (1, true));
 }
--- a/crates/gateway/src/front/sends.rs
+++ b/crates/gateway/src/front/sends.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
 use hyper::http::response::Parts;
@@ -11,7 +11,7 @@
 use oriolepass_units::EndpointStart;
 use tokio::time::{sleep, timeout};
 
-use super::body::HeldBody;
+use super::body::{BodyCollector, HeldBody};
 use super::caller::CallerRequest;
 use super::ends::{is_answer_complete, probe_for_end};
 use super::headers::strip_hop_by_hop_headers;
@@ -242,33 +242,27 @@
         return too_long;
     }
     let hold = ByteHold::new(gateway, HeldKind::Answer);
-    let mut collected = BytesMut::new();
+    let mut collector = BodyCollector::new(Some(hold));
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|error| AnswerFault::Broken(upstream::describe(&error)))?;
-        let Ok(data) = frame.into_data() else { continue };
-        let length = collected.len() + data.len();
-        if length > MAX_ANSWER_BYTES {
+        let Ok(mut data) = frame.into_data() else { continue };
+        if collector.len() + data.len() > MAX_ANSWER_BYTES {
             return too_long;
         }
-        if length > collected.capacity() {
-            let capacity = (2 * collected.capacity()).max(length).min(MAX_ANSWER_BYTES);
-            // Both buffers are in memory while the bytes are moved.
-            let wait = wait_for_memory(&hold, collected.capacity() + capacity);
-            timeout(MEMORY_WAIT, wait)
-                .await
-                .map_err(|_| AnswerFault::Overlong(NO_ANSWER_MEMORY))?;
-            let mut larger = BytesMut::with_capacity(capacity);
-            larger.extend_from_slice(&collected);
-            collected = larger;
-            hold.resize(capacity);
+        while !data.is_empty() {
+            if collector.is_full() {
+                let wait = wait_for_memory(&mut collector, data.len());
+                let is_in_time = timeout(MEMORY_WAIT, wait).await;
+                is_in_time.map_err(|_| AnswerFault::Overlong(NO_ANSWER_MEMORY))?;
+            }
+            collector.take(&mut data);
         }
-        collected.extend_from_slice(&data);
     }
-    Ok(HeldBody::new(collected.freeze(), Some(hold)))
+    Ok(collector.into_body())
 }
 
-async fn wait_for_memory(hold: &ByteHold, bytes: usize) {
-    while !hold.resize(bytes) {
+async fn wait_for_memory(collector: &mut BodyCollector, added: usize) {
+    while !collector.make_room(added) {
         sleep(MEMORY_RETRY_DELAY).await;
     }
 }
