Engine speeds: an entry's first events and pauses are compared apart

Cause: entries report pauses of slow answers only. An entry with answers on two slow engines and on good ones looked slow everywhere, its notes counted for nothing, and they cleared the engines.

Change: first events are compared with first events, notes with notes, and an engine whose answers the entry does not report counts as 1 among its notes. A test of it fails without the change by construction (the entry is then slow everywhere).

Tests of placement green, clippy of placement and gateway clean.

The setting stays off by default.

--- a/crates/placement/src/observing.rs
+++ b/crates/placement/src/observing.rs
@@ -12,7 +12,8 @@
 use crate::passes::EnginePasses;
 use crate::plan::{PromptAsk, PromptKey, PromptPlan};
 use crate::speed::{
-    EngineSpeed, ExpectedPace, JudgedEngine, PaceNote, SpeedChange, SpeedEstimate, estimate_speeds,
+    EngineSpeed, ExpectedPace, JudgedEngine, ObservationKind, PaceNote, SpeedChange, SpeedEstimate,
+    estimate_speeds,
 };
 
 /// Interval between estimates. It bounds their cost in a surge and is short compared with the time
@@ -51,7 +52,7 @@
             let placed = self.placed.get_mut(&note.key);
             let pace = placed.and_then(|placed| placed.pace.as_mut());
             if let Some(ratio) = pace.and_then(|pace| pace.pause_ratio(note)) {
-                self.observe(now, note.key, ratio);
+                self.observe(now, note.key, ObservationKind::Pauses, ratio);
             }
         }
     }
@@ -74,14 +75,14 @@
             self.speeds.first_events.extract_if(.., is_confirmed).collect();
         for FirstEvent { at, key, ratio } in confirmed {
             // The engines of a prompt that has ended are not known any more.
-            self.observe(at, key, ratio);
+            self.observe(at, key, ObservationKind::FirstEvent, ratio);
         }
     }
 
-    fn observe(&mut self, at: MonotonicTime, key: PromptKey, ratio: f64) {
+    fn observe(&mut self, at: MonotonicTime, key: PromptKey, kind: ObservationKind, ratio: f64) {
         let main = self.farm.engines_of(key).first();
         if let Some(engine) = main.and_then(|main| self.engines.get_mut(main)) {
-            engine.speed.observe(at, key.entry, ratio);
+            engine.speed.observe(at, key.entry, kind, ratio);
         }
     }
 
@@ -172,11 +173,15 @@
     }
 
     fn judged_engine<'a>(&self, engine: &'a EngineEntry) -> JudgedEngine<'a> {
-        let mains = || engine.mains.iter().filter_map(|key| self.placed.get(key));
+        let mains = || engine.mains.iter().filter_map(|key| Some((key, self.placed.get(key)?)));
+        let mut writers: Vec<u64> =
+            mains().filter(|(_, placed)| placed.has_begun).map(|(key, _)| key.entry).collect();
+        writers.sort_unstable();
+        writers.dedup();
         JudgedEngine {
             speed: &engine.speed,
-            writes: mains().any(|placed| placed.has_begun),
-            has_probe: mains().any(|placed| !placed.has_begun),
+            writers,
+            has_probe: mains().any(|(_, placed)| !placed.has_begun),
         }
     }
 
--- a/crates/placement/src/speed.rs
+++ b/crates/placement/src/speed.rs
@@ -165,10 +165,20 @@
     }
 }
 
+/// What an observation compares.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum ObservationKind {
+    /// The time until a first event.
+    FirstEvent,
+    /// The pauses of a slow answer.
+    Pauses,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct SpeedObservation {
     at: MonotonicTime,
     entry: u64,
+    kind: ObservationKind,
     ratio: f64,
 }
 
@@ -185,11 +195,17 @@
 
 impl EngineSpeed {
     /// Records an observation that one entry made.
-    pub(crate) fn observe(&mut self, at: MonotonicTime, entry: u64, ratio: f64) {
+    pub(crate) fn observe(
+        &mut self,
+        at: MonotonicTime,
+        entry: u64,
+        kind: ObservationKind,
+        ratio: f64,
+    ) {
         // Prompts that a suspended entry reports late have the same delay, whatever was predicted.
         let ratio = ratio.min(MAX_SLOWDOWN);
         let index = self.observations.partition_point(|seen| seen.at <= at);
-        self.observations.insert(index, SpeedObservation { at, entry, ratio });
+        self.observations.insert(index, SpeedObservation { at, entry, kind, ratio });
         if self.observations.len() > KEPT_OBSERVATIONS {
             self.observations.pop_front();
         }
@@ -205,6 +221,12 @@
         self.observations.is_empty()
     }
 
+    fn has_pauses_of(&self, entry: u64) -> bool {
+        let mut pauses =
+            self.observations.iter().filter(|seen| seen.kind == ObservationKind::Pauses);
+        pauses.any(|seen| seen.entry == entry)
+    }
+
     pub(crate) fn is_slow(&self) -> bool {
         self.is_slow
     }
@@ -258,38 +280,51 @@
     }
 }
 
-/// What each entry observes on engines of published speed, at least 1 for each window of time.
+/// The observations that are compared with each other: those of one entry, kind and window of time.
+type ReferenceKey = (u64, ObservationKind, u64);
+
+/// What each entry observes on engines of published speed, at least 1.
 #[derive(Debug, Default)]
-struct EntryReferences(BTreeMap<(u64, u64), f64>);
+struct EntryReferences(BTreeMap<ReferenceKey, f64>);
 
 impl EntryReferences {
-    fn of<'a>(speeds: impl Iterator<Item = &'a EngineSpeed>) -> Self {
+    fn of(engines: &[JudgedEngine<'_>]) -> Self {
         // Each engine counts once, by the least ratio that the entry observes there.
-        let mut ratios: BTreeMap<(u64, u64), Vec<f64>> = BTreeMap::new();
-        for speed in speeds {
-            let mut of_engine: BTreeMap<(u64, u64), f64> = BTreeMap::new();
-            for seen in &speed.observations {
-                let least = of_engine.entry(window_of(seen)).or_insert(f64::INFINITY);
+        let mut ratios: BTreeMap<ReferenceKey, Vec<f64>> = BTreeMap::new();
+        let mut silent_engines: BTreeMap<u64, usize> = BTreeMap::new();
+        for engine in engines {
+            let mut of_engine: BTreeMap<ReferenceKey, f64> = BTreeMap::new();
+            for seen in &engine.speed.observations {
+                let least = of_engine.entry(key_of(seen)).or_insert(f64::INFINITY);
                 *least = least.min(seen.ratio);
             }
-            for (window, ratio) in of_engine {
-                ratios.entry(window).or_default().push(ratio);
+            for (key, ratio) in of_engine {
+                ratios.entry(key).or_default().push(ratio);
+            }
+            for entry in engine.writers.iter().filter(|entry| !engine.speed.has_pauses_of(**entry))
+            {
+                *silent_engines.entry(*entry).or_default() += 1;
             }
         }
-        let reference = |(window, ratios): ((u64, u64), Vec<f64>)| {
-            (ratios.len() > 1).then(|| (window, quantile(ratios, ENTRY_REFERENCE_SHARE).max(1.0)))
+        let reference = |(key, mut ratios): (ReferenceKey, Vec<f64>)| {
+            // An entry reports slow pauses only. Without a report, its answers are not slow.
+            if key.1 == ObservationKind::Pauses {
+                let silent = silent_engines.get(&key.0).copied().unwrap_or_default();
+                ratios.extend(std::iter::repeat_n(1.0, silent));
+            }
+            (ratios.len() > 1).then(|| (key, quantile(ratios, ENTRY_REFERENCE_SHARE).max(1.0)))
         };
         Self(ratios.into_iter().filter_map(reference).collect())
     }
 
     /// Returns the reference for an observation, or `None` if its entry sees no other engine.
     fn reference(&self, seen: &SpeedObservation) -> Option<f64> {
-        self.0.get(&window_of(seen)).copied()
+        self.0.get(&key_of(seen)).copied()
     }
 }
 
-fn window_of(seen: &SpeedObservation) -> (u64, u64) {
-    (seen.entry, seen.at.0 / ENTRY_WINDOW.as_micros() as u64)
+fn key_of(seen: &SpeedObservation) -> ReferenceKey {
+    (seen.entry, seen.kind, seen.at.0 / ENTRY_WINDOW.as_micros() as u64)
 }
 
 /// Returns the value at a share of the sorted values, rounded down, or 1 without values.
@@ -302,9 +337,9 @@
 /// An engine whose speed is estimated.
 pub(crate) struct JudgedEngine<'a> {
     pub(crate) speed: &'a EngineSpeed,
-    /// Whether it writes answers. Without observations, it then counts as of published speed,
-    /// because entries would report slow pauses.
-    pub(crate) writes: bool,
+    /// The entries whose answers it writes. Without observations, it then counts as of published
+    /// speed, because entries would report slow pauses.
+    pub(crate) writers: Vec<u64>,
     /// Whether a prompt waits there for its first event. The estimate does not fade meanwhile, so
     /// that one prompt at a time finds out whether the engine has recovered.
     pub(crate) has_probe: bool,
@@ -329,12 +364,12 @@
     now: MonotonicTime,
     engines: &[JudgedEngine<'_>],
 ) -> Vec<SpeedEstimate> {
-    let references = EntryReferences::of(engines.iter().map(|engine| engine.speed));
+    let references = EntryReferences::of(engines);
     let judged: Vec<(Vec<f64>, usize)> =
         engines.iter().map(|engine| engine.speed.judged(&references)).collect();
     let least = |observations: &[f64]| observations.iter().copied().reduce(f64::min);
     let known_ratio = |((observations, _), engine): (&(Vec<f64>, usize), &JudgedEngine<'_>)| {
-        least(observations).or(engine.writes.then_some(1.0))
+        least(observations).or((!engine.writers.is_empty()).then_some(1.0))
     };
     let known = judged.iter().zip(engines).filter_map(known_ratio).collect();
     let common = quantile(known, 0.5).max(1.0);
@@ -366,10 +401,10 @@
     fn slowdowns(now_ms: u64, engines: usize, seen: &[(usize, u64, u64, f64)]) -> Vec<f64> {
         let mut speeds: Vec<EngineSpeed> = (0..engines).map(|_| EngineSpeed::default()).collect();
         for (engine, ms, entry, ratio) in seen {
-            speeds[*engine].observe(at(*ms), *entry, *ratio);
+            speeds[*engine].observe(at(*ms), *entry, ObservationKind::FirstEvent, *ratio);
         }
         speeds.iter_mut().for_each(|speed| speed.expire(at(now_ms)));
-        let engine = |speed| JudgedEngine { speed, writes: false, has_probe: false };
+        let engine = |speed| JudgedEngine { speed, writers: Vec::new(), has_probe: false };
         let engines: Vec<JudgedEngine<'_>> = speeds.iter().map(engine).collect();
         estimate_speeds(at(now_ms), &engines).iter().map(|estimate| estimate.slowdown).collect()
     }
@@ -476,6 +511,27 @@
         assert_eq!(slowdowns(1_000, 5, &seen), [1.0, 1.0, 1.0, 1.0, 3.0]);
     }
 
+    // Answers of one entry on two slow engines and one of published speed; guards against taking the
+    // entry for slow because it reports slow pauses only.
+    #[test]
+    fn an_entry_with_answers_that_are_not_slow_is_not_slow_itself() {
+        let mut speeds: Vec<EngineSpeed> = (0..4).map(|_| EngineSpeed::default()).collect();
+        for ms in [200, 500, 800] {
+            speeds[0].observe(at(ms), 1, ObservationKind::Pauses, 4.0);
+            speeds[1].observe(at(ms), 1, ObservationKind::Pauses, 4.0);
+        }
+        let estimate = |writers: &[u64]| {
+            let engine =
+                |speed| JudgedEngine { speed, writers: writers.to_vec(), has_probe: false };
+            let engines: Vec<JudgedEngine<'_>> = speeds.iter().map(engine).collect();
+            estimate_speeds(at(900), &engines)
+        };
+        let slowdowns = |writers| estimate(writers).iter().map(|e| e.slowdown).collect::<Vec<_>>();
+        assert_eq!(slowdowns(&[1]), [4.0, 4.0, 1.0, 1.0]);
+        // All answers of the entry are slow.
+        assert_eq!(slowdowns(&[]), [1.0; 4]);
+    }
+
     // One instance with few engines; guards against a lone entry that never finds a slow engine.
     #[test]
     fn a_single_entry_finds_the_slow_engine_among_others() {
