Urgency counts in proportion to how scarce engines are

Change: the weight of a priority applies from 35 % of the engines' time or slots in use on, and fully from 55 %, as for the shares of accounts (before: 35 to 70 % for these).

--- a/crates/placement/src/contention.rs
+++ b/crates/placement/src/contention.rs
@@ -43,9 +43,9 @@
         }
     }
 
-    /// Returns the present weights of all priorities.
-    pub(crate) fn urgency(&self, now_ms: f64) -> UrgencyWeights {
-        self.urgency.weights(now_ms)
+    /// Returns the present weights of all priorities while `used_share` of the engines are in use.
+    pub(crate) fn urgency(&self, now_ms: f64, used_share: f64) -> UrgencyWeights {
+        self.urgency.weights(now_ms, scarcity(used_share))
     }
 
     /// Returns the weight of a prompt while `used_share` of the engines are in use. Shares of
@@ -57,7 +57,7 @@
         used_share: f64,
         shares_accounts: bool,
     ) -> PromptWeight {
-        let urgencies = self.urgency.weights(now_ms);
+        let urgencies = self.urgency(now_ms, used_share);
         let Some(rank) = rank(ask) else {
             return PromptWeight { urgency: 1.0, share: 1.0 };
         };
--- a/crates/placement/src/fleet.rs
+++ b/crates/placement/src/fleet.rs
@@ -185,7 +185,8 @@
         // Short prompts have no helpers, so they delay the reading of no other prompt.
         let firsts =
             if self.is_short(ask) { BTreeMap::new() } else { self.farm.first_events(time_ms(now)) };
-        let urgency = self.contention_of(ask).urgency(time_ms(now));
+        let used_share = self.used_share(now, ask, &usable);
+        let urgency = self.contention_of(ask).urgency(time_ms(now), used_share);
         let mut views: Vec<(EndpointStart, EngineView)> = usable
             .into_iter()
             .filter_map(|endpoint| self.view(now, endpoint, helped_share, &firsts, &urgency))
@@ -204,7 +205,7 @@
                 retry_after: FAILURE_BACKOFF,
             });
         };
-        let job = self.job(now, ask, &profile, &views);
+        let job = self.job(now, ask, &profile, &views, used_share);
         let refuse = |reason| {
             let retry_after = overload::retry_after(reason, ask);
             Err(PlacementRefusal { reason, retry_after })
@@ -245,6 +246,22 @@
         Ok(plan)
     }
 
+    /// Returns the share of engines that is in use: that of the time that long prompts take, or
+    /// that of the slots, whichever is larger.
+    fn used_share(&mut self, now: MonotonicTime, ask: &PromptAsk, usable: &[EndpointStart]) -> f64 {
+        let meter = self.demand.entry(ask.service.clone()).or_default();
+        let busy_share = meter.long_demand(time_ms(now)).busy_share(usable.len());
+        let slots = |endpoint| {
+            let slots = self.engines.get(endpoint)?.facts.profile.slots as usize;
+            Some((self.farm.engine(endpoint)?.load().min(slots), slots))
+        };
+        let (taken, all) = usable
+            .iter()
+            .filter_map(slots)
+            .fold((0, 0), |sum, (taken, all)| (sum.0 + taken, sum.1 + all));
+        busy_share.max(taken as f64 / all.max(1) as f64)
+    }
+
     fn is_short(&self, ask: &PromptAsk) -> bool {
         let mut profiles = self.engines.values().filter(|e| e.facts.service == ask.service);
         let profile = profiles.next().map(|engine| &engine.facts.profile);
@@ -257,6 +274,7 @@
         ask: &'a PromptAsk,
         profile: &EngineProfile,
         views: &[(EndpointStart, EngineView)],
+        used_share: f64,
     ) -> Job<'a> {
         let cost = ReadCost::new(profile, ask.prompt_tokens);
         let per_pass = profile.prefill_tokens_per_step * u64::from(profile.steps_per_pass);
@@ -264,7 +282,6 @@
         let meter = self.demand.entry(ask.service.clone()).or_default();
         let long_demand = meter.long_demand(time_ms(now));
         let demand = meter.demand(time_ms(now), profile);
-        let used_share = long_demand.busy_share(views.len()).max(slots_used_share(views));
         let shares_accounts = self.features.shares_accounts;
         let weight = self.contention_of(ask).weight(time_ms(now), ask, used_share, shares_accounts);
         Job {
@@ -363,11 +380,3 @@
         engine.unread_parts().filter_map(waiting_part).collect()
     }
 }
-
-/// Returns the share of the slots of all engines that are in use.
-fn slots_used_share(views: &[(EndpointStart, EngineView)]) -> f64 {
-    let (used, all) = views.iter().fold((0, 0), |(used, all), (_, view)| {
-        (used + view.load.min(view.slots), all + view.slots)
-    });
-    used as f64 / all.max(1) as f64
-}
--- a/crates/placement/src/shares.rs
+++ b/crates/placement/src/shares.rs
@@ -19,10 +19,10 @@
 /// Ratio of use to the fair share from which the prompts of an account have the minimum weight.
 const MAX_EXCESS_RATIO: f64 = 2.0;
 
-/// Shares of the engines in use at which shares of accounts begin to count, and from which they
-/// count fully. Below the former, a prompt rarely has to wait for another.
+/// Shares of the engines in use at which urgency and shares of accounts begin to count, and from
+/// which they count fully. Below the former, a prompt rarely has to wait for another.
 const MIN_SCARCE_USE: f64 = 0.35;
-const MAX_SCARCE_USE: f64 = 0.7;
+const MAX_SCARCE_USE: f64 = 0.55;
 
 /// Ratio of an account's last use and presence below which it is forgotten.
 const MIN_PRESENCE: f64 = 0.02;
--- a/crates/placement/src/urgency.rs
+++ b/crates/placement/src/urgency.rs
@@ -1,8 +1,9 @@
 //! Weighs prompts by their priority, relative to the priorities that compete for the same service.
 //!
 //! A priority says which prompts go first, not by how much, so only its order counts: each more
-//! urgent priority that has asked for engines lately takes a part of a prompt's weight. If all
-//! prompts of a service have the same priority, the weight of each is exactly 1.
+//! urgent priority that has asked for engines lately takes a part of a prompt's weight, the larger
+//! the scarcer engines are. If all prompts of a service have the same priority, or engines are not
+//! scarce, the weight of each is exactly 1.
 
 use std::collections::BTreeMap;
 
@@ -35,13 +36,15 @@
         self.last_ask_ms.retain(|_, last_ms| presence(now_ms, *last_ms) >= MIN_PRESENCE);
     }
 
-    /// Returns the present weights of all priorities.
-    pub(crate) fn weights(&self, now_ms: f64) -> UrgencyWeights {
+    /// Returns the present weights of all priorities while engines are as scarce as `scarcity`
+    /// says, from 0 to 1.
+    pub(crate) fn weights(&self, now_ms: f64, scarcity: f64) -> UrgencyWeights {
         let present = |(priority, last_ms): (&u8, &f64)| {
             let presence = presence(now_ms, *last_ms);
             (presence >= MIN_PRESENCE).then_some((*priority, presence))
         };
-        UrgencyWeights { present: self.last_ask_ms.iter().filter_map(present).collect() }
+        let present = self.last_ask_ms.iter().filter_map(present).collect();
+        UrgencyWeights { present, scarcity }
     }
 }
 
@@ -55,6 +58,7 @@
 pub(crate) struct UrgencyWeights {
     /// The priorities that compete and their presence, the most urgent first.
     present: Vec<(u8, f64)>,
+    scarcity: f64,
 }
 
 impl UrgencyWeights {
@@ -65,7 +69,7 @@
         let more_urgent = self.present.iter().take_while(|(other, _)| *other < priority);
         let weight: f64 =
             more_urgent.map(|(_, presence)| 1.0 - (1.0 - LEVEL_WEIGHT) * presence).product();
-        weight.max(MIN_URGENCY_WEIGHT)
+        1.0 - (1.0 - weight.max(MIN_URGENCY_WEIGHT)) * self.scarcity
     }
 }
 
@@ -76,7 +80,7 @@
     fn weights(asked: &[(u8, f64)], now_ms: f64) -> UrgencyWeights {
         let mut meter = UrgencyMeter::default();
         asked.iter().for_each(|(priority, at_ms)| meter.record(*at_ms, *priority));
-        meter.weights(now_ms)
+        meter.weights(now_ms, 1.0)
     }
 
     /// Guards against a service that is served differently although all of its callers are equally
