Urgency is a setting, off by default

Cause: documents of earlier deployments give accounts different priorities as well, so that urgency from the document alone changed how they are served. With turns switched on, urgency also made a test of turns red (37 of 40 urgent prompts at once, 40 without turns).

Change: `[scheduling] urgency`; without it no priority is recorded and each weight is 1.

--- a/crates/gateway/src/home.rs
+++ b/crates/gateway/src/home.rs
@@ -562,6 +562,7 @@
         let scheduling = self.settings().scheduling;
         PlacementFeatures {
             learns_speeds: scheduling.engine_speeds,
+            weighs_urgency: scheduling.urgency,
             shares_accounts: scheduling.account_shares,
             keeps_appointments: scheduling.return_appointments,
         }
--- a/crates/placement/src/contention.rs
+++ b/crates/placement/src/contention.rs
@@ -35,17 +35,20 @@
 }
 
 impl ServiceContention {
-    /// Records a prompt that asks for engines or that another home placed.
-    pub(crate) fn record_ask(&mut self, now_ms: f64, ask: &PromptAsk) {
+    /// Records a prompt that asks for engines or that another home placed. Priorities count only if
+    /// `weighs_urgency`.
+    pub(crate) fn record_ask(&mut self, now_ms: f64, ask: &PromptAsk, weighs_urgency: bool) {
         if let Some(rank) = rank(ask) {
-            self.urgency.record(now_ms, rank.priority);
+            if weighs_urgency {
+                self.urgency.record(now_ms, rank.priority);
+            }
             self.shares.record_ask(now_ms, &rank.account);
         }
     }
 
-    /// Returns the present weights of all priorities.
-    pub(crate) fn urgency(&self, now_ms: f64) -> UrgencyWeights {
-        self.urgency.weights(now_ms)
+    /// Returns the present weights of all priorities while `used_share` of the engines are in use.
+    pub(crate) fn urgency(&self, now_ms: f64, used_share: f64) -> UrgencyWeights {
+        self.urgency.weights(now_ms, scarcity(used_share))
     }
 
     /// Returns the weight of a prompt while `used_share` of the engines are in use. Shares of
@@ -57,7 +60,7 @@
         used_share: f64,
         shares_accounts: bool,
     ) -> PromptWeight {
-        let urgencies = self.urgency.weights(now_ms);
+        let urgencies = self.urgency(now_ms, used_share);
         let Some(rank) = rank(ask) else {
             return PromptWeight { urgency: 1.0, share: 1.0 };
         };
--- a/crates/placement/src/second_sends.rs
+++ b/crates/placement/src/second_sends.rs
@@ -74,7 +74,9 @@
         if used as f64 >= slots as f64 * MAX_USED_SHARE {
             return refuse(RefusalReason::Crowded);
         }
-        let job = self.job(now, ask, &profile, &views);
+        let endpoints: Vec<EndpointStart> = views.iter().map(|(e, _)| e.clone()).collect();
+        let used_share = self.used_share(now, ask, &endpoints);
+        let job = self.job(now, ask, &profile, &views, used_share);
         let is_harmless = |view: &EngineView| {
             view.pause_loss(job.cost.whole_ms, job.cap_ms, false) <= MAX_DISTURBANCE
         };
@@ -133,7 +135,8 @@
             sample_engines(ask.key, &mut usable);
         }
         let firsts = self.farm.first_events(time_ms(now));
-        let urgency = self.contention_of(ask).urgency(time_ms(now));
+        let used_share = self.used_share(now, ask, &usable);
+        let urgency = self.contention_of(ask).urgency(time_ms(now), used_share);
         usable
             .into_iter()
             .filter_map(|endpoint| self.view(now, endpoint, 0.0, &firsts, &urgency))
--- a/crates/placement/src/tracking.rs
+++ b/crates/placement/src/tracking.rs
@@ -60,7 +60,8 @@
             self.ended(now, ask.key);
         }
         self.advance(now);
-        self.contention_of(ask).record_ask(time_ms(now), ask);
+        let weighs_urgency = self.features.weighs_urgency;
+        self.contention_of(ask).record_ask(time_ms(now), ask, weighs_urgency);
         self.record_plan(now, ask, plan, begun, 1.0);
     }
 
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -227,6 +227,14 @@
         Some("false"),
         "Whether the real speed of each engine is learned and used to place prompts.",
     ),
+    spec(
+        "scheduling",
+        "urgency",
+        BOOLEAN,
+        "",
+        Some("false"),
+        "Whether the priorities of routes and accounts count where engines are scarce.",
+    ),
     spec(
         "scheduling",
         "account_shares",
@@ -349,6 +357,8 @@
 pub struct SchedulingSettings {
     /// Whether the real speed of each engine is learned and used to place prompts.
     pub engine_speeds: bool,
+    /// Whether the priorities of routes and accounts count where engines are scarce.
+    pub urgency: bool,
     /// Whether scarce engines are shared among client accounts.
     pub account_shares: bool,
     /// Whether a prompt that was refused because of load keeps its turn when it returns as told.
@@ -476,6 +486,7 @@
     fn scheduling(&self) -> Option<SchedulingSettings> {
         Some(SchedulingSettings {
             engine_speeds: self.parsed("scheduling", "engine_speeds")?,
+            urgency: self.parsed("scheduling", "urgency")?,
             account_shares: self.parsed("scheduling", "account_shares")?,
             return_appointments: self.parsed("scheduling", "return_appointments")?,
             second_send_ratio: self.parsed("scheduling", "second_send_ratio")?,
