--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -10,19 +10,20 @@
 done
 folder=$(mktemp -d) || exit 2
 : > "$folder/pids"
-target/review/standin "$case_name" "folder=$folder" "record=$record" &
-standin=$!
+# The stand-in notes the ids of its processes, its own first.
+timeout -s KILL 115 target/review/standin "$case_name" "folder=$folder" "record=$record" &
+limited=$!
 end_all() {
-    kill -KILL "$standin" 2>/dev/null
-    while read -r pid; do kill -KILL "$pid" 2>/dev/null; done < "$folder/pids"
+    while read -r pid; do
+        case $(readlink "/proc/$pid/exe") in
+            */oriolepassd* | */standin*) kill -KILL "$pid" 2>/dev/null ;;
+        esac
+    done < "$folder/pids"
+    kill -KILL "$limited" 2>/dev/null
     [ -n "${KEEP:-}" ] && cp "$folder"/*.log "$KEEP"/
     rm -rf "$folder"
 }
 trap end_all EXIT
-( sleep 115; kill -KILL "$standin" 2>/dev/null ) &
-limit=$!
-disown "$limit"
-wait "$standin" 2>/dev/null
+wait "$limited" 2>/dev/null
 code=$?
-kill -KILL "$limit" 2>/dev/null
 case $code in 0 | 1) exit "$code" ;; *) exit 2 ;; esac
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -8,9 +8,11 @@
 mod lost;
 mod proxy;
 mod reborn;
+mod recover;
 mod server;
 mod split;
 mod stream;
+mod voters;
 mod world;
 
 use std::path::Path;
@@ -33,7 +35,9 @@
             lost::run(record.clone(), &folder, trouble && !only_second, trouble)
         }
         "forming" => forming::run(record.clone(), &folder, trouble),
+        "recover" => recover::run(record.clone(), &folder, trouble),
         "reborn" => reborn::run(record.clone(), &folder, trouble),
+        "voters" => voters::run(record.clone(), &folder, trouble),
         "stream" => stream::run(record.clone(), &folder, trouble),
         _ => 2,
     };
--- a/review/standin/world.rs
+++ b/review/standin/world.rs
@@ -71,6 +71,9 @@
     pids: Arc<Mutex<File>>,
     /// Whether the gateways reach each other by way of proxies.
     has_links: bool,
+    /// The number of gateways with a disk, and how many of these may be lost at once.
+    disks: usize,
+    tolerated: usize,
 }
 
 impl World {
@@ -88,6 +91,8 @@
             std::fs::read_to_string(value("template")).expect("the template of settings");
         let pids =
             File::options().create(true).append(true).open(folder.join("pids")).expect("a file");
+        let own = writeln!(&pids, "{}", std::process::id());
+        own.expect("the list of processes can be written");
         // A network of which nobody else uses the first address.
         let network = loop {
             let draw = random();
@@ -106,9 +111,17 @@
             template,
             pids: Arc::new(Mutex::new(pids)),
             has_links: false,
+            disks: 3,
+            tolerated: 1,
         }
     }
 
+    /// Gives more gateways a disk.
+    pub fn with_disks(mut self, disks: usize, tolerated: usize) -> Self {
+        (self.disks, self.tolerated) = (disks, tolerated);
+        self
+    }
+
     pub fn count(&self) -> usize {
         self.gateways.len()
     }
@@ -165,8 +178,11 @@
         let ip = self.gateway_ip(number);
         let seeds: Vec<String> = (0..3).map(|n| self.control(n).to_string()).collect();
         let folder = self.folder.join(format!("disk-{number}"));
-        let disk = if number < 3 { folder.display().to_string() } else { String::new() };
+        let disk = if number < self.disks { folder.display().to_string() } else { String::new() };
         let zone = ZONES[number % 3];
+        // The bounds of boletim-ne, and of boletim-ne-grown, whose core is larger.
+        let is_grown = self.tolerated > 1;
+        let bound = |small: &str, grown: &str| if is_grown { grown } else { small }.to_owned();
         let values = [
             ("nodeName", format!("front-{zone}-{}", number / 3 + 1)),
             ("zone", zone.to_owned()),
@@ -179,20 +195,20 @@
             ("internalPortRange.0", INTERNAL.to_string()),
             ("seeds", seeds.join(",")),
             ("bootstrap", is_first_start.to_string()),
-            ("faultTolerance.machines", "1".to_owned()),
+            ("faultTolerance.machines", self.tolerated.to_string()),
             ("faultTolerance.zones", "0".to_owned()),
             ("heartbeatIntervalMs", "1200".to_owned()),
-            ("bounds.ackMs", "4000".to_owned()),
-            ("bounds.configMs", "2000".to_owned()),
+            ("bounds.ackMs", bound("4000", "5000")),
+            ("bounds.configMs", bound("2000", "2500")),
             ("bounds.revokeMs", "5000".to_owned()),
             ("bounds.failClosed", "true".to_owned()),
             ("bounds.graceS", "8".to_owned()),
             ("bounds.retryBudgetRatio", "0.2".to_owned()),
-            ("bounds.budgetSlack", "106".to_owned()),
+            ("bounds.budgetSlack", bound("106", "228")),
             ("bounds.budgetWindowS", "10".to_owned()),
             ("bounds.ttl_max_s", "5".to_owned()),
             ("bounds.holdMaxMs", "20000".to_owned()),
-            ("limits.memoryMb", "260".to_owned()),
+            ("limits.memoryMb", bound("260", "160")),
             ("limits.maxFds", "4100".to_owned()),
         ];
         let mut text = self.template.clone();
@@ -251,7 +267,7 @@
 
     /// Returns the gateway that leads the core.
     pub fn leader(&self) -> Option<usize> {
-        (0..self.count().min(3)).find(|number| self.leads(*number))
+        (0..self.disks).find(|number| self.gateways[*number].is_some() && self.leads(*number))
     }
 
     /// Sends a configuration until it is acknowledged.
