--- a/review/standin/voters.rs
+++ b/review/standin/voters.rs
@@ -82,8 +82,9 @@
                 .as_ref()
                 .is_some_and(|(status, text)| *status == 200 && text.contains("\"version\":8,"));
             good += u32::from(is_good);
-            let text = answer
-                .map_or("no answer".to_owned(), |(status, text)| format!("{status}, {} bytes", text.len()));
+            let text = answer.map_or("no answer".to_owned(), |(status, text)| {
+                format!("{status}, {} bytes", text.len())
+            });
             record.write(&format!("operator: GET /v1/config from gateway {number} gets {text}"));
         }
         thread::sleep(Duration::from_millis(300));
@@ -113,10 +114,17 @@
     let document = configuration(version);
     for attempt in 0..60 {
         let number = attempt % world.count();
-        let answer =
-            http::call(world.control(number), "PUT", "/v1/config", &document, Duration::from_secs(1));
+        let answer = http::call(
+            world.control(number),
+            "PUT",
+            "/v1/config",
+            &document,
+            Duration::from_secs(1),
+        );
         let text = answer.as_ref().map_or("no answer".to_owned(), |(status, _)| status.to_string());
-        world.record.write(&format!("operator: PUT version {version} to gateway {number} gets {text}"));
+        world
+            .record
+            .write(&format!("operator: PUT version {version} to gateway {number} gets {text}"));
         if answer.is_some_and(|(status, _)| status == 200) {
             world.record.show(&format!("gateway {number} acknowledges version {version}"));
             return Some((number, Instant::now()));
