A voter that was removed while it was away asks to join again

Cause: a replica learns of its removal only from the entry that removes it, which is never sent to one that was away then. Back again, it takes itself for a voter, is refused in each pre-vote without a reason, and never asks to join. The leader later wants it in the place of a lost disk and waits for ever, so the system bears one loss instead of two.

Change: a replica asks to join once a pre-vote has failed, and a leader whose voter set is committed answers a replica that is no member with `Removed`. A replica told so stops standing for election and reports no voters. It still grants votes, which count only where the candidate's set holds it, so the change touches no majority. The answer goes only to daemons that understand it.

--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -13,17 +13,23 @@
 
 impl ConsensusNode {
     pub(crate) fn tick_election(&mut self, now: MonotonicTime) {
-        if !self.voters().is_voter(&self.id) {
+        if !self.is_voter() {
             self.request_join(now);
             return;
         }
         if now >= self.election_due {
+            let has_failed = !matches!(self.role, RoleState::Follower);
             self.leader = None;
             self.start_pre_vote(now);
+            if has_failed && !matches!(self.role, RoleState::Leader(_)) {
+                // A replica that was removed while it was away does not receive the entry that
+                // removes it, and no voter answers its pre-votes. Only a leader can tell it.
+                self.request_join(now);
+            }
         }
     }
 
-    /// Asks the leader, whichever replica that is, to add this non-voting replica to the voter set.
+    /// Asks the leader, whichever replica that is, to add this replica to the voter set.
     fn request_join(&mut self, now: MonotonicTime) {
         if now < self.join_due {
             return;
@@ -211,6 +217,25 @@
         self.reset_election(now);
     }
 
+    /// Notes that this replica is not a voter any more, unless its own log is more recent.
+    ///
+    /// Such a replica stops standing for election and asks to join. It still grants votes: a
+    /// candidate counts them only if its own voter set holds this replica.
+    pub(crate) fn on_removed(&mut self, now: MonotonicTime, term: LeaderTerm, index: LogIndex) {
+        let is_voter = self.voters().is_voter(&self.id);
+        if !is_voter || term < self.term || self.leader_may_hold_lease(now) {
+            return;
+        }
+        let own_index = self.voter_sets.last().map_or(LogIndex::ZERO, |(from, _)| *from);
+        let own_term = self.log.term_at(own_index).unwrap_or(LeaderTerm::ZERO);
+        // A leader of a later term holds all committed entries of the terms before, so its voter
+        // set is at least as recent. Within a term, the later entry is.
+        if term > own_term || index > own_index {
+            self.is_removed = true;
+            self.role = RoleState::Follower;
+        }
+    }
+
     pub(crate) fn on_hand_over(&mut self, now: MonotonicTime, from: &ReplicaId, term: LeaderTerm) {
         let expected = term == self.term && self.leader.as_ref() == Some(from);
         if expected && self.voters().is_voter(&self.id) {
--- a/crates/consensus/src/follower.rs
+++ b/crates/consensus/src/follower.rs
@@ -56,6 +56,7 @@
             self.leader = Some(from.clone());
         }
         self.role = RoleState::Follower;
+        self.is_removed = false;
         self.last_leader_contact = now;
         self.reset_election(now);
         true
--- a/crates/consensus/src/message.rs
+++ b/crates/consensus/src/message.rs
@@ -23,7 +23,8 @@
         /// The first voter set of the cluster.
         first: VoterSet,
     },
-    /// A replica that is not a voter asks the leader to add it.
+    /// A replica that is not a voter, or that may have been removed while it was away, asks the
+    /// leader to add it.
     JoinAsk,
     /// Asks whether the receiver would grant a vote (pre-vote request).
     PreVoteAsk {
@@ -124,6 +125,14 @@
         /// The leader's term.
         term: LeaderTerm,
     },
+    /// The answer to [`ConsensusMessage::JoinAsk`] of a replica that is neither a voter nor a
+    /// learner.
+    Removed {
+        /// The leader's term.
+        term: LeaderTerm,
+        /// The entry that introduced the leader's voter set, which is committed.
+        index: LogIndex,
+    },
 }
 
 /// A message with its sender and receiver.
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -185,6 +185,9 @@
     pub(crate) last_leader_contact: MonotonicTime,
     pub(crate) election_due: MonotonicTime,
     pub(crate) join_due: MonotonicTime,
+    /// Whether a leader has stated that this replica is not a voter any more, although its log says
+    /// so. Ends with the next message that it accepts from a leader.
+    pub(crate) is_removed: bool,
     pub(crate) random: StdRng,
     pub(crate) output: NodeOutput,
     /// The last entry of each batch that is not synced yet, by the batch's sequence.
@@ -238,6 +241,7 @@
             last_leader_contact: now,
             election_due: now,
             join_due: now,
+            is_removed: false,
             output: NodeOutput { restore: snapshot.clone(), ..NodeOutput::default() },
             unsynced: BTreeMap::new(),
             next_sequence: 1,
@@ -296,7 +300,7 @@
                 self.on_forming(&from, &met, &first_voters);
             }
             ConsensusMessage::Formed { first } => self.on_formed(now, first),
-            ConsensusMessage::JoinAsk => self.on_join_ask(now, from),
+            ConsensusMessage::JoinAsk => self.on_join_ask(now, &from),
             ConsensusMessage::PreVoteAsk { term, last_index, last_term } => {
                 self.on_pre_vote_ask(now, &from, term, (last_term, last_index));
             }
@@ -318,6 +322,7 @@
                 self.on_snapshot_answer(now, &from, term, round, (index, next_offset, done));
             }
             ConsensusMessage::HandOver { term } => self.on_hand_over(now, &from, term),
+            ConsensusMessage::Removed { term, index } => self.on_removed(now, term, index),
         }
     }
 
@@ -450,6 +455,17 @@
         self.voter_sets.last().map_or(&NONE, |(_, set)| set)
     }
 
+    /// Returns whether this replica is a voter, as far as it knows.
+    pub fn is_voter(&self) -> bool {
+        !self.is_removed && self.voters().is_voter(&self.id)
+    }
+
+    /// Returns whether a leader has stated that this replica is not a voter any more. Its own log
+    /// then holds an old voter set.
+    pub fn is_removed(&self) -> bool {
+        self.is_removed
+    }
+
     /// Returns the voter set that was in force at an entry.
     pub(crate) fn voters_at(&self, index: LogIndex) -> &VoterSet {
         let at = self.voter_sets.iter().rfind(|(from, _)| *from <= index);
--- a/crates/consensus/src/reconcile.rs
+++ b/crates/consensus/src/reconcile.rs
@@ -9,6 +9,7 @@
 use oriolepass_units::{InstanceId, LogIndex, MonotonicTime};
 
 use crate::log::EntryPayload;
+use crate::message::ConsensusMessage;
 use crate::node::{ConsensusNode, RoleState};
 use crate::progress::ReplicaProgress;
 use crate::replica::{ReplicaId, VoterSet};
@@ -17,9 +18,20 @@
 const MAX_PROMOTION_LAG_ENTRIES: u64 = 64;
 
 impl ConsensusNode {
-    pub(crate) fn on_join_ask(&mut self, now: MonotonicTime, from: ReplicaId) {
-        if let Some(leader) = self.leader_state_mut() {
-            leader.join_requests.insert(from.instance.clone(), (from, now));
+    /// Records a request to join, and tells the sender that it is not a member.
+    ///
+    /// A member without a leader may ask as well. It needs no answer, and its request says nothing
+    /// about whether it receives the leader's messages.
+    pub(crate) fn on_join_ask(&mut self, now: MonotonicTime, from: &ReplicaId) {
+        if self.voters().replicas().any(|member| member == from) {
+            return;
+        }
+        let settled_index = self.settled_voters_index();
+        let term = self.term;
+        let Some(leader) = self.leader_state_mut() else { return };
+        leader.join_requests.insert(from.instance.clone(), (from.clone(), now));
+        if let Some(index) = settled_index {
+            self.send_now(from, ConsensusMessage::Removed { term, index });
         }
     }
 
@@ -50,9 +62,15 @@
     /// majorities without a common replica. It also waits for the leader's first entry to be
     /// committed, because a step of an earlier leader may still be uncommitted.
     fn may_change_voters(&self) -> bool {
-        let RoleState::Leader(leader) = &self.role else { return false };
-        let settled = self.voter_sets.last().is_some_and(|(from, _)| *from <= self.commit);
-        settled && self.commit >= leader.first_index
+        self.settled_voters_index().is_some()
+    }
+
+    /// Returns the entry that introduced the voter set in force, if this replica leads and knows
+    /// that the entry is committed.
+    fn settled_voters_index(&self) -> Option<LogIndex> {
+        let RoleState::Leader(leader) = &self.role else { return None };
+        let (index, _) = self.voter_sets.last()?;
+        (*index <= self.commit && self.commit >= leader.first_index).then_some(*index)
     }
 
     /// Updates the set of replicas that receive entries to match the voter set in force.
--- a/crates/consensus/tests/learner.rs
+++ b/crates/consensus/tests/learner.rs
@@ -1,76 +1,12 @@
 //! Tests that a learner receives the log but does not count in a quorum.
 
-use std::collections::BTreeMap;
-use std::sync::Arc;
-use std::time::Duration;
-
-use oriolepass_consensus::{ConsensusConfig, ConsensusNode, DiskId, Envelope, NodeRole};
-use oriolepass_storage::RecoveredLog;
-use oriolepass_units::{InstanceId, MonotonicTime};
-
-const STEP: Duration = Duration::from_millis(5);
-
-fn name(number: usize) -> InstanceId {
-    format!("v{number}").parse().expect("a valid name")
-}
-
-/// Nodes whose messages arrive immediately, unless the sender or the receiver is unreachable.
-struct SmallCluster {
-    nodes: BTreeMap<InstanceId, ConsensusNode>,
-    unreachable: Vec<InstanceId>,
-    now: MonotonicTime,
-}
+mod small_cluster;
 
-impl SmallCluster {
-    fn new(voters: usize, all: usize) -> Self {
-        let first: Vec<InstanceId> = (0..voters).map(name).collect();
-        let now = MonotonicTime(1);
-        let node = |number: usize| {
-            let config = ConsensusConfig {
-                election_timeout: Duration::from_millis(200),
-                heartbeat_interval: Duration::from_millis(30),
-                drift_percent: 10,
-                message_bytes: 4_096,
-                first_voters: first.clone(),
-                trailing_entries: 1_024,
-                seed: number as u64,
-            };
-            let disk = DiskId(number as u64 + 1);
-            ConsensusNode::new(config, name(number), disk, RecoveredLog::default(), now)
-        };
-        let nodes = (0..all).map(|number| (name(number), node(number))).collect();
-        Self { nodes, unreachable: Vec::new(), now }
-    }
+use std::sync::Arc;
 
-    fn run(&mut self, steps: usize) {
-        for _ in 0..steps {
-            self.now = self.now + STEP;
-            let mut sent: Vec<Envelope> = Vec::new();
-            for node in self.nodes.values_mut() {
-                node.tick(self.now);
-                let output = node.take_output();
-                sent.extend(output.send);
-                if let Some(batch) = output.persist {
-                    node.persisted(batch.sequence);
-                    sent.extend(batch.send_after);
-                }
-            }
-            for envelope in sent {
-                let lost = self.unreachable.contains(&envelope.from.instance)
-                    || self.unreachable.contains(&envelope.to);
-                if !lost {
-                    let to = self.nodes.get_mut(&envelope.to).expect("a known node");
-                    to.receive(self.now, envelope);
-                }
-            }
-        }
-    }
+use oriolepass_units::InstanceId;
 
-    fn leader(&self) -> InstanceId {
-        let leads = |node: &&ConsensusNode| node.role() == NodeRole::Leader;
-        self.nodes.values().find(leads).expect("a leader").id().instance.clone()
-    }
-}
+use small_cluster::{SmallCluster, name};
 
 /// Guards against a leader that commits an entry with acknowledgements of learners.
 #[test]
--- a/crates/gateway/src/cluster.rs
+++ b/crates/gateway/src/cluster.rs
@@ -188,10 +188,13 @@
     /// Returns the note that this daemon sends about itself, with a new edition if it has changed.
     pub(crate) fn note(&self) -> DaemonNote {
         let settings = self.settings();
-        let replica_note = self.with_node(|node| ReplicaNote {
-            term: node.term(),
-            leader: node.leader().map(|leader| leader.instance.clone()),
-            voters: voters_of(node),
+        // A removed replica knows only old voters.
+        let replica_note = self.with_node(|node| {
+            (!node.is_removed()).then(|| ReplicaNote {
+                term: node.term(),
+                leader: node.leader().map(|leader| leader.instance.clone()),
+                voters: voters_of(node),
+            })
         });
         let mut note = DaemonNote {
             instance: self.own.clone(),
@@ -203,7 +206,7 @@
             has_disk: settings.data_folder.is_some(),
             may_found: settings.seeds.may_found
                 && self.replica.borrow().as_ref().is_some_and(ReplicaDriver::is_empty),
-            replica: replica_note.filter(|replica_note| !replica_note.voters.is_empty()),
+            replica: replica_note.flatten().filter(|replica_note| !replica_note.voters.is_empty()),
             known: u32::try_from(self.reported_known_count()).unwrap_or(u32::MAX),
             is_tiered: self.tier.borrow().is_tiered_hub(),
             edition: 0,
--- a/crates/gateway/src/peers/trailing.rs
+++ b/crates/gateway/src/peers/trailing.rs
@@ -37,6 +37,9 @@
     /// refusals because of urgency or an account's share.
     pub(crate) const SCHEDULING: Self = Self(4);
 
+    /// The answer of the log's leader to a replica that is not a voter any more.
+    pub(crate) const REMOVALS: Self = Self(5);
+
     /// The level of this version.
-    pub(crate) const CURRENT: Self = Self::SCHEDULING;
+    pub(crate) const CURRENT: Self = Self::REMOVALS;
 }
--- a/crates/gateway/src/replication.rs
+++ b/crates/gateway/src/replication.rs
@@ -14,7 +14,7 @@
 use crate::founding::{DiskDaemon, voters_with_replacements};
 use crate::gateway::Gateway;
 use crate::lifecycle::Lifecycle;
-use crate::peers::PeerMessage;
+use crate::peers::{PeerMessage, ProtocolLevel};
 use crate::replica::{DiskFailure, ReplicaDriver, ReplicaEffects, StorageReport};
 use crate::roster::DaemonPhase;
 
@@ -210,7 +210,10 @@
     fn carry_out(self: &Rc<Self>, effects: ReplicaEffects) {
         for envelope in effects.send {
             let to = envelope.to.clone();
-            self.mesh.send(&to, &PeerMessage::Consensus(envelope));
+            let is_removal = matches!(envelope.message, ConsensusMessage::Removed { .. });
+            if !is_removal || self.roster.borrow().understands(&to, ProtocolLevel::REMOVALS) {
+                self.mesh.send(&to, &PeerMessage::Consensus(envelope));
+            }
         }
         if let Some(text) = effects.newest {
             if self.with_node(ConsensusNode::role) == Some(NodeRole::Leader) {
