The seeds found a system by a majority, and voters are added before the first acknowledgement

Cause: the first voters were whom a daemon saw after 6 s, also fewer than wanted, and all of them had to meet.

The leader adds voters up to twice the tolerated losses and one more; until then no document and no drain is accepted. The survey and its times are gone. The leader reports voters that are wanted, live and lacking, and logs which instance is not live, for how long and why; a daemon that waits with an empty disk says for what.

--- a/crates/consensus/src/forming.rs
+++ b/crates/consensus/src/forming.rs
@@ -1,4 +1,4 @@
-//! Forms a new cluster once all of its first voters have met.
+//! Forms a new cluster once all of its first voters have met, where a store may have been lost.
 
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -13,8 +13,9 @@
 //!   lease relies on this rule, so a restarted voter waits for the same time before it votes.
 //! * A replica is an instance *and* a disk ([`ReplicaId`]). An instance that lost its disk is
 //!   another replica, and its old votes and acknowledgements no longer count.
-//! * A new cluster forms only once all its first voters have met, so that wiped voters cannot
-//!   form a second cluster.
+//! * A new cluster forms by a majority only where all first voters are known to start for the
+//!   first time ([`FoundingRule`]). Otherwise it forms once all its first voters have met, so that
+//!   wiped voters cannot form a second cluster.
 //! * A leader commits only entries of its own term by counting replicas.
 //!
 //! Invariants are asserted in every build. A violated invariant stops the process, because
@@ -35,7 +36,8 @@
 pub use log::{EntryPayload, LogEntry};
 pub use message::{ConsensusMessage, Envelope};
 pub use node::{
-    ConsensusConfig, ConsensusNode, HeldSnapshot, NodeOutput, NodeRole, NotLeader, PersistBatch,
+    ConsensusConfig, ConsensusNode, FoundingRule, HeldSnapshot, NodeOutput, NodeRole, NotLeader,
+    PersistBatch,
 };
 pub use replacement::{DiskInstance, ReplacementPolicy, VoterState};
 pub use replica::{DiskId, ReplicaId, VoterSet};
--- a/crates/consensus/src/log.rs
+++ b/crates/consensus/src/log.rs
@@ -94,6 +94,11 @@
             .collect()
     }
 
+    /// Returns whether one of the entries is a command.
+    pub(crate) fn holds_command(&self) -> bool {
+        self.entries.iter().any(|entry| matches!(entry.payload, EntryPayload::Command(_)))
+    }
+
     /// Adds the next entry.
     ///
     /// # Panics
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -30,16 +30,40 @@
     pub drift_percent: u32,
     /// The maximum size of the entries or the snapshot chunk in one message, in bytes.
     pub message_bytes: usize,
-    /// The first voters, from the settings or as agreed by the daemons that have met. Empty on a
-    /// replica that must not form a cluster.
+    /// The first voters, which are the same on all of them. Empty on a replica that must not form a
+    /// cluster.
     pub first_voters: Vec<InstanceId>,
+    /// How the first voters form a cluster.
+    pub founding: FoundingRule,
     /// The number of entries before a snapshot that are kept for replicas that lag slightly.
     pub trailing_entries: u64,
     /// The seed of the random election timeouts.
     pub seed: u64,
 }
 
+/// How a replica with an empty store forms a cluster with the other first voters.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FoundingRule {
+    /// The store may have been lost, so the cluster forms only once all first voters have met.
+    AllMeet,
+    /// All first voters start for the first time, with stores that have never held a replica. Each
+    /// is then known to the others as the replica on its first disk, and a majority suffices.
+    FirstStart,
+}
+
 impl ConsensusConfig {
+    /// Returns the first voter set under [`FoundingRule::FirstStart`], which each first voter knows
+    /// without a message from another.
+    fn first_start_voters(&self) -> VoterSet {
+        let replica =
+            |instance: &InstanceId| ReplicaId { instance: instance.clone(), disk: DiskId::FIRST };
+        VoterSet {
+            voters: self.first_voters.iter().map(replica).collect(),
+            wanted: self.first_voters.iter().cloned().collect(),
+            ..VoterSet::default()
+        }
+    }
+
     /// Returns how long a leader may rely on an acknowledged heartbeat round, from its sending.
     ///
     /// A follower that answered does not vote for another replica for `election_timeout` on its
@@ -211,8 +235,18 @@
         now: MonotonicTime,
     ) -> Self {
         let identity = decode_identity(&recovered.hard.identity);
-        let disk = identity.as_ref().map_or(fresh_disk, |identity| identity.disk);
-        let first = identity.as_ref().and_then(|identity| identity.first.clone());
+        let founds = identity.is_none()
+            && config.founding == FoundingRule::FirstStart
+            && config.first_voters.contains(&instance);
+        let disk = match &identity {
+            Some(identity) => identity.disk,
+            None if founds => DiskId::FIRST,
+            None => fresh_disk,
+        };
+        let first = match &identity {
+            Some(identity) => identity.first.clone(),
+            None => founds.then(|| config.first_start_voters()),
+        };
         // Other replicas may rely on a persisted choice of first voters, so it takes precedence
         // over the configured or discovered list.
         if let Some(chosen) = identity.as_ref().map(|i| &i.chosen).filter(|c| !c.is_empty()) {
--- a/crates/consensus/src/replacement.rs
+++ b/crates/consensus/src/replacement.rs
@@ -128,6 +128,17 @@
         }
     }
 
+    /// Returns whether a command may be proposed to this leader.
+    ///
+    /// The first command waits until there are `min_voters` voters, so that it is never held by
+    /// fewer replicas than its acknowledgement promises. A later change of the voters, which takes
+    /// out a voter before it adds another, does not stop commands.
+    pub fn may_accept_commands(&self, min_voters: usize) -> bool {
+        self.voters().voters.len() >= min_voters
+            || self.snapshot.is_some()
+            || self.log.holds_command()
+    }
+
     /// Returns whether a replica of an instance has recently asked to join.
     fn asks_to_join(&self, now: MonotonicTime, instance: &InstanceId) -> bool {
         let RoleState::Leader(leader) = &self.role else { return false };
--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -6,12 +6,18 @@
 use oriolepass_units::InstanceId;
 use serde::{Deserialize, Serialize};
 
-/// Identifies a data folder. The id is drawn at random when the folder is first used.
+/// Identifies a data folder. The id is drawn at random when the folder is first used, except at the
+/// first start of a cluster.
 #[derive(
     Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
 pub struct DiskId(pub u64);
 
+impl DiskId {
+    /// The disk of an instance at the first start of its cluster.
+    pub const FIRST: Self = Self(0);
+}
+
 /// One replica of the log: an instance together with its disk.
 ///
 /// An instance that returns with an empty disk is another replica. It has lost its votes and
--- a/crates/consensus/tests/forming.rs
+++ b/crates/consensus/tests/forming.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use oriolepass_consensus::{
-    ConsensusConfig, ConsensusNode, DiskId, Envelope, NodeRole, PersistBatch,
+    ConsensusConfig, ConsensusNode, DiskId, Envelope, FoundingRule, NodeRole, PersistBatch,
 };
 use oriolepass_storage::{DiskFolder, FakeDisk, LogStore};
 use oriolepass_units::{InstanceId, MonotonicTime};
@@ -40,6 +40,7 @@
             drift_percent: 10,
             message_bytes: 4_096,
             first_voters: names(first_voters),
+            founding: FoundingRule::AllMeet,
             trailing_entries: 16,
             seed: number as u64,
         };
--- a/crates/consensus/tests/harness/checks.rs
+++ b/crates/consensus/tests/harness/checks.rs
@@ -35,6 +35,13 @@
         self.acknowledged.len()
     }
 
+    /// Returns an acknowledged command that a node has not applied.
+    pub fn first_missing(&self, node: &TestNode) -> Option<u64> {
+        let held: BTreeSet<u64> =
+            node.state().map(|state| state.commands.iter().copied().collect()).unwrap_or_default();
+        self.acknowledged.difference(&held).next().copied()
+    }
+
     /// Checks that every term has at most one leader.
     pub fn check_leaders(&mut self, nodes: &[TestNode], coverage: &mut Coverage) {
         for node in nodes.iter().filter(|node| node.role() == Some(NodeRole::Leader)) {
--- a/crates/consensus/tests/harness/mod.rs
+++ b/crates/consensus/tests/harness/mod.rs
@@ -1,6 +1,7 @@
 //! Simulates a cluster for the randomised tests: nodes, disks, a network and invariant checks.
 
 mod checks;
+mod membership;
 mod node;
 
 use std::collections::BTreeMap;
@@ -12,6 +13,7 @@
 use rand::{Rng, SeedableRng};
 
 use checks::GlobalChecks;
+pub use membership::run_membership_seed;
 use node::TestNode;
 
 const STEP: Duration = Duration::from_millis(5);
--- a/crates/consensus/tests/harness/node.rs
+++ b/crates/consensus/tests/harness/node.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use oriolepass_consensus::{
-    ConsensusConfig, ConsensusNode, DiskId, EntryPayload, Envelope, LogEntry, NodeRole,
-    PersistBatch, VoterSet,
+    ConsensusConfig, ConsensusNode, DiskId, EntryPayload, Envelope, FoundingRule, LogEntry,
+    NodeRole, PersistBatch, VoterSet,
 };
 use oriolepass_storage::{DiskFolder, FakeDisk, LogStore, StorageError};
 use oriolepass_units::{InstanceId, LeaderTerm, LogIndex, MonotonicTime};
@@ -58,6 +58,7 @@
 pub struct TestNode {
     pub name: InstanceId,
     first_voters: Vec<InstanceId>,
+    founding: FoundingRule,
     disk: FakeDisk,
     /// The rate of the local clock, in parts per thousand of true time.
     rate: u32,
@@ -66,6 +67,8 @@
     running: Option<RunningNode>,
     /// The highest index that this node has applied with its present disk.
     max_applied: u64,
+    /// Whether the present disk holds what the replica wrote at its first start.
+    has_identity: bool,
     seed: u64,
 }
 
@@ -74,16 +77,38 @@
         Self {
             name,
             first_voters: first_voters.to_vec(),
+            founding: FoundingRule::AllMeet,
             disk: FakeDisk::default(),
             // Any two clocks differ by less than DRIFT_PERCENT.
             rate: random.random_range(955..1045),
             stopped_for: Duration::ZERO,
             running: None,
             max_applied: 0,
+            has_identity: false,
             seed: random.random(),
         }
     }
 
+    /// Sets what the settings state about the first voters. Only the first start may found.
+    pub fn set_founding(&mut self, first_voters: &[InstanceId], founding: FoundingRule) {
+        self.first_voters = first_voters.to_vec();
+        self.founding = founding;
+    }
+
+    pub fn node(&self) -> Option<&ConsensusNode> {
+        self.running.as_ref().map(|running| &running.node)
+    }
+
+    pub fn node_mut(&mut self) -> Option<&mut ConsensusNode> {
+        self.running.as_mut().map(|running| &mut running.node)
+    }
+
+    /// Returns whether the disk surely holds the replica's identity. Without it, the replica is
+    /// another one after a restart.
+    pub fn has_identity(&self) -> bool {
+        self.has_identity
+    }
+
     pub fn is_up(&self) -> bool {
         self.running.is_some()
     }
@@ -114,6 +139,7 @@
             drift_percent: DRIFT_PERCENT,
             message_bytes: 600,
             first_voters: self.first_voters.clone(),
+            founding: self.founding,
             trailing_entries: 1_024,
             seed: self.seed,
         };
@@ -157,6 +183,7 @@
     pub fn lose_disk(&mut self) {
         self.disk.wipe();
         self.max_applied = 0;
+        self.has_identity = false;
     }
 
     pub fn role(&self) -> Option<NodeRole> {
@@ -245,6 +272,7 @@
         let mut sent = Vec::new();
         if sync {
             sent.extend(running.sync());
+            self.has_identity = true;
         }
         let output = running.node.take_output();
         sent.extend(output.send);
--- a/crates/consensus/tests/random_run.rs
+++ b/crates/consensus/tests/random_run.rs
@@ -5,7 +5,9 @@
 
 mod harness;
 
-use harness::{Coverage, RunPlan, SuspendedClock, run_seed};
+use std::collections::BTreeMap;
+
+use harness::{Coverage, RunPlan, SuspendedClock, run_membership_seed, run_seed};
 use oriolepass_seeds::run_seeds;
 
 /// The number of seeds if the environment sets none; a fixed number for CI.
@@ -94,3 +96,19 @@
     let plan = RunPlan::with_suspensions(seed, SuspendedClock::Counts);
     run_seed(seed, &plan, false, &mut Coverage::default());
 }
+
+/// Guards against two systems after the first start, lost acknowledgements, and voters that are
+/// not repaired: an empty place, or a replica that does not know whether it is a voter.
+#[test]
+fn voters_are_repaired_after_troubles_in_series() {
+    let mut troubles: BTreeMap<&str, u64> = BTreeMap::new();
+    let all = run_seeds(DEFAULT_SEEDS, |seed, trace| {
+        for (trouble, count) in run_membership_seed(seed, trace) {
+            *troubles.entry(trouble).or_default() += count;
+        }
+    });
+    println!("{troubles:?}");
+    if all {
+        assert_eq!(troubles.len(), 7, "troubles that never occurred: {troubles:?}");
+    }
+}
--- a/crates/consensus/tests/replacement.rs
+++ b/crates/consensus/tests/replacement.rs
@@ -1,8 +1,9 @@
-//! Tests which instances a leader wants as voters.
+//! Tests which instances a leader wants as voters, and when it accepts the first command.
 
 mod small_cluster;
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 use std::time::Duration;
 
 use oriolepass_consensus::{DiskInstance, ReplacementPolicy, VoterState};
@@ -99,3 +100,21 @@
     let wanted = next_wanted(&cluster, &instances, policy).expect("a change");
     assert_eq!(wanted, [0, 1, 2, 4, 5].map(name).into_iter().collect());
 }
+
+/// Guards against an acknowledged command that fewer replicas hold than the tolerated losses take.
+#[test]
+fn the_first_command_waits_for_all_voters() {
+    let mut cluster = SmallCluster::new(3, 5);
+    cluster.run(400);
+    let leader = cluster.leader();
+    let min_voters = 5;
+    assert!(!cluster.nodes[&leader].may_accept_commands(min_voters));
+    let node = cluster.nodes.get_mut(&leader).expect("the leader");
+    node.set_wanted_voters((0..5).map(name)).expect("it leads");
+    cluster.run(800);
+    assert!(cluster.nodes[&leader].may_accept_commands(min_voters));
+    // Once a command is held, a change of the voters stops none.
+    let node = cluster.nodes.get_mut(&leader).expect("the leader");
+    node.propose(Arc::from([1_u8])).expect("it leads");
+    assert!(node.may_accept_commands(min_voters + 2));
+}
--- a/crates/consensus/tests/small_cluster/mod.rs
+++ b/crates/consensus/tests/small_cluster/mod.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use oriolepass_consensus::{ConsensusConfig, ConsensusNode, DiskId, Envelope, NodeRole};
+use oriolepass_consensus::{
+    ConsensusConfig, ConsensusNode, DiskId, Envelope, FoundingRule, NodeRole,
+};
 use oriolepass_storage::RecoveredLog;
 use oriolepass_units::{InstanceId, MonotonicTime};
 
@@ -33,6 +35,7 @@
                 drift_percent: 10,
                 message_bytes: 4_096,
                 first_voters: first.clone(),
+                founding: FoundingRule::AllMeet,
                 trailing_entries: 1_024,
                 seed: number as u64,
             };
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use oriolepass_config::MemberAddresses;
-use oriolepass_consensus::{ConsensusConfig, ConsensusNode, DiskId};
+use oriolepass_consensus::{ConsensusConfig, ConsensusNode, DiskId, FoundingRule};
 use oriolepass_schema::operator::KeyHash;
 use oriolepass_settings::{DaemonSettings, ListenSettings};
 use oriolepass_storage::{DEFAULT_SEGMENT_BYTES, DiskFolder, LogStore, StorageError};
@@ -296,6 +296,8 @@
         drift_percent: timing.drift_percent,
         message_bytes: MAX_MESSAGE_BYTES,
         first_voters: shared.settings.voters.iter().map(|v| v.instance.clone()).collect(),
+        // The settings do not tell a first start from one after the loss of a disk.
+        founding: FoundingRule::AllMeet,
         trailing_entries: TRAILING_ENTRIES,
         seed: rand::random(),
     }
--- a/crates/gateway/src/cluster.rs
+++ b/crates/gateway/src/cluster.rs
@@ -173,9 +173,15 @@
         self.mesh.send_all(&to, &PeerMessage::Greeting(self.note()));
     }
 
-    /// Returns the seed instances; all daemons listen for peers on the same port, so the seeds'
+    /// Returns whether this daemon is one of the seeds.
+    pub(crate) fn is_seed(&self) -> bool {
+        let settings = self.settings();
+        settings.seeds.hosts.contains(&settings.listen.peers.ip())
+    }
+
+    /// Returns the other seed instances; all daemons listen for peers on the same port, so the seeds'
     /// addresses are enough.
-    fn seed_instances(&self) -> Vec<InstanceId> {
+    pub(crate) fn seed_instances(&self) -> Vec<InstanceId> {
         let settings = self.settings();
         let port = settings.listen.peers.port();
         let instances = settings.seeds.hosts.iter().map(|host| SocketAddr::new(*host, port));
--- a/crates/gateway/src/documents.rs
+++ b/crates/gateway/src/documents.rs
@@ -452,7 +452,8 @@
         }
         let refused = match self.replica.borrow_mut().as_mut() {
             Some(replica) => {
-                replica.propose(&LogCommand::Document(text.clone()), proposer.clone()).err()
+                let command = LogCommand::Document(text.clone());
+                replica.propose(&command, proposer.clone(), self.min_voters()).err()
             }
             None => Some(None),
         };
--- a/crates/gateway/src/drains.rs
+++ b/crates/gateway/src/drains.rs
@@ -120,7 +120,10 @@
     /// Proposes a command to the local replica, which is expected to lead.
     pub(crate) fn propose_drain_here(self: &Rc<Self>, command: DrainCommand, proposer: &Proposer) {
         let is_proposed = match self.replica.borrow_mut().as_mut() {
-            Some(replica) => replica.propose(&LogCommand::Drain(command), proposer.clone()).is_ok(),
+            Some(replica) => {
+                let command = LogCommand::Drain(command);
+                replica.propose(&command, proposer.clone(), self.min_voters()).is_ok()
+            }
             None => false,
         };
         if is_proposed {
--- a/crates/gateway/src/founding.rs
+++ b/crates/gateway/src/founding.rs
@@ -1,41 +1,38 @@
-//! Selects voters: the first voters of a new system, and the replacements of lost voters. A voter
-//! is a replica that votes in elections and counts towards the majority that commits an entry.
+//! Determines the first voters of a new system, and how many voters there should be. A voter is a
+//! replica that votes in elections and counts towards the majority that commits an entry.
 //!
-//! Only one system may ever form. An empty replica that may found a system waits until the daemons
-//! have discovered each other. Then the daemon with the lowest id chooses the first voters, and the
-//! others follow. This makes a common choice likely; safety does not depend on it. A replica stores
-//! its choice on disk before it announces the choice, and a system forms only when *all* its first
-//! voters have announced the same set (see `oriolepass-consensus`), so two systems cannot form.
+//! Only one system may ever form. The seeds are the only daemons that all daemons know from the
+//! start on, so they are the first voters, and the system forms by a majority of them. A second
+//! system would need another majority, which shares a seed with the first one. A seed founds only
+//! at the first start of the whole system; one that has lost its disk joins as another replica (see
+//! `oriolepass-consensus`). So no seed takes part in two systems.
+//!
+//! The leader then adds voters up to the number that tolerates the losses in the settings. Until
+//! there are as many, no document or drain is accepted.
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
 use oriolepass_consensus::ReplacementPolicy;
 use oriolepass_settings::ToleranceSettings;
-use oriolepass_units::{DataCentreId, InstanceId, MonotonicTime};
-
-/// The minimum time to discover candidates. The daemons of a new system start within some 0.3 s of
-/// each other; the rest leaves a slow daemon time to greet the seeds.
-const MIN_SURVEY_TIME: Duration = Duration::from_millis(1_500);
-
-/// The candidates must be unchanged for this long before the first voters are chosen.
-const CANDIDATES_STABLE_TIME: Duration = Duration::from_millis(700);
-
-/// After this time the system is founded even with fewer voters than the tolerance requires.
-const MAX_SURVEY_TIME: Duration = Duration::from_secs(6);
 
 /// A voter that has been silent for this long is replaced if a spare daemon with a disk asks to
 /// join. This is longer than an election and a quick restart, and shorter than the time allowed for
 /// a repair.
-const VOTER_REPLACEMENT_TIMEOUT: Duration = Duration::from_millis(1_800);
+pub(crate) const VOTER_REPLACEMENT_TIMEOUT: Duration = Duration::from_millis(1_800);
 
-/// Returns the number of voters that tolerates the losses in the settings.
+/// Returns the minimum number of voters that tolerates the losses in the settings.
 ///
 /// The loss of a data centre removes all its voters, as many as each data centre holds when the
 /// voters are spread evenly. With three data centres any odd number of voters tolerates the loss of
 /// one.
+pub(crate) fn min_voter_count(tolerance: &ToleranceSettings) -> usize {
+    2 * tolerance.instances.max(tolerance.data_centres) + 1
+}
+
+/// Returns the number of voters to reach. There are three even if no loss must be borne, so that
+/// one voter can be replaced while the others serve.
 pub(crate) fn voter_count(tolerance: &ToleranceSettings) -> usize {
-    2 * tolerance.instances.max(tolerance.data_centres).max(1) + 1
+    min_voter_count(tolerance).max(3)
 }
 
 /// Returns how the voters are replaced.
@@ -46,53 +43,59 @@
     }
 }
 
-/// Collects the daemons that may found a new system until the candidates are stable.
-#[derive(Debug)]
-pub(crate) struct FoundingSurvey {
-    started: MonotonicTime,
-    seen: BTreeMap<InstanceId, DataCentreId>,
-    changed: MonotonicTime,
+/// What a daemon with an empty disk does at its start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum EmptyStart {
+    /// It founds the system together with the other seeds.
+    Found,
+    /// It joins a system that other daemons report.
+    Join,
+    /// It waits until enough seeds were heard from.
+    WaitForSeeds,
+    /// It waits until a system was heard of.
+    WaitForSystem,
 }
 
-impl FoundingSurvey {
-    pub(crate) fn new(now: MonotonicTime) -> Self {
-        Self { started: now, seen: BTreeMap::new(), changed: now }
-    }
-
-    /// Records the daemons that may found a system, including this daemon. Returns the first voters
-    /// if the candidates are stable and this daemon is the one that chooses.
-    pub(crate) fn choose(
-        &mut self,
-        now: MonotonicTime,
-        own: &InstanceId,
-        candidates: BTreeMap<InstanceId, DataCentreId>,
-        tolerance: &ToleranceSettings,
-    ) -> Option<Vec<InstanceId>> {
-        if self.seen != candidates {
-            self.seen = candidates;
-            self.changed = now;
+impl EmptyStart {
+    /// Returns why the replica does not start yet, if it waits.
+    pub(crate) fn wait_reason(self) -> Option<&'static str> {
+        match self {
+            Self::Found | Self::Join => None,
+            Self::WaitForSeeds => Some("no majority of the seeds was heard from"),
+            Self::WaitForSystem => Some("no daemon has reported a system to join"),
         }
-        let wanted = voter_count(tolerance);
-        let enough = self.seen.len() >= wanted;
-        let waited = now.since(self.started);
-        let has_waited = if enough { waited >= MIN_SURVEY_TIME } else { waited >= MAX_SURVEY_TIME };
-        let is_stable = now.since(self.changed) >= CANDIDATES_STABLE_TIME;
-        let is_first = self.seen.keys().next() == Some(own);
-        (has_waited && is_stable && is_first).then(|| spread(&self.seen, wanted))
     }
 }
 
-/// Chooses an odd number of candidates, spread evenly over the data centres.
-fn spread(candidates: &BTreeMap<InstanceId, DataCentreId>, wanted: usize) -> Vec<InstanceId> {
-    let mut by_centre: BTreeMap<&DataCentreId, Vec<&InstanceId>> = BTreeMap::new();
-    for (instance, centre) in candidates {
-        by_centre.entry(centre).or_default().push(instance);
+/// What a daemon with an empty disk knows about the system.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct StartView {
+    /// Whether the settings state that the whole system starts for the first time.
+    pub(crate) may_found: bool,
+    /// Whether this daemon is one of the seeds.
+    pub(crate) is_seed: bool,
+    /// The number of seeds.
+    pub(crate) seeds: usize,
+    /// The number of seeds that were heard from, this daemon included.
+    pub(crate) heard_seeds: usize,
+    /// Whether another daemon knows the voters of a system.
+    pub(crate) knows_voters: bool,
+    /// Whether another daemon reports that a system has had a leader.
+    pub(crate) has_had_leader: bool,
+}
+
+impl StartView {
+    /// Returns what to do.
+    ///
+    /// A system that has had a leader is joined even by a seed that may found. If the settings were
+    /// not changed after the loss of a disk, the seed does not vote a second time.
+    pub(crate) fn decide(&self) -> EmptyStart {
+        let founds = self.may_found && self.is_seed;
+        match () {
+            () if self.knows_voters && (self.has_had_leader || !founds) => EmptyStart::Join,
+            () if !founds => EmptyStart::WaitForSystem,
+            () if 2 * self.heard_seeds > self.seeds => EmptyStart::Found,
+            () => EmptyStart::WaitForSeeds,
+        }
     }
-    let deepest = by_centre.values().map(Vec::len).max().unwrap_or(0);
-    let in_turn: Vec<InstanceId> = (0..deepest)
-        .flat_map(|row| by_centre.values().filter_map(move |list| list.get(row)))
-        .map(|instance| (*instance).clone())
-        .collect();
-    let odd = in_turn.len() - usize::from(in_turn.len().is_multiple_of(2));
-    in_turn.into_iter().take(wanted.min(odd)).collect()
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -21,7 +21,6 @@
 use crate::documents::DocumentState;
 use crate::endpoints::EndpointRegistry;
 use crate::events::{EventKind, EventLine, EventLog};
-use crate::founding::FoundingSurvey;
 use crate::front::ends::PendingEnds;
 use crate::front::helpers::HelperChecks;
 use crate::held_bytes::HeldLedger;
@@ -36,10 +35,11 @@
     DocumentVerdict, DrainVerdict, FreshVerdict, HubStatus, PeerMesh, PeerMessage, PlaceVerdict,
 };
 use crate::quarantine::QuarantineState;
-use crate::replica::ReplicaDriver;
+use crate::replica::{LeaderWatch, ReplicaDriver};
 use crate::rests::RestState;
 use crate::roster::{DaemonNote, DaemonRoster};
 use crate::second_sends::SecondSendState;
+use crate::voter_watch::VoterWatch;
 
 /// Another daemon's answer to a call.
 pub(crate) enum PeerReply {
@@ -78,7 +78,9 @@
     pub(crate) greeted_edition: Cell<u32>,
     pub(crate) replica: RefCell<Option<ReplicaDriver>>,
     pub(crate) tier: RefCell<TierState>,
-    pub(crate) survey: RefCell<FoundingSurvey>,
+    /// When it is due to log that the replica waits for its start.
+    pub(crate) start_watch: RefCell<LeaderWatch>,
+    pub(crate) voter_watch: RefCell<VoterWatch>,
     pub(crate) leader: RefCell<Option<(LeaderTerm, InstanceId)>>,
     pub(crate) documents: RefCell<DocumentState>,
     pub(crate) drains: RefCell<DrainRegister>,
@@ -153,7 +155,8 @@
             greeted_edition: Cell::new(0),
             replica: RefCell::new(None),
             tier: RefCell::default(),
-            survey: RefCell::new(FoundingSurvey::new(clock.now())),
+            start_watch: RefCell::default(),
+            voter_watch: RefCell::default(),
             leader: RefCell::new(None),
             documents: RefCell::default(),
             drains: RefCell::default(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -50,6 +50,8 @@
 mod endpoints;
 mod events;
 mod founding;
+#[cfg(test)]
+mod founding_tests;
 mod framing;
 mod front;
 mod gateway;
@@ -92,6 +94,9 @@
 mod tiers_tests;
 mod tunnel;
 mod upstream;
+mod voter_watch;
+#[cfg(test)]
+mod voter_watch_tests;
 
 pub use balancer::{EndpointBalancer, FaultKind};
 pub use budget::{BudgetRule, RetryBudget};
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -64,6 +64,12 @@
     pub(crate) is_leader: IntGauge,
     /// Whether this daemon's replica of the log is running.
     pub(crate) replica_runs: IntGauge,
+    /// Voters that the leader's settings require; zero on the other daemons.
+    pub(crate) voters_wanted: IntGauge,
+    /// Voters that have answered this leader recently.
+    pub(crate) voters_live: IntGauge,
+    /// Voters that are required and not live.
+    pub(crate) voters_lacking: IntGauge,
     /// Other daemons that were heard from recently.
     pub(crate) peers: IntGauge,
     /// Messages sent to other daemons, by kind.
@@ -198,6 +204,15 @@
             proof_age: gauge("oriolepass_routing_proof_age_ms", "Age of the proof of freshness"),
             is_leader: gauge("oriolepass_is_leader", "Whether this daemon leads the log"),
             replica_runs: gauge("oriolepass_replica_runs", "Whether the replica of the log runs"),
+            voters_wanted: gauge(
+                "oriolepass_voters_wanted",
+                "Voters that the settings require, at the leader",
+            ),
+            voters_live: gauge("oriolepass_voters_live", "Voters that answer, at the leader"),
+            voters_lacking: gauge(
+                "oriolepass_voters_lacking",
+                "Voters that are required and do not answer, at the leader",
+            ),
             peers: gauge("oriolepass_peers", "Daemons heard lately"),
             peer_messages: counters(
                 "oriolepass_peer_messages_total",
--- a/crates/gateway/src/replica/mod.rs
+++ b/crates/gateway/src/replica/mod.rs
@@ -15,8 +15,8 @@
 use std::time::Duration;
 
 use oriolepass_consensus::{
-    ConsensusConfig, ConsensusNode, DiskId, EntryPayload, Envelope, LogEntry, NodeOutput, NodeRole,
-    PersistBatch,
+    ConsensusConfig, ConsensusNode, DiskId, EntryPayload, Envelope, FoundingRule, LogEntry,
+    NodeOutput, NodeRole, PersistBatch,
 };
 use oriolepass_routing::{DrainRegister, RoutingText};
 use oriolepass_storage::{RecoveredLog, StorageError, UnsyncedTails};
@@ -27,7 +27,8 @@
 pub(crate) use state::{CommandOutcome, LogCommand};
 pub(crate) use storage::StorageReport;
 use storage::StorageThread;
-use watch::{LeaderWatch, RecoveryNote};
+pub(crate) use watch::LeaderWatch;
+use watch::RecoveryNote;
 
 /// The minimum time without a leader before an election; the maximum is twice this. It is longer
 /// than the retransmission of a lost packet (200 ms) and than several heartbeats. A replica that is
@@ -173,7 +174,7 @@
             return Ok(false);
         }
         self.recovery = Some(RecoveryNote::of(&opened.recovered));
-        self.start(now, Vec::new());
+        self.start(now, Vec::new(), FoundingRule::AllMeet);
         Ok(true)
     }
 
@@ -205,12 +206,12 @@
 
     /// Starts the replica on an empty disk to found a system with the given first voters.
     pub(crate) fn found(&mut self, now: MonotonicTime, first_voters: Vec<InstanceId>) {
-        self.start(now, first_voters);
+        self.start(now, first_voters, FoundingRule::FirstStart);
     }
 
     /// Starts the replica on an empty disk to join the system of the contacts.
     pub(crate) fn join(&mut self, now: MonotonicTime, contacts: &[InstanceId]) {
-        self.start(now, Vec::new());
+        self.start(now, Vec::new(), FoundingRule::AllMeet);
         self.set_contacts(contacts);
     }
 
@@ -221,7 +222,7 @@
         }
     }
 
-    fn start(&mut self, now: MonotonicTime, first_voters: Vec<InstanceId>) {
+    fn start(&mut self, now: MonotonicTime, first_voters: Vec<InstanceId>, founding: FoundingRule) {
         let Some(OpenedStore { recovered, batches }) = self.opened.take() else { return };
         let config = ConsensusConfig {
             election_timeout: ELECTION_TIMEOUT,
@@ -229,6 +230,7 @@
             drift_percent: DRIFT_PERCENT,
             message_bytes: MAX_MESSAGE_BYTES,
             first_voters,
+            founding,
             trailing_entries: TRAILING_ENTRIES,
             seed: rand::random(),
         };
@@ -305,13 +307,19 @@
     ///
     /// # Errors
     ///
-    /// Returns the leader, if it is known, when this replica does not lead.
+    /// Returns the leader, if it is known, when this replica does not lead, or when it leads and has
+    /// fewer voters than `min_voters` at the first command.
     pub(crate) fn propose(
         &mut self,
         command: &LogCommand,
         proposer: Proposer,
+        min_voters: usize,
     ) -> Result<(), Option<InstanceId>> {
         let running = self.running.as_mut().ok_or(None)?;
+        let node = &running.node;
+        if node.role() == NodeRole::Leader && !node.may_accept_commands(min_voters) {
+            return Err(Some(self.instance.clone()));
+        }
         let command: Arc<[u8]> = command.encode().into();
         match running.node.propose(command) {
             Ok((index, term)) => {
--- a/crates/gateway/src/replication.rs
+++ b/crates/gateway/src/replication.rs
@@ -5,18 +5,21 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use oriolepass_consensus::{ConsensusMessage, ConsensusNode, DiskInstance, Envelope, NodeRole};
-use oriolepass_units::{InstanceId, MonotonicTime};
+use oriolepass_consensus::{
+    ConsensusMessage, ConsensusNode, DiskInstance, Envelope, NodeRole, VoterState,
+};
+use oriolepass_units::{InstanceId, LeaderTerm, MonotonicTime};
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use crate::events::EventKind;
-use crate::founding::replacement_policy;
+use crate::founding::{EmptyStart, StartView, min_voter_count, replacement_policy};
 use crate::gateway::Gateway;
 use crate::lifecycle::Lifecycle;
 use crate::peers::{PeerMessage, ProtocolLevel};
 use crate::replica::{DiskFailure, ReplicaDriver, ReplicaEffects, StorageReport};
 use crate::roster::DaemonPhase;
+use crate::voter_watch::VoterReport;
 
 /// The interval between ticks of the replica: a fraction of the log's heartbeat interval.
 const REPLICA_TICK_INTERVAL: Duration = Duration::from_millis(25);
@@ -114,34 +117,50 @@
         if !self.replica.borrow().as_ref().is_some_and(ReplicaDriver::is_empty) {
             return;
         }
-        let voters = self.roster.borrow().voters(now);
-        if !voters.is_empty() {
-            self.start_replica("joins", &voters, |replica| replica.join(now, &voters));
-            return;
-        }
-        let settings = self.settings();
-        if !settings.seeds.may_found {
-            return;
-        }
-        let mut candidates: BTreeMap<_, _> = {
+        let mut seeds = self.seed_instances();
+        let (view, voters) = {
+            let settings = self.settings();
             let roster = self.roster.borrow();
-            let founders = roster.alive(now).filter(|note| note.may_found && note.has_disk);
-            founders.map(|note| (note.instance.clone(), note.data_centre.clone())).collect()
+            let is_heard = |seed: &&InstanceId| roster.alive(now).any(|n| n.instance == **seed);
+            let is_seed = self.is_seed();
+            let voters = roster.voters(now);
+            let view = StartView {
+                may_found: settings.seeds.may_found,
+                is_seed,
+                seeds: seeds.len() + usize::from(is_seed),
+                heard_seeds: seeds.iter().filter(is_heard).count() + usize::from(is_seed),
+                knows_voters: !voters.is_empty(),
+                has_had_leader: roster.replica_term(now) > LeaderTerm::ZERO,
+            };
+            (view, voters)
         };
-        candidates.insert(self.own.clone(), settings.data_centre.clone());
-        let chosen =
-            self.survey.borrow_mut().choose(now, &self.own, candidates, &settings.tolerance);
-        if let Some(first_voters) = chosen {
-            self.found_with(now, &first_voters);
+        let decision = view.decide();
+        match decision {
+            EmptyStart::Join => {
+                self.start_replica("joins", &voters, |replica| replica.join(now, &voters));
+            }
+            EmptyStart::Found => {
+                seeds.push(self.own.clone());
+                seeds.sort();
+                self.line(EventKind::Founding).text("first_voters", join(&seeds));
+                let list = seeds.clone();
+                self.start_replica("founds", &seeds, |replica| replica.found(now, list));
+            }
+            EmptyStart::WaitForSeeds | EmptyStart::WaitForSystem => {
+                let waited = self.start_watch.borrow_mut().record(now, false);
+                if let (Some(time), Some(reason)) = (waited, decision.wait_reason()) {
+                    self.line(EventKind::Replica)
+                        .millis("for_ms", time)
+                        .number("may_found", view.may_found)
+                        .number("seeds", view.seeds)
+                        .number("heard_seeds", view.heard_seeds)
+                        .text("outcome", "not started")
+                        .text("reason", reason);
+                }
+            }
         }
     }
 
-    fn found_with(self: &Rc<Self>, now: MonotonicTime, first_voters: &[InstanceId]) {
-        self.line(EventKind::Founding).text("first_voters", join(first_voters));
-        let list = first_voters.to_vec();
-        self.start_replica("founds", first_voters, |replica| replica.found(now, list));
-    }
-
     fn start_replica(
         self: &Rc<Self>,
         outcome: &str,
@@ -180,17 +199,6 @@
 
     pub(crate) fn on_consensus(self: &Rc<Self>, envelope: Envelope) {
         let now = self.now();
-        let is_waiting = self.replica.borrow().as_ref().is_some_and(ReplicaDriver::is_empty);
-        if is_waiting {
-            // Another founder has chosen the first voters. The choice is ignored unless it includes
-            // this daemon.
-            if let ConsensusMessage::Forming { first_voters, .. } = &envelope.message
-                && first_voters.contains(&self.own)
-                && self.settings().seeds.may_found
-            {
-                self.found_with(now, first_voters);
-            }
-        }
         if let Some(replica) = self.replica.borrow_mut().as_mut() {
             replica.receive(now, envelope);
         }
@@ -246,6 +254,11 @@
         }
     }
 
+    /// Returns the number of voters without which no command is accepted.
+    pub(crate) fn min_voters(&self) -> usize {
+        min_voter_count(&self.settings().tolerance)
+    }
+
     /// Reviews the voters at an interval: the leader replaces lost voters, and a replica that is
     /// not a member yet learns the voters that it can ask for membership.
     pub(crate) async fn maintain_voters(self: Rc<Self>) {
@@ -258,12 +271,30 @@
     fn review_voters(self: &Rc<Self>) {
         let now = self.now();
         let contacts = self.roster.borrow().voters(now);
-        let settings = self.settings();
+        let policy = replacement_policy(&self.settings().tolerance);
+        let instances = self.instances_with_disk();
         let mut replica = self.replica.borrow_mut();
         let Some(replica) = replica.as_mut() else { return };
         replica.set_contacts(&contacts);
-        let Some(node) = replica.node().filter(|node| node.holds_lease(now)) else { return };
+        let Some(node) = replica.node().filter(|node| node.holds_lease(now)) else {
+            self.record_voter_states(now, &BTreeMap::new(), 0);
+            return;
+        };
         let wanted = node.voters().wanted.clone();
+        let state = |instance: &InstanceId| node.voter_state(now, instance, policy.voter_timeout);
+        let states = wanted.iter().map(|instance| (instance.clone(), state(instance))).collect();
+        self.record_voter_states(now, &states, policy.voter_count.saturating_sub(wanted.len()));
+        if let Some(next) = node.voters_with_replacements(now, &instances, policy) {
+            self.line(EventKind::Voters)
+                .text("before", join(&wanted))
+                .text("wanted", join(&next))
+                .text("outcome", "wanted");
+            replica.want_voters(next);
+        }
+    }
+
+    /// Returns the known daemons with a disk, this daemon included.
+    fn instances_with_disk(&self) -> BTreeMap<InstanceId, DiskInstance> {
         let mut instances: BTreeMap<InstanceId, DiskInstance> = {
             let roster = self.roster.borrow();
             let with_disk = |instance: &InstanceId| {
@@ -276,17 +307,40 @@
             roster.known().filter_map(|i| Some((i.clone(), with_disk(i)?))).collect()
         };
         let own = DiskInstance {
-            data_centre: settings.data_centre.clone(),
+            data_centre: self.settings().data_centre.clone(),
             is_leaving: *self.lifecycle.borrow() != Lifecycle::Serving,
         };
         instances.insert(self.own.clone(), own);
-        let policy = replacement_policy(&settings.tolerance);
-        if let Some(next) = node.voters_with_replacements(now, &instances, policy) {
-            self.line(EventKind::Voters)
-                .text("before", join(&wanted))
-                .text("wanted", join(&next))
-                .text("outcome", "wanted");
-            replica.want_voters(next);
+        instances
+    }
+
+    /// Sets the metrics of the voters, and logs those that are absent for long. Only the leader
+    /// knows the states; the others pass none.
+    fn record_voter_states(
+        &self,
+        now: MonotonicTime,
+        states: &BTreeMap<InstanceId, VoterState>,
+        lacking: usize,
+    ) {
+        let gauge = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
+        let live = states.values().filter(|state| **state == VoterState::Live).count();
+        self.metrics.voters_wanted.set(gauge(states.len() + lacking));
+        self.metrics.voters_live.set(gauge(live));
+        self.metrics.voters_lacking.set(gauge(states.len() + lacking - live));
+        for report in self.voter_watch.borrow_mut().record(now, states, lacking) {
+            let line = self.line(EventKind::Voters);
+            match report {
+                VoterReport::Absent(instance, state, time) => line
+                    .text("instance", instance)
+                    .millis("for_ms", time)
+                    .text("reason", state.name())
+                    .text("outcome", "not live"),
+                VoterReport::Lacking(count, time) => line
+                    .number("lacking", count)
+                    .millis("for_ms", time)
+                    .text("reason", "too few instances with a disk ask to join")
+                    .text("outcome", "lacking"),
+            };
         }
     }
 }
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -54,7 +54,8 @@
     pub(crate) callers: SocketAddr,
     pub(crate) phase: DaemonPhase,
     pub(crate) has_disk: bool,
-    /// Whether it has an empty disk and waits for the founding of a new system.
+    /// Whether it has an empty disk and may found a new system. Only daemons of earlier versions
+    /// read it.
     pub(crate) may_found: bool,
     /// Absent while the daemon knows no system.
     pub(crate) replica: Option<ReplicaNote>,
@@ -313,6 +314,12 @@
             .max_by_key(|(term, _)| *term)
     }
 
+    /// Returns the highest term among the notes of live replicas, or zero if there is none.
+    pub(crate) fn replica_term(&self, now: MonotonicTime) -> LeaderTerm {
+        let notes = self.alive(now).filter_map(|note| note.replica.as_ref());
+        notes.map(|replica| replica.term).max().unwrap_or(LeaderTerm::ZERO)
+    }
+
     /// Returns the voters from the note of the live replica with the highest term.
     pub(crate) fn voters(&self, now: MonotonicTime) -> Vec<InstanceId> {
         self.alive(now)
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -105,7 +105,7 @@
         BOOLEAN,
         "",
         Some("false"),
-        "Whether this daemon, with an empty disk, may take part in founding a new system.",
+        "Whether the whole system starts for the first time, with empty disks. The seeds then found it; off after the loss of a disk.",
     ),
     spec(
         "cluster",
