An answer that ends with its connection is complete only if the start that wrote it is alive

Cause: the evidence was not about the start that wrote the answer at the time when it ended. An endpoint that is not serving was not asked at all and counted as having left in good order; an engine's state was asked of an address, so the next process vouched; a plain endpoint needed an open connection only.

Draining and departed starts are asked alike. Without evidence streams that may be resumed go on elsewhere, calls are repeated or fail.

--- a/crates/gateway/src/clock_tests.rs
+++ b/crates/gateway/src/clock_tests.rs
@@ -15,7 +15,8 @@
 
 use crate::clock::{ClockReading, ProcessClock};
 use crate::dialect::{
-    AnswerFacts, EndpointCall, RequestFacts, ReservationAnswer, SendFacts, WireDialect,
+    AnswerFacts, EndpointCall, RequestFacts, ReservationAnswer, SendFacts, StartQuestion,
+    WireDialect,
 };
 use crate::events::EventLog;
 use crate::gateway::Gateway;
@@ -73,7 +74,11 @@
 }
 
 fn no_call() -> EndpointCall {
-    EndpointCall { method: Method::GET, path: "/", body: Bytes::new() }
+    EndpointCall { method: Method::GET, path: "/".into(), body: Bytes::new() }
+}
+
+fn no_question() -> StartQuestion {
+    StartQuestion { call: no_call(), headers: HeaderMap::new(), is_refused_by_others: false }
 }
 
 /// Returns a dialect without content, for tests that read no request.
@@ -90,6 +95,8 @@
         reserve: |_, _, _| no_call(),
         release: |_| no_call(),
         ask_state: no_call,
+        ask_engine_start: |_| no_question(),
+        ask_endpoint_start: |_, _| no_question(),
         read_reservation: |_| ReservationAnswer::Refused,
     }
 }
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -3,6 +3,7 @@
 //! The gateway decides on typed fields. A dialect defines which header or body field carries each
 //! of them: it is a set of functions that a front end of the product passes in at the start.
 
+use std::borrow::Cow;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -10,7 +11,7 @@
 use hyper::header::HeaderName;
 use hyper::{HeaderMap, Method};
 use oriolepass_routing::{DocumentProblem, RoutingDocument};
-use oriolepass_units::{AccountId, EndpointStart, PromptPartId, RequestRate};
+use oriolepass_units::{AccountId, EndpointId, EndpointStart, PromptPartId, RequestRate};
 
 /// The fields that a caller's request carries.
 #[derive(Debug, Clone, Default, PartialEq)]
@@ -104,6 +105,8 @@
     pub rest: RestStatement,
     /// Whether the answer states that the endpoint leaves.
     pub is_leaving: bool,
+    /// The endpoint that the answer names as its own.
+    pub answered_by: Option<EndpointId>,
 }
 
 /// An endpoint's answer to a reservation of memory.
@@ -123,11 +126,23 @@
     /// The method.
     pub method: Method,
     /// The path.
-    pub path: &'static str,
+    pub path: Cow<'static, str>,
     /// The body, in JSON; empty if the call has none.
     pub body: Bytes,
 }
 
+/// A call that tells whether the process at an endpoint's address is a certain start.
+#[derive(Debug, Clone, PartialEq)]
+pub struct StartQuestion {
+    /// The call.
+    pub call: EndpointCall,
+    /// The headers that name the start.
+    pub headers: HeaderMap,
+    /// Whether any other start turns the call away. Otherwise only an answer that names the start
+    /// proves it.
+    pub is_refused_by_others: bool,
+}
+
 /// The functions that read and write the fields.
 #[derive(Clone, Copy)]
 pub struct WireDialect {
@@ -154,4 +169,8 @@
     /// Builds the call that asks an engine for its state. An engine without a free slot answers it
     /// as well.
     pub ask_state: fn() -> EndpointCall,
+    /// Builds the call that asks an engine whether it is a certain start. It changes nothing there.
+    pub ask_engine_start: fn(&EndpointStart) -> StartQuestion,
+    /// Builds the same call for an endpoint that is no engine, from the path of its health check.
+    pub ask_endpoint_start: fn(&EndpointStart, health_path: &str) -> StartQuestion,
 }
--- a/crates/gateway/src/front/ends.rs
+++ b/crates/gateway/src/front/ends.rs
@@ -20,9 +20,12 @@
 //! Requests do not wait for pending ends; `broken_runs` tells what is done meanwhile.
 //!
 //! An answer that ends with its connection is ambiguous as well, since a crash may look like its
-//! end. Its endpoint is probed in the same way. An engine is also asked for its state, and its
-//! answer shows that the process has outlived the connection. Until an end is proved or refuted,
-//! the answer counts neither for nor against its request.
+//! end. It counts as complete only if the start that wrote it was alive afterwards: the process at
+//! its address says that it is that start, or a heartbeat of the start arrives that was sent later.
+//! What another process answers, an open connection and an earlier notice that the endpoint leaves
+//! show nothing of that. Only an endpoint whose own calls name nobody is believed as long as it
+//! answers them. The endpoint is probed as well. Until an end is proved or refuted, the answer
+//! counts neither for nor against its request.
 
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -42,7 +45,7 @@
 use crate::net;
 use crate::quarantine::RequestSuspects;
 use crate::task_guard::TaskGuard;
-use crate::upstream::{self, EndpointTarget};
+use crate::upstream::{EndpointTarget, StartAnswer, ask_start};
 
 /// The time-out of the probe connection, which may go by way of another instance.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
@@ -55,9 +58,15 @@
 /// listener and its streams within milliseconds of each other.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(10);
 
-/// How long the end of an answer waits for the state of its engine. An engine answers at once, even
-/// if it is busy.
-const STATE_WAIT: Duration = Duration::from_millis(400);
+/// How long the end of an answer waits for what its endpoint says of itself. An engine answers at
+/// once, even if it is busy; other endpoints may need a free slot.
+const START_WAIT: Duration = Duration::from_millis(400);
+
+/// How long the end of an answer waits for a heartbeat of its endpoint.
+const HEARTBEAT_WAIT: Duration = Duration::from_secs(2);
+
+/// The part of a request's time that is kept to deliver its answer.
+const DELIVERY_TIME: Duration = Duration::from_millis(100);
 
 /// How long an accepted connection is kept open to see whether it closes. It takes up a connection
 /// of the endpoint.
@@ -106,6 +115,39 @@
     Resolved(ProbeResult),
 }
 
+/// The evidence whether an answer that ended with its connection is complete.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum EndEvidence {
+    /// The start has answered a call since.
+    Answered,
+    /// A heartbeat of the start was sent since.
+    Heard,
+    /// A process that does not name itself has answered a call since, and the start has not left.
+    Unnamed,
+    /// Another start has answered at the address.
+    OtherStart,
+    /// No process listens at the address.
+    Refused,
+    /// The instance that passed the answer on is gone.
+    RelayLost,
+    /// Nothing was learned in time.
+    None,
+}
+
+impl EndEvidence {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Answered => "answered",
+            Self::Heard => "heard",
+            Self::Unnamed => "unnamed",
+            Self::OtherStart => "another start",
+            Self::Refused => "refused",
+            Self::RelayLost => "relay lost",
+            Self::None => "none",
+        }
+    }
+}
+
 /// How a connection to an endpoint ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum ConnectionEnd {
@@ -162,8 +204,8 @@
     }
 }
 
-/// Probes an endpoint whose connection closed where an answer may be complete. Returns whether the
-/// answer counts as complete: the endpoint's process was alive afterwards, as far as can be told.
+/// Determines whether an answer is complete that ended with its connection: whether the start that
+/// wrote it was alive afterwards.
 ///
 /// Clears the request of earlier ends, or records an end, once either is proved.
 pub(super) async fn is_answer_complete(
@@ -171,25 +213,73 @@
     request: &CallerRequest,
     placement: &Placement,
 ) -> bool {
-    if !placement.connection.is_relay_alive(gateway, &placement.target()).await {
-        return false;
-    }
-    let run = EndedRun::new(gateway, request, placement, ConnectionEnd::Closed);
     let target = placement.target();
+    let run = EndedRun::new(gateway, request, placement, ConnectionEnd::Closed);
+    let evidence = if placement.connection.is_relay_alive(gateway, &target).await {
+        find_evidence(gateway, request, &target, run.ended_at).await
+    } else {
+        EndEvidence::RelayLost
+    };
+    gateway.metrics.unframed_ends.with_label_values(&[evidence.name()]).inc();
+    if evidence == EndEvidence::Answered {
+        gateway.record_complete_answer(|| run.suspects, run.duration);
+        return true;
+    }
+    if evidence != EndEvidence::RelayLost {
+        join_probe(gateway, run, target);
+    }
+    matches!(evidence, EndEvidence::Heard | EndEvidence::Unnamed)
+}
+
+/// Asks the endpoint, and waits for one of its heartbeats where the answer is better delivered late
+/// than not at all.
+async fn find_evidence(
+    gateway: &Rc<Gateway>,
+    request: &CallerRequest,
+    target: &EndpointTarget,
+    ended_at: MonotonicTime,
+) -> EndEvidence {
     let is_engine = request.service.engine.is_some();
-    if is_engine {
-        let state = upstream::call(gateway, &target, (gateway.dialect.ask_state)());
-        if matches!(timeout(STATE_WAIT, state).await, Ok(Some(_))) {
-            gateway.record_complete_answer(|| run.suspects, run.duration);
-            return true;
+    let question = if is_engine {
+        (gateway.dialect.ask_engine_start)(&target.endpoint)
+    } else {
+        (gateway.dialect.ask_endpoint_start)(&target.endpoint, &request.service.health_path)
+    };
+    let asked = timeout(START_WAIT, ask_start(gateway, target, question)).await;
+    match asked.unwrap_or(StartAnswer::Unclear) {
+        StartAnswer::Same => EndEvidence::Answered,
+        StartAnswer::Other => EndEvidence::OtherStart,
+        StartAnswer::Refused => EndEvidence::Refused,
+        StartAnswer::Unnamed if gateway.endpoints.borrow().is_known(&target.endpoint) => {
+            EndEvidence::Unnamed
+        }
+        // A stream can go on elsewhere without a loss.
+        _ if is_engine && request.route.repeat.may_repeat() => EndEvidence::None,
+        StartAnswer::Unnamed | StartAnswer::Unclear => {
+            let time_left = request.time_left().saturating_sub(DELIVERY_TIME);
+            let is_heard = wait_for_heartbeat(gateway, target, ended_at);
+            match timeout(time_left.min(HEARTBEAT_WAIT), is_heard).await {
+                Ok(true) => EndEvidence::Heard,
+                Ok(false) | Err(_) => EndEvidence::None,
+            }
         }
     }
-    match wait_for_result(&mut join_probe(gateway, run, target)).await {
-        ProbeProgress::Resolved(result) => {
-            matches!(result, ProbeResult::Left | ProbeResult::Alive)
+}
+
+/// Waits until a heartbeat shows that a start was alive after `ended_at`. Returns false if the start
+/// is not known any more.
+async fn wait_for_heartbeat(
+    gateway: &Gateway,
+    target: &EndpointTarget,
+    ended_at: MonotonicTime,
+) -> bool {
+    loop {
+        let fate = gateway.endpoints.borrow().fate(&target.endpoint, target.address);
+        match fate {
+            EndpointFate::Heard(at) if at >= ended_at + gateway.heard_margin() => return true,
+            EndpointFate::Heard(_) => sleep(FATE_CHECK_INTERVAL).await,
+            EndpointFate::Replaced | EndpointFate::Left | EndpointFate::Expired => return false,
         }
-        ProbeProgress::Accepted => !is_engine,
-        ProbeProgress::Connecting => false,
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -103,7 +103,7 @@
 pub use calls::{WholeAnswer, WholeCall, answer, serve_calls};
 pub use dialect::{
     AnswerFacts, EndpointCall, HelperAddress, LimitStatement, RequestFacts, ReservationAnswer,
-    RestStatement, SendFacts, WireDialect,
+    RestStatement, SendFacts, StartQuestion, WireDialect,
 };
 pub use directory::AddressAnswer;
 pub use documents::{PutError, ReadError};
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -27,6 +27,8 @@
     pub(crate) sends: IntCounterVec,
     /// Probes of endpoints whose connection was lost during a request, by outcome.
     pub(crate) end_probes: IntCounterVec,
+    /// Answers that ended with their connections, by the evidence of whether they are complete.
+    pub(crate) unframed_ends: IntCounterVec,
     /// Suspect requests: requests under which endpoints ended, perhaps by chance.
     pub(crate) suspects: IntGauge,
     /// Quarantined requests: requests that end their endpoints and are not sent.
@@ -149,6 +151,11 @@
                 "Looks at endpoints that lost an answer",
                 "outcome",
             ),
+            unframed_ends: counters(
+                "oriolepass_unframed_ends_total",
+                "Answers that ended with their connections",
+                "evidence",
+            ),
             suspects: gauge("oriolepass_suspect_requests", "Requests under which endpoints ended"),
             quarantined: gauge("oriolepass_quarantined_requests", "Requests that are not sent"),
             quarantined_parts: gauge(
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -17,7 +17,7 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::header::{CONTENT_TYPE, HOST};
-use hyper::{Request, Response, StatusCode};
+use hyper::{HeaderMap, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use oriolepass_units::EndpointStart;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -25,7 +25,7 @@
 use tokio::time::timeout;
 
 use crate::dial::{DialPlan, EndpointConnection, FailureKind, SHORT_LIFE, dial};
-use crate::dialect::EndpointCall;
+use crate::dialect::{EndpointCall, StartQuestion};
 use crate::framing::BodyFraming;
 use crate::gateway::Gateway;
 use crate::task_guard::TaskGuard;
@@ -201,13 +201,7 @@
     to: &EndpointTarget,
     call: EndpointCall,
 ) -> Option<u16> {
-    let request = Request::builder()
-        .method(call.method)
-        .uri(call.path)
-        .header(HOST, to.address.to_string())
-        .header(CONTENT_TYPE, "application/json")
-        .body(Full::new(call.body))
-        .ok()?;
+    let request = call_request(to, call, HeaderMap::new())?;
     if !gateway.try_begin_endpoint_call(&to.endpoint) {
         return None;
     }
@@ -221,3 +215,67 @@
     }
     Some(response.status().as_u16())
 }
+
+fn call_request(
+    to: &EndpointTarget,
+    call: EndpointCall,
+    headers: HeaderMap,
+) -> Option<Request<Full<Bytes>>> {
+    let mut request = Request::builder()
+        .method(call.method)
+        .uri(call.path.as_ref())
+        .header(HOST, to.address.to_string())
+        .header(CONTENT_TYPE, "application/json")
+        .body(Full::new(call.body))
+        .ok()?;
+    request.headers_mut().extend(headers);
+    Some(request)
+}
+
+/// What is known of the process at an endpoint's address.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum StartAnswer {
+    /// It is the start.
+    Same,
+    /// It is another start, so the start has ended.
+    Other,
+    /// No process listens there.
+    Refused,
+    /// It has answered successfully without a name.
+    Unnamed,
+    /// There was no answer, or one that tells nothing of the start.
+    Unclear,
+}
+
+/// Asks the process at an endpoint's address whether it is the endpoint's start.
+pub(crate) async fn ask_start(
+    gateway: &Rc<Gateway>,
+    to: &EndpointTarget,
+    question: StartQuestion,
+) -> StartAnswer {
+    let StartQuestion { call, headers, is_refused_by_others } = question;
+    let Some(request) = call_request(to, call, headers) else { return StartAnswer::Unclear };
+    if !gateway.try_begin_endpoint_call(&to.endpoint) {
+        return StartAnswer::Unclear;
+    }
+    let plan = gateway.dial_plan(&to.endpoint, SHORT_LIFE, false);
+    let connection = match dial(gateway, to, plan).await {
+        Ok(connection) => connection,
+        Err(failure) if failure.is_refusal() => return StartAnswer::Refused,
+        Err(_) => return StartAnswer::Unclear,
+    };
+    let Ok(Upstream { response, .. }) = send_on(connection, request).await else {
+        return StartAnswer::Unclear;
+    };
+    let facts = (gateway.dialect.read_answer)(response.headers());
+    let status = response.status();
+    match facts.answered_by {
+        _ if status == StatusCode::MISDIRECTED_REQUEST => StartAnswer::Other,
+        Some(id) if id == *to.endpoint.id() => StartAnswer::Same,
+        Some(_) => StartAnswer::Other,
+        // A server error may come from something in between.
+        None if is_refused_by_others && !status.is_server_error() => StartAnswer::Same,
+        None if status.is_success() => StartAnswer::Unnamed,
+        None => StartAnswer::Unclear,
+    }
+}
