--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -61,13 +61,15 @@
     Primary = "primary";
     /// Messages and bytes sent to other daemons since the last such line, by kind of message.
     PeerTraffic = "peer-traffic";
-    /// The set of first voters was chosen for a new system.
+    /// This seed takes part in founding a new system; its first voters are the seeds.
     Founding = "founding";
     /// The leader of the log that this process believes in has changed.
     Leader = "leader";
-    /// The voters of the log have changed, or the leader wants other ones.
+    /// The leader wants other voters, or an instance that should be a voter is not live, or too few
+    /// instances have a disk.
     Voters = "voters";
-    /// The replica of the log has started, stopped, or failed with its disk.
+    /// The replica of the log has started, stopped, or failed with its disk, waits for a system, or
+    /// has no leader.
     Replica = "replica";
     /// A routing document was proposed, acknowledged, or refused.
     Document = "document";
