A seed that starts late is the voter that the others count on

Callers would see 503 from all instances after the loss of one machine of three just after the first start, until that machine is back with its disk.

Cause: a seed that heard of a leader joined, as a replica with a random disk id, although the voters name the replica on its first disk. That replica then never exists, and until the leader has exchanged the two there are two live voters of three. Evidence, from a trial with one seed 0.6 s late and another machine killed once all are ready: in each round without a leader the late seed logs `joins`, and the two others log `no leader` with the voters of the first start; in the rounds in which it logs `founds` a leader is elected.

Change: daemons report whether their system has accepted a command, and a seed that may found takes part as the replica on its first disk until then. A seed whose settings were not changed after the loss of a disk still joins a system that has accepted a command. Two systems still need two majorities of one set.

--- a/crates/consensus/src/replacement.rs
+++ b/crates/consensus/src/replacement.rs
@@ -134,9 +134,12 @@
     /// fewer replicas than its acknowledgement promises. A later change of the voters, which takes
     /// out a voter before it adds another, does not stop commands.
     pub fn may_accept_commands(&self, min_voters: usize) -> bool {
-        self.voters().voters.len() >= min_voters
-            || self.snapshot.is_some()
-            || self.log.holds_command()
+        self.voters().voters.len() >= min_voters || self.holds_command()
+    }
+
+    /// Returns whether this replica's log holds a command, or a snapshot of earlier ones.
+    pub fn holds_command(&self) -> bool {
+        self.snapshot.is_some() || self.log.holds_command()
     }
 
     /// Returns whether a replica of an instance has recently asked to join.
--- a/crates/gateway/src/cluster.rs
+++ b/crates/gateway/src/cluster.rs
@@ -218,6 +218,7 @@
             edition: 0,
             protocol: TrailingField(ProtocolLevel::CURRENT),
             is_cut_off: TrailingField(self.paths.borrow().is_cut_off()),
+            is_founding: TrailingField(self.with_node(|node| !node.holds_command()) == Some(true)),
         };
         let mut last = self.last_note.borrow_mut();
         let edition = last.as_ref().map_or(0, |last| last.edition);
--- a/crates/gateway/src/deputies_tests.rs
+++ b/crates/gateway/src/deputies_tests.rs
@@ -27,6 +27,7 @@
         edition: 0,
         protocol: TrailingField::default(),
         is_cut_off: TrailingField::default(),
+        is_founding: TrailingField::default(),
     }
 }
 
--- a/crates/gateway/src/founding.rs
+++ b/crates/gateway/src/founding.rs
@@ -80,19 +80,21 @@
     pub(crate) heard_seeds: usize,
     /// Whether another daemon knows the voters of a system.
     pub(crate) knows_voters: bool,
-    /// Whether another daemon reports that a system has had a leader.
-    pub(crate) has_had_leader: bool,
+    /// Whether another daemon reports a system that may have accepted a command.
+    pub(crate) is_founded: bool,
 }
 
 impl StartView {
     /// Returns what to do.
     ///
-    /// A system that has had a leader is joined even by a seed that may found. If the settings were
-    /// not changed after the loss of a disk, the seed does not vote a second time.
+    /// A seed that starts later than the others is the voter that they count on, so it also founds
+    /// beside a leader. A system that has accepted a command is joined even by a seed that may
+    /// found. If the settings were not changed after the loss of a disk, the seed then does not
+    /// stand for a voter that held commands.
     pub(crate) fn decide(&self) -> EmptyStart {
         let founds = self.may_found && self.is_seed;
         match () {
-            () if self.knows_voters && (self.has_had_leader || !founds) => EmptyStart::Join,
+            () if self.knows_voters && (self.is_founded || !founds) => EmptyStart::Join,
             () if !founds => EmptyStart::WaitForSystem,
             () if 2 * self.heard_seeds > self.seeds => EmptyStart::Found,
             () => EmptyStart::WaitForSeeds,
--- a/crates/gateway/src/founding_tests.rs
+++ b/crates/gateway/src/founding_tests.rs
@@ -10,7 +10,7 @@
     seeds: 3,
     heard_seeds: 2,
     knows_voters: false,
-    has_had_leader: false,
+    is_founded: false,
 };
 
 /// Guards against two systems after a first start in which the seeds do not reach each other.
@@ -30,13 +30,13 @@
     assert_eq!(lost.decide(), EmptyStart::WaitForSystem);
     assert_eq!(StartView { knows_voters: true, ..lost }.decide(), EmptyStart::Join);
     // The settings were not changed after the loss of the disk.
-    let unchanged = StartView { knows_voters: true, has_had_leader: true, ..SEED };
+    let unchanged = StartView { knows_voters: true, is_founded: true, ..SEED };
     assert_eq!(unchanged.decide(), EmptyStart::Join);
 }
 
-/// Guards against a seed that waits for the others although all of them have founded already.
+/// Guards against a seed that starts late and joins as another replica than the voter that the others count on.
 #[test]
-fn a_seed_founds_beside_seeds_that_have_no_leader_yet() {
+fn a_seed_founds_beside_seeds_that_have_accepted_no_command_yet() {
     assert_eq!(StartView { knows_voters: true, ..SEED }.decide(), EmptyStart::Found);
 }
 
--- a/crates/gateway/src/peers/message_tests.rs
+++ b/crates/gateway/src/peers/message_tests.rs
@@ -47,6 +47,7 @@
         edition: 9,
         protocol: TrailingField(protocol),
         is_cut_off: TrailingField::default(),
+        is_founding: TrailingField::default(),
     })
 }
 
--- a/crates/gateway/src/replication.rs
+++ b/crates/gateway/src/replication.rs
@@ -8,7 +8,7 @@
 use oriolepass_consensus::{
     ConsensusMessage, ConsensusNode, DiskInstance, Envelope, NodeRole, VoterState,
 };
-use oriolepass_units::{InstanceId, LeaderTerm, MonotonicTime};
+use oriolepass_units::{InstanceId, MonotonicTime};
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
@@ -130,7 +130,7 @@
                 seeds: seeds.len() + usize::from(is_seed),
                 heard_seeds: seeds.iter().filter(is_heard).count() + usize::from(is_seed),
                 knows_voters: !voters.is_empty(),
-                has_had_leader: roster.replica_term(now) > LeaderTerm::ZERO,
+                is_founded: roster.knows_founded_system(now),
             };
             (view, voters)
         };
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -69,6 +69,8 @@
     pub(crate) protocol: TrailingField<ProtocolLevel>,
     /// Whether it reaches no endpoint by itself.
     pub(crate) is_cut_off: TrailingField<bool>,
+    /// Whether its replica belongs to a system that has accepted no command yet, as far as it knows.
+    pub(crate) is_founding: TrailingField<bool>,
 }
 
 /// A leaf as its hub reports it to the other hubs.
@@ -314,10 +316,14 @@
             .max_by_key(|(term, _)| *term)
     }
 
-    /// Returns the highest term among the notes of live replicas, or zero if there is none.
-    pub(crate) fn replica_term(&self, now: MonotonicTime) -> LeaderTerm {
-        let notes = self.alive(now).filter_map(|note| note.replica.as_ref());
-        notes.map(|replica| replica.term).max().unwrap_or(LeaderTerm::ZERO)
+    /// Returns whether a live replica belongs to a system that may have accepted a command.
+    ///
+    /// Daemons of earlier versions do not report it, so any leader counts there.
+    pub(crate) fn knows_founded_system(&self, now: MonotonicTime) -> bool {
+        let has_had_leader = |note: &DaemonNote| {
+            note.replica.as_ref().is_some_and(|replica| replica.term > LeaderTerm::ZERO)
+        };
+        self.alive(now).any(|note| has_had_leader(note) && !note.is_founding.0)
     }
 
     /// Returns the voters from the note of the live replica with the highest term.
--- a/crates/gateway/src/roster_tests.rs
+++ b/crates/gateway/src/roster_tests.rs
@@ -27,6 +27,7 @@
         edition,
         protocol: TrailingField::default(),
         is_cut_off: TrailingField::default(),
+        is_founding: TrailingField::default(),
     }
 }
 
