A shutdown waits until callers have read their answers

Callers that read a long answer slowly received a part of it when the gateway was asked to shut down, 2 s before the end of the grace period.

Cause: the shutdown waits until no request is active, and a request with a collected answer stops being active when the answer is handed to the HTTP library, before most of it is written.

Change: a connection counts as unwritten while the HTTP library has not taken an answer completely or the last write did not fit into the connection's buffers. The shutdown waits for these within the same grace period, and the `stop` line has their number. The idle time-out of a connection begins when its answer is written, not when it is ready.

Found on the way and left: a caller that does not read for 1.8 s loses its connection by the time-out of unacknowledged bytes.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -41,7 +41,8 @@
     Start = "start";
     /// The process has been asked to stop and drains.
     Draining = "draining";
-    /// The process ends.
+    /// The process ends; the numbers of requests that are still running and of answers that are not
+    /// written completely.
     Stop = "stop";
     /// The settings file was read again; `outcome` says what became of it.
     Reload = "reload";
--- a/crates/gateway/src/front/listener.rs
+++ b/crates/gateway/src/front/listener.rs
@@ -9,7 +9,7 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use hyper::body::Incoming;
+use hyper::body::{Body, Bytes, Frame, Incoming, SizeHint};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
@@ -19,7 +19,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, sleep_until};
 
-use super::body::ResponseBody;
+use super::body::{BodyAborted, ResponseBody};
 use super::caller;
 use super::read_pace::ReadPace;
 use crate::gateway::Gateway;
@@ -51,10 +51,16 @@
     {\"error\":\"the request's head did not arrive in time; send it faster...\"}\n";
 
 /// The activity of a connection, from which its time-outs are computed.
-#[derive(Debug)]
 pub(super) struct ConnectionWatch {
+    gateway: Rc<Gateway>,
     /// The number of requests whose answer is not complete.
     pub(super) active_requests: Cell<u32>,
+    /// The number of answers that the HTTP library has not taken completely.
+    open_bodies: Cell<u32>,
+    /// Whether the last write to the caller did not fit into the connection's buffers.
+    is_behind: Cell<bool>,
+    /// Whether the connection counts among those with an unwritten answer.
+    is_unwritten: Cell<bool>,
     /// The time of the first byte of a head, while the head is incomplete.
     head_started_at: Cell<Option<Instant>>,
     idle_since: Cell<Instant>,
@@ -62,9 +68,13 @@
 }
 
 impl ConnectionWatch {
-    fn new() -> Rc<Self> {
+    fn new(gateway: &Rc<Gateway>) -> Rc<Self> {
         Rc::new(Self {
+            gateway: Rc::clone(gateway),
             active_requests: Cell::new(0),
+            open_bodies: Cell::new(0),
+            is_behind: Cell::new(false),
+            is_unwritten: Cell::new(false),
             head_started_at: Cell::new(None),
             idle_since: Cell::new(Instant::now()),
             read_pace: Cell::default(),
@@ -84,6 +94,33 @@
             pace.record_write(Instant::now(), written, offered);
         }
         self.read_pace.set(pace);
+        self.is_behind.set(written < offered);
+        self.update_unwritten();
+    }
+
+    /// Counts the connection among those with an unwritten answer as long as it has one.
+    fn update_unwritten(&self) {
+        let is_unwritten = self.open_bodies.get() > 0 || self.is_behind.get();
+        if self.is_unwritten.replace(is_unwritten) == is_unwritten {
+            return;
+        }
+        let count = &self.gateway.unwritten_answers;
+        if is_unwritten {
+            count.set(count.get() + 1);
+        } else {
+            count.set(count.get() - 1);
+            self.idle_since.set(Instant::now());
+        }
+    }
+
+    fn begin_body(&self) {
+        self.open_bodies.set(self.open_bodies.get() + 1);
+        self.update_unwritten();
+    }
+
+    fn end_body(&self) {
+        self.open_bodies.set(self.open_bodies.get() - 1);
+        self.update_unwritten();
     }
 
     /// Returns whether the caller does not read its answer.
@@ -102,6 +139,54 @@
     }
 }
 
+impl Drop for ConnectionWatch {
+    fn drop(&mut self) {
+        if self.is_unwritten.get() {
+            let count = &self.gateway.unwritten_answers;
+            count.set(count.get() - 1);
+        }
+    }
+}
+
+/// A response's body, which counts as unwritten until the HTTP library has taken it.
+struct WatchedBody {
+    body: ResponseBody,
+    watch: Rc<ConnectionWatch>,
+}
+
+impl WatchedBody {
+    fn new(body: ResponseBody, watch: Rc<ConnectionWatch>) -> Self {
+        watch.begin_body();
+        Self { body, watch }
+    }
+}
+
+impl Drop for WatchedBody {
+    fn drop(&mut self) {
+        self.watch.end_body();
+    }
+}
+
+impl Body for WatchedBody {
+    type Data = Bytes;
+    type Error = BodyAborted;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyAborted>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// Accepts and serves callers' connections until the process stops.
 pub(crate) async fn serve_callers(gateway: Rc<Gateway>, listener: TcpListener) {
     let open = Rc::new(Cell::new(0_u64));
@@ -127,15 +212,16 @@
 
 async fn serve_connection(gateway: Rc<Gateway>, stream: TcpStream) {
     net::set_stream_options(&stream);
-    let watch = ConnectionWatch::new();
+    let watch = ConnectionWatch::new(&gateway);
     let io = TokioIo::new(WatchedStream { stream, watch: Rc::clone(&watch) });
     let (served, watched) = (Rc::clone(&gateway), Rc::clone(&watch));
     let service = service_fn(move |request: Request<Incoming>| {
         let (gateway, watch) = (Rc::clone(&served), Rc::clone(&watched));
         watch.begin_request();
-        let served = caller::serve(gateway, request, watch);
-        Box::pin(async move { Ok::<Response<ResponseBody>, Infallible>(served.await) })
-            as Pin<Box<dyn Future<Output = Result<Response<ResponseBody>, Infallible>>>>
+        let served = caller::serve(gateway, request, Rc::clone(&watch));
+        let watched = async move { Ok(served.await.map(|body| WatchedBody::new(body, watch))) };
+        Box::pin(watched)
+            as Pin<Box<dyn Future<Output = Result<Response<WatchedBody>, Infallible>>>>
     });
     let mut connection = http1::Builder::new()
         .half_close(false)
@@ -197,7 +283,7 @@
     if watch.has_stalled() {
         return Overdue::Read;
     }
-    if watch.active_requests.get() > 0 {
+    if watch.active_requests.get() > 0 || watch.is_unwritten.get() {
         return Overdue::Nothing;
     }
     match watch.head_started_at.get() {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -113,6 +113,8 @@
     /// The total time of suspension that has been recorded.
     pub(crate) suspended: Cell<Duration>,
     pub(crate) active_requests: Cell<u64>,
+    /// The number of callers' connections to which an answer is not written completely.
+    pub(crate) unwritten_answers: Cell<u64>,
     pub(crate) held: RefCell<HeldLedger>,
     pending_calls: RefCell<HashMap<u64, oneshot::Sender<PeerReply>>>,
     /// The number of links to each daemon that have come up so far.
@@ -183,6 +185,7 @@
             was_ready: Cell::new(false),
             suspended: Cell::new(Duration::ZERO),
             active_requests: Cell::new(0),
+            unwritten_answers: Cell::new(0),
             held: RefCell::default(),
             pending_calls: RefCell::default(),
             link_counts: RefCell::default(),
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -142,7 +142,9 @@
         let addresses_valid_until = started + ADDRESS_TTL * MAX_ADDRESS_TTL_FACTOR;
         let end_at = started + grace.saturating_sub(EXIT_MARGIN);
         while Instant::now() < end_at {
-            let is_idle = self.active_requests.get() == 0 && self.open_tunnels.get() == 0;
+            let is_idle = self.active_requests.get() == 0
+                && self.unwritten_answers.get() == 0
+                && self.open_tunnels.get() == 0;
             if is_idle && Instant::now() >= addresses_valid_until {
                 break;
             }
@@ -175,7 +177,9 @@
     }
 
     fn stop(&self) {
-        self.line(EventKind::Stop).number("active", self.active_requests.get());
+        self.line(EventKind::Stop)
+            .number("active", self.active_requests.get())
+            .number("unwritten", self.unwritten_answers.get());
         self.lifecycle.send_replace(Lifecycle::Stopped);
         self.mesh.send_all(&self.broadcast_targets(), &PeerMessage::Farewell);
         self.log.flush(LOG_FLUSH_TIMEOUT);
