An endpoint whose address a late heartbeat took returns

Operators would see an endpoint that announces itself, is answered with 200 and gets no request until its next start.

Cause: a heartbeat of an ended start that no gateway knows, arriving after the next start at the same address has announced itself, displaced the running start, and that was recorded as a departure, which no heartbeat undoes. The same record kept a start out for good whose clock had been set back, although it was meant to wait 4 s. Evidence: the two tests below.

Change: a displaced start is remembered with the number of its last heartbeat. A later one adds it again once the holder of its address has been silent for 4 s. Displaced starts are not told to other gateways as departed.

Tests: an_endpoint_whose_address_a_late_heartbeat_took_returns and a_start_with_an_earlier_time_gets_its_address_once_the_other_is_silent, red before ("left: i-old, right: i-new" and the reverse), green after; late_heartbeats_of_a_replaced_start_do_not_take_the_address_back, green before and after.

--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -8,6 +8,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
+use std::ops::Bound;
 use std::time::Duration;
 
 use oriolepass_units::{
@@ -19,10 +20,10 @@
 /// a departed endpoint again.
 const MAX_REMEMBERED_DEPARTURES: usize = 4_096;
 
-/// How long after its last heartbeat an endpoint keeps its address against another endpoint whose
-/// start time is earlier. A heartbeat may arrive seconds late, after another start has taken the
-/// address. After this time the start times may be wrong because the clocks differ, and the
-/// endpoint that sends heartbeats gets the address.
+/// How long after its last heartbeat an endpoint keeps its address against another endpoint that it
+/// has replaced or whose start time is earlier. A heartbeat may arrive seconds late, after another
+/// start has taken the address. After this time the order of the starts may be wrong, because their
+/// clocks differ or one was not known, and the endpoint that sends heartbeats gets the address.
 const ADDRESS_HOLD_TIME: Duration = Duration::from_secs(4);
 
 /// The heartbeat number recorded for a start that has stated in an answer that it leaves. It is above
@@ -94,6 +95,16 @@
     Expired,
 }
 
+/// How a start ended that is not known any more.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Departure {
+    /// It has left, or a later start of the same endpoint was known. No heartbeat adds it again.
+    Left,
+    /// Another endpoint held its address. Holds the number of its last heartbeat; a later one adds
+    /// it again once the other endpoint is silent.
+    Displaced(u64),
+}
+
 #[derive(Debug, Clone)]
 struct EndpointEntry {
     beat: EndpointBeat,
@@ -117,7 +128,7 @@
 #[derive(Debug, Default)]
 pub struct EndpointRegistry {
     entries: BTreeMap<EndpointStart, EndpointEntry>,
-    left: BTreeSet<EndpointStart>,
+    left: BTreeMap<EndpointStart, Departure>,
     left_order: VecDeque<(MonotonicTime, EndpointStart)>,
     /// Data centres whose endpoints get no new requests.
     drained: BTreeSet<DataCentreId>,
@@ -183,13 +194,14 @@
     /// Applies the first heartbeat of a start. Only unknown starts can have ended, so only this
     /// function checks for that.
     fn add_start(&mut self, last_heard: MonotonicTime, beat: EndpointBeat) -> BeatChange {
-        if self.has_ended(&beat.endpoint) {
+        if self.has_ended(last_heard, &beat) {
             return BeatChange::Stale;
         }
         if self.is_address_held(last_heard, &beat) {
-            self.leave(&beat.endpoint);
+            self.record_departure(&beat.endpoint, Departure::Displaced(beat.sequence));
             return BeatChange::Stale;
         }
+        self.forget_departure(&beat.endpoint);
         if let Some(earlier) = self.current(beat.endpoint.id()).cloned() {
             self.leave(&earlier);
         }
@@ -202,12 +214,22 @@
         BeatChange::Met
     }
 
-    /// Returns whether a start has left or a later start of the same endpoint is known.
-    fn has_ended(&self, start: &EndpointStart) -> bool {
+    /// Returns whether the start of a heartbeat has left, another endpoint holds its address, or a
+    /// later start of the same endpoint is known.
+    fn has_ended(&self, last_heard: MonotonicTime, beat: &EndpointBeat) -> bool {
+        let start = &beat.endpoint;
         let later = |other: &EndpointStart| other.id() == start.id() && other.time() > start.time();
-        let next_left = self.left.range(start..).next();
-        let has_left = next_left.is_some_and(|other| other == start || later(other));
-        has_left || self.current(start.id()).is_some_and(later)
+        let has_departed = match self.left.get(start) {
+            Some(Departure::Left) => true,
+            Some(Departure::Displaced(sequence)) => {
+                beat.sequence <= *sequence || self.holds_address(last_heard, beat, |_| true)
+            }
+            None => false,
+        };
+        let next_left = self.left.range((Bound::Excluded(start), Bound::Unbounded)).next();
+        has_departed
+            || next_left.is_some_and(|(other, _)| later(other))
+            || self.current(start.id()).is_some_and(later)
     }
 
     /// Returns the known start of an endpoint. There is at most one, because a later start replaces
@@ -221,22 +243,31 @@
     /// Returns whether a later start of another endpoint holds the address.
     fn is_address_held(&self, last_heard: MonotonicTime, beat: &EndpointBeat) -> bool {
         let time = beat.endpoint.time();
+        time > StartTime::ZERO && self.holds_address(last_heard, beat, |other| other.time() > time)
+    }
+
+    /// Returns whether a start for which `may_hold` is true holds the address of a heartbeat.
+    fn holds_address(
+        &self,
+        last_heard: MonotonicTime,
+        beat: &EndpointBeat,
+        may_hold: impl Fn(&EndpointStart) -> bool,
+    ) -> bool {
         self.entries.values().any(|entry| {
             entry.beat.address == beat.address
-                && time > StartTime::ZERO
-                && entry.beat.endpoint.time() > time
+                && may_hold(&entry.beat.endpoint)
                 && last_heard.since(entry.last_heard) < ADDRESS_HOLD_TIME
         })
     }
 
-    /// Removes the endpoint that held the address before: it cannot run any more.
+    /// Removes the endpoint that held the address before: both cannot run there.
     fn remove_older_at_address(&mut self, last_heard: MonotonicTime, beat: &EndpointBeat) {
         let older = |entry: &&EndpointEntry| {
             entry.beat.address == beat.address && entry.last_heard < last_heard
         };
-        let displaced = self.entries.values().find(older).map(|e| e.beat.endpoint.clone());
-        if let Some(endpoint) = displaced {
-            self.leave(&endpoint);
+        let displaced = self.entries.values().find(older).map(|entry| &entry.beat);
+        if let Some(EndpointBeat { endpoint, sequence, .. }) = displaced.cloned() {
+            self.record_departure(&endpoint, Departure::Displaced(sequence));
         }
     }
 
@@ -246,18 +277,30 @@
         let is_without_time = endpoint.time() == StartTime::ZERO;
         let known = is_without_time.then(|| self.current(endpoint.id()).cloned()).flatten();
         let departed_start = known.unwrap_or_else(|| endpoint.clone());
-        if !self.left.insert(departed_start.clone()) {
+        if self.left.get(&departed_start) == Some(&Departure::Left) {
             return None;
         }
-        self.left_order.push_back((self.last_heartbeat_at, departed_start.clone()));
+        self.record_departure(&departed_start, Departure::Left);
+        Some(departed_start)
+    }
+
+    fn forget_departure(&mut self, start: &EndpointStart) {
+        if self.left.remove(start).is_some() {
+            self.left_order.retain(|(_, other)| other != start);
+        }
+    }
+
+    fn record_departure(&mut self, start: &EndpointStart, departure: Departure) {
+        self.forget_departure(start);
+        self.left.insert(start.clone(), departure);
+        self.left_order.push_back((self.last_heartbeat_at, start.clone()));
         if self.left_order.len() > MAX_REMEMBERED_DEPARTURES
             && let Some((_, oldest)) = self.left_order.pop_front()
         {
             self.left.remove(&oldest);
         }
-        self.entries.remove(&departed_start);
+        self.entries.remove(start);
         self.generation += 1;
-        Some(departed_start)
     }
 
     /// Removes the endpoints that have been silent for longer than `silence`, and returns them.
@@ -360,7 +403,10 @@
         if self.at(address).is_some() || self.current(endpoint.id()).is_some_and(is_later) {
             return EndpointFate::Replaced;
         }
-        if self.left.contains(endpoint) { EndpointFate::Left } else { EndpointFate::Expired }
+        match self.left.get(endpoint) {
+            Some(Departure::Left) => EndpointFate::Left,
+            Some(Departure::Displaced(_)) | None => EndpointFate::Expired,
+        }
     }
 
     /// Returns how long an endpoint has been silent.
@@ -467,6 +513,7 @@
     /// Lists up to `count` starts that have left since `since`, newest first.
     pub fn departed(&self, count: usize, since: MonotonicTime) -> Vec<EndpointStart> {
         let newest = self.left_order.iter().rev().take_while(|(at, _)| *at >= since);
-        newest.take(count).map(|(_, endpoint)| endpoint.clone()).collect()
+        let has_left = |start: &&EndpointStart| self.left.get(*start) == Some(&Departure::Left);
+        newest.map(|(_, start)| start).filter(has_left).take(count).cloned().collect()
     }
 }
--- a/crates/gateway/tests/parts.rs
+++ b/crates/gateway/tests/parts.rs
@@ -241,6 +241,56 @@
     assert_eq!(registry.at(SocketAddr::from(([10, 0, 0, 1], 1))), "i-new@2000".parse().ok());
 }
 
+/// Sends heartbeats of an endpoint each 1.2 s from `from_ms` to `to_ms`, numbered from `first` on.
+fn send_heartbeats(
+    registry: &mut EndpointRegistry,
+    endpoint: &str,
+    first: u64,
+    from_ms: u64,
+    to_ms: u64,
+) {
+    for (sequence, now) in (first..).zip((from_ms..to_ms).step_by(1_200)) {
+        let beat = beat(endpoint, 1, sequence, EndpointPhase::Serving);
+        registry.apply_heartbeat(at(now), beat, Duration::ZERO);
+    }
+}
+
+// Guards against a late heartbeat of an ended start that removes for good the start which now runs at its
+// address. No start times are known here, so the late heartbeat looks like that of a newer start.
+#[test]
+fn an_endpoint_whose_address_a_late_heartbeat_took_returns() {
+    let address = SocketAddr::from(([10, 0, 0, 1], 1));
+    let mut registry = EndpointRegistry::default();
+    send_heartbeats(&mut registry, "i-new", 1, 10, 2_000);
+    let late = |sequence| beat("i-old", 1, sequence, EndpointPhase::Serving);
+    registry.apply_heartbeat(at(2_000), late(40), Duration::ZERO);
+    send_heartbeats(&mut registry, "i-new", 3, 2_410, 8_000);
+    assert_eq!(registry.at(address), "i-new".parse().ok(), "the one that is heard from");
+    assert_eq!(registry.apply_heartbeat(at(8_100), late(41), Duration::ZERO), BeatChange::Stale);
+    assert_eq!(registry.at(address), "i-new".parse().ok());
+}
+
+// Guards against a start that is kept out for good because the clock by which it names its time was set back.
+#[test]
+fn a_start_with_an_earlier_time_gets_its_address_once_the_other_is_silent() {
+    let mut registry = EndpointRegistry::default();
+    send_heartbeats(&mut registry, "i-old@2000", 1, 10, 1_000);
+    send_heartbeats(&mut registry, "i-new@1000", 1, 900, 8_000);
+    let known: Vec<String> = registry.all().map(|beat| beat.endpoint.to_string()).collect();
+    assert_eq!(known, ["i-new@1000"]);
+}
+
+// Guards against late heartbeats of an ended start that take the address from the next one.
+#[test]
+fn late_heartbeats_of_a_replaced_start_do_not_take_the_address_back() {
+    let address = SocketAddr::from(([10, 0, 0, 1], 1));
+    let mut registry = EndpointRegistry::default();
+    send_heartbeats(&mut registry, "i-old", 1, 10, 1_000);
+    send_heartbeats(&mut registry, "i-new", 1, 1_100, 2_000);
+    send_heartbeats(&mut registry, "i-old", 2, 1_900, 5_000);
+    assert_eq!(registry.at(address), "i-new".parse().ok());
+}
+
 #[test]
 fn repeated_sends_stay_within_this_daemons_share_of_the_budget() {
     let mut budget = RetryBudget::default();
