A request is not refused milliseconds before its turn; Retry-After is never zero

Cause: the entry rounded the wait for a turn up to 5 ms before it compared it with the patience left, refused, and passed the 0 to 4 ms on, which the header rounds down.

Change: the turn is compared as it was told. Retry-After is rounded up to a hundredth of a second.

--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -16,6 +16,8 @@
 mod presence;
 mod read_pace;
 mod refusal;
+#[cfg(test)]
+mod refusal_tests;
 mod reserve;
 mod second_sends;
 mod sends;
--- a/crates/gateway/src/front/refusal.rs
+++ b/crates/gateway/src/front/refusal.rs
@@ -60,7 +60,7 @@
         let headers = response.headers_mut();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
         if let Some(after) = self.retry_after {
-            let text = format!("{:.2}", after.as_secs_f64());
+            let text = retry_after_text(after);
             if let Ok(value) = HeaderValue::from_str(&text) {
                 headers.insert(RETRY_AFTER, value);
             }
@@ -71,3 +71,10 @@
         response
     }
 }
+
+/// Formats the time after which a caller should come back, in seconds. Rounds up to a hundredth,
+/// since a caller that comes back at once is refused again.
+fn retry_after_text(after: Duration) -> String {
+    let hundredths = after.as_micros().div_ceil(10_000).max(1);
+    format!("{}.{:02}", hundredths / 100, hundredths % 100)
+}
--- a/crates/gateway/src/front/tries.rs
+++ b/crates/gateway/src/front/tries.rs
@@ -461,7 +461,8 @@
         NoPlacement::Resting(after) => Some(after.max(MIN_PERMIT_DELAY)),
         // A permit or a turn that is expected too late is not waited for.
         NoPlacement::AtLimit(_, after) | NoPlacement::Busy(_, after) => {
-            Some(after.max(MIN_PERMIT_DELAY)).filter(|delay| *delay <= wait_left)
+            let is_in_time = !wait_left.is_zero() && after <= wait_left;
+            is_in_time.then_some(after.max(MIN_PERMIT_DELAY))
         }
         NoPlacement::NoEndpoint(..) | NoPlacement::NoMemory => {
             (!wait_left.is_zero()).then_some(ENDPOINT_RETRY_DELAY)
--- a/crates/gateway/src/front/tries_tests.rs
+++ b/crates/gateway/src/front/tries_tests.rs
@@ -27,3 +27,12 @@
     assert_eq!(search_delay(refused, Duration::ZERO), None);
     assert_eq!(search_delay(NoPlacement::Resting(millis(900)), millis(10)), Some(millis(900)));
 }
+
+/// Guards against a request that is refused with a turn that comes within its patience: the delay was rounded up
+/// before it was compared, and the caller was told to come back after 0.00 s.
+#[test]
+fn a_turn_in_the_last_milliseconds_of_the_patience_is_waited_for() {
+    let at_limit = |after| NoPlacement::AtLimit("at the limit", millis(after));
+    assert_eq!(search_delay(at_limit(2), millis(3)), Some(millis(5)));
+    assert_eq!(search_delay(at_limit(4), millis(3)), None);
+}
