The evidence about ended answers is judged apart from the network, and tested exhaustively

Cause: whether an answer without a length is complete was judged in the middle of calls and timers, so only six orders of events had a test.

Change: front/evidence.rs holds the judgement; the calls stay in front/ends.rs. The tests go through all possible combinations of a whole or cut answer, the process at the address afterwards, what the endpoint's calls name, the last heartbeat, the registry's entry, and whether the stream may go on elsewhere.

--- a/crates/gateway/src/front/ends.rs
+++ b/crates/gateway/src/front/ends.rs
@@ -36,6 +36,7 @@
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use super::caller::CallerRequest;
+use super::evidence::{self, EndCase, EndEvidence, EvidenceStep};
 use super::placement::Placement;
 use crate::dial::{SHORT_LIFE, dial};
 use crate::endpoints::EndpointFate;
@@ -115,39 +116,6 @@
     Resolved(ProbeResult),
 }
 
-/// The evidence whether an answer that ended with its connection is complete.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum EndEvidence {
-    /// The start has answered a call since.
-    Answered,
-    /// A heartbeat of the start was sent since.
-    Heard,
-    /// A process that does not name itself has answered a call since, and the start has not left.
-    Unnamed,
-    /// Another start has answered at the address.
-    OtherStart,
-    /// No process listens at the address.
-    Refused,
-    /// The instance that passed the answer on is gone.
-    RelayLost,
-    /// Nothing was learned in time.
-    None,
-}
-
-impl EndEvidence {
-    fn name(self) -> &'static str {
-        match self {
-            Self::Answered => "answered",
-            Self::Heard => "heard",
-            Self::Unnamed => "unnamed",
-            Self::OtherStart => "another start",
-            Self::Refused => "refused",
-            Self::RelayLost => "relay lost",
-            Self::None => "none",
-        }
-    }
-}
-
 /// How a connection to an endpoint ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum ConnectionEnd {
@@ -228,7 +196,7 @@
     if evidence != EndEvidence::RelayLost {
         join_probe(gateway, run, target);
     }
-    matches!(evidence, EndEvidence::Heard | EndEvidence::Unnamed)
+    evidence.proves_complete()
 }
 
 /// Asks the endpoint, and waits for one of its heartbeats where the answer is better delivered late
@@ -246,39 +214,31 @@
         (gateway.dialect.ask_endpoint_start)(&target.endpoint, &request.service.health_path)
     };
     let asked = timeout(START_WAIT, ask_start(gateway, target, question)).await;
-    match asked.unwrap_or(StartAnswer::Unclear) {
-        StartAnswer::Same => EndEvidence::Answered,
-        StartAnswer::Other => EndEvidence::OtherStart,
-        StartAnswer::Refused => EndEvidence::Refused,
-        StartAnswer::Unnamed if gateway.endpoints.borrow().is_known(&target.endpoint) => {
-            EndEvidence::Unnamed
-        }
-        // A stream can go on elsewhere without a loss.
-        _ if is_engine && request.route.repeat.may_repeat() => EndEvidence::None,
-        StartAnswer::Unnamed | StartAnswer::Unclear => {
+    let case = EndCase {
+        is_known: gateway.endpoints.borrow().is_known(&target.endpoint),
+        may_go_on_elsewhere: is_engine && request.route.repeat.may_repeat(),
+    };
+    match case.judge_answer(asked.unwrap_or(StartAnswer::Unclear)) {
+        EvidenceStep::Found(evidence) => evidence,
+        EvidenceStep::AwaitHeartbeat => {
             let time_left = request.time_left().saturating_sub(DELIVERY_TIME);
-            let is_heard = wait_for_heartbeat(gateway, target, ended_at);
-            match timeout(time_left.min(HEARTBEAT_WAIT), is_heard).await {
-                Ok(true) => EndEvidence::Heard,
-                Ok(false) | Err(_) => EndEvidence::None,
-            }
+            let heartbeat = wait_for_heartbeat(gateway, target, ended_at);
+            let found = timeout(time_left.min(HEARTBEAT_WAIT), heartbeat).await;
+            found.unwrap_or(EndEvidence::None)
         }
     }
 }
 
-/// Waits until a heartbeat shows that a start was alive after `ended_at`. Returns false if the start
-/// is not known any more.
 async fn wait_for_heartbeat(
     gateway: &Gateway,
     target: &EndpointTarget,
     ended_at: MonotonicTime,
-) -> bool {
+) -> EndEvidence {
     loop {
         let fate = gateway.endpoints.borrow().fate(&target.endpoint, target.address);
-        match fate {
-            EndpointFate::Heard(at) if at >= ended_at + gateway.heard_margin() => return true,
-            EndpointFate::Heard(_) => sleep(FATE_CHECK_INTERVAL).await,
-            EndpointFate::Replaced | EndpointFate::Left | EndpointFate::Expired => return false,
+        match evidence::judge_fate(fate, ended_at, gateway.heard_margin()) {
+            EvidenceStep::Found(evidence) => return evidence,
+            EvidenceStep::AwaitHeartbeat => sleep(FATE_CHECK_INTERVAL).await,
         }
     }
 }
--- /dev/null
+++ b/crates/gateway/src/front/evidence.rs
@@ -0,0 +1,104 @@
+//! Judges whether an answer that ended with its connection is complete, from what was learned of its
+//! endpoint afterwards.
+//!
+//! An answer with neither a length nor chunks ends with its connection, and so does one that a crash
+//! cuts. It is complete if the start that wrote it was alive after the end.
+
+use std::time::Duration;
+
+use oriolepass_units::MonotonicTime;
+
+use crate::endpoints::EndpointFate;
+use crate::upstream::StartAnswer;
+
+/// The evidence whether an answer that ended with its connection is complete.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum EndEvidence {
+    /// The start has answered a call since.
+    Answered,
+    /// A heartbeat of the start was sent since.
+    Heard,
+    /// A process that does not name itself has answered a call since, and the start has not left.
+    Unnamed,
+    /// Another start has answered at the address.
+    OtherStart,
+    /// No process listens at the address.
+    Refused,
+    /// The instance that passed the answer on is gone.
+    RelayLost,
+    /// Nothing was learned in time.
+    None,
+}
+
+impl EndEvidence {
+    /// Returns the name of the evidence in metrics.
+    pub(super) fn name(self) -> &'static str {
+        match self {
+            Self::Answered => "answered",
+            Self::Heard => "heard",
+            Self::Unnamed => "unnamed",
+            Self::OtherStart => "another start",
+            Self::Refused => "refused",
+            Self::RelayLost => "relay lost",
+            Self::None => "none",
+        }
+    }
+
+    /// Returns whether the answer counts as complete.
+    pub(super) fn proves_complete(self) -> bool {
+        match self {
+            Self::Answered | Self::Heard | Self::Unnamed => true,
+            Self::OtherStart | Self::Refused | Self::RelayLost | Self::None => false,
+        }
+    }
+}
+
+/// What to do after a piece of evidence was looked for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum EvidenceStep {
+    Found(EndEvidence),
+    AwaitHeartbeat,
+}
+
+/// What is known of an ended answer before its endpoint is asked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct EndCase {
+    /// Whether the registry knows the start, so that it has not left.
+    pub(super) is_known: bool,
+    /// Whether the rest of the answer can be had from another endpoint without a loss.
+    pub(super) may_go_on_elsewhere: bool,
+}
+
+impl EndCase {
+    /// Judges what the process at the endpoint's address has answered.
+    pub(super) fn judge_answer(self, answer: StartAnswer) -> EvidenceStep {
+        match answer {
+            StartAnswer::Same => EvidenceStep::Found(EndEvidence::Answered),
+            StartAnswer::Other => EvidenceStep::Found(EndEvidence::OtherStart),
+            StartAnswer::Refused => EvidenceStep::Found(EndEvidence::Refused),
+            StartAnswer::Unnamed if self.is_known => EvidenceStep::Found(EndEvidence::Unnamed),
+            StartAnswer::Unnamed | StartAnswer::Unclear if self.may_go_on_elsewhere => {
+                EvidenceStep::Found(EndEvidence::None)
+            }
+            StartAnswer::Unnamed | StartAnswer::Unclear => EvidenceStep::AwaitHeartbeat,
+        }
+    }
+}
+
+/// Judges what the registry knows of the start. A heartbeat that arrives less than `margin` after
+/// the end may have been sent before it.
+pub(super) fn judge_fate(
+    fate: EndpointFate,
+    ended_at: MonotonicTime,
+    margin: Duration,
+) -> EvidenceStep {
+    match fate {
+        EndpointFate::Heard(at) if at >= ended_at + margin => {
+            EvidenceStep::Found(EndEvidence::Heard)
+        }
+        EndpointFate::Heard(_) => EvidenceStep::AwaitHeartbeat,
+        EndpointFate::Replaced | EndpointFate::Left | EndpointFate::Expired => {
+            EvidenceStep::Found(EndEvidence::None)
+        }
+    }
+}
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -8,6 +8,9 @@
 mod caller;
 pub(crate) mod ends;
 mod events;
+mod evidence;
+#[cfg(test)]
+mod evidence_tests;
 mod headers;
 pub(crate) mod helpers;
 mod listener;
