Callers may pause for as long as the gateway itself allows

Callers that read a part of a long answer, paused for 3 s and read on were reset.

Cause: TCP_USER_TIMEOUT, 1.8 s on all connections, also counts the time for which the peer has no room for more bytes. The gateway's own limit for callers that do not read is 5 s.

Change: callers' connections have the gateway's own limit. A caller that is lost while bytes are due to it is noticed after 5 s, where it was 1.8 s.

Connections to endpoints keep the short limit.

--- a/crates/gateway/src/front/listener.rs
+++ b/crates/gateway/src/front/listener.rs
@@ -211,7 +211,7 @@
 }
 
 async fn serve_connection(gateway: Rc<Gateway>, stream: TcpStream) {
-    net::set_stream_options(&stream);
+    net::set_caller_options(&stream);
     let watch = ConnectionWatch::new(&gateway);
     let io = TokioIo::new(WatchedStream { stream, watch: Rc::clone(&watch) });
     let (served, watched) = (Rc::clone(&gateway), Rc::clone(&watch));
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -36,3 +36,4 @@
 pub use attempts::AttemptCount;
 pub use events::EventSplitter;
 pub(crate) use listener::serve_callers;
+pub(crate) use read_pace::READ_TIMEOUT;
--- a/crates/gateway/src/front/read_pace.rs
+++ b/crates/gateway/src/front/read_pace.rs
@@ -9,7 +9,7 @@
 
 /// The time within which a caller has to read [`MIN_READ_BYTES`] while more is due to it. Servers
 /// usually cut off a response that remains unread for some seconds.
-pub(super) const READ_TIMEOUT: Duration = Duration::from_secs(5);
+pub(crate) const READ_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// The minimum that a caller reads within [`READ_TIMEOUT`]: well below the rate of the slowest
 /// connections in use.
--- a/crates/gateway/src/net.rs
+++ b/crates/gateway/src/net.rs
@@ -7,6 +7,8 @@
 use socket2::SockRef;
 use tokio::net::{TcpSocket, TcpStream};
 
+use crate::front::READ_TIMEOUT;
+
 /// How long sent bytes may stay unacknowledged. A cut link gives no error, so without this limit a
 /// connection over it would hang for minutes. The value is above two retransmissions of a lost
 /// packet.
@@ -15,8 +17,19 @@
 /// Sets a connection's socket options. Failures are ignored: without the options a connection works
 /// too, and only takes longer to detect a lost peer.
 pub(crate) fn set_stream_options(stream: &TcpStream) {
+    set_options(stream, TCP_USER_TIMEOUT);
+}
+
+/// Sets the options of a caller's connection. The operating system counts the time for which the
+/// caller has no room for more bytes like the time without an acknowledgement, so it must allow for
+/// a caller that pauses.
+pub(crate) fn set_caller_options(stream: &TcpStream) {
+    set_options(stream, READ_TIMEOUT);
+}
+
+fn set_options(stream: &TcpStream, user_timeout: Duration) {
     let _ = stream.set_nodelay(true);
-    let _ = SockRef::from(stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT));
+    let _ = SockRef::from(stream).set_tcp_user_timeout(Some(user_timeout));
 }
 
 /// Connects from the local address `from`, or from any if it is `None`.
