--- a/crates/gateway/src/documents.rs
+++ b/crates/gateway/src/documents.rs
@@ -170,6 +170,7 @@
         self.line(EventKind::InForce)
             .number("revision", text.revision)
             .maybe("before", held)
+            .maybe("proof_age_ms", self.proof_age().map(|age| age.as_millis()))
             .number("routes", table.route_count())
             .text("outcome", "taken over");
         self.metrics.revision.set(i64::try_from(text.revision.0).unwrap_or(i64::MAX));
