An instance denies no route and no key once a newer document may have to be in force

What callers saw: a 404 or 401, which ends a request for good, for a route or a key that was acknowledged more than in_force_ms before, at an instance that had got no proof since.

Cause: an instance decided by its document for as long as the time of removed keys allows (0.8 of key_revoke_ms, 4 s), and nothing read in_force_ms (2 to 2.5 s). A comment relied on a proof that ends before the document has to be in force. Class: one lifetime for two promises, the longer one.

Change: the denial of a route or a key needs a proof that is younger than in_force_ms; else the request is refused as not run with 0.4 s to come back, by the reasons that exist for it. A proof that is dated after an acknowledgement includes that document, so no margin is needed. Requests that the document allows are served as before.

Evidence: an_instance_without_a_recent_proof_denies_no_route_and_no_key fails before (404 after 2.1 s without a proof, 503 asked) and passes now.

--- a/crates/gateway/src/documents.rs
+++ b/crates/gateway/src/documents.rs
@@ -148,6 +148,12 @@
         self.proof_age().is_some_and(|age| age < lifetime)
     }
 
+    /// Returns whether the document in force includes every document that has to be in force by
+    /// now. A document that was acknowledged after the proof may still be on its way here.
+    pub(crate) fn knows_due_documents(&self) -> bool {
+        self.is_fresh() && self.proof_age().is_some_and(|age| age < self.settings().bounds.in_force)
+    }
+
     /// Puts a document in force if it is newer than the current one.
     pub(crate) fn adopt_document(&self, text: RoutingText) {
         let held = self.documents.borrow().revision();
@@ -488,8 +494,8 @@
                 tokio::task::spawn_local(async move {
                     if outcome == RegisterOutcome::Accepted {
                         let everywhere = gateway.wait_until_in_force(revision);
-                        // A daemon that does not confirm in time loses its proof, and refuses
-                        // callers with keys before the document has to be in force.
+                        // A daemon that does not confirm in time denies no route and no key once
+                        // the document has to be in force, and then loses its proof.
                         let _ = timeout(CONFIRMATION_TIMEOUT, everywhere).await;
                     }
                     gateway.answer_proposer(&proposer, DocumentVerdict::Done(outcome));
--- a/crates/gateway/src/front/caller.rs
+++ b/crates/gateway/src/front/caller.rs
@@ -403,10 +403,11 @@
     facts: &RequestFacts,
 ) -> Result<(Arc<RouteSpec>, Option<Arc<KeyHolder>>), Refusal> {
     let table = &document.table;
-    let is_fresh = gateway.is_fresh();
+    let is_certain = gateway.knows_due_documents();
     let Some(route) = table.route(host, parts.uri.path()) else {
-        // A daemon whose document may be outdated cannot state that a route does not exist.
-        if !is_fresh {
+        // The denial of a route or a key is final for callers, so an instance that may lack a newer
+        // document must not state it.
+        if !is_certain {
             return Err(Refusal::not_run("route not known for sure", SHORT_RETRY_AFTER));
         }
         let remedy = "no route serves this host and path";
@@ -414,7 +415,7 @@
     };
     let holder = facts.key.as_ref().and_then(|key| table.holder(key));
     if table.needs_keys() && !route.is_public && holder.is_none() {
-        if !is_fresh {
+        if !is_certain {
             return Err(Refusal::not_run("key not known for sure", SHORT_RETRY_AFTER));
         }
         let remedy = "show a key that a client account holds";
