--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -74,7 +74,7 @@
     Replica = "replica";
     /// A routing document was proposed, acknowledged, or refused.
     Document = "document";
-    /// A routing document is in force here.
+    /// A routing document is in force here. `proof_age_ms` is how long ago the document before was last known to be the newest.
     InForce = "in-force";
     /// An operator asked to drain or restore a data centre, or the drained data centres in force here have changed.
     DataCentreDrain = "data-centre-drain";
