A process that may found uses its whole retry budget only once the system is seen to be new

What callers see: repeats beyond the allowance of a service, which reach endpoints that are in need already. Nothing is refused that was served before.

Cause: a process whose settings say may_found = true counted as a part of the system's first start and had its whole share at once. A process that ends is started again with the settings in effect, so processes that are killed while the settings still say so have their whole share again each time. Class: a statement about the past, taken from settings that outlive it.

Change: each start is held back as a later one until there is evidence: the process's own replica, or the note of a live one, belongs to a system that has accepted no command. Such a system has served no request, so nothing was used. If a founded system, a log with commands or a document is seen first, the start is a later one. The retry-budget lines `first start` and `later start` tell which.

--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -97,6 +97,13 @@
         Self { services: HashMap::new(), start, started, held_back_since, reported: None }
     }
 
+    /// Records that the whole system starts for the first time, so that nothing of the budget was used
+    /// before this process started.
+    pub fn confirm_first_start(&mut self) {
+        self.start = ProcessStart::First;
+        self.held_back_since = None;
+    }
+
     /// Records that this daemon takes its share in another role from now on, as a part of a mesh, a
     /// hub or a leaf. It and others may have used their shares in the roles before.
     pub fn change_role(&mut self, now: MonotonicTime, rule: &BudgetRule) {
--- a/crates/gateway/src/cluster.rs
+++ b/crates/gateway/src/cluster.rs
@@ -78,6 +78,7 @@
 
     fn greet(&self, round: u64) {
         self.update_tier(round);
+        self.judge_start();
         let now = self.now();
         let seeds = self.seed_instances();
         let tier = self.tier();
@@ -297,6 +298,7 @@
                 self.line(EventKind::Peer).text("peer", from).text("outcome", "leaving");
             }
             self.update_leader();
+            self.judge_start();
         }
         if let Some(list) = known_list {
             self.mesh.send(from, &PeerMessage::Known(list));
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -92,6 +92,8 @@
     pub(crate) skipped: Cell<SkippedReport>,
     pub(crate) balancer: RefCell<EndpointBalancer>,
     pub(crate) budget: RefCell<RetryBudget>,
+    /// Whether it is known if this process takes part in the first start of the whole system.
+    pub(crate) is_start_judged: Cell<bool>,
     pub(crate) limits: RefCell<LimitState>,
     pub(crate) second_sends: RefCell<SecondSendState>,
     pub(crate) rests: RefCell<RestState>,
@@ -141,9 +143,9 @@
             .to_string()
             .parse()
             .expect("an address consists of characters that an id may have");
-        let start =
-            if settings.seeds.may_found { ProcessStart::First } else { ProcessStart::Later };
-        let budget = RetryBudget::new(clock.now(), start);
+        let is_start_judged = Cell::new(!settings.seeds.may_found);
+        // The start counts as a later one until there is evidence of the contrary.
+        let budget = RetryBudget::new(clock.now(), ProcessStart::Later);
         Rc::new(Self {
             settings: RefCell::new(Rc::new(settings)),
             dialect,
@@ -172,6 +174,7 @@
             skipped: Cell::default(),
             balancer: RefCell::default(),
             budget: RefCell::new(budget),
+            is_start_judged,
             limits: RefCell::default(),
             second_sends: RefCell::default(),
             rests: RefCell::default(),
--- a/crates/gateway/src/repeats.rs
+++ b/crates/gateway/src/repeats.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use oriolepass_consensus::ConsensusNode;
 use oriolepass_units::ServiceName;
 
 use crate::events::EventKind;
@@ -50,6 +51,34 @@
         )
     }
 
+    /// Judges whether the whole system starts for the first time, once there is evidence. Only then may
+    /// this process use its whole share of the budget at once.
+    ///
+    /// The settings alone do not show it: a process that ended may start again with the settings of
+    /// the first start. A system that has accepted no command has not served a request.
+    pub(crate) fn judge_start(&self) {
+        if self.is_start_judged.get() {
+            return;
+        }
+        let own = self.with_node(ConsensusNode::holds_command);
+        let (is_founded, is_founding) = {
+            let (now, roster) = (self.now(), self.roster.borrow());
+            let is_founded = own == Some(true) || roster.knows_founded_system(now);
+            (is_founded, own == Some(false) || roster.knows_system_without_command(now))
+        };
+        if !is_founded && !is_founding {
+            return;
+        }
+        self.is_start_judged.set(true);
+        let is_first = !is_founded && self.active_document().is_none();
+        if is_first {
+            self.budget.borrow_mut().confirm_first_start();
+        }
+        self.line(EventKind::RetryBudget)
+            .number("founded", is_founded)
+            .text("outcome", if is_first { "first start" } else { "later start" });
+    }
+
     /// Takes one repeated send from this hub's part of the budget; returns whether there was one.
     pub(crate) fn grant_repeat(&self, service: &ServiceName) -> bool {
         if self.tier() != Tier::Hub {
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -326,6 +326,12 @@
         self.alive(now).any(|note| has_had_leader(note) && !note.is_founding.0)
     }
 
+    /// Returns whether a live replica belongs to a system that has accepted no command, as far as that
+    /// replica knows.
+    pub(crate) fn knows_system_without_command(&self, now: MonotonicTime) -> bool {
+        self.alive(now).any(|note| note.replica.is_some() && note.is_founding.0)
+    }
+
     /// Returns the voters from the note of the live replica with the highest term.
     pub(crate) fn voters(&self, now: MonotonicTime) -> Vec<InstanceId> {
         self.alive(now)
