Daemons that were split off for long still share the retry budget

What callers see: repeats beyond the allowance of a service while instances are split for more than 90 s, up to a whole fixed number on each side.

Cause: the fixed number is divided by the daemons of the roster, and a daemon leaves the roster after 90 s of silence. Each side of a longer split divides by its own daemons only. Class: a safety bound derived from a list that is kept for another purpose and for a shorter time.

Change: the roster remembers daemons that it removed although they had not left, for an hour. They count in the divisor of a mesh and, if they have a disk, of hubs; a farewell ends that at once. The retry-budget lines have the divisor.

Cost: an instance that ended for good without a farewell takes its share with it for an hour: of n instances with one replaced at another address, n/(n+1) of the fixed number is used.

What remains: a process that starts again during a split knows only the other side's seeds, and leaves a share too large if most daemons of its side start again as well.

Not run on real processes.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -76,7 +76,7 @@
     Document = "document";
     /// A routing document is in force here. `proof_age_ms` is how long ago the document before was last known to be the newest.
     InForce = "in-force";
-    /// A service's retry budget refused a repeated send; what this daemon has used of its share, and the part of the fixed number that it may use, at most once a second. `first start` and `later start` say whether this process may use its whole share at once, since the whole system starts for the first time.
+    /// A service's retry budget refused a repeated send; what this daemon has used of its share, and the part of the fixed number that it may use, which is divided by `divisor`, at most once a second. `first start` and `later start` say whether this process may use its whole share at once, since the whole system starts for the first time.
     RetryBudget = "retry-budget";
     /// An operator asked to drain or restore a data centre, or the drained data centres in force here have changed.
     DataCentreDrain = "data-centre-drain";
--- a/crates/gateway/src/hubs.rs
+++ b/crates/gateway/src/hubs.rs
@@ -203,11 +203,11 @@
         hubs
     }
 
-    /// Returns the largest number of daemons that this daemon knows or was told of, silent ones
-    /// included.
+    /// Returns the largest number of daemons that this daemon knows or was told of and that may be alive,
+    /// silent ones included.
     pub(crate) fn max_daemon_count(&self) -> usize {
         let tier = self.tier.borrow();
-        let known = self.roster.borrow().known_count() + 1;
+        let known = self.roster.borrow().budget_count() + 1;
         known.max(tier.summary.daemons).max(tier.daemons)
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -88,6 +88,8 @@
 #[cfg(test)]
 mod roster_tests;
 mod second_sends;
+#[cfg(test)]
+mod split_budget_tests;
 mod start;
 mod task_guard;
 mod tiers;
--- a/crates/gateway/src/repeats.rs
+++ b/crates/gateway/src/repeats.rs
@@ -30,9 +30,7 @@
         let (now, rule) = (self.now(), self.budget_rule());
         match self.tier() {
             Tier::Mesh => {
-                // Silent daemons are counted too: they may be alive on the other side of a
-                // partition and use their share.
-                let daemons = self.max_daemon_count();
+                let daemons = self.budget_divisor();
                 return self.budget.borrow_mut().take(now, &rule, daemons, service);
             }
             Tier::Hub | Tier::Leaf
@@ -84,11 +82,19 @@
         if self.tier() != Tier::Hub {
             return false;
         }
-        // Silent hubs are counted too: they may still grant sends to their leaves.
-        let hubs = self.other_hubs().len() + 1;
+        let hubs = self.budget_divisor();
         self.budget.borrow_mut().grant(self.now(), &self.budget_rule(), hubs, service)
     }
 
+    /// Returns the number of daemons that share the fixed number: all in a mesh, else the hubs. Silent
+    /// ones are counted too: they may be alive on the other side of a partition and use their share.
+    fn budget_divisor(&self) -> usize {
+        match self.tier() {
+            Tier::Mesh => self.max_daemon_count(),
+            Tier::Hub | Tier::Leaf => self.roster.borrow().budget_hub_count() + 1,
+        }
+    }
+
     /// Logs what this daemon has used of the budget, at most once a second.
     fn report_budget_refusal(&self, service: &ServiceName) {
         let (now, rule) = (self.now(), self.budget_rule());
@@ -101,6 +107,7 @@
             .number("grants", usage.grants)
             .number("fixed_share", format!("{:.2}", usage.fixed_share))
             .number("known", self.roster.borrow().known_count())
+            .number("divisor", self.budget_divisor())
             .text("role", self.tier().name())
             .text("outcome", "refused");
     }
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -24,6 +24,11 @@
 /// or a seed.
 const EXPIRY_TIMEOUT: Duration = Duration::from_secs(90);
 
+/// How long a daemon that fell silent without leaving still shares the retry budget. It may be alive on
+/// the other side of a partition and use its share, and partitions may last far longer than a daemon
+/// stays in the roster.
+const BUDGET_MEMORY: Duration = Duration::from_secs(3_600);
+
 /// Whether a daemon accepts callers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum DaemonPhase {
@@ -103,6 +108,13 @@
     added: MonotonicTime,
 }
 
+/// A daemon that was removed from the roster and had not left.
+#[derive(Debug)]
+struct LostDaemon {
+    removed: MonotonicTime,
+    has_disk: bool,
+}
+
 /// The effect of a daemon's note on the roster.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum RosterChange {
@@ -120,6 +132,8 @@
     entries: BTreeMap<InstanceId, RosterEntry>,
     /// The leaves attached to other hubs, by hub.
     attached_leaves: BTreeMap<InstanceId, BTreeMap<InstanceId, LeafNote>>,
+    /// The daemons that were removed, for [`BUDGET_MEMORY`].
+    lost: BTreeMap<InstanceId, LostDaemon>,
 }
 
 impl DaemonRoster {
@@ -136,6 +150,7 @@
     /// Records a daemon's note.
     pub(crate) fn update(&mut self, now: MonotonicTime, note: DaemonNote) -> RosterChange {
         self.add(now, &note.instance);
+        self.lost.remove(&note.instance);
         let Some(entry) = self.entries.get_mut(&note.instance) else {
             return RosterChange::Refreshed;
         };
@@ -175,6 +190,7 @@
 
     /// Records that a daemon has exited.
     pub(crate) fn left(&mut self, instance: &InstanceId) {
+        self.lost.remove(instance);
         if let Some(entry) = self.entries.get_mut(instance) {
             entry.last_heard = None;
             if let Some(note) = &mut entry.note {
@@ -200,9 +216,17 @@
             .map(|(instance, _)| instance.clone())
             .collect();
         for instance in &expired {
-            self.entries.remove(instance);
             self.attached_leaves.remove(instance);
+            let note = self.entries.remove(instance).and_then(|entry| entry.note);
+            let has_left = note.as_ref().is_some_and(|note| note.phase == DaemonPhase::Leaving);
+            if !has_left {
+                let has_disk = note.is_some_and(|note| note.has_disk);
+                // Others may name it again. It then has no note, and its first removal counts.
+                let lost = LostDaemon { removed: now, has_disk };
+                self.lost.entry(instance.clone()).or_insert(lost);
+            }
         }
+        self.lost.retain(|_, lost| now.since(lost.removed) <= BUDGET_MEMORY);
         expired
     }
 
@@ -280,6 +304,19 @@
         self.entries.len()
     }
 
+    /// Returns the number of other daemons that may be alive and use a share of the retry budget, those
+    /// that fell silent long ago included.
+    pub(crate) fn budget_count(&self) -> usize {
+        let is_forgotten = |lost: &&InstanceId| !self.entries.contains_key(*lost);
+        self.known_count() + self.lost.keys().filter(is_forgotten).count()
+    }
+
+    /// Returns the number of known daemons with a disk that may be alive and use a hub's share of the
+    /// retry budget, those that fell silent long ago included.
+    pub(crate) fn budget_hub_count(&self) -> usize {
+        self.hubs().count() + self.lost.values().filter(|lost| lost.has_disk).count()
+    }
+
     /// Returns the roster entry of a daemon.
     pub(crate) fn get(&self, instance: &InstanceId) -> Option<&RosterEntry> {
         self.entries.get(instance)
