--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -50,6 +50,8 @@
     Readiness = "readiness";
     /// The machine was suspended, for `span_ms`.
     Suspended = "suspended";
+    /// The event loop was late by up to `late_ms`, so requests may have waited unread for so long; `times` is how often since the last such line, at most once a second.
+    LateLoop = "late-loop";
     /// A connection to another daemon is up or down.
     PeerLink = "peer-link";
     /// Another daemon was met, has left, or was forgotten.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -65,6 +65,9 @@
 mod hubs_tests;
 mod lifecycle;
 mod limits;
+mod loop_delay;
+#[cfg(test)]
+mod loop_delay_tests;
 mod metrics;
 mod net;
 mod operators;
--- /dev/null
+++ b/crates/gateway/src/loop_delay.rs
@@ -0,0 +1,68 @@
+//! Measures by how much the event loop is late.
+//!
+//! A loop that gets little processor time, or whose tasks take long, reads what has arrived late: a
+//! request's time is counted from the moment at which its head is read.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::time::{Instant, sleep_until};
+
+use crate::events::EventKind;
+use crate::gateway::Gateway;
+
+/// The interval at which the delay is measured.
+const MEASURE_INTERVAL: Duration = Duration::from_millis(100);
+
+/// The shortest delay that is logged: half of what an endpoint's time may be too long by.
+const MIN_REPORTED_DELAY: Duration = Duration::from_millis(250);
+
+/// The minimum interval between two log lines.
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Limits the log lines on a late event loop.
+#[derive(Debug, Default)]
+pub(crate) struct DelayReporter {
+    reported: Option<Instant>,
+    /// The longest delay and the number of delays that were not reported yet.
+    longest: Duration,
+    count: u32,
+}
+
+impl DelayReporter {
+    /// Records a delay. Returns the longest delay and the number of delays since the last report, if a
+    /// report is due.
+    pub(crate) fn record(&mut self, now: Instant, delay: Duration) -> Option<(Duration, u32)> {
+        if delay >= MIN_REPORTED_DELAY {
+            self.longest = self.longest.max(delay);
+            self.count += 1;
+        }
+        let is_due = self.reported.is_none_or(|at| now - at >= REPORT_INTERVAL);
+        if self.count == 0 || !is_due {
+            return None;
+        }
+        self.reported = Some(now);
+        Some((std::mem::take(&mut self.longest), std::mem::take(&mut self.count)))
+    }
+}
+
+impl Gateway {
+    /// Measures the delay of the event loop until the process stops.
+    pub(crate) async fn measure_loop_delay(self: Rc<Self>) {
+        let mut reporter = DelayReporter::default();
+        loop {
+            let due = Instant::now() + MEASURE_INTERVAL;
+            sleep_until(due).await;
+            let now = Instant::now();
+            let delay = now - due;
+            self.metrics.loop_delay.observe(delay.as_secs_f64());
+            if let Some((longest, count)) = reporter.record(now, delay) {
+                self.line(EventKind::LateLoop)
+                    .millis("late_ms", longest)
+                    .number("times", count)
+                    .number("active", self.active_requests.get())
+                    .text("outcome", "requests were read late");
+            }
+        }
+    }
+}
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -80,6 +80,8 @@
     pub(crate) peer_bytes: IntCounterVec,
     /// Suspensions of the machine.
     pub(crate) suspensions: IntCounter,
+    /// By how much the event loop was late.
+    pub(crate) loop_delay: Histogram,
     /// Endpoints that take new work.
     pub(crate) endpoints: IntGauge,
     /// Endpoints that name a limit on their request rate.
@@ -234,6 +236,16 @@
                 "kind",
             ),
             suspensions: counter("oriolepass_suspensions_total", "Suspensions of the machine"),
+            loop_delay: registered_metric(
+                &registry,
+                Histogram::with_opts(
+                    HistogramOpts::new(
+                        "oriolepass_event_loop_delay_seconds",
+                        "By how much the event loop was late",
+                    )
+                    .buckets(LATENCY_BUCKETS_S.to_vec()),
+                ),
+            ),
             endpoints: gauge("oriolepass_endpoints", "Endpoints that take work"),
             limited_endpoints: gauge(
                 "oriolepass_limited_endpoints",
