Storage: the name of a data folder is durable before the folder is used

What callers see: a document that was acknowledged is gone, at all instances, after a loss of power that follows the first start. No instance has a replica any more, and none serves.

Cause: `DiskFolder::open` created the data folder with `create_dir_all` and synced no parent, so a loss of power could take the folder with its name and all files in it, however often these were synced. The quarantine's disk created the same folder in the same way.

Why it works: `create_folder` creates one folder at a time and syncs its parent before it goes on, and syncs the parent of the first folder that it finds, since an earlier process may have ended between the two. A parent that this process may not open or sync is logged and does not stop a start; a sync that fails for another reason does. The `replica` line `opened` says whether the folder was created or found, and whether its parent was synced.

Tests changed: two calls in crates/storage/tests take the folder out of the pair that `DiskFolder::open` returns now; they check what they did before.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -139,7 +139,7 @@
         let key = ClusterKey::new(&settings.cluster_key);
         let replica = match &settings.instance.data_folder {
             Some(folder) if settings.is_voter() => {
-                let folder = DiskFolder::open(folder)?;
+                let (folder, _) = DiskFolder::open(folder)?;
                 Some(LogStore::open(folder, DEFAULT_SEGMENT_BYTES)?)
             }
             _ => None,
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -71,6 +71,8 @@
     Voters = "voters";
     /// The replica of the log has started, stopped, or failed with its disk, waits for a system, has
     /// no leader, stands for election, was elected or has stepped down, or its disk was slow to sync.
+    /// `opened` says whether the data folder was `created` or `found`, and whether its `parent` was
+    /// `synced`, so that the folder's name survives a loss of power.
     Replica = "replica";
     /// A routing document was proposed, acknowledged, or refused.
     Document = "document";
--- a/crates/gateway/src/quarantine_disk.rs
+++ b/crates/gateway/src/quarantine_disk.rs
@@ -14,6 +14,7 @@
 use std::time::Duration;
 
 use oriolepass_quarantine::{CaseUpdate, ClearUpdate, EndUpdate, PartDigest, RequestDigest};
+use oriolepass_storage::create_folder;
 use oriolepass_units::EndpointStart;
 use serde::{Deserialize, Serialize};
 use tokio::sync::oneshot;
@@ -152,7 +153,9 @@
 fn replace_file(folder: &Path, name: &str, cases: &impl Serialize) -> io::Result<()> {
     let draft_name = format!("{name}{DRAFT_ENDING}");
     let bytes = postcard::to_stdvec(cases).map_err(io::Error::other)?;
-    fs::create_dir_all(folder)?;
+    if !folder.is_dir() {
+        create_folder(folder).map_err(io::Error::other)?;
+    }
     let mut draft = File::create(folder.join(&draft_name))?;
     draft.write_all(&bytes)?;
     draft.sync_all()?;
--- a/crates/gateway/src/replica/mod.rs
+++ b/crates/gateway/src/replica/mod.rs
@@ -19,7 +19,7 @@
     LogEntry, NodeOutput, NodeRole, PersistBatch,
 };
 use oriolepass_routing::{DrainRegister, RoutingText};
-use oriolepass_storage::{RecoveredLog, StorageError, UnsyncedTails};
+use oriolepass_storage::{FolderOpening, RecoveredLog, StorageError, UnsyncedTails};
 use oriolepass_units::{InstanceId, LeaderTerm, LogIndex, MonotonicTime};
 use tokio::sync::mpsc::UnboundedSender;
 
@@ -90,6 +90,8 @@
     pub(crate) drains: Option<DrainRegister>,
     pub(crate) ended: Vec<(Proposer, ProposalEnd)>,
     pub(crate) elections: Vec<ElectionEvent>,
+    /// How the data folder was opened, if a start has just read it.
+    pub(crate) folder: Option<FolderOpening>,
     /// The syncs that were slow since the last report of slow syncs, if a report is due.
     pub(crate) slow_sync: Option<SlowSync>,
 }
@@ -264,7 +266,8 @@
     ) -> (ReplicaEffects, Option<DiskFailure>) {
         let mut effects = ReplicaEffects::default();
         match report {
-            StorageReport::Opened(recovered) => {
+            StorageReport::Opened(recovered, folder) => {
+                effects.folder = Some(folder);
                 self.unsynced_tails = UnsyncedTails::default();
                 let opening = self.opening.take();
                 self.opened = opening.map(|batches| OpenedStore { recovered, batches });
--- a/crates/gateway/src/replica/storage.rs
+++ b/crates/gateway/src/replica/storage.rs
@@ -9,7 +9,9 @@
 use std::time::{Duration, Instant};
 
 use oriolepass_consensus::PersistBatch;
-use oriolepass_storage::{DiskFolder, LogStore, RecoveredLog, StorageError, UnsyncedTails};
+use oriolepass_storage::{
+    DiskFolder, FolderOpening, LogStore, RecoveredLog, StorageError, UnsyncedTails,
+};
 use tokio::sync::mpsc::UnboundedSender;
 
 /// The maximum number of batches in one sync.
@@ -22,7 +24,7 @@
 #[derive(Debug)]
 pub(crate) enum StorageReport {
     /// The disk has been read, and the thread accepts batches.
-    Opened(RecoveredLog),
+    Opened(RecoveredLog, FolderOpening),
     /// All batches up to this sequence number are synced, and how long the disk took.
     Synced(u64, Duration),
     /// The disk failed, and the thread ends. The contents of the disk are unknown, so the replica
@@ -51,12 +53,14 @@
     }
 
     fn run(mut self) {
-        let opened = DiskFolder::open(&self.folder).and_then(|folder| {
-            LogStore::open_after_failure(folder, SEGMENT_BYTES, &mut self.unsynced_tails)
+        let opened = DiskFolder::open(&self.folder).and_then(|(folder, opening)| {
+            let tails = &mut self.unsynced_tails;
+            let (store, recovered) = LogStore::open_after_failure(folder, SEGMENT_BYTES, tails)?;
+            Ok((store, recovered, opening))
         });
         match opened {
-            Ok((store, recovered)) => {
-                if self.report(StorageReport::Opened(recovered)) {
+            Ok((store, recovered, opening)) => {
+                if self.report(StorageReport::Opened(recovered, opening)) {
                     self.write_batches(store);
                 }
             }
--- a/crates/gateway/src/replication.rs
+++ b/crates/gateway/src/replication.rs
@@ -8,6 +8,7 @@
 use oriolepass_consensus::{
     ConsensusMessage, ConsensusNode, DiskInstance, ElectionEvent, Envelope, NodeRole, VoterState,
 };
+use oriolepass_storage::FolderOpening;
 use oriolepass_units::{InstanceId, MonotonicTime};
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::time::{MissedTickBehavior, interval, sleep};
@@ -91,6 +92,15 @@
         }
     }
 
+    /// Logs whether the data folder was created or found, and whether its name is durable.
+    fn log_folder(&self, folder: FolderOpening) {
+        let parent = folder.unsynced_parent.map_or("synced".into(), |r| format!("not synced: {r}"));
+        self.line(EventKind::Replica)
+            .text("folder", if folder.is_created { "created" } else { "found" })
+            .text("parent", parent)
+            .text("outcome", "opened");
+    }
+
     /// Logs that the replica has no leader, with the voters and the other live replicas. The log
     /// line thus distinguishes a missing majority from a majority that does not agree on a leader.
     fn report_no_leader(&self, now: MonotonicTime, time: Duration) {
@@ -183,7 +193,7 @@
             self.metrics.syncs.inc();
             self.metrics.sync_seconds.observe(took.as_secs_f64());
         }
-        let is_opening = matches!(report, StorageReport::Opened(_));
+        let is_opening = matches!(report, StorageReport::Opened(..));
         let reported = self.replica.borrow_mut().as_mut().map(|r| r.report(now, report));
         let Some((effects, failure)) = reported else { return };
         if let Some(DiskFailure { error, was_running }) = failure {
@@ -241,6 +251,9 @@
             self.end_proposal(proposer, &end);
         }
         effects.elections.into_iter().for_each(|event| self.log_election(event));
+        if let Some(folder) = effects.folder {
+            self.log_folder(folder);
+        }
         if let Some(slow) = effects.slow_sync {
             self.line(EventKind::Replica)
                 .number("syncs", slow.count)
--- a/crates/storage/src/folder.rs
+++ b/crates/storage/src/folder.rs
@@ -7,6 +7,7 @@
 
 use crate::error::StorageError;
 use crate::fake::FakeDisk;
+use crate::opening::{FolderOpening, create_folder};
 
 /// Name of the file that a daemon locks while it uses the folder.
 const LOCK_FILE: &str = "lock";
@@ -27,15 +28,15 @@
 }
 
 impl DiskFolder {
-    /// Opens a real folder and locks it. The folder is created if it does not exist.
+    /// Opens a real folder and locks it. The folder is created if it does not exist; its name is durable
+    /// before the folder is used.
     ///
     /// # Errors
     ///
     /// Returns an error if the folder cannot be created or written, or if another daemon uses it.
-    pub fn open(path: impl Into<PathBuf>) -> Result<Self, StorageError> {
+    pub fn open(path: impl Into<PathBuf>) -> Result<(Self, FolderOpening), StorageError> {
         let path = path.into();
-        let name = path.display().to_string();
-        fs::create_dir_all(&path).map_err(io_error("create folder", &name))?;
+        let opening = create_folder(&path)?;
         let lock = OpenOptions::new()
             .create(true)
             .truncate(false)
@@ -47,7 +48,7 @@
             Err(TryLockError::WouldBlock) => return Err(StorageError::InUse),
             Err(TryLockError::Error(error)) => return Err(io_error("lock", LOCK_FILE)(error)),
         }
-        Ok(Self(FolderKind::Real { path, _lock: Arc::new(lock) }))
+        Ok((Self(FolderKind::Real { path, _lock: Arc::new(lock) }), opening))
     }
 
     /// Creates a folder on a fake disk.
--- a/crates/storage/tests/hostile_bytes.rs
+++ b/crates/storage/tests/hostile_bytes.rs
@@ -18,7 +18,7 @@
         let length = random.random_range(0..400);
         let bytes: Vec<u8> = (0..length).map(|_| random.random()).collect();
         std::fs::write(folder.path().join(name), bytes).expect("a file");
-        let opened = DiskFolder::open(folder.path()).and_then(|f| LogStore::open(f, 1_024));
+        let opened = DiskFolder::open(folder.path()).and_then(|(f, _)| LogStore::open(f, 1_024));
         if let Ok((_, log)) = opened {
             assert!(log.entries.is_empty(), "seed {seed}: entries recovered from random bytes");
         }
--- a/crates/storage/tests/log_store.rs
+++ b/crates/storage/tests/log_store.rs
@@ -1,10 +1,11 @@
 //! Tests the store under failures: crashes, damaged files, full disks and concurrent daemons.
 
+use std::os::unix::fs::PermissionsExt;
 use std::sync::Arc;
 
 use oriolepass_storage::{
-    DiskFolder, FakeDisk, HardState, LogRecord, LogStore, RecoveredLog, SnapshotMeta, StorageError,
-    StoredEntry, UnsyncedTails,
+    DiskFolder, FakeDisk, FolderOpening, HardState, LogRecord, LogStore, RecoveredLog,
+    SnapshotMeta, StorageError, StoredEntry, UnsyncedTails,
 };
 use oriolepass_units::{LeaderTerm, LogIndex};
 use rand::rngs::StdRng;
@@ -125,7 +126,7 @@
 #[test]
 fn a_missing_segment_is_reported_as_damage() {
     let folder = tempfile::tempdir().expect("a temporary folder");
-    let open = || LogStore::open(DiskFolder::open(folder.path())?, SEGMENT_BYTES);
+    let open = || LogStore::open(DiskFolder::open(folder.path())?.0, SEGMENT_BYTES);
     let (mut store, _) = open().expect("an empty folder");
     (1..=40).for_each(|index| store.append(&[entry(index, 1)]).expect("room"));
     drop(store);
@@ -342,3 +343,33 @@
         assert_eq!(indexes(&log), [1, 2], "seed {seed}");
     }
 }
+
+/// Guards against a start that fails, or reports a folder as created, although it exists.
+#[test]
+fn a_folder_is_reported_as_created_only_once() {
+    let parent = tempfile::tempdir().expect("a temporary folder");
+    let path = parent.path().join("first/second");
+    let open = || DiskFolder::open(&path).expect("a free folder").1;
+    let created = FolderOpening { is_created: true, unsynced_parent: None };
+    assert_eq!(open(), created);
+    assert_eq!(open(), FolderOpening { is_created: false, ..created });
+}
+
+/// Guards against a start that fails because the process may not read the parent of its folder.
+#[test]
+fn a_folder_is_opened_although_its_parent_cannot_be_synced() {
+    let parent = tempfile::tempdir().expect("a temporary folder");
+    let path = parent.path().join("data");
+    DiskFolder::open(&path).expect("a free folder");
+    let set_mode = |mode| {
+        let permissions = std::fs::Permissions::from_mode(mode);
+        std::fs::set_permissions(parent.path(), permissions).expect("own folder");
+    };
+    set_mode(0o300);
+    let is_privileged = std::fs::read_dir(parent.path()).is_ok();
+    let opened = DiskFolder::open(&path);
+    set_mode(0o700);
+    let (_, opening) = opened.expect("a folder that exists");
+    assert!(!opening.is_created);
+    assert_eq!(opening.unsynced_parent.is_none(), is_privileged, "{opening:?}");
+}
