Gateway: the leader logs how long an acknowledgement waited

Without it, nothing tells whether a document was acknowledged at once or after a time-out, and how many instances had not confirmed it by then. The leader now writes a `document` line with the outcome `acknowledged` for each proposal that it ends: `waited_ms` since the commit, and `unconfirmed`.

The behaviour does not change.

--- a/crates/gateway/src/documents.rs
+++ b/crates/gateway/src/documents.rs
@@ -492,12 +492,19 @@
             ProposalEnd::Done(CommandOutcome::Document(outcome, revision)) => {
                 let gateway = Rc::clone(self);
                 tokio::task::spawn_local(async move {
+                    let committed_at = gateway.now();
                     if outcome == RegisterOutcome::Accepted {
                         let everywhere = gateway.wait_until_in_force(revision);
                         // A daemon that does not confirm in time denies no route and no key once
                         // the document has to be in force, and then loses its proof.
                         let _ = timeout(CONFIRMATION_TIMEOUT, everywhere).await;
                     }
+                    gateway
+                        .line(EventKind::Document)
+                        .number("revision", revision)
+                        .millis("waited_ms", gateway.now().since(committed_at))
+                        .number("unconfirmed", gateway.unconfirmed_count(revision))
+                        .text("outcome", "acknowledged");
                     gateway.answer_proposer(&proposer, DocumentVerdict::Done(outcome));
                 });
             }
@@ -508,24 +515,27 @@
     async fn wait_until_in_force(&self, revision: RoutingRevision) {
         loop {
             let changed = self.document_changed.notified();
-            let is_hub = self.tier() == Tier::Hub;
-            let all = {
-                let documents = self.documents.borrow();
-                let has = |instance: &InstanceId| {
-                    documents.in_force.get(instance).is_some_and(|held| *held >= revision)
-                };
-                let roster = self.roster.borrow();
-                let near = roster.alive_within(self.now(), CONFIRMATION_MAX_SILENCE);
-                let mut confirming = near.filter(|note| !is_hub || note.has_disk);
-                confirming.all(|note| has(&note.instance))
-            };
-            if all {
+            if self.unconfirmed_count(revision) == 0 {
                 return;
             }
             changed.await;
         }
     }
 
+    /// Returns the number of daemons that were heard from recently and have not confirmed that they
+    /// have the revision in force.
+    fn unconfirmed_count(&self, revision: RoutingRevision) -> usize {
+        let is_hub = self.tier() == Tier::Hub;
+        let documents = self.documents.borrow();
+        let lacks = |instance: &InstanceId| {
+            documents.in_force.get(instance).is_none_or(|held| *held < revision)
+        };
+        let roster = self.roster.borrow();
+        let near = roster.alive_within(self.now(), CONFIRMATION_MAX_SILENCE);
+        let confirming = near.filter(|note| !is_hub || note.has_disk);
+        confirming.filter(|note| lacks(&note.instance)).count()
+    }
+
     /// Returns the newest document exactly as the operator sent it.
     ///
     /// # Errors
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -72,7 +72,7 @@
     /// The replica of the log has started, stopped, or failed with its disk, waits for a system, has
     /// no leader, stands for election, was elected or has stepped down, or its disk was slow to sync.
     Replica = "replica";
-    /// A routing document was proposed, acknowledged, or refused.
+    /// A routing document was proposed, acknowledged, or refused. The leader logs how long the acknowledgement waited after the commit, `waited_ms`, and how many instances had not confirmed the document by then, `unconfirmed`.
     Document = "document";
     /// A routing document is in force here. `proof_age_ms` is how long ago the document before was last known to be the newest.
     InForce = "in-force";
