Gateway: a document is acknowledged once no older one can decide beyond in_force

What callers see: an instance that loses its links right before a document is put goes on with the document before. Requests that were sent to it up to 3.9 s after the acknowledgement ran at the earlier service or on a route that had been removed, where 2.5 s (`in_force_ms`) is the bound.

Cause: an instance decides by its document until its proof expires, 4 s here. The leader acknowledged after 0.35 s even if an instance had not confirmed, waited for no leaf, and acknowledged at once a document that was sent again or superseded.

The leader and the hubs now keep a ledger of the proofs that they granted and of the documents that were confirmed. The acknowledgement waits until each receiver of a proof has confirmed the document, or until the proof of the others expires within `in_force` from now; with the bounds of the test that is 1.5 s after the commit at most, as no older document is proved after it. A hub confirms once its leaves have. A new leader, and a hub that has restarted, treat the proofs that others granted before as outstanding until then. Sends of the same document wait for the same. Rejected: refusing requests without a proof younger than `in_force`, which turns callers away whenever there is no leader for 2.5 s.

An attempt at a proposal may take that much longer, so that the wait does not cause further proposals; it ends when another instance leads.

--- a/crates/gateway/src/cluster.rs
+++ b/crates/gateway/src/cluster.rs
@@ -433,6 +433,7 @@
             PeerMessage::Known(instances) => gateway.on_known(&instances),
             PeerMessage::Farewell => {
                 gateway.roster.borrow_mut().left(from);
+                gateway.remove_proof(from);
                 if !gateway.is_counted(PeerChange::Left, from) {
                     gateway.line(EventKind::Peer).text("peer", from).text("outcome", "left");
                 }
@@ -443,7 +444,7 @@
                 gateway.answer_call(token, PeerReply::Fresh(verdict));
             }
             PeerMessage::Document { text, pass_on } => gateway.on_document(text, &pass_on),
-            PeerMessage::InForce(revision) => gateway.record_in_force(from, revision),
+            PeerMessage::InForce(revision) => gateway.on_in_force(from, revision),
             PeerMessage::Propose { token, text } => {
                 let proposer = Proposer { instance: from.clone(), token };
                 gateway.propose_here(&text, &proposer);
--- a/crates/gateway/src/documents.rs
+++ b/crates/gateway/src/documents.rs
@@ -5,7 +5,7 @@
 //! orders documents. A proof is the leader's confirmation that the document in force on a daemon
 //! was the newest one at a point in time.
 
-use std::collections::BTreeMap;
+use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -23,6 +23,7 @@
 use crate::home::HOME_ANSWER_TIMEOUT;
 use crate::hubs::Tier;
 use crate::peers::{DocumentVerdict, DrainVerdict, FreshVerdict, PeerMessage};
+use crate::proof_ledger::ProofLedger;
 use crate::replica::{CommandOutcome, LogCommand, ProposalEnd, Proposer};
 
 /// The interval between queries for a proof that the document is current. Several queries fit into
@@ -53,7 +54,7 @@
 pub(crate) const ACKNOWLEDGE_TIMEOUT_RATIO: f64 = 0.75;
 
 /// The leader acknowledges a committed document after this time even if some daemons have not
-/// confirmed it. It is far below the time in which the document has to be in force everywhere.
+/// confirmed it, unless these may decide by an older document for too long.
 const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(350);
 
 /// The leader does not wait for confirmation by a daemon that has been silent for this long.
@@ -62,12 +63,17 @@
 /// The delay before a proposal is retried.
 pub(crate) const PROPOSAL_RETRY_DELAY: Duration = Duration::from_millis(80);
 
-/// The time-out of one attempt at a proposal.
+/// The time-out of one attempt at a proposal, without the time that the leader waits for daemons that
+/// may decide by an older document.
 pub(crate) const PROPOSAL_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// The time-out of a read of the document, after which the reader is told to ask again.
 const READ_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// The maximum number of documents of which a daemon tracks since when they are in force. It covers
+/// several seconds of changes in quick succession.
+const MAX_TRACKED_ADOPTIONS: usize = 32;
+
 /// The reason that a document was not acknowledged.
 #[derive(Debug, Error)]
 pub enum PutError {
@@ -103,17 +109,38 @@
     /// The newest document, if this daemon lacks it: the time of the query, and its revision.
     awaited: Option<(MonotonicTime, RoutingRevision)>,
     was_fresh: bool,
-    /// The revisions that the other daemons have in force, as reported to the leader.
-    in_force: BTreeMap<InstanceId, RoutingRevision>,
+    /// The last documents in force and since when each was, oldest first.
+    adopted: VecDeque<(RoutingRevision, MonotonicTime)>,
+    /// The daemon that the document in force was last reported to, and the reported revision.
+    reported: Option<(InstanceId, RoutingRevision)>,
+    /// The proofs that this daemon granted as the leader or as a hub.
+    pub(crate) proofs: ProofLedger,
     /// The copies that this daemon has sent as the leader.
     dissemination: DocumentDissemination,
 }
 
 impl DocumentState {
+    /// Creates the state of a process that starts at `now`.
+    pub(crate) fn new(now: MonotonicTime) -> Self {
+        Self { proofs: ProofLedger::new(now), ..Self::default() }
+    }
+
     fn revision(&self) -> Option<RoutingRevision> {
         self.active.as_ref().map(|active| active.text.revision)
     }
 
+    fn record_adoption(&mut self, now: MonotonicTime, revision: RoutingRevision) {
+        self.adopted.push_back((revision, now));
+        if self.adopted.len() > MAX_TRACKED_ADOPTIONS {
+            self.adopted.pop_front();
+        }
+    }
+
+    /// Returns since when a revision or a newer one has been in force here.
+    fn in_force_since(&self, revision: RoutingRevision) -> Option<MonotonicTime> {
+        self.adopted.iter().find(|(adopted, _)| *adopted >= revision).map(|(_, since)| *since)
+    }
+
     /// Records a proof by a query that was sent at `requested_at`.
     pub(crate) fn prove(&mut self, requested_at: MonotonicTime) {
         self.proved_at = self.proved_at.max(Some(requested_at));
@@ -144,8 +171,7 @@
     /// Returns whether the proof is still valid, so that no key works for longer after its removal
     /// than the settings allow.
     pub(crate) fn is_fresh(&self) -> bool {
-        let lifetime = self.settings().bounds.key_revoke.mul_f64(PROOF_LIFETIME_RATIO);
-        self.proof_age().is_some_and(|age| age < lifetime)
+        self.proof_age().is_some_and(|age| age < self.proof_lifetime())
     }
 
     /// Returns whether the document in force includes every document that has to be in force by
@@ -180,26 +206,23 @@
             .number("routes", table.route_count())
             .text("outcome", "taken over");
         self.metrics.revision.set(i64::try_from(text.revision.0).unwrap_or(i64::MAX));
-        let revision = text.revision;
         {
+            let revision = text.revision;
             let mut documents = self.documents.borrow_mut();
             documents.active = Some(Rc::new(ActiveDocument { text, table }));
+            documents.record_adoption(self.now(), revision);
             let awaited = documents.awaited.take_if(|(_, awaited)| *awaited <= revision);
             if let Some((requested_at, _)) = awaited {
                 documents.prove(requested_at);
             }
         }
         self.document_changed.notify_waiters();
-        let tier = self.tier();
-        if tier == Tier::Hub {
+        if self.tier() == Tier::Hub {
             let text = self.active_document().map(|active| active.text.clone());
             let copy = text.map(|text| PeerMessage::Document { text, pass_on: Vec::new() });
             copy.iter().for_each(|copy| self.mesh.send_all(&self.own_leaves(), copy));
         }
-        let leader = self.leader_instance().filter(|leader| *leader != self.own);
-        if let Some(leader) = leader.filter(|_| tier != Tier::Leaf) {
-            self.mesh.send(&leader, &PeerMessage::InForce(revision));
-        }
+        self.report_in_force();
         self.refresh_readiness();
     }
 
@@ -234,11 +257,87 @@
 
     /// Records the revision that another daemon has in force.
     pub(crate) fn record_in_force(&self, from: &InstanceId, revision: RoutingRevision) {
-        let mut documents = self.documents.borrow_mut();
-        let held = documents.in_force.entry(from.clone()).or_default();
-        *held = revision.max(*held);
-        drop(documents);
-        self.document_changed.notify_waiters();
+        if self.documents.borrow_mut().proofs.record_in_force(from, revision) {
+            self.document_changed.notify_waiters();
+        }
+    }
+
+    /// Reports the document in force to the leader, or from a leaf to its primary hub, unless that
+    /// was the last report.
+    pub(crate) fn report_in_force(&self) {
+        let receiver = match self.tier() {
+            Tier::Leaf => self.attached_hubs().into_iter().next(),
+            Tier::Mesh | Tier::Hub => self.leader_instance(),
+        };
+        let Some(receiver) = receiver.filter(|receiver| *receiver != self.own) else { return };
+        let Some(revision) = self.reported_revision() else { return };
+        let report = Some((receiver.clone(), revision));
+        if std::mem::replace(&mut self.documents.borrow_mut().reported, report.clone()) != report {
+            self.mesh.send(&receiver, &PeerMessage::InForce(revision));
+        }
+    }
+
+    /// Reports the document in force like [`Gateway::report_in_force`], even if that was the last
+    /// report, which may have been lost.
+    fn repeat_report(&self) {
+        self.documents.borrow_mut().reported = None;
+        self.report_in_force();
+    }
+
+    /// Returns the revision to report as in force here. A daemon with a disk may be a hub, and reports
+    /// the newest one that none of its leaves lacks.
+    fn reported_revision(&self) -> Option<RoutingRevision> {
+        if self.settings().data_folder.is_none() {
+            return self.held_revision();
+        }
+        let now = self.now();
+        let is_outdated = |(revision, since)| self.outdated_until(revision, since) > Some(now);
+        let adopted: Vec<_> = self.documents.borrow().adopted.iter().rev().copied().collect();
+        adopted.into_iter().find(|entry| !is_outdated(*entry)).map(|(revision, _)| revision)
+    }
+
+    /// Removes the proof of a daemon that has shut down. The leaves of a hub may still have theirs.
+    pub(crate) fn remove_proof(&self, daemon: &InstanceId) {
+        if !self.roster.borrow().is_hub(daemon) {
+            self.documents.borrow_mut().proofs.remove(daemon);
+            self.document_changed.notify_waiters();
+        }
+    }
+
+    /// Records the confirmation of another daemon. A hub reports to the leader once it was the last.
+    pub(crate) fn on_in_force(&self, from: &InstanceId, revision: RoutingRevision) {
+        self.record_in_force(from, revision);
+        if self.settings().data_folder.is_some() {
+            self.report_in_force();
+        }
+    }
+
+    /// Returns until when a document must not be acknowledged, because a daemon may decide by an
+    /// older one for longer than `in_force` after it; `None` if there is no such daemon.
+    fn outdated_until(
+        &self,
+        revision: RoutingRevision,
+        known_since: MonotonicTime,
+    ) -> Option<MonotonicTime> {
+        let documents = self.documents.borrow();
+        let proof = documents.proofs.latest_outdated_proof(revision, known_since);
+        proof.map(|at| at + self.proof_overhang())
+    }
+
+    /// Returns by how much the validity of a proof exceeds the time in which a document has to be in
+    /// force after its acknowledgement. It is zero unless instances without a proof refuse requests,
+    /// since otherwise an older document never expires.
+    fn proof_overhang(&self) -> Duration {
+        let bounds = &self.settings().bounds;
+        if !bounds.fail_closed {
+            return Duration::ZERO;
+        }
+        self.proof_lifetime().saturating_sub(bounds.in_force)
+    }
+
+    /// Returns the time for which a proof is valid.
+    fn proof_lifetime(&self) -> Duration {
+        self.settings().bounds.key_revoke.mul_f64(PROOF_LIFETIME_RATIO)
     }
 
     /// Queries the leader at an interval whether the document in force is the newest.
@@ -269,6 +368,9 @@
         };
         self.adopt_drains(&drains);
         self.prove_newest(requested_at, newest);
+        if self.settings().data_folder.is_some() {
+            self.repeat_report();
+        }
         true
     }
 
@@ -323,6 +425,9 @@
         match replica.as_ref().and_then(|replica| replica.state_as_leader(self.now())) {
             Some(state) => {
                 let newest = state.newest_document().map(|text| text.revision);
+                if newest.is_none() {
+                    self.documents.borrow_mut().proofs.record_first_document();
+                }
                 FreshVerdict::Newest(newest, state.drains().clone())
             }
             None => FreshVerdict::NotLeader,
@@ -339,14 +444,28 @@
     ) {
         let verdict = self.fresh_verdict();
         if let FreshVerdict::Newest(newest, _) = verdict {
-            if let Some(held) = held {
-                self.record_in_force(from, held);
-            }
+            self.record_query(from, newest, held);
             self.send_missing_document(from, newest, held);
         }
         self.mesh.send(from, &PeerMessage::FreshAnswer { token, verdict });
     }
 
+    /// Records a proof of `newest`, granted to a daemon that holds `held`.
+    fn record_query(
+        &self,
+        from: &InstanceId,
+        newest: Option<RoutingRevision>,
+        held: Option<RoutingRevision>,
+    ) {
+        if newest.is_some() {
+            self.documents.borrow_mut().proofs.record_grant(from, self.now());
+        }
+        // A daemon with a disk holds a document before its leaves do, and reports it in `InForce`.
+        if let Some(held) = held.filter(|_| !self.roster.borrow().is_hub(from)) {
+            self.record_in_force(from, held);
+        }
+    }
+
     /// Sends the document in force to a daemon that holds an older revision than `newest`.
     pub(crate) fn send_missing_document(
         &self,
@@ -401,11 +520,14 @@
         };
         let text = RoutingText::pack(revision, &body);
         let time_limit = self.settings().bounds.acknowledge.mul_f64(ACKNOWLEDGE_TIMEOUT_RATIO);
-        let deadline = Instant::now() + time_limit;
+        let begun = Instant::now();
+        let deadline = begun + time_limit;
         let mut tries = 0;
         while Instant::now() < deadline {
             tries += 1;
-            if let Some(outcome) = self.propose_once(&text).await {
+            let left = self.settings().bounds.acknowledge.saturating_sub(begun.elapsed());
+            let time_limit = left.min(PROPOSAL_TIMEOUT + self.proof_overhang());
+            if let Some(outcome) = self.propose_once(&text, time_limit).await {
                 self.line(EventKind::Document)
                     .number("revision", revision)
                     .number("bytes", body.len())
@@ -424,11 +546,15 @@
         Err(PutError::Unavailable)
     }
 
-    async fn propose_once(self: &Rc<Self>, text: &RoutingText) -> Option<RegisterOutcome> {
+    async fn propose_once(
+        self: &Rc<Self>,
+        text: &RoutingText,
+        time_limit: Duration,
+    ) -> Option<RegisterOutcome> {
         let leader = self.leader_instance()?;
         let text = text.clone();
         let reply = if leader == self.own {
-            self.call(&self.own.clone(), PROPOSAL_TIMEOUT, |token| {
+            self.call(&self.own.clone(), time_limit, |token| {
                 let proposer = Proposer { instance: self.own.clone(), token };
                 self.propose_here(&text, &proposer);
                 // The mesh drops messages to the daemon itself, so this is a placeholder.
@@ -436,7 +562,11 @@
             })
             .await
         } else {
-            self.call(&leader, PROPOSAL_TIMEOUT, |token| PeerMessage::Propose { token, text }).await
+            let propose = |token| PeerMessage::Propose { token, text };
+            tokio::select! {
+                reply = self.call(&leader, time_limit, propose) => reply,
+                () = self.wait_for_other_leader(&leader) => None,
+            }
         };
         match reply {
             Some(PeerReply::Proposed(DocumentVerdict::Done(outcome))) => Some(outcome),
@@ -444,6 +574,17 @@
         }
     }
 
+    /// Waits until another daemon than `leader` leads the log.
+    async fn wait_for_other_leader(&self, leader: &InstanceId) {
+        loop {
+            let changed = self.leader_changed.notified();
+            if self.leader_instance().is_some_and(|other| other != *leader) {
+                return;
+            }
+            changed.await;
+        }
+    }
+
     /// Proposes a document to the local replica, which is expected to lead.
     pub(crate) fn propose_here(self: &Rc<Self>, text: &RoutingText, proposer: &Proposer) {
         let now = self.now();
@@ -453,8 +594,7 @@
             state.and_then(|state| state.newest_document()).map(|newest| newest.revision)
         };
         if let Some(held) = held.filter(|held| *held >= text.revision) {
-            let verdict = DocumentVerdict::Done(RegisterOutcome::Superseded { held });
-            self.answer_proposer(proposer, verdict);
+            self.acknowledge(proposer.clone(), RegisterOutcome::Superseded { held }, held);
             return;
         }
         let refused = match self.replica.borrow_mut().as_mut() {
@@ -481,8 +621,7 @@
         }
     }
 
-    /// Reports the outcome of a command to its proposer. An accepted document is reported once the
-    /// reachable daemons have it in force or `CONFIRMATION_TIMEOUT` has passed.
+    /// Reports the outcome of a command to its proposer.
     pub(crate) fn end_proposal(self: &Rc<Self>, proposer: Proposer, end: &ProposalEnd) {
         match *end {
             ProposalEnd::Lost => self.answer_proposer(&proposer, DocumentVerdict::Lost),
@@ -490,24 +629,59 @@
                 self.answer_drain(&proposer, DrainVerdict::Done(outcome));
             }
             ProposalEnd::Done(CommandOutcome::Document(outcome, revision)) => {
-                let gateway = Rc::clone(self);
-                tokio::task::spawn_local(async move {
-                    let committed_at = gateway.now();
-                    if outcome == RegisterOutcome::Accepted {
-                        let everywhere = gateway.wait_until_in_force(revision);
-                        // A daemon that does not confirm in time denies no route and no key once
-                        // the document has to be in force, and then loses its proof.
-                        let _ = timeout(CONFIRMATION_TIMEOUT, everywhere).await;
-                    }
-                    gateway
-                        .line(EventKind::Document)
-                        .number("revision", revision)
-                        .millis("waited_ms", gateway.now().since(committed_at))
-                        .number("unconfirmed", gateway.unconfirmed_count(revision))
-                        .text("outcome", "acknowledged");
-                    gateway.answer_proposer(&proposer, DocumentVerdict::Done(outcome));
-                });
+                let newest = match outcome {
+                    RegisterOutcome::Accepted => revision,
+                    RegisterOutcome::Superseded { held } => held,
+                };
+                self.acknowledge(proposer, outcome, newest);
+            }
+        }
+    }
+
+    /// Acknowledges a proposal after which `revision` is committed.
+    ///
+    /// An accepted document is acknowledged once the reachable daemons have it in force or
+    /// `CONFIRMATION_TIMEOUT` has passed. Every document, also one that was sent again, is
+    /// acknowledged only once no daemon can decide by an older one when `revision` has to be in
+    /// force.
+    fn acknowledge(
+        self: &Rc<Self>,
+        proposer: Proposer,
+        outcome: RegisterOutcome,
+        revision: RoutingRevision,
+    ) {
+        let gateway = Rc::clone(self);
+        tokio::task::spawn_local(async move {
+            let begun = gateway.now();
+            let known_since = gateway.documents.borrow().in_force_since(revision).unwrap_or(begun);
+            if outcome == RegisterOutcome::Accepted {
+                let everywhere = gateway.wait_until_in_force(revision);
+                let _ = timeout(CONFIRMATION_TIMEOUT, everywhere).await;
             }
+            gateway.wait_for_outdated_proofs(revision, known_since).await;
+            gateway
+                .line(EventKind::Document)
+                .number("revision", revision)
+                .millis("waited_ms", gateway.now().since(begun))
+                .number("unconfirmed", gateway.unconfirmed_count(revision))
+                .text("outcome", "acknowledged");
+            gateway.answer_proposer(&proposer, DocumentVerdict::Done(outcome));
+        });
+    }
+
+    /// Waits until each daemon has the revision in force, or loses its proof of an older one within
+    /// `in_force` from now.
+    async fn wait_for_outdated_proofs(
+        &self,
+        revision: RoutingRevision,
+        known_since: MonotonicTime,
+    ) {
+        loop {
+            let changed = self.document_changed.notified();
+            let now = self.now();
+            let until = self.outdated_until(revision, known_since).filter(|until| *until > now);
+            let Some(until) = until else { return };
+            let _ = timeout(until.since(now), changed).await;
         }
     }
 
@@ -527,9 +701,7 @@
     fn unconfirmed_count(&self, revision: RoutingRevision) -> usize {
         let is_hub = self.tier() == Tier::Hub;
         let documents = self.documents.borrow();
-        let lacks = |instance: &InstanceId| {
-            documents.in_force.get(instance).is_none_or(|held| *held < revision)
-        };
+        let lacks = |instance: &InstanceId| !documents.proofs.is_in_force(instance, revision);
         let roster = self.roster.borrow();
         let near = roster.alive_within(self.now(), CONFIRMATION_MAX_SILENCE);
         let confirming = near.filter(|note| !is_hub || note.has_disk);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -163,7 +163,7 @@
             start_watch: RefCell::default(),
             voter_watch: RefCell::default(),
             leader: RefCell::new(None),
-            documents: RefCell::default(),
+            documents: RefCell::new(DocumentState::new(clock.now())),
             drains: RefCell::default(),
             document_changed: Notify::new(),
             leader_changed: Notify::new(),
--- a/crates/gateway/src/hubs.rs
+++ b/crates/gateway/src/hubs.rs
@@ -10,6 +10,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use oriolepass_routing::RoutingRevision;
 use oriolepass_units::{DataCentreId, EndpointStart, InstanceId, MonotonicTime};
 use tokio::time::sleep;
 
@@ -305,15 +306,27 @@
     /// Answers a leaf and sends it the documents and endpoints that it lacks.
     pub(crate) fn on_leaf_ask(&self, from: &InstanceId, token: u64, state: &LeafState) {
         let status = self.hub_status(from, state);
-        if let Some((newest, _)) = status.proof {
+        if let Some((newest, age)) = status.proof {
+            self.record_leaf_proof(from, newest, age);
             self.send_missing_document(from, newest, state.document);
         }
+        if let Some(held) = state.document {
+            self.on_in_force(from, held);
+        }
         self.mesh.send(from, &PeerMessage::LeafAnswer { token, status });
         if self.needs_endpoint_view(from, state.endpoints_hash) {
             self.send_endpoint_view(from);
         }
     }
 
+    /// Records a proof of `newest` with this age, granted to a leaf.
+    fn record_leaf_proof(&self, leaf: &InstanceId, newest: Option<RoutingRevision>, age: Duration) {
+        if newest.is_some() {
+            let granted_at = self.now() - age;
+            self.documents.borrow_mut().proofs.record_grant(leaf, granted_at);
+        }
+    }
+
     fn hub_status(&self, leaf: &InstanceId, state: &LeafState) -> HubStatus {
         let proof = if self.is_leader() {
             match self.fresh_verdict() {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,7 +8,7 @@
 //! | module | responsibility |
 //! |---|---|
 //! | `cluster`, `roster`, `founding`, `replica`, `replication`, `peers` | the cluster: membership, leader, voters, the replicated log, messages between daemons |
-//! | `documents` | routing documents: proposing them, putting them in force, proving them current |
+//! | `documents`, `proof_ledger` | routing documents: proposing them, putting them in force, proving them current; which daemons may still decide by an older one |
 //! | `gossip` | the dissemination rules, by which control traffic grows with the number of daemons and not with its square |
 //! | `announce`, `endpoints` | endpoint announcements and the registry of endpoints |
 //! | `home`, `deputies` | placing prompts on engines, as the home or by asking it; the deputies that replace the home while it does not answer |
@@ -76,6 +76,9 @@
 #[cfg(test)]
 mod peer_changes_tests;
 mod peers;
+mod proof_ledger;
+#[cfg(test)]
+mod proof_ledger_tests;
 mod quarantine;
 mod quarantine_disk;
 #[cfg(test)]
--- a/crates/gateway/src/replication.rs
+++ b/crates/gateway/src/replication.rs
@@ -218,6 +218,7 @@
     }
 
     fn carry_out(self: &Rc<Self>, effects: ReplicaEffects) {
+        self.record_leadership();
         for envelope in effects.send {
             let to = envelope.to.clone();
             let is_removal = matches!(envelope.message, ConsensusMessage::Removed { .. });
@@ -263,6 +264,15 @@
         }
     }
 
+    /// Records the term if this daemon leads.
+    fn record_leadership(&self) {
+        let leads = |node: &ConsensusNode| node.role() == NodeRole::Leader;
+        let term = self.with_node(|node| leads(node).then(|| node.term())).flatten();
+        if let Some(term) = term {
+            self.documents.borrow_mut().proofs.begin_term(self.now(), term);
+        }
+    }
+
     fn log_election(&self, event: ElectionEvent) {
         let line = self.line(EventKind::Replica);
         match event {
