--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -76,7 +76,7 @@
     /// `opened` says whether the data folder was `created` or `found`, and whether its `parent` was
     /// `synced`, so that the folder's name survives a loss of power.
     Replica = "replica";
-    /// A routing document was proposed, acknowledged, or refused.
+    /// A routing document was proposed, acknowledged, or refused. The leader logs how long the acknowledgement waited after the commit, `waited_ms`, and how many instances had not confirmed the document by then, `unconfirmed`.
     Document = "document";
     /// A routing document is in force here. `proof_age_ms` is how long ago the document before was last known to be the newest.
     InForce = "in-force";
