Signals: handlers are registered before the settings are read

A SIGHUP during a start ended the process: its handler was registered by a task that ran after the settings, the log and all listeners, so a settings change at that moment cut callers that were already connected. SIGTERM and SIGINT had handlers before the listeners, but not while the settings were read. The daemon's `run` had none of either before `Daemon::start` returned, ended by SIGHUP at any time, and lost a second SIGTERM that came between its two registrations.

Both programs now create the event loop and register all handlers first, and use the same receivers from the start to the drain, so a signal waits until it is acted on. The daemon answers SIGHUP with a warning.

Not mended: no program has a handler before `main`.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -5,10 +5,13 @@
 use std::time::Duration;
 
 use bpaf::{OptionParser, Parser, construct, long};
-use eyre::{Result, WrapErr};
+use eyre::{Report, Result, WrapErr, eyre};
 use oriolepass_daemon::{Daemon, DaemonListeners, init_logging};
+use oriolepass_gateway::{GatewayError, ReloadSignal, StopSignals};
+use oriolepass_platform::GatewayProcess;
 use oriolepass_settings::{DaemonSettings, GatewaySettings, SettingsError, reference_page};
-use tokio::signal::unix::{SignalKind, signal};
+use spdlog::warn;
+use tokio::runtime::Runtime;
 
 /// The exit code for invalid settings.
 const EXIT_SETTINGS: u8 = 2;
@@ -48,107 +51,124 @@
 }
 
 fn main() -> ExitCode {
-    let (config, check) = match command_line().run() {
+    let result = match command_line().run() {
         DaemonTask::PrintSettings => {
             print!("{}", reference_page());
             return ExitCode::SUCCESS;
         }
-        DaemonTask::Gateway { config, check } => return run_gateway(&config, check),
-        DaemonTask::Run { config, check } => (config, check),
-    };
-    let settings = match settings_to_run(DaemonSettings::load(&config), &config, check) {
-        Ok(settings) => settings,
-        Err(code) => return code,
-    };
-    match run(settings) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("oriolepassd: {error:#}");
-            ExitCode::FAILURE
+        DaemonTask::Gateway { config, check: true } => {
+            return check_settings(GatewaySettings::load(&config), &config);
         }
-    }
+        DaemonTask::Run { config, check: true } => {
+            return check_settings(DaemonSettings::load(&config), &config);
+        }
+        DaemonTask::Gateway { config, check: false } => run_gateway(&config),
+        DaemonTask::Run { config, check: false } => run_daemon(&config),
+    };
+    result.unwrap_or_else(|error| {
+        eprintln!("oriolepassd: {error:#}");
+        ExitCode::FAILURE
+    })
 }
 
-/// Returns the settings if they are valid and the daemon is to run with them.
-///
-/// # Errors
-///
-/// Returns the exit code when the settings are invalid or were only to be checked, after printing
-/// the result of the check.
-fn settings_to_run<T>(
-    loaded: std::result::Result<T, SettingsError>,
-    file: &Path,
-    check: bool,
-) -> std::result::Result<T, ExitCode> {
+/// Prints whether the settings are valid, and returns the exit code.
+fn check_settings<T>(loaded: std::result::Result<T, SettingsError>, file: &Path) -> ExitCode {
     match loaded {
-        Ok(_) if check => {
+        Ok(_) => {
             println!("{}: the settings are valid", file.display());
-            Err(ExitCode::SUCCESS)
-        }
-        Ok(settings) => Ok(settings),
-        Err(error) => {
-            eprintln!("{error}");
-            Err(ExitCode::from(EXIT_SETTINGS))
+            ExitCode::SUCCESS
         }
+        Err(error) => refuse_settings(&error),
     }
 }
 
-fn run_gateway(config: &Path, check: bool) -> ExitCode {
-    let settings = match settings_to_run(GatewaySettings::load(config), config, check) {
-        Ok(settings) => settings,
-        Err(code) => return code,
-    };
-    match oriolepass_platform::run(settings, config) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("oriolepassd gateway: {error}");
-            ExitCode::FAILURE
-        }
+/// Prints the errors in the settings, and returns the exit code.
+fn refuse_settings(error: &SettingsError) -> ExitCode {
+    eprintln!("{error}");
+    ExitCode::from(EXIT_SETTINGS)
+}
+
+fn run_gateway(config: &Path) -> Result<ExitCode> {
+    let process = GatewayProcess::prepare().map_err(|error| gateway_report(&error))?;
+    match GatewaySettings::load(config) {
+        Ok(settings) => process.run(settings, config).map_err(|error| gateway_report(&error))?,
+        Err(error) => return Ok(refuse_settings(&error)),
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Returns the report of an error whose text includes its source.
+fn gateway_report(error: &GatewayError) -> Report {
+    eyre!("gateway: {error}")
+}
+
+fn run_daemon(config: &Path) -> Result<ExitCode> {
+    let signals = SignalLoop::start()?;
+    match DaemonSettings::load(config) {
+        Ok(settings) => run(settings, signals)?,
+        Err(error) => return Ok(refuse_settings(&error)),
     }
+    Ok(ExitCode::SUCCESS)
+}
+
+/// The event loop on which the daemon's process receives its signals.
+struct SignalLoop {
+    runtime: Runtime,
+    stop: StopSignals,
+    reload: ReloadSignal,
 }
 
-fn run(settings: DaemonSettings) -> Result<()> {
+impl SignalLoop {
+    /// Registers the handlers of all signals. A signal without a handler ends the process at once;
+    /// later ones wait until they are asked for.
+    fn start() -> Result<Self> {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .wrap_err("failed to create the runtime for signals")?;
+        let context = runtime.enter();
+        let stop = StopSignals::register().map_err(|error| eyre!("{error}"))?;
+        let reload = ReloadSignal::register().map_err(|error| eyre!("{error}"))?;
+        drop(context);
+        Ok(Self { runtime, stop, reload })
+    }
+
+    /// Waits for SIGTERM, SIGINT or an operator's drain request.
+    fn wait_for_shutdown_request(&mut self, daemon: &Daemon) {
+        let Self { runtime, stop, reload } = self;
+        runtime.block_on(async {
+            let mut poll = tokio::time::interval(DRAIN_POLL_INTERVAL);
+            loop {
+                tokio::select! {
+                    () = stop.wait() => return,
+                    () = reload.wait() => {
+                        warn!("the settings are read only at a start; restart the daemon");
+                    }
+                    _ = poll.tick() => {
+                        if daemon.is_drain_requested() {
+                            return;
+                        }
+                    }
+                }
+            }
+        });
+    }
+}
+
+fn run(settings: DaemonSettings, mut signals: SignalLoop) -> Result<()> {
     init_logging(&settings.log_level).wrap_err("failed to initialise logging")?;
     let listeners = DaemonListeners::bind(&settings.listen)?;
     let daemon = Daemon::start(settings, listeners)?;
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .wrap_err("failed to create the runtime for signals")?;
-    runtime.block_on(wait_for_shutdown_request(&daemon))?;
+    signals.wait_for_shutdown_request(&daemon);
     // A second signal during the drain ends the running requests; each caller receives its true
     // outcome.
     let force_drain = daemon.forced_drain_handle();
     let signal_thread = std::thread::Builder::new().name("signals".into()).spawn(move || {
-        let second_signal = runtime.block_on(async {
-            let mut terminate = signal(SignalKind::terminate())?;
-            let mut interrupt = signal(SignalKind::interrupt())?;
-            tokio::select! { _ = terminate.recv() => {}, _ = interrupt.recv() => {} }
-            Ok::<_, std::io::Error>(())
-        });
-        if second_signal.is_ok() {
-            force_drain.force();
-        }
+        let SignalLoop { runtime, mut stop, .. } = signals;
+        runtime.block_on(stop.wait());
+        force_drain.force();
     });
     signal_thread.wrap_err("failed to start the thread for signals")?;
     daemon.drain();
     Ok(())
 }
-
-/// Waits for SIGTERM, SIGINT or an operator's drain request.
-async fn wait_for_shutdown_request(daemon: &Daemon) -> Result<()> {
-    let mut terminate = signal(SignalKind::terminate()).wrap_err("SIGTERM")?;
-    let mut interrupt = signal(SignalKind::interrupt()).wrap_err("SIGINT")?;
-    let mut poll = tokio::time::interval(DRAIN_POLL_INTERVAL);
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => return Ok(()),
-            _ = interrupt.recv() => return Ok(()),
-            _ = poll.tick() => {
-                if daemon.is_drain_requested() {
-                    return Ok(());
-                }
-            }
-        }
-    }
-}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -113,6 +113,6 @@
 pub use events::{EventKind, EventLine, EventLog};
 pub use front::{AttemptCount, EventSplitter};
 pub use gateway::Gateway;
-pub use lifecycle::{Lifecycle, StopSignals};
+pub use lifecycle::{Lifecycle, ReloadSignal, StopSignals};
 pub use metrics::registered_metric;
 pub use start::{GatewayError, listen, start};
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -59,9 +59,9 @@
 }
 
 impl StopSignals {
-    /// Registers handlers for the signals. Call this before listening on any address: without the
-    /// handlers a signal ends the process at once, together with the connections that wait to be
-    /// accepted.
+    /// Registers handlers for the signals. Call this before anything that may take time, such as
+    /// reading the settings, and before listening on any address: without the handlers a signal
+    /// ends the process at once, together with the connections that wait to be accepted.
     ///
     /// # Errors
     ///
@@ -74,11 +74,36 @@
         })
     }
 
-    async fn wait(&mut self) {
+    /// Waits for the next signal. Signals that arrived since the registration or the last wait end
+    /// the wait at once.
+    pub async fn wait(&mut self) {
         tokio::select! { _ = self.terminate.recv() => {}, _ = self.interrupt.recv() => {} }
     }
 }
 
+/// The signal that asks the process to read its settings again.
+#[derive(Debug)]
+pub struct ReloadSignal {
+    hangup: Signal,
+}
+
+impl ReloadSignal {
+    /// Registers a handler for the signal, as early as [`StopSignals::register`].
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the handler cannot be registered.
+    pub fn register() -> Result<Self, GatewayError> {
+        let failed = |source| GatewayError::Signals { source };
+        Ok(Self { hangup: signal(SignalKind::hangup()).map_err(failed)? })
+    }
+
+    /// Waits for the next signal, like [`StopSignals::wait`].
+    pub async fn wait(&mut self) {
+        self.hangup.recv().await;
+    }
+}
+
 impl Gateway {
     /// Returns whether this daemon is not draining and has a routing document that is proved
     /// current.
@@ -186,15 +211,15 @@
     }
 
     /// Reloads the settings file on SIGHUP and when the file has changed.
-    pub async fn reload_settings_on_change(self: Rc<Self>, file: PathBuf) {
-        let Ok(mut hangup) = signal(SignalKind::hangup()) else {
-            self.line(EventKind::Reload).text("outcome", "cannot register a handler for SIGHUP");
-            return;
-        };
+    pub async fn reload_settings_on_change(
+        self: Rc<Self>,
+        file: PathBuf,
+        mut signal: ReloadSignal,
+    ) {
         let mut last_modified = modified(&file);
         loop {
             let is_asked = tokio::select! {
-                _ = hangup.recv() => true,
+                () = signal.wait() => true,
                 () = sleep(FILE_CHECK_INTERVAL) => false,
             };
             let changed = modified(&file);
