Refusals before the body was read keep the connection or announce its close

Callers on kept connections saw requests end without an answer, each right after a refusal. The HTTP library closes a connection whose last body was not read, and the refusals `no document yet` and the 413 and 408 of operators' and endpoints' calls were given in that state without `Connection: close`. Where a close was announced, unread bytes made the operating system reset the connection, so that a caller that still sent its body could lose the answer.

Every refusal in the front now passes through one place: the rest of the body is read, bounded in bytes and time, and the connection stays usable, or the answer says `Connection: close`. A caller that waits for `100 Continue` is no longer asked for a body that is refused.

--- a/crates/gateway/src/calls.rs
+++ b/crates/gateway/src/calls.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
+use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
@@ -18,7 +19,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
-use crate::net;
+use crate::{net, shared_stream};
 
 /// The time for a call's head to arrive, which also limits the idle time between two calls on a
 /// connection.
@@ -47,8 +48,8 @@
     let mut response = Response::new(Full::new(body.clone()));
     *response.status_mut() = status;
     if !body.is_empty() {
-        let json = hyper::header::HeaderValue::from_static("application/json");
-        response.headers_mut().insert(hyper::header::CONTENT_TYPE, json);
+        let json = HeaderValue::from_static("application/json");
+        response.headers_mut().insert(CONTENT_TYPE, json);
     }
     response
 }
@@ -72,6 +73,7 @@
             async move { Ok::<_, Infallible>(handle(&*handler, request, max_body).await) }
         });
         spawn_local(async move {
+            let (stream, handle) = shared_stream::share(stream);
             let connection = http1::Builder::new()
                 .timer(TokioTimer::new())
                 .header_read_timeout(HEADER_TIMEOUT)
@@ -79,6 +81,7 @@
             // An error means that the caller closed the connection or broke the protocol; nobody is
             // left to report it to.
             let _ = connection.await;
+            handle.close_gracefully().await;
         });
     }
 }
@@ -92,7 +95,15 @@
     let collected = timeout(BODY_TIMEOUT, Limited::new(body, max_body).collect()).await;
     match collected {
         Ok(Ok(body)) => handler(Request::from_parts(parts, body.to_bytes())).await,
-        Ok(Err(_)) => answer(413, r#"{"error":"the body is too long or was cut short"}"#),
-        Err(_) => answer(408, r#"{"error":"the body did not arrive in time; send it faster"}"#),
+        Ok(Err(_)) => closing(answer(413, r#"{"error":"the body is too long or was cut short"}"#)),
+        Err(_) => {
+            closing(answer(408, r#"{"error":"the body did not arrive in time; send it faster"}"#))
+        }
     }
 }
+
+/// Announces that the connection closes after the answer, since the call's body was not read.
+fn closing(mut answer: WholeAnswer) -> WholeAnswer {
+    answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    answer
+}
--- a/crates/gateway/src/front/caller.rs
+++ b/crates/gateway/src/front/caller.rs
@@ -9,7 +9,7 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
-use hyper::header::{CONNECTION, HOST, HeaderMap, HeaderValue};
+use hyper::header::{CONNECTION, EXPECT, HOST, HeaderMap, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response, StatusCode};
 use oriolepass_limits::{PermitWaiter, RequestRank, WaiterId};
@@ -49,8 +49,8 @@
 /// precedence.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// The maximum number of bytes of a rejected body that are read and discarded, so that the caller
-/// can read the answer.
+/// The maximum number of bytes of a rejected body that are read and discarded, so that the
+/// connection stays usable.
 const MAX_DISCARDED_BYTES: usize = 16 * 1024 * 1024;
 
 /// The time-out of reading and discarding a rejected body.
@@ -286,9 +286,15 @@
     watch: Rc<ConnectionWatch>,
 ) -> Response<ResponseBody> {
     let mut guard = EndGuard::new(&gateway, watch);
-    let mut response = match admit(&gateway, request, &mut guard).await {
+    let (parts, mut body) = request.into_parts();
+    let awaits_continue = parts.headers.contains_key(EXPECT);
+    let mut response = match admit(&gateway, parts, &mut body, &mut guard).await {
         Ok(request) => run(&gateway, request, guard).await,
-        Err(refusal) => refuse(&gateway, guard, &refusal),
+        Err(refusal) if guard.watch.is_body_read() => refuse(&gateway, guard, &refusal),
+        Err(refusal) => {
+            let refusal = read_rest(&mut body, awaits_continue, refusal).await;
+            refuse(&gateway, guard, &refusal)
+        }
     };
     if gateway.is_draining() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -305,11 +311,11 @@
 /// Reads a request and decides whether it is admitted.
 async fn admit(
     gateway: &Rc<Gateway>,
-    request: Request<Incoming>,
+    mut parts: Parts,
+    body: &mut Incoming,
     guard: &mut EndGuard,
 ) -> Result<CallerRequest, Refusal> {
     let arrived = guard.arrived;
-    let (mut parts, mut body) = request.into_parts();
     let facts = (gateway.dialect.read_request)(&parts.headers);
     guard.id = facts.id.clone().unwrap_or_default();
     starting::wait_until_serving(gateway, &guard.id, facts.deadline).await;
@@ -317,29 +323,15 @@
     let Some(limits) = limits else {
         return Err(Refusal::not_run("no document yet", starting::startup_retry_after(gateway)));
     };
-    let host = match headers::check_head(&parts, limits.max_head_bytes) {
-        Ok(host) => host,
-        Err(refusal) => {
-            discard(&mut body).await;
-            return Err(refusal);
-        }
-    };
+    let host = headers::check_head(&parts, limits.max_head_bytes)?;
     let buffered = ByteHold::new(gateway, HeldKind::RequestBody);
     let body_timeout = facts.deadline.unwrap_or(BODY_TIMEOUT).min(BODY_TIMEOUT);
-    let collected =
-        timeout(body_timeout, collect(&mut body, limits.max_body_bytes, &buffered)).await;
-    let body = match collected {
-        Ok(Ok(bytes)) => bytes,
-        Ok(Err(refusal)) => {
-            discard(&mut body).await;
-            return Err(refusal);
-        }
-        Err(_) => {
-            let remedy = "the request's body did not arrive in time; send it faster";
-            let status = StatusCode::REQUEST_TIMEOUT;
-            return Err(Refusal::new(status, "slow body", remedy).closing());
-        }
-    };
+    let collected = timeout(body_timeout, collect(body, limits.max_body_bytes, &buffered)).await;
+    let body = collected.unwrap_or_else(|_| {
+        let remedy = "the request's body did not arrive in time; send it faster";
+        Err(Refusal::new(StatusCode::REQUEST_TIMEOUT, "slow body", remedy).closing())
+    })?;
+    guard.watch.end_request_body();
     let document =
         gateway.active_document().ok_or(Refusal::not_run("no document yet", SHORT_RETRY_AFTER))?;
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
@@ -455,20 +447,31 @@
     Ok(collected.freeze())
 }
 
-/// Reads and discards the rest of a rejected body. A connection that is closed with unread bytes is
-/// reset, and the caller may not receive the answer.
-async fn discard(body: &mut Incoming) {
+/// Reads the rest of a refused request's body, so that the connection can serve the next request.
+/// If that is not possible, the refusal announces that the connection closes: the HTTP library
+/// closes a connection whose last body was not read.
+async fn read_rest(body: &mut Incoming, awaits_continue: bool, refusal: Refusal) -> Refusal {
+    // A caller that has to be asked for its body may not send it after the answer.
+    if refusal.closes || (awaits_continue && !body.is_end_stream()) || !discard(body).await {
+        return refusal.closing();
+    }
+    refusal
+}
+
+/// Reads and discards a body. Returns whether it was read completely.
+async fn discard(body: &mut Incoming) -> bool {
     let mut remaining = MAX_DISCARDED_BYTES;
     let read = async {
-        while let Some(Ok(frame)) = body.frame().await {
+        while let Some(frame) = body.frame().await {
+            let Ok(frame) = frame else { return false };
             remaining = remaining.saturating_sub(frame.data_ref().map_or(0, Bytes::len));
             if remaining == 0 {
-                return;
+                return false;
             }
         }
+        true
     };
-    // The rest of a body that takes longer stays unread.
-    let _ = timeout(DISCARD_TIMEOUT, read).await;
+    timeout(DISCARD_TIMEOUT, read).await.unwrap_or(false)
 }
 
 /// Sends a request until it has an answer or its time is over, and returns the response.
--- a/crates/gateway/src/front/listener.rs
+++ b/crates/gateway/src/front/listener.rs
@@ -25,6 +25,7 @@
 use crate::gateway::Gateway;
 use crate::lifecycle::Lifecycle;
 use crate::net;
+use crate::shared_stream::{self, SharedStream};
 
 /// File descriptors reserved for the log, for connections to other daemons and endpoints, and for
 /// tunnels of other daemons.
@@ -55,6 +56,8 @@
     gateway: Rc<Gateway>,
     /// The number of requests whose answer is not complete.
     pub(super) active_requests: Cell<u32>,
+    /// Whether the body of the running request has been read.
+    is_body_read: Cell<bool>,
     /// The number of answers that the HTTP library has not taken completely.
     open_bodies: Cell<u32>,
     /// Whether the last write to the caller did not fit into the connection's buffers.
@@ -72,6 +75,7 @@
         Rc::new(Self {
             gateway: Rc::clone(gateway),
             active_requests: Cell::new(0),
+            is_body_read: Cell::new(false),
             open_bodies: Cell::new(0),
             is_behind: Cell::new(false),
             is_unwritten: Cell::new(false),
@@ -130,9 +134,19 @@
 
     pub(super) fn begin_request(&self) {
         self.active_requests.set(self.active_requests.get() + 1);
+        self.is_body_read.set(false);
         self.head_started_at.set(None);
     }
 
+    /// Records that the body of the running request has been read.
+    pub(super) fn end_request_body(&self) {
+        self.is_body_read.set(true);
+    }
+
+    pub(super) fn is_body_read(&self) -> bool {
+        self.is_body_read.get()
+    }
+
     pub(super) fn end_request(&self) {
         self.active_requests.set(self.active_requests.get().saturating_sub(1));
         self.idle_since.set(Instant::now());
@@ -212,9 +226,30 @@
 
 async fn serve_connection(gateway: Rc<Gateway>, stream: TcpStream) {
     net::set_caller_options(&stream);
-    let watch = ConnectionWatch::new(&gateway);
+    let (stream, handle) = shared_stream::share(stream);
+    let mut lifecycle = gateway.lifecycle.subscribe();
+    let end = serve_requests(&gateway, stream).await;
+    if end == ConnectionEnd::Answered {
+        tokio::select! {
+            () = handle.close_gracefully() => {}
+            _ = lifecycle.wait_for(|phase| *phase == Lifecycle::Stopped) => {}
+        }
+    }
+}
+
+/// How the requests of a connection ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ConnectionEnd {
+    /// All answers are written, and the caller may still have to read them.
+    Answered,
+    /// The rest of the connection is dropped.
+    Dropped,
+}
+
+async fn serve_requests(gateway: &Rc<Gateway>, stream: SharedStream) -> ConnectionEnd {
+    let watch = ConnectionWatch::new(gateway);
     let io = TokioIo::new(WatchedStream { stream, watch: Rc::clone(&watch) });
-    let (served, watched) = (Rc::clone(&gateway), Rc::clone(&watch));
+    let (served, watched) = (Rc::clone(gateway), Rc::clone(&watch));
     let service = service_fn(move |request: Request<Incoming>| {
         let (gateway, watch) = (Rc::clone(&served), Rc::clone(&watched));
         watch.begin_request();
@@ -229,25 +264,25 @@
         .serve_connection(io, service);
     let mut lifecycle = gateway.lifecycle.subscribe();
     loop {
-        let check_at = next_check(&gateway, &watch);
+        let check_at = next_check(gateway, &watch);
         tokio::select! {
             // After a suspension of the process, the caller's reads count before the time that passed.
             biased;
-            // A caller that closed its connection receives no answer.
-            _ = poll_fn(|cx| Pin::new(&mut connection).poll(cx)) => return,
-            _ = lifecycle.wait_for(|phase| *phase == Lifecycle::Stopped) => return,
+            _ = poll_fn(|cx| Pin::new(&mut connection).poll(cx)) => return ConnectionEnd::Answered,
+            _ = lifecycle.wait_for(|phase| *phase == Lifecycle::Stopped) => {
+                return ConnectionEnd::Dropped;
+            }
             () = sleep_until(check_at) => {}
         }
-        match overdue(&gateway, &watch) {
+        match overdue(gateway, &watch) {
             Overdue::Nothing => {}
             Overdue::Idle => Pin::new(&mut connection).graceful_shutdown(),
-            Overdue::Read => return,
+            Overdue::Read => return ConnectionEnd::Dropped,
             Overdue::Head => {
                 let mut stream = connection.into_parts().io.into_inner().stream;
                 // Errors are ignored: the caller may have disconnected.
                 let _ = stream.write_all(HEAD_TIMEOUT_RESPONSE).await;
-                let _ = stream.shutdown().await;
-                return;
+                return ConnectionEnd::Answered;
             }
         }
     }
@@ -296,7 +331,7 @@
 
 /// A connection that records when a request's head begins to arrive, and whether the caller reads.
 struct WatchedStream {
-    stream: TcpStream,
+    stream: SharedStream,
     watch: Rc<ConnectionWatch>,
 }
 
