A lost path to one endpoint makes the paths to others suspect

What callers see: a stream ends in the middle, without its last events, at an instance whose links to endpoints are reset, though other instances reach the endpoints. Both sends that the route allows were made on the instance's own links.

Cause: a second send avoids direct connections while `EndpointPaths` is suspect, that is, while an endpoint has left a direct connection unanswered. An answer by tunnel turns such an endpoint into a lost path and takes it from the unanswered ones. Path and suspicion are two views of the same evidence, but the stronger one ended the suspicion: the second send, to another endpoint, was direct again.

Evidence: streams_are_whole_although_their_links_are_lost, red in 1 of 24 debug runs with ports of their own, six at once (load 98 to 147), with the gateway's log: the stream s-1-2 breaks at .405, `endpoint-path` says writers-0 lost at .414, the stream is resumed at .477, sent directly to writers-1 at .479, and that link is reset at .552; five other streams went by tunnel and were whole.

Fix: a path that was lost after the last answered connection was opened counts as a suspicion too, as long as an unanswered connection does. The new test of `EndpointPaths` failed before the fix ("is_suspect"); the 96 tests of the crate's library pass.

--- a/crates/gateway/src/paths.rs
+++ b/crates/gateway/src/paths.rs
@@ -104,9 +104,13 @@
         self.cut_off.is_some()
     }
 
-    /// Returns whether endpoints left direct connections unanswered and none has answered since.
+    /// Returns whether endpoints left direct connections unanswered, or were lost, and none has
+    /// answered since.
     pub(crate) fn is_suspect(&self, now: MonotonicTime) -> bool {
-        self.unanswered.values().any(|since| now.since(*since) < SUSPICION_TTL)
+        let lost = self.lost.values().map(|loss| loss.since);
+        let lost = lost.filter(|since| *since > self.answered_opening);
+        let unanswered = self.unanswered.values().copied();
+        unanswered.chain(lost).any(|since| now.since(since) < SUSPICION_TTL)
     }
 
     /// Returns whether an endpoint answered on a direct connection that was opened after `since`.
--- a/crates/gateway/src/paths_tests.rs
+++ b/crates/gateway/src/paths_tests.rs
@@ -80,6 +80,23 @@
     assert_eq!(paths.record_tunnel_answer(at(800)), PathChange::CutOff);
 }
 
+/// Guards against a second send that is lost like the first: once one path is known to be lost, the
+/// paths to other endpoints are no less in doubt than before.
+#[test]
+fn a_lost_path_is_a_suspicion_until_an_endpoint_answers() {
+    let mut paths = EndpointPaths::default();
+    paths.record_unanswered(at(100), &endpoint(1));
+    assert_eq!(paths.record_tunnel_answer(at(110)), PathChange::Lost);
+    assert_eq!(paths.way(&endpoint(2)), EndpointWay::Direct);
+    assert!(paths.is_suspect(at(200)));
+    assert!(!paths.is_suspect(at(6_000)), "a suspicion expires");
+    paths.record_answer(at(90), &endpoint(2));
+    assert!(paths.is_suspect(at(200)), "the answered connection was opened before the loss");
+    paths.record_answer(at(150), &endpoint(2));
+    assert!(!paths.is_suspect(at(200)));
+    assert_eq!(paths.way(&endpoint(1)), EndpointWay::Tunnel);
+}
+
 /// Guards against a cut that is taken for over because something on the way accepts connections.
 #[test]
 fn a_connection_ends_a_loss_only_where_none_could_be_made() {
