A trial of a lost path that fails makes the paths suspect

What callers see: a stream is answered 502, "answer lost", at an instance whose links to endpoints are lost, though other instances reach the endpoints.

Cause: an instance sends a request directly from time to time to try a lost path. If that trial broke, `record_unanswered` ignored it, since the way to the endpoint was a tunnel already. Nothing was suspect then (the loss was older than SUSPICION_TTL, or an endpoint had answered since), so the second and last send was made directly to another endpoint and lost too.

Fix: a failed trial renews the time of the loss, which counts as a suspicion until an endpoint answers on a later connection. The intervals of trials stay as they are.

--- a/crates/gateway/src/paths.rs
+++ b/crates/gateway/src/paths.rs
@@ -66,7 +66,7 @@
 #[derive(Debug, Clone, Copy)]
 struct PathLoss {
     kind: LossKind,
-    /// When the first connection attempt failed, or the silence began.
+    /// When the first connection attempt failed, or the last silence began.
     since: MonotonicTime,
 }
 
@@ -161,7 +161,13 @@
     /// Records that an endpoint has been silent on a direct connection since `since`, or that the
     /// connection broke without an answer.
     pub(crate) fn record_unanswered(&mut self, since: MonotonicTime, endpoint: &EndpointStart) {
-        if since > self.answered_opening && self.way(endpoint) == EndpointWay::Direct {
+        if since <= self.answered_opening {
+            return;
+        }
+        if let Some(loss) = self.lost.get_mut(endpoint) {
+            // A trial failed.
+            loss.since = loss.since.max(since);
+        } else if !self.is_cut_off() {
             self.unanswered.insert(endpoint.clone(), since);
         }
     }
--- a/crates/gateway/src/paths_tests.rs
+++ b/crates/gateway/src/paths_tests.rs
@@ -97,6 +97,23 @@
     assert_eq!(paths.way(&endpoint(1)), EndpointWay::Tunnel);
 }
 
+/// Guards against a request whose first send is a trial of a lost path, and whose second send is lost
+/// on the path to another endpoint.
+#[test]
+fn a_trial_that_fails_is_a_suspicion() {
+    let mut paths = EndpointPaths::default();
+    paths.record_unanswered(at(100), &endpoint(1));
+    paths.record_tunnel_answer(at(110));
+    assert!(paths.begin_trial(at(6_000)));
+    paths.record_unanswered(at(6_050), &endpoint(1));
+    assert!(paths.is_suspect(at(6_100)));
+    assert_eq!(paths.record_tunnel_answer(at(6_200)), PathChange::None);
+    assert!(!paths.begin_trial(at(7_900)), "trials become rarer");
+    assert_eq!(paths.record_answer(at(6_040), &endpoint(1)), PathChange::None);
+    assert_eq!(paths.record_answer(at(8_000), &endpoint(1)), PathChange::Regained);
+    assert!(!paths.is_suspect(at(8_000)));
+}
+
 /// Guards against a cut that is taken for over because something on the way accepts connections.
 #[test]
 fn a_connection_ends_a_loss_only_where_none_could_be_made() {
