--- a/crates/gateway/src/paths.rs
+++ b/crates/gateway/src/paths.rs
@@ -66,7 +66,7 @@
 #[derive(Debug, Clone, Copy)]
 struct PathLoss {
     kind: LossKind,
-    /// When the first connection attempt failed, or the silence began.
+    /// When the first connection attempt failed, or the last silence began.
     since: MonotonicTime,
 }
 
@@ -104,9 +104,13 @@
         self.cut_off.is_some()
     }
 
-    /// Returns whether endpoints left direct connections unanswered and none has answered since.
+    /// Returns whether endpoints left direct connections unanswered, or were lost, and none has
+    /// answered since.
     pub(crate) fn is_suspect(&self, now: MonotonicTime) -> bool {
-        self.unanswered.values().any(|since| now.since(*since) < SUSPICION_TTL)
+        let lost = self.lost.values().map(|loss| loss.since);
+        let lost = lost.filter(|since| *since > self.answered_opening);
+        let unanswered = self.unanswered.values().copied();
+        unanswered.chain(lost).any(|since| now.since(since) < SUSPICION_TTL)
     }
 
     /// Returns whether an endpoint answered on a direct connection that was opened after `since`.
@@ -157,7 +161,13 @@
     /// Records that an endpoint has been silent on a direct connection since `since`, or that the
     /// connection broke without an answer.
     pub(crate) fn record_unanswered(&mut self, since: MonotonicTime, endpoint: &EndpointStart) {
-        if since > self.answered_opening && self.way(endpoint) == EndpointWay::Direct {
+        if since <= self.answered_opening {
+            return;
+        }
+        if let Some(loss) = self.lost.get_mut(endpoint) {
+            // A trial failed.
+            loss.since = loss.since.max(since);
+        } else if !self.is_cut_off() {
             self.unanswered.insert(endpoint.clone(), since);
         }
     }
