Gateway: a request's body may take no longer than its route's time-out

What callers see: a request whose body arrives slowly got its answer, 408, only once its own deadline had passed, however short the time-out of its route was.

Cause: the body was collected before the route was looked up, for the deadline of the request and 10 s at most. The route follows from the head, so its time-out now limits the collection as well, counted from the arrival of the head. A body that comes later cannot be served in any case: the time of the request is over then.

--- a/crates/gateway/src/front/caller.rs
+++ b/crates/gateway/src/front/caller.rs
@@ -45,8 +45,8 @@
 /// The `Retry-After` of refusals after which the caller should use another instance.
 const OTHER_INSTANCE_RETRY_AFTER: Duration = Duration::from_millis(50);
 
-/// The maximum time for a request's body to arrive. A shorter deadline of the request takes
-/// precedence.
+/// The maximum time for a request's body to arrive. A shorter deadline of the request and a shorter
+/// time-out of its route take precedence.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// The maximum number of bytes of a rejected body that are read and discarded, so that the caller
@@ -325,9 +325,9 @@
         }
     };
     let buffered = ByteHold::new(gateway, HeldKind::RequestBody);
-    let body_timeout = facts.deadline.unwrap_or(BODY_TIMEOUT).min(BODY_TIMEOUT);
+    let body_deadline = arrived + body_timeout(gateway, &host, parts.uri.path(), &facts);
     let collected =
-        timeout(body_timeout, collect(&mut body, limits.max_body_bytes, &buffered)).await;
+        timeout_at(body_deadline, collect(&mut body, limits.max_body_bytes, &buffered)).await;
     let body = match collected {
         Ok(Ok(bytes)) => bytes,
         Ok(Err(refusal)) => {
@@ -394,6 +394,17 @@
     })
 }
 
+/// Returns the maximum time from a request's arrival until its body has arrived.
+///
+/// The document may change until then. It decides about the request afterwards, and a request without
+/// a route here may have one by then.
+fn body_timeout(gateway: &Gateway, host: &str, path: &str, facts: &RequestFacts) -> Duration {
+    let document = gateway.active_document();
+    let route = document.as_ref().and_then(|document| document.table.route(host, path));
+    let route_timeout = route.map_or(BODY_TIMEOUT, |route| route.timeout);
+    facts.deadline.unwrap_or(BODY_TIMEOUT).min(BODY_TIMEOUT).min(route_timeout)
+}
+
 /// Finds the route and the key holder of a request.
 fn look_up(
     gateway: &Gateway,
