Gateway: a call whose caller stops waiting is forgotten

A call to another instance was removed from the pending ones only when it ended or timed out. A future that is dropped before, as when a request's time is over or its caller has left, left its entry behind for the life of the process.

The entry is now removed by a guard, however the call ends. The test fails without it (one entry is left after a call that is dropped) and passes with it; the tests of the gateway crate are green (103 unit tests and 31 others). What the entries of a long run came to was not measured.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -116,13 +116,25 @@
     /// The number of callers' connections to which an answer is not written completely.
     pub(crate) unwritten_answers: Cell<u64>,
     pub(crate) held: RefCell<HeldLedger>,
-    pending_calls: RefCell<HashMap<u64, oneshot::Sender<PeerReply>>>,
+    pub(crate) pending_calls: RefCell<HashMap<u64, oneshot::Sender<PeerReply>>>,
     /// The number of links to each daemon that have come up so far.
     link_counts: RefCell<HashMap<InstanceId, u64>>,
     link_up: Notify,
     next_number: Cell<u64>,
 }
 
+/// Removes a call from the pending ones when it ends or its caller no longer waits for it.
+struct PendingCall<'a> {
+    gateway: &'a Gateway,
+    token: u64,
+}
+
+impl Drop for PendingCall<'_> {
+    fn drop(&mut self) {
+        self.gateway.pending_calls.borrow_mut().remove(&self.token);
+    }
+}
+
 impl Gateway {
     /// Creates a gateway without starting its tasks.
     pub(crate) fn new(settings: GatewaySettings, dialect: WireDialect, log: EventLog) -> Rc<Self> {
@@ -242,10 +254,9 @@
         let token = self.next_number();
         let (reply, answer) = oneshot::channel();
         self.pending_calls.borrow_mut().insert(token, reply);
+        let _pending = PendingCall { gateway: self, token };
         let request = request(token);
-        let answer = timeout(max_wait, self.send_on_each_link(to, &request, answer)).await;
-        self.pending_calls.borrow_mut().remove(&token);
-        answer.ok()?
+        timeout(max_wait, self.send_on_each_link(to, &request, answer)).await.ok()?
     }
 
     /// Sends a request, and sends it again on each new link until the answer arrives: the request
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -55,6 +55,8 @@
 mod framing;
 mod front;
 mod gateway;
+#[cfg(test)]
+mod gateway_tests;
 mod gossip;
 #[cfg(test)]
 mod gossip_tests;
