--- a/crates/gateway/src/front/caller.rs
+++ b/crates/gateway/src/front/caller.rs
@@ -45,8 +45,8 @@
 /// The `Retry-After` of refusals after which the caller should use another instance.
 const OTHER_INSTANCE_RETRY_AFTER: Duration = Duration::from_millis(50);
 
-/// The maximum time for a request's body to arrive. A shorter deadline of the request takes
-/// precedence.
+/// The maximum time for a request's body to arrive. A shorter deadline of the request and a shorter
+/// time-out of its route take precedence.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// The maximum number of bytes of a rejected body that are read and discarded, so that the
@@ -325,8 +325,9 @@
     };
     let host = headers::check_head(&parts, limits.max_head_bytes)?;
     let buffered = ByteHold::new(gateway, HeldKind::RequestBody);
-    let body_timeout = facts.deadline.unwrap_or(BODY_TIMEOUT).min(BODY_TIMEOUT);
-    let collected = timeout(body_timeout, collect(body, limits.max_body_bytes, &buffered)).await;
+    let body_deadline = arrived + body_timeout(gateway, &host, parts.uri.path(), &facts);
+    let collected =
+        timeout_at(body_deadline, collect(body, limits.max_body_bytes, &buffered)).await;
     let body = collected.unwrap_or_else(|_| {
         let remedy = "the request's body did not arrive in time; send it faster";
         Err(Refusal::new(StatusCode::REQUEST_TIMEOUT, "slow body", remedy).closing())
@@ -386,6 +387,17 @@
     })
 }
 
+/// Returns the maximum time from a request's arrival until its body has arrived.
+///
+/// The document may change until then. It decides about the request afterwards, and a request without
+/// a route here may have one by then.
+fn body_timeout(gateway: &Gateway, host: &str, path: &str, facts: &RequestFacts) -> Duration {
+    let document = gateway.active_document();
+    let route = document.as_ref().and_then(|document| document.table.route(host, path));
+    let route_timeout = route.map_or(BODY_TIMEOUT, |route| route.timeout);
+    facts.deadline.unwrap_or(BODY_TIMEOUT).min(BODY_TIMEOUT).min(route_timeout)
+}
+
 /// Finds the route and the key holder of a request.
 fn look_up(
     gateway: &Gateway,
