Callers' closes are noticed while bytes of a next request wait

Work went on for callers that had left if they had sent bytes of a next request: the HTTP library does not read while such bytes wait in its buffer, and so misses the close; endpoints worked to the end.

The connection's writing side is now shared by the HTTP library and its task, and the task waits for the end of the reading side by readiness alone, which the operating system reports beside unread bytes. A request whose body has been read is dropped with its connection once the caller has closed; while a body is being read the library sees the close itself. A close of the sending side alone has always ended a request that runs and still does (requests_end_at_the_close_of_their_callers_sending_side, green before and after).

--- a/crates/gateway/src/front/listener.rs
+++ b/crates/gateway/src/front/listener.rs
@@ -25,7 +25,7 @@
 use crate::gateway::Gateway;
 use crate::lifecycle::Lifecycle;
 use crate::net;
-use crate::shared_stream::{self, SharedStream};
+use crate::shared_stream::{self, SharedStream, StreamHandle};
 
 /// File descriptors reserved for the log, for connections to other daemons and endpoints, and for
 /// tunnels of other daemons.
@@ -147,6 +147,11 @@
         self.is_body_read.get()
     }
 
+    /// Returns whether a request that was read completely has no complete answer.
+    fn awaits_answer(&self) -> bool {
+        self.active_requests.get() > 0 && self.is_body_read.get()
+    }
+
     pub(super) fn end_request(&self) {
         self.active_requests.set(self.active_requests.get().saturating_sub(1));
         self.idle_since.set(Instant::now());
@@ -228,7 +233,7 @@
     net::set_caller_options(&stream);
     let (stream, handle) = shared_stream::share(stream);
     let mut lifecycle = gateway.lifecycle.subscribe();
-    let end = serve_requests(&gateway, stream).await;
+    let end = serve_requests(&gateway, stream, &handle).await;
     if end == ConnectionEnd::Answered {
         tokio::select! {
             () = handle.close_gracefully() => {}
@@ -246,7 +251,11 @@
     Dropped,
 }
 
-async fn serve_requests(gateway: &Rc<Gateway>, stream: SharedStream) -> ConnectionEnd {
+async fn serve_requests(
+    gateway: &Rc<Gateway>,
+    stream: SharedStream,
+    handle: &StreamHandle,
+) -> ConnectionEnd {
     let watch = ConnectionWatch::new(gateway);
     let io = TokioIo::new(WatchedStream { stream, watch: Rc::clone(&watch) });
     let (served, watched) = (Rc::clone(gateway), Rc::clone(&watch));
@@ -263,8 +272,9 @@
         .max_buf_size(HEAD_BUFFER_BYTES)
         .serve_connection(io, service);
     let mut lifecycle = gateway.lifecycle.subscribe();
+    let mut has_caller_closed = false;
     loop {
-        let check_at = next_check(gateway, &watch);
+        let check_at = next_check(gateway, &watch, has_caller_closed);
         tokio::select! {
             // After a suspension of the process, the caller's reads count before the time that passed.
             biased;
@@ -272,8 +282,14 @@
             _ = lifecycle.wait_for(|phase| *phase == Lifecycle::Stopped) => {
                 return ConnectionEnd::Dropped;
             }
+            () = handle.closed_by_peer(), if !has_caller_closed => has_caller_closed = true,
             () = sleep_until(check_at) => {}
         }
+        // A caller that closed its connection receives no answer. The HTTP library sees the close
+        // as well, unless bytes of a next request are before it.
+        if has_caller_closed && watch.awaits_answer() {
+            return ConnectionEnd::Dropped;
+        }
         match overdue(gateway, &watch) {
             Overdue::Nothing => {}
             Overdue::Idle => Pin::new(&mut connection).graceful_shutdown(),
@@ -307,9 +323,13 @@
 /// The maximum interval between time-out checks of a connection.
 const MAX_CHECK_INTERVAL: Duration = Duration::from_millis(1_000);
 
-fn next_check(gateway: &Gateway, watch: &ConnectionWatch) -> Instant {
+/// The interval between checks of whether a caller that has closed its connection awaits an answer.
+const CLOSED_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
+fn next_check(gateway: &Gateway, watch: &ConnectionWatch, has_caller_closed: bool) -> Instant {
     let (head, _) = connection_timeouts(gateway);
-    let latest = Instant::now() + MAX_CHECK_INTERVAL;
+    let interval = if has_caller_closed { CLOSED_CHECK_INTERVAL } else { MAX_CHECK_INTERVAL };
+    let latest = Instant::now() + interval;
     watch.head_started_at.get().map_or(latest, |started_at| latest.min(started_at + head))
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,7 +18,7 @@
 //! | `upstream`, `dial`, `paths`, `tunnel` | connections to endpoints: sends and calls; the two ways, directly and through other daemons; which endpoints this daemon reaches; tunnels for others |
 //! | `held_bytes` | the memory for bodies, answers, streams and tunnels, by kind |
 //! | `quarantine`, `part_quarantine`, `quarantine_disk`, `broken_runs` | quarantine of requests and of parts of prompts that end their endpoints: replication to other daemons, storage on disk; care with requests whose connections broke |
-//! | `shared_stream` | closing a connection so that its peer can read the last answer |
+//! | `shared_stream` | connections: noticing their closes, and closing them so that the peer can read the last answer |
 //! | `front` | the callers' listener: requests, sends, retries and answers |
 //! | `directory`, `lifecycle` | the instances that callers should use; start, readiness, reload, shutdown |
 //! | `peer_changes` | log lines for changes of links and daemons, aggregated where there are many |
--- a/crates/gateway/src/shared_stream.rs
+++ b/crates/gateway/src/shared_stream.rs
@@ -1,7 +1,9 @@
-//! A TCP connection that the HTTP library reads and writes, and that the gateway closes.
+//! A TCP connection that the HTTP library reads and writes, and that the gateway observes and closes.
 //!
-//! The HTTP library closes a connection as soon as its last answer is written. If bytes are unread
-//! at that time, the operating system resets the connection, and the peer may lose the answer.
+//! The HTTP library does not read while bytes of a later request wait in its buffer, and then misses
+//! that the peer has closed. It also closes a connection as soon as its last answer is written; if
+//! bytes are unread at that time, the operating system resets the connection, and the peer may lose
+//! the answer.
 
 use std::io::{self, ErrorKind, IoSlice};
 use std::net::Shutdown;
@@ -11,7 +13,7 @@
 use std::time::Duration;
 
 use socket2::SockRef;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::time::timeout;
@@ -33,7 +35,7 @@
     handle: StreamHandle,
 }
 
-/// The part of a connection that closes it.
+/// The part of a connection that observes and closes it.
 #[derive(Debug, Clone)]
 pub(crate) struct StreamHandle(Rc<OwnedWriteHalf>);
 
@@ -49,6 +51,14 @@
         (*self.0).as_ref()
     }
 
+    /// Waits until the peer has closed the connection or its sending side, also while received bytes
+    /// are unread.
+    pub(crate) async fn closed_by_peer(&self) {
+        // This interest also ends with the reading side. The connection is not registered for
+        // priority events, so that nothing else ends the wait.
+        let _ = self.stream().ready(Interest::PRIORITY).await;
+    }
+
     /// Stops sending, and reads until the peer closes as well, for a bounded time.
     pub(crate) async fn close_gracefully(&self) {
         // The peer may have closed already.
