Storage: the example that measures capacity takes the folder from its opening

`DiskFolder::open` returns how the folder was opened beside it since "the name of a data folder is durable before the folder is used". It passes now. The crate's documentation names what makes the folder's own name durable.

--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -18,6 +18,9 @@
 //! A snapshot is written to a temporary file, synced and renamed, and the folder is synced. Only
 //! then are the segments that the snapshot covers removed.
 //!
+//! The name of the data folder itself is durable before the store writes to it: [`create_folder`]
+//! syncs the parent of each folder that it creates.
+//!
 //! [`DiskFolder`] abstracts over a real folder and [`FakeDisk`], an in-memory disk that loses
 //! unsynced data. Randomised tests use it to crash the store at any operation.
 
--- a/crates/testbed/examples/capacity.rs
+++ b/crates/testbed/examples/capacity.rs
@@ -305,7 +305,7 @@
                 payload: payload.clone(),
             })
         };
-        let (mut store, _) = LogStore::open(DiskFolder::open(folder.path())?, 8 << 20)?;
+        let (mut store, _) = LogStore::open(DiskFolder::open(folder.path())?.0, 8 << 20)?;
         for first in (1..=count).step_by(100) {
             let batch: Vec<LogRecord> = (first..first + 100).map(entry).collect();
             store.append(&batch)?;
@@ -321,7 +321,7 @@
             size += file?.metadata()?.len();
         }
         let started = Instant::now();
-        let (_, log) = LogStore::open(DiskFolder::open(folder.path())?, 8 << 20)?;
+        let (_, log) = LogStore::open(DiskFolder::open(folder.path())?.0, 8 << 20)?;
         println!(
             "| {} | {:.0} ms | {:.1} MB | {:.2} ms |",
             log.entries.len(),
