A process that started on the smaller side of a split uses only the ratio of the retry budget

What callers see: repeats beyond the allowance of a service if processes start again while they are split.

Cause: a process that starts on one side of a split knows the daemons of that side and the seeds. After one window it uses its whole share of the fixed number, divided by these.

Change: a process uses nothing of the fixed number until it has been in touch with a majority of the voters, by a proof of the newest document, its own or a hub's. Only one side of a split has one. The ratio of its own requests is not touched, nor are processes that ran before the split.

Cost: if all processes have started again and no majority is there, callers get no repeats beyond the ratio. The first proof ends that.

What remains: a majority of the voters may be on a side with few instances. If all of that side start again, its share and that of the instances on the other side, which did not, may exceed the allowance by a little: up to 1.4 of it in theory, not shown by a run.

Evidence: restarts_during_splits_do_not_add_to_the_retry_budget, 12 daemons without a network, all start again within the split, sides of 6 and 6; 8 and 4; 4, 4 and 4; 7, 2 and 3.

tests/retry_budget.rs: daemons of the model record a majority when they start, as in a system without splits, since they would otherwise use nothing; all of its bounds are unchanged, and a daemon that met no majority is checked as well.

--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -8,7 +8,9 @@
 //! A daemon that has just started knows neither what it spent before nor all other daemons. Until a
 //! whole window has passed it uses a small part of its share, which grows with its uptime, so that
 //! restarts in series together use no more than one daemon's whole share. The same holds after a
-//! change of its role.
+//! change of its role. A daemon that started during a partition, on a side without a majority of the
+//! voters, may know few others however long it runs. It uses nothing of the fixed number until it has
+//! been in touch with a majority, which only one side has.
 //!
 //! With many daemons, the divided fixed number is less than one repeated send per daemon. In a
 //! tiered cluster the fixed number is therefore divided among the hubs only, and the hubs grant
@@ -83,6 +85,8 @@
     services: HashMap<ServiceName, ServiceWindow>,
     start: ProcessStart,
     started: MonotonicTime,
+    /// Whether this daemon has been in touch with a majority of the voters since its start.
+    has_met_majority: bool,
     /// The time since which this daemon holds back its share of the fixed number: its start, or the
     /// last change of its role.
     held_back_since: Option<MonotonicTime>,
@@ -94,16 +98,30 @@
     /// Creates the budget of a process that started at `started`.
     pub fn new(started: MonotonicTime, start: ProcessStart) -> Self {
         let held_back_since = (start == ProcessStart::Later).then_some(started);
-        Self { services: HashMap::new(), start, started, held_back_since, reported: None }
+        let has_met_majority = start == ProcessStart::First;
+        Self {
+            services: HashMap::new(),
+            start,
+            started,
+            has_met_majority,
+            held_back_since,
+            reported: None,
+        }
     }
 
     /// Records that the whole system starts for the first time, so that nothing of the budget was used
     /// before this process started.
     pub fn confirm_first_start(&mut self) {
         self.start = ProcessStart::First;
+        self.has_met_majority = true;
         self.held_back_since = None;
     }
 
+    /// Records that this daemon is in touch with a majority of the voters.
+    pub fn record_majority(&mut self) {
+        self.has_met_majority = true;
+    }
+
     /// Records that this daemon takes its share in another role from now on, as a part of a mesh, a
     /// hub or a leaf. It and others may have used their shares in the roles before.
     pub fn change_role(&mut self, now: MonotonicTime, rule: &BudgetRule) {
@@ -192,6 +210,9 @@
 
     /// Returns the part of this daemon's share of the fixed number that it may use at present.
     fn fixed_share(&self, now: MonotonicTime, window: Duration) -> f64 {
+        if !self.has_met_majority {
+            return 0.0;
+        }
         let Some(since) = self.held_back_since else { return USED_SHARE };
         let windows = now.since(since).as_secs_f64() / window.as_secs_f64();
         if windows < MEETING_SHARE {
--- a/crates/gateway/src/split_budget_tests.rs
+++ b/crates/gateway/src/split_budget_tests.rs
@@ -16,6 +16,9 @@
 /// When the daemons are split, and when the split ends.
 const SPLIT_MS: u64 = 20_000;
 const HEAL_MS: u64 = 260_000;
+
+/// When all daemons start again, in tests that say so.
+const RESTART_MS: u64 = 54 * STEP_MS;
 const END_MS: u64 = 300_000;
 
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -80,24 +83,38 @@
 
 /// Runs daemons that are split into `sides` for longer than a daemon stays in the roster, and returns
 /// the largest share of the allowance that a window has.
-fn largest_share(daemons: usize, sides: usize, topology: Topology) -> f64 {
-    let new = |_| Daemon {
+fn largest_share(
+    daemons: usize,
+    side_of: impl Fn(usize) -> usize,
+    topology: Topology,
+    restarts_at_ms: Option<u64>,
+) -> f64 {
+    let start = |ms, start| Daemon {
         roster: DaemonRoster::default(),
-        budget: RetryBudget::new(at(0), ProcessStart::First),
+        budget: RetryBudget::new(at(ms), start),
     };
-    let mut all: Vec<Daemon> = (0..daemons).map(new).collect();
+    let mut all: Vec<Daemon> = (0..daemons).map(|_| start(0, ProcessStart::First)).collect();
     let mut repeats = VecDeque::new();
     let mut largest: f64 = 0.0;
     for ms in (0..END_MS).step_by(STEP_MS as usize) {
         let now = at(ms);
         let is_split = (SPLIT_MS..HEAL_MS).contains(&ms);
+        if restarts_at_ms == Some(ms) {
+            all = (0..daemons).map(|_| start(ms, ProcessStart::Later)).collect();
+        }
         for (number, daemon) in all.iter_mut().enumerate() {
-            let heard = (0..daemons).filter(|other| *other != number);
-            let heard = heard.filter(|other| !is_split || other % sides == number % sides);
-            for other in heard {
-                daemon.roster.update(now, note(other, DaemonPhase::Ready));
+            let is_heard = |other: &usize| !is_split || side_of(*other) == side_of(number);
+            let heard: Vec<usize> = (0..daemons).filter(is_heard).collect();
+            for other in heard.iter().filter(|other| **other != number) {
+                daemon.roster.update(now, note(*other, DaemonPhase::Ready));
+            }
+            if 2 * heard.len() > daemons {
+                daemon.budget.record_majority();
             }
             let seeds: Vec<InstanceId> = (0..SEEDS).map(instance).collect();
+            for seed in (0..SEEDS).filter(|seed| *seed != number) {
+                daemon.roster.add(now, &seeds[seed]);
+            }
             daemon.roster.expire(now, |daemon| seeds.contains(daemon));
         }
         // Daemons are ready only after they have met.
@@ -120,13 +137,27 @@
 fn long_splits_do_not_add_to_the_retry_budget() {
     for topology in [Topology::Mesh, Topology::Hubs] {
         for (daemons, sides) in [(12, 2), (12, 3), (12, 12), (60, 2), (60, 5)] {
-            let share = largest_share(daemons, sides, topology);
+            let share = largest_share(daemons, |number| number % sides, topology, None);
             println!("{daemons} daemons, {sides} sides: {share:.2} of the allowance");
             assert!(share <= 1.0, "{daemons} daemons, {sides} sides: {share:.2} of the allowance");
         }
     }
 }
 
+// Guards against the same by daemons that start again during a split and know only their own side and
+// the seeds. Daemons with a number below the first limit are on one side, and so on.
+#[test]
+fn restarts_during_splits_do_not_add_to_the_retry_budget() {
+    for topology in [Topology::Mesh, Topology::Hubs] {
+        for limits in [vec![6], vec![8], vec![4, 8], vec![7, 9]] {
+            let side_of = |number| limits.iter().filter(|limit| number >= **limit).count();
+            let share = largest_share(12, side_of, topology, Some(RESTART_MS));
+            println!("sides end at {limits:?}: {share:.2} of the allowance");
+            assert!(share <= 1.0, "sides end at {limits:?}: {share:.2} of the allowance");
+        }
+    }
+}
+
 // Guards against a budget that shrinks for good with each daemon that was shut down, or that ended long
 // ago.
 #[test]
--- a/crates/gateway/tests/retry_budget.rs
+++ b/crates/gateway/tests/retry_budget.rs
@@ -36,7 +36,9 @@
 
 impl Daemon {
     fn start(ms: u64, start: ProcessStart) -> Self {
-        Self { budget: RetryBudget::new(at(ms), start), started: ms }
+        let mut budget = RetryBudget::new(at(ms), start);
+        budget.record_majority();
+        Self { budget, started: ms }
     }
 }
 
@@ -148,6 +150,9 @@
     }
     let service: ServiceName = "portal".parse().expect("a name");
     let mut daemon = RetryBudget::new(at(0), ProcessStart::Later);
+    assert!(!daemon.take(at(30_000), &RULE, 12, &service), "it has met no majority");
+    let mut daemon = RetryBudget::new(at(0), ProcessStart::Later);
+    daemon.record_majority();
     let mut repeats = |ms| {
         let mut granted = 0;
         while daemon.take(at(ms), &RULE, 12, &service) {
