Closing connections read into a buffer of their own

The buffer for bytes that are discarded while a connection closes was part of the task of each connection, 8 KiB for as long as the connection is open, although most connections never use it. It is now allocated when a connection begins to close.

No behaviour changes.

--- a/crates/gateway/src/shared_stream.rs
+++ b/crates/gateway/src/shared_stream.rs
@@ -72,7 +72,8 @@
     }
 
     async fn discard_received(&self) -> io::Result<()> {
-        let mut buffer = [0; LINGER_BUFFER_BYTES];
+        // On the heap, so that the tasks of open connections do not contain it.
+        let mut buffer = vec![0; LINGER_BUFFER_BYTES];
         let mut remaining = MAX_LINGER_BYTES;
         while remaining > 0 {
             self.stream().readable().await?;
