An old proof of a hub shows no majority since a process started

What callers see: repeats beyond the allowance of a service, by processes that start again on the smaller side of a partition and ask a hub that has been without links for long.

Cause: a hub answers its leaves with its own proof at any age, and any proof counted as a majority that this process had reached. Class: evidence whose date is not compared with what it has to show.

Fix: a proof counts only if its date is not before the start of the process. an_old_proof_of_a_hub_shows_no_majority_since_the_start is red without the comparison (a hub with a proof of 600 s grants a repeat) and green with it; the tests of the gateway crate are green (110 and 31).

--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -117,9 +117,10 @@
         self.held_back_since = None;
     }
 
-    /// Records that this daemon is in touch with a majority of the voters.
-    pub fn record_majority(&mut self) {
-        self.has_met_majority = true;
+    /// Records that a majority of the voters was reached at `at`, by this daemon or by a hub that it
+    /// asked. A hub without links may report a time before this daemon's start.
+    pub fn record_majority(&mut self, at: MonotonicTime) {
+        self.has_met_majority |= at >= self.started;
     }
 
     /// Records that this daemon takes its share in another role from now on, as a part of a mesh, a
--- a/crates/gateway/src/documents.rs
+++ b/crates/gateway/src/documents.rs
@@ -376,7 +376,7 @@
 
     /// Records `newest` as the newest revision at `at`.
     pub(crate) fn prove_newest(&self, at: MonotonicTime, newest: Option<RoutingRevision>) {
-        self.budget.borrow_mut().record_majority();
+        self.budget.borrow_mut().record_majority(at);
         let mut documents = self.documents.borrow_mut();
         match newest {
             Some(newest) if documents.revision() < Some(newest) => {
--- a/crates/gateway/src/hubs_tests.rs
+++ b/crates/gateway/src/hubs_tests.rs
@@ -39,3 +39,19 @@
     gateway.apply_hub_status(gateway.now(), status(&all[..2], Some(Duration::ZERO)));
     assert_eq!(gateway.known_hubs().len(), 2, "a current hub tells which hubs are gone");
 }
+
+/// Guards against repeats beyond the budget by a process that starts during a partition and asks a hub that has
+/// been without links for long.
+#[test]
+fn an_old_proof_of_a_hub_shows_no_majority_since_the_start() {
+    let gateway = gateway();
+    let service = "portal".parse().expect("a name");
+    let may_repeat = || {
+        let later = gateway.now() + Duration::from_secs(30);
+        gateway.budget.borrow_mut().take(later, &gateway.budget_rule(), 1, &service)
+    };
+    gateway.apply_hub_status(gateway.now(), status(&[hub(0)], Some(Duration::from_secs(600))));
+    assert!(!may_repeat());
+    gateway.apply_hub_status(gateway.now(), status(&[hub(0)], Some(Duration::ZERO)));
+    assert!(may_repeat());
+}
--- a/crates/gateway/src/split_budget_tests.rs
+++ b/crates/gateway/src/split_budget_tests.rs
@@ -109,7 +109,7 @@
                 daemon.roster.update(now, note(*other, DaemonPhase::Ready));
             }
             if 2 * heard.len() > daemons {
-                daemon.budget.record_majority();
+                daemon.budget.record_majority(now);
             }
             let seeds: Vec<InstanceId> = (0..SEEDS).map(instance).collect();
             for seed in (0..SEEDS).filter(|seed| *seed != number) {
--- a/crates/gateway/tests/retry_budget.rs
+++ b/crates/gateway/tests/retry_budget.rs
@@ -37,7 +37,7 @@
 impl Daemon {
     fn start(ms: u64, start: ProcessStart) -> Self {
         let mut budget = RetryBudget::new(at(ms), start);
-        budget.record_majority();
+        budget.record_majority(at(ms));
         Self { budget, started: ms }
     }
 }
@@ -152,7 +152,7 @@
     let mut daemon = RetryBudget::new(at(0), ProcessStart::Later);
     assert!(!daemon.take(at(30_000), &RULE, 12, &service), "it has met no majority");
     let mut daemon = RetryBudget::new(at(0), ProcessStart::Later);
-    daemon.record_majority();
+    daemon.record_majority(at(0));
     let mut repeats = |ms| {
         let mut granted = 0;
         while daemon.take(at(ms), &RULE, 12, &service) {
