--- a/crates/gateway/src/documents.rs
+++ b/crates/gateway/src/documents.rs
@@ -644,7 +644,7 @@
     /// An accepted document is acknowledged once the reachable daemons have it in force or
     /// `CONFIRMATION_TIMEOUT` has passed. Every document, also one that was sent again, is
     /// acknowledged only once no daemon can decide by an older one when `revision` has to be in
-    /// force.
+    /// force. This does not cover requests that need no proof, as on public routes.
     fn acknowledge(
         self: &Rc<Self>,
         proposer: Proposer,
