Logs: what made the event loop late beside elections, leaders, closes and acknowledgements

The record of four rules has elections in series, a leader that is replaced 45 s after others left it, and sends for callers that had left. No line told how late the event loop was at that moment, how long the belief in a leader had been held, or which instances an acknowledgement waited for, so the hypotheses of docs/incidents/four-rules-on-real-processes.md could not be told apart.

leader: before_ms, late_ms; replica (elections): late_ms; end of a caller that has gone: late_ms; document: waited_for. late_ms is the longest delay of the last two seconds, that of an overdue measurement included. No logic changes.

--- a/crates/gateway/src/cluster.rs
+++ b/crates/gateway/src/cluster.rs
@@ -395,8 +395,11 @@
         if before == next {
             return;
         }
+        let since = self.leader_since.replace(self.now());
         self.line(EventKind::Leader)
             .maybe("before", before.as_ref().map(|(_, leader)| leader))
+            .millis("before_ms", self.now().since(since))
+            .millis("late_ms", self.recent_loop_delay())
             .maybe("leader", next.as_ref().map(|(_, leader)| leader))
             .number("term", next.as_ref().map_or(LeaderTerm::ZERO, |(term, _)| *term))
             .text("outcome", if next.is_some() { "found" } else { "lost" });
--- a/crates/gateway/src/documents.rs
+++ b/crates/gateway/src/documents.rs
@@ -57,6 +57,9 @@
 /// confirmed it, unless these may decide by an older document for too long.
 const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(350);
 
+/// The number of daemons that the log line of an acknowledgement names.
+const MAX_LOGGED_UNCONFIRMED: usize = 4;
+
 /// The leader does not wait for confirmation by a daemon that has been silent for this long.
 const CONFIRMATION_MAX_SILENCE: Duration = Duration::from_millis(1_300);
 
@@ -654,22 +657,34 @@
         let gateway = Rc::clone(self);
         tokio::task::spawn_local(async move {
             let begun = gateway.now();
+            let mut waited_for = String::new();
             let known_since = gateway.documents.borrow().in_force_since(revision).unwrap_or(begun);
             if outcome == RegisterOutcome::Accepted {
                 let everywhere = gateway.wait_until_in_force(revision);
                 let _ = timeout(CONFIRMATION_TIMEOUT, everywhere).await;
             }
+            if gateway.outdated_until(revision, known_since).is_some_and(|at| at > gateway.now()) {
+                waited_for = gateway.unconfirmed_names(revision);
+            }
             gateway.wait_for_outdated_proofs(revision, known_since).await;
             gateway
                 .line(EventKind::Document)
                 .number("revision", revision)
                 .millis("waited_ms", gateway.now().since(begun))
+                .text("waited_for", waited_for)
                 .number("unconfirmed", gateway.unconfirmed_count(revision))
                 .text("outcome", "acknowledged");
             gateway.answer_proposer(&proposer, DocumentVerdict::Done(outcome));
         });
     }
 
+    /// Returns the names of some daemons that hold a proof and have not confirmed a revision, for the log.
+    fn unconfirmed_names(&self, revision: RoutingRevision) -> String {
+        let documents = self.documents.borrow();
+        let names = documents.proofs.unconfirmed(revision).map(InstanceId::as_str);
+        names.take(MAX_LOGGED_UNCONFIRMED).collect::<Vec<_>>().join(",")
+    }
+
     /// Waits until each daemon has the revision in force, or loses its proof of an older one within
     /// `in_force` from now.
     async fn wait_for_outdated_proofs(
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -66,17 +66,18 @@
     PeerTraffic = "peer-traffic";
     /// This seed takes part in founding a new system; its first voters are the seeds.
     Founding = "founding";
-    /// The leader of the log that this process believes in has changed.
+    /// The leader of the log that this process believes in has changed; `before_ms` is how long it believed in the one before, or in none, `late_ms` by how much the event loop was late at most in the last two seconds.
     Leader = "leader";
     /// The leader wants other voters, or an instance that should be a voter is not live, or too few
     /// instances have a disk.
     Voters = "voters";
     /// The replica of the log has started, stopped, or failed with its disk, waits for a system, has
     /// no leader, stands for election, was elected or has stepped down, or its disk was slow to sync.
+    /// In elections, `late_ms` is by how much the event loop was late at most in the last two seconds.
     /// `opened` says whether the data folder was `created` or `found`, and whether its `parent` was
     /// `synced`, so that the folder's name survives a loss of power.
     Replica = "replica";
-    /// A routing document was proposed, acknowledged, or refused. The leader logs how long the acknowledgement waited after the commit, `waited_ms`, and how many instances had not confirmed the document by then, `unconfirmed`.
+    /// A routing document was proposed, acknowledged, or refused. The leader logs how long the acknowledgement waited after the commit, `waited_ms`, how many instances had not confirmed the document by then, `unconfirmed`, and some of those whose proofs of an older document were waited for, `waited_for`.
     Document = "document";
     /// A routing document is in force here. `proof_age_ms` is how long ago the document before was last known to be the newest.
     InForce = "in-force";
@@ -112,7 +113,7 @@
     SecondSend = "second-send";
     /// A stream goes on at another endpoint.
     Resume = "resume";
-    /// A request has ended; `status` is what the caller got, `ends_by` how the end of the endpoint's answer is recognised: by a length, by chunks or only by its connection.
+    /// A request has ended; `status` is what the caller got, `late_ms`, if the caller has gone, by how much the event loop was late at most in the last two seconds, `ends_by` how the end of the endpoint's answer is recognised: by a length, by chunks or only by its connection.
     End = "end";
     /// A request waited for this daemon to start; `outcome` says whether it had by then.
     StartWait = "start-wait";
--- a/crates/gateway/src/front/caller.rs
+++ b/crates/gateway/src/front/caller.rs
@@ -257,6 +257,9 @@
             line =
                 line.number("pieces", self.pieces).millis("longest_pause_ms", self.longest_pause);
         }
+        if status == "caller gone" {
+            line = line.millis("late_ms", self.gateway.recent_loop_delay());
+        }
         line.millis("whole_ms", total)
             .number("sends", self.sends)
             .maybe("ends_by", self.framing.map(BodyFraming::name))
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -28,6 +28,7 @@
 use crate::hubs::TierState;
 use crate::lifecycle::Lifecycle;
 use crate::limits::LimitState;
+use crate::loop_delay::RecentDelays;
 use crate::metrics::GatewayMetrics;
 use crate::paths::EndpointPaths;
 use crate::peer_changes::PeerChanges;
@@ -82,6 +83,8 @@
     pub(crate) start_watch: RefCell<LeaderWatch>,
     pub(crate) voter_watch: RefCell<VoterWatch>,
     pub(crate) leader: RefCell<Option<(LeaderTerm, InstanceId)>>,
+    /// The time since which `leader` has its value.
+    pub(crate) leader_since: Cell<MonotonicTime>,
     pub(crate) documents: RefCell<DocumentState>,
     pub(crate) drains: RefCell<DrainRegister>,
     pub(crate) document_changed: Notify,
@@ -114,6 +117,7 @@
     pub(crate) was_ready: Cell<bool>,
     /// The total time of suspension that has been recorded.
     pub(crate) suspended: Cell<Duration>,
+    pub(crate) loop_delays: RecentDelays,
     pub(crate) active_requests: Cell<u64>,
     /// The number of callers' connections to which an answer is not written completely.
     pub(crate) unwritten_answers: Cell<u64>,
@@ -177,6 +181,7 @@
             start_watch: RefCell::default(),
             voter_watch: RefCell::default(),
             leader: RefCell::new(None),
+            leader_since: Cell::new(clock.now()),
             documents: RefCell::new(DocumentState::new(clock.now())),
             drains: RefCell::default(),
             document_changed: Notify::new(),
@@ -202,6 +207,7 @@
             draining_since: Cell::new(None),
             was_ready: Cell::new(false),
             suspended: Cell::new(Duration::ZERO),
+            loop_delays: RecentDelays::default(),
             active_requests: Cell::new(0),
             unwritten_answers: Cell::new(0),
             held: RefCell::default(),
--- a/crates/gateway/src/loop_delay_tests.rs
+++ b/crates/gateway/src/loop_delay_tests.rs
@@ -4,7 +4,7 @@
 
 use tokio::time::Instant;
 
-use crate::loop_delay::DelayReporter;
+use crate::loop_delay::{DelayReporter, RecentDelays};
 
 // Guards against a log that grows with each turn of a loop that is always late, and against a longest
 // delay that is lost between two lines.
@@ -23,3 +23,22 @@
     assert_eq!(reporter.record(at(1_100), short), Some((later, 2)));
     assert_eq!(reporter.record(at(2_200), short), None, "nothing new");
 }
+
+// Guards against log lines that show no delay while the loop is late for the first time.
+#[test]
+fn recent_delays_include_one_that_is_not_over() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let delays = RecentDelays::default();
+    assert_eq!(delays.longest(at(0)), Duration::ZERO);
+    delays.begin(at(500));
+    assert_eq!(delays.longest(at(400)), Duration::ZERO, "not due");
+    assert_eq!(delays.longest(at(1_200)), Duration::from_millis(700), "overdue");
+    delays.record(at(1_300), Duration::from_millis(800));
+    delays.begin(at(1_800));
+    delays.record(at(1_801), Duration::from_millis(1));
+    delays.begin(at(2_301));
+    assert_eq!(delays.longest(at(2_000)), Duration::from_millis(800));
+    delays.record(at(4_000), Duration::ZERO);
+    assert_eq!(delays.longest(at(4_000)), Duration::ZERO, "no longer recent");
+}
--- a/crates/gateway/src/proof_ledger.rs
+++ b/crates/gateway/src/proof_ledger.rs
@@ -72,6 +72,14 @@
         self.in_force.get(daemon).is_some_and(|held| *held >= revision)
     }
 
+    /// Returns the daemons that were granted a proof and have not confirmed `revision` or a newer one.
+    pub(crate) fn unconfirmed(
+        &self,
+        revision: RoutingRevision,
+    ) -> impl Iterator<Item = &InstanceId> {
+        self.granted.keys().filter(move |daemon| !self.is_in_force(daemon, revision))
+    }
+
     /// Returns the latest date of a proof by which a daemon may still decide by an older document
     /// than `revision`, or `None` if there is no such daemon.
     ///
--- a/crates/gateway/src/replication.rs
+++ b/crates/gateway/src/replication.rs
@@ -287,7 +287,7 @@
     }
 
     fn log_election(&self, event: ElectionEvent) {
-        let line = self.line(EventKind::Replica);
+        let line = self.line(EventKind::Replica).millis("late_ms", self.recent_loop_delay());
         match event {
             ElectionEvent::Candidate(term) => {
                 line.number("term", term).text("outcome", "stands for election");
