Quarantine: facts that arrive together are judged together

Callers saw answers late, requests that ran after they had left, documents that were acknowledged after 13 s, and leaders that changed every 2.4 s. Each fact about an end, from each of the other instances, had all facts judged again (the odds of all suspects for eight rates of ends by chance), listed, counted and stored, on the event loop of each instance. A group of endpoints that ends together costs the square of its requests, at every instance at once: perf shows 49 % of the processor time there, and the event loops were up to 3.7 s late. Everything else waits behind it: closes of callers, proofs, heartbeats of the log.

The table now keeps its judgement until it is told to judge, but for a request that has enough ends for a quarantine, which is judged whenever it is asked for. A task reviews the table after a change at once, then pauses for nine times as long as the review took, at most 1 s.

The new test of the table fails with a table that judges each fact (100 judgements where 1 is asked). New metric: oriolepass_quarantine_review_seconds.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -108,6 +108,8 @@
     pub(crate) open_tunnels: Cell<u32>,
     pub(crate) home: RefCell<HomeState>,
     pub(crate) quarantine: RefCell<QuarantineState>,
+    /// Notified when the quarantine table has new facts, or is due to be reviewed.
+    pub(crate) quarantine_changed: Notify,
     pub(crate) pending_ends: RefCell<PendingEnds>,
     pub(crate) helper_checks: RefCell<HelperChecks>,
     pub(crate) broken_runs: RefCell<BrokenRuns>,
@@ -199,7 +201,8 @@
             tunnel_failures: RefCell::default(),
             open_tunnels: Cell::new(0),
             home: RefCell::default(),
-            quarantine: RefCell::default(),
+            quarantine: RefCell::new(QuarantineState::new()),
+            quarantine_changed: Notify::new(),
             pending_ends: RefCell::default(),
             helper_checks: RefCell::default(),
             broken_runs: RefCell::default(),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -34,6 +34,8 @@
     /// Quarantined requests: requests that end their endpoints and are not sent.
     pub(crate) quarantined: IntGauge,
     pub(crate) quarantined_parts: IntGauge,
+    /// The time that reviews of the quarantine table took.
+    pub(crate) quarantine_reviews: Histogram,
     /// Repeated sends that the retry budget refused.
     pub(crate) budget_refusals: IntCounter,
     /// Second sends of slow requests, by outcome.
@@ -235,6 +237,16 @@
                 "Bytes to other daemons, by kind",
                 "kind",
             ),
+            quarantine_reviews: registered_metric(
+                &registry,
+                Histogram::with_opts(
+                    HistogramOpts::new(
+                        "oriolepass_quarantine_review_seconds",
+                        "Time of a review of the quarantine table",
+                    )
+                    .buckets(LATENCY_BUCKETS_S.to_vec()),
+                ),
+            ),
             suspensions: counter("oriolepass_suspensions_total", "Suspensions of the machine"),
             loop_delay: registered_metric(
                 &registry,
--- a/crates/gateway/src/part_quarantine.rs
+++ b/crates/gateway/src/part_quarantine.rs
@@ -88,7 +88,7 @@
         };
         if !fresh.is_empty() {
             self.send_part_cases(self.forward_targets(from), &fresh);
-            self.record_standings(Some(from));
+            self.review_soon(Some(from));
         }
     }
 
@@ -126,7 +126,7 @@
     pub(crate) fn broadcast_part_cases(&self, updates: &[CaseUpdate<PartDigest>]) {
         if !updates.is_empty() {
             self.send_part_cases(self.broadcast_targets(), updates);
-            self.record_standings(None);
+            self.review_soon(None);
         }
     }
 
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -30,6 +30,15 @@
 /// With 360 daemons, a fact that one daemon knows reaches all of them within about ten intervals.
 const COMPARE_INTERVAL: Duration = Duration::from_millis(1_000);
 
+/// The pause after a review of the table, as a multiple of the time that the review took: at most a tenth
+/// of the event loop's time is spent on reviews.
+const REVIEW_PAUSE_RATIO: u32 = 9;
+
+/// The bounds of the pause after a review. The longer one is half of the time after which a quarantine
+/// takes effect whose odds are not conclusive.
+const MIN_REVIEW_PAUSE: Duration = Duration::from_millis(20);
+const MAX_REVIEW_PAUSE: Duration = Duration::from_millis(1_000);
+
 /// The offset of the table's times from the times of the process, which begin near zero. The offset
 /// is longer than any case is kept, so that ends before the start of this process keep their ages.
 pub(crate) const TABLE_TIME_OFFSET: Duration = Duration::from_secs(7 * 24 * 3_600);
@@ -46,9 +55,10 @@
 }
 
 /// The quarantine table of this daemon, and what has been logged and stored of it.
-#[derive(Default)]
 pub(crate) struct QuarantineState {
     pub(crate) table: QuarantineTable,
+    /// The daemon that sent the last new facts, unless they were this daemon's own.
+    told_by: Option<InstanceId>,
     /// The requests and parts whose quarantine has been logged.
     logged: BTreeSet<SuspectId>,
     /// What was last passed to the disk thread: each request and part with its number of ends and
@@ -59,6 +69,18 @@
     disk: Option<QuarantineDisk>,
 }
 
+impl QuarantineState {
+    pub(crate) fn new() -> Self {
+        Self {
+            table: QuarantineTable::with_deferred_judgement(),
+            told_by: None,
+            logged: BTreeSet::new(),
+            persisted: Vec::new(),
+            disk: None,
+        }
+    }
+}
+
 impl Gateway {
     /// Records that an endpoint ended at `seen` under a request of one of this daemon's callers,
     /// `duration` after the request was sent.
@@ -163,7 +185,7 @@
             self.mesh.send_all(&to, &message);
         }
         if !fresh.is_empty() {
-            self.record_standings(Some(from));
+            self.review_soon(Some(from));
         }
     }
 
@@ -206,7 +228,7 @@
                 continue;
             }
             self.quarantine.borrow_mut().table.expire(self.case_time());
-            self.record_standings(None);
+            self.review_soon(None);
             let other = {
                 let roster = self.roster.borrow();
                 let alive = roster.alive(self.now()).map(|note| note.instance.clone());
@@ -244,25 +266,45 @@
     fn on_quarantine_change(&self, update: Option<CaseUpdate>) {
         if let Some(update) = update {
             self.broadcast_cases(&[update]);
-            self.record_standings(None);
+            self.review_soon(None);
         }
     }
 
-    /// Logs the requests and parts that entered or left quarantine, and stores what has to survive.
-    pub(crate) fn record_standings(&self, from: Option<&InstanceId>) {
-        self.persist_lasting_cases();
-        self.log_quarantine(from);
+    /// Has the table reviewed, after new facts from a daemon or this one.
+    pub(crate) fn review_soon(&self, from: Option<&InstanceId>) {
+        self.quarantine.borrow_mut().told_by = from.cloned();
+        self.quarantine_changed.notify_one();
     }
 
-    fn log_quarantine(&self, from: Option<&InstanceId>) {
+    /// Reviews the table after changes. The facts that arrive during a pause share one review, so that
+    /// many ends at once do not occupy the event loop.
+    pub(crate) async fn review_quarantine(self: Rc<Self>) {
+        loop {
+            self.quarantine_changed.notified().await;
+            let began = self.now();
+            self.quarantine.borrow_mut().table.judge();
+            self.persist_lasting_cases();
+            self.log_quarantine();
+            let took = self.now().since(began);
+            self.metrics.quarantine_reviews.observe(took.as_secs_f64());
+            sleep((took * REVIEW_PAUSE_RATIO).clamp(MIN_REVIEW_PAUSE, MAX_REVIEW_PAUSE)).await;
+        }
+    }
+
+    /// Logs the requests and parts that entered or left quarantine.
+    fn log_quarantine(&self) {
         let now = self.case_time();
         let mut state = self.quarantine.borrow_mut();
         let state = &mut *state;
-        let count = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
-        self.metrics.suspects.set(count(state.table.suspect_count(now)));
-        self.metrics.quarantined.set(count(state.table.quarantined_count(now)));
-        self.metrics.quarantined_parts.set(count(state.table.quarantined_part_count(now)));
+        let from = state.told_by.as_ref();
         let cases = state.table.list(now);
+        let count = |is_counted: &dyn Fn(&CaseSummary) -> bool| {
+            i64::try_from(cases.iter().filter(|case| is_counted(case)).count()).unwrap_or(i64::MAX)
+        };
+        let is_suspect = |case: &CaseSummary| case.standing == Standing::Suspect;
+        self.metrics.suspects.set(count(&|case| is_request(case) && is_suspect(case)));
+        self.metrics.quarantined.set(count(&|case| is_request(case) && !is_suspect(case)));
+        self.metrics.quarantined_parts.set(count(&|case| !is_request(case) && !is_suspect(case)));
         let is_quarantined = |standing| matches!(standing, Standing::Quarantined { .. });
         let present: BTreeSet<SuspectId> =
             cases.iter().filter(|c| is_quarantined(c.standing)).map(|c| c.id).collect();
@@ -335,6 +377,10 @@
     }
 }
 
+fn is_request(case: &CaseSummary) -> bool {
+    matches!(case.id, SuspectId::Request(_))
+}
+
 /// Returns each request or part with its number of ends and its number of cleared ends.
 fn sizes<D: Into<SuspectId> + Copy>(
     cases: &[CaseUpdate<D>],
--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -1,6 +1,6 @@
 //! Holds the cases of all requests under which endpoints ended, as known to one instance.
 
-use std::cell::OnceCell;
+use std::cell::{Cell, OnceCell};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -74,11 +74,49 @@
 #[derive(Debug, Default)]
 pub struct QuarantineTable {
     cases: BTreeMap<SuspectId, RequestCase>,
-    /// Computed on first use after a change, since updates arrive in batches.
+    /// Computed on first use after it was dropped, since updates arrive in batches.
     attribution: OnceCell<Attribution>,
+    /// Whether facts that quarantine no request by themselves wait for [`QuarantineTable::judge`].
+    is_deferred: bool,
+    /// Whether the attribution lacks such facts.
+    is_outdated: bool,
+    /// The number of times that the ends were attributed.
+    judgements: Cell<u64>,
 }
 
 impl QuarantineTable {
+    /// Creates a table whose owner decides when new facts are judged, with [`Self::judge`].
+    ///
+    /// A judgement looks at all facts. If each fact led to one, an end of many endpoints would cost the
+    /// square of the number of their requests, at every instance. A request that has lost enough endpoints
+    /// to be quarantined is judged anew whenever that is asked for.
+    pub fn with_deferred_judgement() -> Self {
+        Self { is_deferred: true, ..Self::default() }
+    }
+
+    /// Has the next question judge all facts that are known by then.
+    pub fn judge(&mut self) {
+        if std::mem::take(&mut self.is_outdated) {
+            self.attribution.take();
+        }
+    }
+
+    /// Returns the number of times that the ends were attributed to their causes.
+    pub fn judgements(&self) -> u64 {
+        self.judgements.get()
+    }
+
+    /// Records that the attribution lacks a change of a case.
+    fn outdate(&mut self, changed: SuspectId) {
+        let may_be_fatal = |case: &RequestCase| case.open_ends().count() >= MIN_QUARANTINE_ENDS;
+        let is_urgent = matches!(changed, SuspectId::Request(_))
+            && self.cases.get(&changed).is_some_and(may_be_fatal);
+        self.is_outdated = true;
+        if is_urgent || !self.is_deferred {
+            self.judge();
+        }
+    }
+
     /// Returns whether the table holds no cases, which is the usual state.
     pub fn is_empty(&self) -> bool {
         self.cases.is_empty()
@@ -109,7 +147,7 @@
             return None;
         }
         let update = case.update(now, digest);
-        self.attribution.take();
+        self.outdate(digest.into());
         self.evict_if_full(digest.into());
         Some(update)
     }
@@ -155,7 +193,7 @@
         }
         case.last_trial = None;
         let update = case.update(now, digest);
-        self.attribution.take();
+        self.outdate(digest.into());
         Some(update)
     }
 
@@ -184,7 +222,7 @@
         let has_new_facts = changes.contains(&EndChange::New);
         if has_new_facts || changes.contains(&EndChange::Refined) {
             self.cases.insert(id, case);
-            self.attribution.take();
+            self.outdate(id);
             self.evict_if_full(id);
         }
         has_new_facts && self.cases.contains_key(&id)
@@ -242,7 +280,10 @@
     }
 
     fn attribution(&self) -> &Attribution {
-        self.attribution.get_or_init(|| attribute_ends(&self.cases))
+        self.attribution.get_or_init(|| {
+            self.judgements.set(self.judgements.get() + 1);
+            attribute_ends(&self.cases)
+        })
     }
 
     /// Returns whether a case has an open end that no quarantined request explains.
@@ -357,7 +398,8 @@
         let before = self.cases.len();
         self.cases.retain(|_, case| !case.is_expired(now));
         if self.cases.len() != before {
-            self.attribution.take();
+            self.is_outdated = true;
+            self.judge();
         }
     }
 
@@ -381,7 +423,7 @@
         };
         if let Some(evicted) = evicted {
             self.cases.remove(&evicted);
-            self.attribution.take();
+            self.outdate(evicted);
         }
     }
 
--- a/crates/quarantine/tests/table.rs
+++ b/crates/quarantine/tests/table.rs
@@ -246,3 +246,46 @@
         prop_assert_eq!(first.list(at(50)), second.list(at(50)));
     }
 }
+
+/// Returns the update of a request that lost the endpoints with these numbers, one a second.
+fn lost(number: usize, endpoints: &[usize]) -> CaseUpdate {
+    let mut table = QuarantineTable::default();
+    for lost in endpoints {
+        let (endpoint, seen) = (endpoint(*lost), at(*lost as u64));
+        let run = InterruptedRun { endpoint, seen, duration: None };
+        table.record_interrupted_run(at(60), digest(number), &run);
+    }
+    table.updates(at(60)).remove(0)
+}
+
+// Guards against an event loop that is occupied by judgements when many endpoints end at once: each fact
+// that arrives would have all facts judged again.
+#[test]
+fn facts_that_quarantine_nothing_are_judged_together() {
+    let now = at(60);
+    let mut table = QuarantineTable::with_deferred_judgement();
+    table.merge(now, &lost(0, &[1, 2, 3]));
+    table.standing(now, digest(0));
+    let before = table.judgements();
+    for number in 1..100 {
+        table.merge(now, &lost(number, &[number % 20, number % 19 + 20]));
+        table.standing(now, digest(number));
+        table.standing(now, digest(0));
+    }
+    assert_eq!(table.judgements(), before);
+    table.judge();
+    table.standing(now, digest(0));
+    assert_eq!(table.judgements(), before + 1);
+}
+
+// Guards against a fatal request that is sent on until the facts are judged together.
+#[test]
+fn a_request_with_enough_ends_is_judged_at_once() {
+    let now = at(60);
+    let mut table = QuarantineTable::with_deferred_judgement();
+    for number in 1..=3 {
+        table.merge(now, &lost(0, &[number * 10]));
+        table.standing(now, digest(0));
+    }
+    assert!(is_quarantined(table.standing(now, digest(0))));
+}
