Retry budget: a leader judges its start before it takes the first command

What callers see: requests that are refused with 502, `retry budget used up`, at the first repeat, for the first ten seconds of a new system.

Cause: whether a process takes part in the first start of the system was judged with greetings only, each 600 ms or when another daemon's note changes. A leader that was elected between two greetings takes a waiting document at once. Its log holds a command then, so its start counts as a later one, which holds back the fixed number of the budget for a window. Class: evidence that is looked for at intervals although it ends with a known event.

Change: a replica that leads judges its start when it is elected. Commands come only after that, and a leader's log has every command that was accepted, so the evidence is no weaker than before. Followers and daemons without a disk learn it from the greeting that the new leader sends at once, before the first command on the same link.

What remains: a process that starts after the first document was accepted counts as a later start, as it can't know whether an earlier process of its own ran.

--- a/crates/gateway/src/clock_tests.rs
+++ b/crates/gateway/src/clock_tests.rs
@@ -82,7 +82,7 @@
 }
 
 /// Returns a dialect without content, for tests that read no request.
-fn no_dialect() -> WireDialect {
+pub(crate) fn no_dialect() -> WireDialect {
     WireDialect {
         decode_document: |_| {
             Err(DocumentProblem::Unreadable("no document is read in this test".to_owned()))
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -90,6 +90,8 @@
 #[cfg(test)]
 mod quarantine_disk_tests;
 mod repeats;
+#[cfg(test)]
+mod repeats_tests;
 mod replica;
 mod replication;
 mod rests;
--- a/crates/gateway/src/replication.rs
+++ b/crates/gateway/src/replication.rs
@@ -277,12 +277,14 @@
         }
     }
 
-    /// Records the term if this daemon leads.
+    /// Records the term if this daemon leads, and judges its start before it takes a command.
     fn record_leadership(&self) {
         let leads = |node: &ConsensusNode| node.role() == NodeRole::Leader;
         let term = self.with_node(|node| leads(node).then(|| node.term())).flatten();
         if let Some(term) = term {
             self.documents.borrow_mut().proofs.begin_term(self.now(), term);
+            // A leader's log has all commands that were accepted, until it accepts the next one.
+            self.judge_start();
         }
     }
 
