Log: a replica's own pause is not the silence of others

Callers saw documents that were acknowledged after many seconds or not at all, and terms in series. A leader whose event loop was late for an election timeout stepped down at its next tick, "no answer from a majority", although it had sent no heartbeat that could have been answered. A follower that was late stood for election before it had read the heartbeats that waited, and a voter that was late granted a pre-vote before it had read them.

A silence is now judged by an attended clock: the time between two ticks counts up to a quarter of the election timeout. So a leader sends heartbeats, and a follower reads what waits, several times before either judges. The same clock is used for the grant of a pre-vote, beside the real time. It counts what real time counts while the loop runs, so nothing changes in calm.

Leases, reads and votes keep the real time: holds_lease and on_vote_ask are unchanged, and a pre-vote is refused in more cases and granted in none that was refused before. A leader that was stopped for long may keep the role for up to five ticks more. It has no lease then, and a read waits for a majority's answer to a round that begins after it, which a successor's voters refuse. A leader that is cut off steps down at its fifth tick at the latest, however late each is.

Weighed: a longer election timeout (slower after each real loss); no judgement at a late tick (a loop that is always late never judges); a limit of one heartbeat interval or of half the timeout.

--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -18,7 +18,7 @@
             self.request_join(now);
             return;
         }
-        if now < self.election_due {
+        if self.attended.at(now) < self.election_due {
             return;
         }
         self.leader = None;
@@ -135,6 +135,13 @@
         }
     }
 
+    /// Returns whether messages from the leader may wait unread because this replica was late.
+    ///
+    /// A pre-vote of such a replica would help to depose a leader that is still there.
+    fn may_hear_leader(&self, now: MonotonicTime) -> bool {
+        self.attended.at(now).since(self.leader_heard) < self.config.election_timeout
+    }
+
     fn own_log_end(&self) -> LogEnd {
         (self.log.last_term(), self.log.last_index())
     }
@@ -152,7 +159,8 @@
         let granted = term > self.term
             && end >= self.own_log_end()
             && is_undecided
-            && !self.leader_may_hold_lease(now);
+            && !self.leader_may_hold_lease(now)
+            && !self.may_hear_leader(now);
         let term = if granted { term } else { self.term };
         self.send_synced(from, ConsensusMessage::PreVoteAnswer { term, granted });
     }
--- a/crates/consensus/src/follower.rs
+++ b/crates/consensus/src/follower.rs
@@ -60,6 +60,7 @@
         self.role = RoleState::Follower;
         self.is_removed = false;
         self.last_leader_contact = now;
+        self.leader_heard = self.attended.at(now);
         self.reset_election(now);
         true
     }
--- a/crates/consensus/src/leader.rs
+++ b/crates/consensus/src/leader.rs
@@ -32,6 +32,8 @@
     /// earlier terms are committed.
     pub(crate) first_index: LogIndex,
     pub(crate) elected_at: MonotonicTime,
+    /// The attended time of the election.
+    attended_since: MonotonicTime,
     heartbeat_due: MonotonicTime,
     /// An entry that a quorum has committed and this leader has not synced, with the time since
     /// which that was so.
@@ -64,6 +66,7 @@
             join_requests: BTreeMap::new(),
             first_index: next,
             elected_at: now,
+            attended_since: self.attended.at(now),
             heartbeat_due: now,
             lag: None,
             commit_advanced: false,
@@ -100,18 +103,20 @@
 
     /// Returns whether no quorum was heard from within the election timeout.
     ///
-    /// Such a leader may already have a successor. It steps down without a message from another
+    /// Time in which this leader's own loop was late does not count: it sent no heartbeat that could
+    /// have been answered. Such a leader may already have a successor. It steps down without a message from another
     /// replica, so a partition of any length does not keep it in the role.
     fn lost_quorum(&self, now: MonotonicTime) -> bool {
         let RoleState::Leader(leader) = &self.role else { return false };
-        let last_contact = |replica: &ReplicaId| {
+        let now = self.attended.at(now);
+        let last_heard = |replica: &ReplicaId| {
             if *replica == self.id {
                 return now;
             }
-            let contact = leader.progress.get(replica).and_then(|p| p.last_contact);
-            contact.unwrap_or(leader.elected_at)
+            let heard = leader.progress.get(replica).and_then(|p| p.last_heard);
+            heard.unwrap_or(leader.attended_since)
         };
-        let latest = self.voters().quorum_value(last_contact);
+        let latest = self.voters().quorum_value(last_heard);
         latest.is_none_or(|latest| now.since(latest) > self.config.election_timeout)
     }
 
@@ -243,8 +248,10 @@
         if term < self.term {
             return None;
         }
+        let heard = self.attended.at(now);
         let progress = self.leader_state_mut()?.progress.get_mut(from)?;
         progress.last_contact = Some(now);
+        progress.last_heard = Some(heard);
         progress.acked_round = progress.acked_round.max(round);
         Some(progress)
     }
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -16,6 +16,8 @@
 //!   lease relies on this rule, so a restarted voter waits for the same time before it votes.
 //! * A replica is an instance *and* a disk ([`ReplicaId`]). An instance that lost its disk is
 //!   another replica, and its old votes and acknowledgements no longer count.
+//! * Silence is judged by time in which the replica itself ran (`AttendedClock`), and leases and votes
+//!   by time that passes. A replica that was late neither deposes a leader nor trusts an old lease.
 //! * A new cluster forms by a majority only where all first voters are known to start for the
 //!   first time ([`FoundingRule`]). Otherwise it forms once all its first voters have met, so that
 //!   wiped voters cannot form a second cluster.
@@ -24,6 +26,7 @@
 //! Invariants are asserted in every build. A violated invariant stops the process, because
 //! continuing could spread the corruption to the other replicas.
 
+mod attended;
 mod election;
 mod election_event;
 mod follower;
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -12,6 +12,7 @@
 use rand::{Rng, SeedableRng};
 use serde::{Deserialize, Serialize};
 
+use crate::attended::AttendedClock;
 use crate::election_event::ElectionEvent;
 use crate::follower::IncomingSnapshot;
 use crate::leader::LeaderState;
@@ -19,6 +20,10 @@
 use crate::message::{ConsensusMessage, Envelope};
 use crate::replica::{DiskId, ReplicaId, VoterSet};
 
+/// The minimum number of ticks within an election timeout. A replica that ticks more rarely extends
+/// the timeout, so that it reads the messages that wait before it judges another's silence.
+const ATTENDED_TICKS: u32 = 4;
+
 /// Validated parameters of a node.
 #[derive(Debug, Clone)]
 pub struct ConsensusConfig {
@@ -228,6 +233,10 @@
     pub(crate) leader: Option<ReplicaId>,
     /// The time of the last message from a leader, or of the node's start if that is later.
     pub(crate) last_leader_contact: MonotonicTime,
+    /// The attended time of the last message from a leader, or of the node's start.
+    pub(crate) leader_heard: MonotonicTime,
+    pub(crate) attended: AttendedClock,
+    /// The attended time at which this replica stands for election.
     pub(crate) election_due: MonotonicTime,
     pub(crate) join_due: MonotonicTime,
     /// Whether a leader has stated that this replica is not a voter any more, although its log says
@@ -286,6 +295,7 @@
             snapshot.as_ref().map_or((LogIndex::ZERO, LeaderTerm::ZERO), |s| (s.index, s.term));
         let mut node = Self {
             random: StdRng::seed_from_u64(config.seed),
+            attended: AttendedClock::new(config.election_timeout / ATTENDED_TICKS, now),
             config,
             term: recovered.hard.term,
             vote: recovered.hard.vote.as_deref().map(|b| postcard::from_bytes(b).expect("a vote")),
@@ -298,6 +308,7 @@
             role: RoleState::Follower,
             leader: None,
             last_leader_contact: now,
+            leader_heard: now,
             election_due: now,
             join_due: now,
             is_removed: false,
@@ -343,6 +354,7 @@
 
     /// Advances time and performs the work that is due.
     pub fn tick(&mut self, now: MonotonicTime) {
+        self.attended.tick(now);
         match &self.role {
             RoleState::Forming { .. } => self.tick_forming(now),
             RoleState::Leader(_) => self.tick_leader(now),
@@ -616,7 +628,7 @@
         let min_timeout = u64::try_from(self.config.election_timeout.as_micros())
             .expect("the election timeout fits in 64 bits");
         let timeout = self.random.random_range(min_timeout..2 * min_timeout);
-        self.election_due = now + Duration::from_micros(timeout);
+        self.election_due = self.attended.at(now) + Duration::from_micros(timeout);
     }
 
     /// Returns whether the current term and vote are synced.
--- a/crates/consensus/src/progress.rs
+++ b/crates/consensus/src/progress.rs
@@ -27,6 +27,8 @@
     pub(crate) matched: LogIndex,
     pub(crate) acked_round: u64,
     pub(crate) last_contact: Option<MonotonicTime>,
+    /// The attended time of the last contact.
+    pub(crate) last_heard: Option<MonotonicTime>,
     /// The time of the last answer that the replica's disk has confirmed. A replica whose disk
     /// hangs still answers heartbeats, but it is no use as a voter.
     pub(crate) last_synced: Option<MonotonicTime>,
@@ -41,6 +43,7 @@
             matched: LogIndex::ZERO,
             acked_round: 0,
             last_contact: None,
+            last_heard: None,
             last_synced: None,
             in_flight: 0,
             mode: SendMode::Probe,
--- a/crates/consensus/tests/small_cluster/mod.rs
+++ b/crates/consensus/tests/small_cluster/mod.rs
@@ -17,6 +17,9 @@
 /// The election timeout of the nodes.
 pub const ELECTION_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// The interval between a leader's heartbeats.
+pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(30);
+
 /// Returns the id of an instance.
 pub fn name(number: usize) -> InstanceId {
     format!("v{number}").parse().expect("a valid name")
@@ -65,7 +68,12 @@
     pub now: MonotonicTime,
     /// How long each sync of a node takes. Those of other nodes take no time.
     pub sync_times: BTreeMap<InstanceId, Duration>,
+    /// Nodes whose event loops are late, with the time at which they go on. Until then they do
+    /// nothing, and their messages wait.
+    pub late_until: BTreeMap<InstanceId, MonotonicTime>,
     disks: BTreeMap<InstanceId, SlowDisk>,
+    /// Messages that have arrived at nodes whose event loops are late.
+    unread: BTreeMap<InstanceId, Vec<Envelope>>,
 }
 
 impl SmallCluster {
@@ -77,7 +85,7 @@
         let node = |number: usize| {
             let config = ConsensusConfig {
                 election_timeout: ELECTION_TIMEOUT,
-                heartbeat_interval: Duration::from_millis(30),
+                heartbeat_interval: HEARTBEAT_INTERVAL,
                 max_commit_lag: MAX_COMMIT_LAG,
                 drift_percent: 10,
                 message_bytes: 4_096,
@@ -91,15 +99,31 @@
         };
         let nodes = (0..all).map(|number| (name(number), node(number))).collect();
         let disks = (0..all).map(|number| (name(number), SlowDisk::default())).collect();
-        Self { nodes, unreachable: Vec::new(), now, sync_times: BTreeMap::new(), disks }
+        Self {
+            nodes,
+            unreachable: Vec::new(),
+            now,
+            sync_times: BTreeMap::new(),
+            late_until: BTreeMap::new(),
+            disks,
+            unread: BTreeMap::new(),
+        }
     }
 
     pub fn run(&mut self, steps: usize) {
         for _ in 0..steps {
             self.now = self.now + STEP;
             let mut sent: Vec<Envelope> = Vec::new();
+            self.late_until.retain(|_, until| *until > self.now);
             for (instance, node) in &mut self.nodes {
+                if self.late_until.contains_key(instance) {
+                    continue;
+                }
                 node.tick(self.now);
+                // A loop that was late may advance the time before it reads what has arrived.
+                for envelope in self.unread.remove(instance).unwrap_or_default() {
+                    node.receive(self.now, envelope);
+                }
                 let output = node.take_output();
                 sent.extend(output.send);
                 let disk = self.disks.get_mut(instance).expect("a known node");
@@ -112,7 +136,12 @@
             for envelope in sent {
                 let lost = self.unreachable.contains(&envelope.from.instance)
                     || self.unreachable.contains(&envelope.to);
-                if !lost {
+                if lost {
+                    continue;
+                }
+                if self.late_until.contains_key(&envelope.to) {
+                    self.unread.entry(envelope.to.clone()).or_default().push(envelope);
+                } else {
                     let to = self.nodes.get_mut(&envelope.to).expect("a known node");
                     to.receive(self.now, envelope);
                 }
