--- a/crates/consensus/src/leader.rs
+++ b/crates/consensus/src/leader.rs
@@ -104,8 +104,8 @@
     /// Returns whether no quorum was heard from within the election timeout.
     ///
     /// Time in which this leader's own loop was late does not count: it sent no heartbeat that could
-    /// have been answered. Such a leader may already have a successor. It steps down without a message from another
-    /// replica, so a partition of any length does not keep it in the role.
+    /// have been answered. Such a leader may already have a successor. It steps down without a
+    /// message from another replica, so a partition of any length does not keep it in the role.
     fn lost_quorum(&self, now: MonotonicTime) -> bool {
         let RoleState::Leader(leader) = &self.role else { return false };
         let now = self.attended.at(now);
