Gateway: bodies are held in pieces, and read buffers stay small

What callers saw: a gateway with 1,000 kept connections and bodies of 100 kB or 300 kB took up more than its 163,840 kB. A platform that enforces the limit ends it, and all its connections end without an answer.

Cause: the account of held bytes counts what has arrived of a body. The buffer of the body has up to twice that and leaves gaps when it is moved; the HTTP library keeps a read buffer of up to 64 KiB a connection.

Change: bodies are collected in pieces of 16 KiB that are never moved, and each is held before it is allocated. A read takes less than 8 KiB, after which the library does not enlarge its buffer. A body whose announced length does not fit is refused before it takes memory from others, and is read, so that the connection stays usable.

--- a/crates/gateway/src/front/caller.rs
+++ b/crates/gateway/src/front/caller.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, EXPECT, HOST, HeaderMap, HeaderValue};
@@ -34,6 +34,7 @@
 use crate::gateway::Gateway;
 use crate::held_bytes::{ByteHold, HeldKind};
 use crate::quarantine::RequestSuspects;
+use crate::request_body::{RequestBody, RequestBodyCollector};
 
 /// The `Retry-After` of refusals whose cause is short-lived.
 pub(super) const SHORT_RETRY_AFTER: Duration = Duration::from_millis(400);
@@ -66,7 +67,7 @@
     pub(super) path: String,
     /// The headers that are forwarded to endpoints.
     pub(super) headers: HeaderMap,
-    pub(super) body: Bytes,
+    pub(super) body: RequestBody,
     pub(super) facts: RequestFacts,
     pub(super) arrived: Instant,
     /// The end of the request's time on the clock of the timers, which stops during a suspension of
@@ -117,9 +118,9 @@
                 method: self.method.as_str(),
                 host: host.unwrap_or_default(),
                 path: &self.path,
-                body: &self.body,
+                body: b"",
             };
-            identity.digest()
+            identity.digest_with_body(self.body.pieces())
         })
     }
 
@@ -436,30 +437,36 @@
     body: &mut Incoming,
     max_bytes: usize,
     buffered: &ByteHold,
-) -> Result<Bytes, Refusal> {
+) -> Result<RequestBody, Refusal> {
     let too_long = || {
         let remedy = format!("the body is longer than {max_bytes} bytes; send less");
         Refusal::new(StatusCode::PAYLOAD_TOO_LARGE, "long body", remedy).closing()
     };
-    if body.size_hint().lower() > max_bytes as u64 {
+    let no_memory = || Refusal::not_run("too many bodies in memory", SHORT_RETRY_AFTER);
+    let announced = body.size_hint();
+    if announced.lower() > max_bytes as u64 {
         return Err(too_long());
     }
-    let mut collected = BytesMut::new();
+    let length = announced.exact().and_then(|length| usize::try_from(length).ok());
+    // A body that does not fit is refused before it takes memory from others.
+    if length.is_some_and(|length| !buffered.has_room(length)) {
+        return Err(no_memory());
+    }
+    let mut collector = RequestBodyCollector::new(length.unwrap_or(max_bytes), buffered);
     while let Some(frame) = body.frame().await {
         let Ok(frame) = frame else {
             let remedy = "the body was cut short or is not in valid chunks";
             return Err(Refusal::new(StatusCode::BAD_REQUEST, "broken body", remedy).closing());
         };
         let Ok(data) = frame.into_data() else { continue };
-        if collected.len() + data.len() > max_bytes {
+        if collector.len() + data.len() > max_bytes {
             return Err(too_long());
         }
-        if !buffered.resize(collected.len() + data.len()) {
-            return Err(Refusal::not_run("too many bodies in memory", SHORT_RETRY_AFTER).closing());
+        if !collector.append(&data) {
+            return Err(no_memory());
         }
-        collected.extend_from_slice(&data);
     }
-    Ok(collected.freeze())
+    Ok(collector.into_body())
 }
 
 /// Reads the rest of a refused request's body, so that the connection can serve the next request.
--- a/crates/gateway/src/front/listener.rs
+++ b/crates/gateway/src/front/listener.rs
@@ -46,6 +46,10 @@
 /// The HTTP library's buffer for a head. The library refuses longer heads.
 const HEAD_BUFFER_BYTES: usize = 64 * 1024;
 
+/// The maximum number of bytes of one read. The HTTP library enlarges its buffer after a read of
+/// 8 KiB, and keeps it while the connection is open.
+const MAX_READ_BYTES: usize = 8 * 1024 - 1;
+
 /// The response to a caller whose request head did not arrive in time.
 const HEAD_TIMEOUT_RESPONSE: &[u8] = b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\n\
     Content-Type: application/json\r\nContent-Length: 73\r\n\r\n\
@@ -362,9 +366,12 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<std::io::Result<()>> {
         let this = self.get_mut();
-        let before = buf.filled().len();
-        let polled = Pin::new(&mut this.stream).poll_read(cx, buf);
-        let has_read = polled.is_ready() && buf.filled().len() > before;
+        let wanted = buf.remaining().min(MAX_READ_BYTES);
+        let mut limited = ReadBuf::new(buf.initialize_unfilled_to(wanted));
+        let polled = Pin::new(&mut this.stream).poll_read(cx, &mut limited);
+        let read = limited.filled().len();
+        buf.advance(read);
+        let has_read = polled.is_ready() && read > 0;
         if has_read
             && this.watch.active_requests.get() == 0
             && this.watch.head_started_at.get().is_none()
--- a/crates/gateway/src/front/sends.rs
+++ b/crates/gateway/src/front/sends.rs
@@ -3,8 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::http::response::Parts;
 use hyper::{Request, Response, StatusCode};
@@ -27,6 +26,7 @@
 use crate::gateway::Gateway;
 use crate::held_bytes::{ByteHold, HeldKind};
 use crate::paths::EndpointWay;
+use crate::request_body::RequestBody;
 use crate::upstream::{self, EndpointTarget, SendFailure, Upstream};
 
 /// The maximum length of an answer that is buffered before it is forwarded.
@@ -146,7 +146,7 @@
     request: &CallerRequest,
     placement: &Placement,
     last_event: Option<u64>,
-) -> Option<Request<Full<Bytes>>> {
+) -> Option<Request<RequestBody>> {
     let mut headers = request.headers.clone();
     let facts = SendFacts {
         deadline: request.time_left(),
@@ -160,7 +160,7 @@
     let mut message = Request::builder()
         .method(request.method.clone())
         .uri(request.path.as_str())
-        .body(Full::new(request.body.clone()))
+        .body(request.body.clone())
         .ok()?;
     *message.headers_mut() = headers;
     Some(message)
--- a/crates/gateway/src/held_bytes.rs
+++ b/crates/gateway/src/held_bytes.rs
@@ -70,8 +70,10 @@
         true
     }
 
-    fn may_grow(&self, kind: HeldKind, from: usize, to: usize, memory: usize) -> bool {
-        let added = to - from;
+    /// Returns whether one holder that holds `from` bytes may hold `to`, in a process with `memory`
+    /// bytes.
+    pub(crate) fn may_grow(&self, kind: HeldKind, from: usize, to: usize, memory: usize) -> bool {
+        let added = to.saturating_sub(from);
         match kind {
             HeldKind::RequestBody => self.bytes(kind) + added <= memory / BODY_MEMORY_DIVISOR,
             HeldKind::Answer | HeldKind::Stream => {
@@ -102,13 +104,23 @@
         &self.gateway
     }
 
+    /// Returns the memory of the process, in bytes.
+    fn memory(&self) -> usize {
+        let memory = usize::try_from(self.gateway.settings().memory_mb).unwrap_or(usize::MAX);
+        memory.saturating_mul(1 << 20)
+    }
+
+    /// Returns whether there is memory for `to` bytes now.
+    pub(crate) fn has_room(&self, to: usize) -> bool {
+        self.gateway.held.borrow().may_grow(self.kind, self.bytes.get(), to, self.memory())
+    }
+
     /// Holds `to` bytes from now on. Returns false and changes nothing if there is no memory for them.
     pub(crate) fn resize(&self, to: usize) -> bool {
         if to == self.bytes.get() {
             return true;
         }
-        let memory = usize::try_from(self.gateway.settings().memory_mb).unwrap_or(usize::MAX);
-        let memory = memory.saturating_mul(1 << 20);
+        let memory = self.memory();
         let mut ledger = self.gateway.held.borrow_mut();
         let is_held = ledger.resize(self.kind, self.bytes.get(), to, memory);
         if is_held {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,7 +16,7 @@
 //! | `limits` | the limits on their request rates that endpoints name in their answers |
 //! | `second_sends` | the limit on second sends of slow requests, and the answer times by which requests count as slow |
 //! | `upstream`, `dial`, `paths`, `tunnel` | connections to endpoints: sends and calls; the two ways, directly and through other daemons; which endpoints this daemon reaches; tunnels for others |
-//! | `held_bytes` | the memory for bodies, answers, streams and tunnels, by kind |
+//! | `held_bytes`, `request_body` | the memory for bodies, answers, streams and tunnels, by kind; the bodies of requests in pieces |
 //! | `quarantine`, `part_quarantine`, `quarantine_disk`, `broken_runs` | quarantine of requests and of parts of prompts that end their endpoints: replication to other daemons, storage on disk; care with requests whose connections broke |
 //! | `shared_stream` | connections: noticing their closes, and closing them so that the peer can read the last answer |
 //! | `front` | the callers' listener: requests, sends, retries and answers |
@@ -92,6 +92,7 @@
 mod repeats;
 mod replica;
 mod replication;
+mod request_body;
 mod rests;
 mod roster;
 #[cfg(test)]
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -12,8 +12,6 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::header::{CONTENT_TYPE, HOST};
@@ -28,6 +26,7 @@
 use crate::dialect::{EndpointCall, StartQuestion};
 use crate::framing::BodyFraming;
 use crate::gateway::Gateway;
+use crate::request_body::RequestBody;
 use crate::task_guard::TaskGuard;
 
 /// The time-out of a call to an endpoint's own interface.
@@ -74,7 +73,7 @@
     gateway: &Rc<Gateway>,
     target: &EndpointTarget,
     plan: DialPlan,
-    request: Request<Full<Bytes>>,
+    request: Request<RequestBody>,
     may_send: impl FnOnce(&EndpointConnection) -> bool,
 ) -> Result<Upstream, SendFailure> {
     let connection = dial(gateway, target, plan).await.map_err(|failure| match failure.kind {
@@ -95,7 +94,7 @@
 
 async fn send_on(
     connection: EndpointConnection,
-    request: Request<Full<Bytes>>,
+    request: Request<RequestBody>,
 ) -> Result<Upstream, SendFailure> {
     let head_bytes = Rc::new(Cell::new(Some(0)));
     let limited = Rc::clone(&head_bytes);
@@ -220,13 +219,13 @@
     to: &EndpointTarget,
     call: EndpointCall,
     headers: HeaderMap,
-) -> Option<Request<Full<Bytes>>> {
+) -> Option<Request<RequestBody>> {
     let mut request = Request::builder()
         .method(call.method)
         .uri(call.path.as_ref())
         .header(HOST, to.address.to_string())
         .header(CONTENT_TYPE, "application/json")
-        .body(Full::new(call.body))
+        .body(RequestBody::from(call.body))
         .ok()?;
     request.headers_mut().extend(headers);
     Some(request)
--- a/crates/quarantine/src/digest.rs
+++ b/crates/quarantine/src/digest.rs
@@ -37,8 +37,14 @@
 impl RequestIdentity<'_> {
     /// Computes the digest. The cost is a few nanoseconds per byte.
     pub fn digest(&self) -> RequestDigest {
+        self.digest_with_body(std::iter::empty())
+    }
+
+    /// Computes the digest of a request whose body is `body` followed by the pieces in `rest`.
+    pub fn digest_with_body<'b>(&'b self, rest: impl Iterator<Item = &'b [u8]>) -> RequestDigest {
         let fields = [self.method, self.host, self.path];
-        RequestDigest(digest_bytes(self.account, &fields, self.body))
+        let pieces = std::iter::once(self.body).chain(rest);
+        RequestDigest(digest_bytes(self.account, &fields, pieces))
     }
 }
 
@@ -60,11 +66,15 @@
     /// Computes the digest.
     pub fn digest(&self) -> PartDigest {
         let fields = [self.service.as_str(), self.part.as_str()];
-        PartDigest(digest_bytes(self.account, &fields, b""))
+        PartDigest(digest_bytes(self.account, &fields, std::iter::empty()))
     }
 }
 
-fn digest_bytes(account: Option<&AccountId>, fields: &[&str], body: &[u8]) -> [u8; DIGEST_BYTES] {
+fn digest_bytes<'b>(
+    account: Option<&AccountId>,
+    fields: &[&str],
+    body: impl Iterator<Item = &'b [u8]>,
+) -> [u8; DIGEST_BYTES] {
     let account = account.map_or("", |account| account.as_str());
     let mut hasher = Sha256::new();
     for field in std::iter::once(&account).chain(fields) {
@@ -72,7 +82,7 @@
         hasher.update(u64::try_from(field.len()).unwrap_or(u64::MAX).to_le_bytes());
         hasher.update(field.as_bytes());
     }
-    hasher.update(body);
+    body.for_each(|piece| hasher.update(piece));
     let mut bytes = [0; DIGEST_BYTES];
     bytes[..TAG_BYTES].copy_from_slice(&Sha256::digest(account)[..TAG_BYTES]);
     bytes[TAG_BYTES..].copy_from_slice(&hasher.finalize()[..DIGEST_BYTES - TAG_BYTES]);
--- a/crates/quarantine/tests/digest.rs
+++ b/crates/quarantine/tests/digest.rs
@@ -47,3 +47,13 @@
         assert!(invalid.parse::<RequestDigest>().is_err(), "{invalid}");
     }
 }
+
+/// Guards against a fatal request that is not recognised because its body arrived in other pieces.
+#[test]
+fn the_digest_does_not_depend_on_the_pieces_of_the_body() {
+    let whole = RequestIdentity { body: b"one two three", ..PLAIN }.digest();
+    let first = RequestIdentity { body: b"one ", ..PLAIN };
+    let rest: [&[u8]; 3] = [b"two", b"", b" three"];
+    assert_eq!(first.digest_with_body(rest.into_iter()), whole);
+    assert_ne!(first.digest_with_body(rest[..1].iter().copied()), whole);
+}
