Facts for other instances leave together

Callers saw answers late and requests that ran after they had left, wherever many endpoints ended at once. Each fact about an end (a fault, a broken connection, an end under a request or a part of its prompt) was a message of its own, and a hub passed each one on to the other hubs and to its leaves. The mesh took 35 % of the processor time of all gateways (perf, 92 instances, load 17 to 55).

Facts are now queued and leave in one message for each recipient: at once if none left in the last 10 ms, otherwise at the end of these. A case leaves with all its facts, once, whoever told them. The messages have always carried lists; the wire does not change. Facts that wait when an instance stops leave before its farewell.

facts_that_arise_together_leave_together failed on the code before. Green in debug: fatal_requests, fatal_parts, answer_framing. In the gateway's unit tests, recent_delays_include_one_that_is_not_over fails (loop_delay.rs, which this commit does not touch).

--- a/crates/gateway/src/announce.rs
+++ b/crates/gateway/src/announce.rs
@@ -10,6 +10,7 @@
 use crate::balancer::FaultKind;
 use crate::endpoints::{BeatChange, EndpointBeat, EndpointNotice, EndpointPhase};
 use crate::events::EventKind;
+use crate::fact_queue::FactSource;
 use crate::gateway::Gateway;
 use crate::gossip::{HeartbeatRoute, heartbeat_route};
 use crate::hubs::Tier;
@@ -318,14 +319,18 @@
             .text("endpoint", endpoint)
             .text("fault", fault.name());
         self.balancer.borrow_mut().fault(self.now(), endpoint, fault);
-        let faults = PeerMessage::Faults(vec![(endpoint.clone(), fault)]);
-        self.mesh.send_all(&self.broadcast_targets(), &faults);
+        self.queue_facts(|queue| queue.add_fault(FactSource::Own, endpoint.clone(), fault));
     }
 
     pub(crate) fn on_faults(&self, from: &InstanceId, faults: &[(EndpointStart, FaultKind)]) {
-        if self.tier() == Tier::Hub {
-            let copy = PeerMessage::Faults(faults.to_vec());
-            self.mesh.send_all(&self.forward_targets(from), &copy);
+        if self.tier() == Tier::Hub
+            && let Some(source) = self.forwarded_source(from)
+        {
+            self.queue_facts(|queue| {
+                for (endpoint, fault) in faults {
+                    queue.add_fault(source.clone(), endpoint.clone(), *fault);
+                }
+            });
         }
         let now = self.now();
         let mut balancer = self.balancer.borrow_mut();
--- a/crates/gateway/src/broken_runs.rs
+++ b/crates/gateway/src/broken_runs.rs
@@ -13,8 +13,8 @@
 use oriolepass_units::{EndpointStart, InstanceId, MonotonicTime};
 use serde::{Deserialize, Serialize};
 
+use crate::fact_queue::FactSource;
 use crate::gateway::Gateway;
-use crate::peers::PeerMessage;
 
 /// How long a broken connection counts. Most endpoints send a heartbeat or have started again
 /// within this time.
@@ -120,23 +120,29 @@
     ) {
         let now = self.now();
         self.broken_runs.borrow_mut().record(now, digest, endpoint, broke_at);
-        let endpoint = endpoint.clone();
-        let notice = BreakNotice { digest, endpoint, age: now.since(broke_at) };
-        self.mesh.send_all(&self.broadcast_targets(), &PeerMessage::Breaks(vec![notice]));
+        self.queue_facts(|queue| {
+            queue.add_break(FactSource::Own, digest, endpoint.clone(), broke_at);
+        });
     }
 
     /// Records broken connections of another daemon's requests, and forwards the new ones.
     pub(crate) fn on_broken_runs(&self, from: &InstanceId, notices: &[BreakNotice]) {
         let now = self.now();
-        let new: Vec<BreakNotice> = {
+        let new: Vec<&BreakNotice> = {
             let mut runs = self.broken_runs.borrow_mut();
             let mut is_new = |notice: &&BreakNotice| {
                 runs.record(now, notice.digest, &notice.endpoint, now - notice.age)
             };
-            notices.iter().filter(|notice| is_new(notice)).cloned().collect()
+            notices.iter().filter(|notice| is_new(notice)).collect()
         };
-        if !new.is_empty() {
-            self.mesh.send_all(&self.forward_targets(from), &PeerMessage::Breaks(new));
+        if !new.is_empty()
+            && let Some(source) = self.forwarded_source(from)
+        {
+            self.queue_facts(|queue| {
+                for BreakNotice { digest, endpoint, age } in new {
+                    queue.add_break(source.clone(), *digest, endpoint.clone(), now - *age);
+                }
+            });
         }
     }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -21,6 +21,7 @@
 use crate::documents::DocumentState;
 use crate::endpoints::EndpointRegistry;
 use crate::events::{EventKind, EventLine, EventLog};
+use crate::fact_queue::FactQueue;
 use crate::front::ends::PendingEnds;
 use crate::front::helpers::HelperChecks;
 use crate::held_bytes::HeldLedger;
@@ -110,6 +111,9 @@
     pub(crate) quarantine: RefCell<QuarantineState>,
     /// Notified when the quarantine table has new facts, or is due to be reviewed.
     pub(crate) quarantine_changed: Notify,
+    /// The facts for other daemons that have not been sent yet.
+    pub(crate) fact_queue: RefCell<FactQueue>,
+    pub(crate) facts_queued: Notify,
     pub(crate) pending_ends: RefCell<PendingEnds>,
     pub(crate) helper_checks: RefCell<HelperChecks>,
     pub(crate) broken_runs: RefCell<BrokenRuns>,
@@ -203,6 +207,8 @@
             home: RefCell::default(),
             quarantine: RefCell::new(QuarantineState::new()),
             quarantine_changed: Notify::new(),
+            fact_queue: RefCell::default(),
+            facts_queued: Notify::new(),
             pending_ends: RefCell::default(),
             helper_checks: RefCell::default(),
             broken_runs: RefCell::default(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 //! | `upstream`, `dial`, `paths`, `tunnel` | connections to endpoints: sends and calls; the two ways, directly and through other daemons; which endpoints this daemon reaches; tunnels for others |
 //! | `held_bytes` | the memory for bodies, answers, streams and tunnels, by kind |
 //! | `quarantine`, `part_quarantine`, `quarantine_disk`, `broken_runs` | quarantine of requests and of parts of prompts that end their endpoints: replication to other daemons, storage on disk; care with requests whose connections broke |
+//! | `fact_queue` | facts about endpoints and requests that are sent to other daemons together |
 //! | `shared_stream` | connections: noticing their closes, and closing them so that the peer can read the last answer |
 //! | `front` | the callers' listener: requests, sends, retries and answers |
 //! | `directory`, `lifecycle` | the instances that callers should use; start, readiness, reload, shutdown |
@@ -50,6 +51,9 @@
 mod drains;
 mod endpoints;
 mod events;
+mod fact_queue;
+#[cfg(test)]
+mod fact_queue_tests;
 mod founding;
 #[cfg(test)]
 mod founding_tests;
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -206,6 +206,7 @@
             .number("active", self.active_requests.get())
             .number("unwritten", self.unwritten_answers.get());
         self.lifecycle.send_replace(Lifecycle::Stopped);
+        self.flush_facts();
         self.mesh.send_all(&self.broadcast_targets(), &PeerMessage::Farewell);
         self.log.flush(LOG_FLUSH_TIMEOUT);
     }
--- a/crates/gateway/src/part_quarantine.rs
+++ b/crates/gateway/src/part_quarantine.rs
@@ -11,6 +11,7 @@
 use oriolepass_units::{EndpointStart, InstanceId, MonotonicTime};
 
 use crate::events::EventKind;
+use crate::fact_queue::FactSource;
 use crate::gateway::Gateway;
 use crate::peers::{PeerMessage, ProtocolLevel};
 use crate::quarantine::{MAX_CASES_PER_MESSAGE, RequestSuspects, TABLE_TIME_OFFSET};
@@ -82,14 +83,18 @@
     /// Merges case updates of parts from another daemon, and forwards the new ones.
     pub(crate) fn on_part_updates(&self, from: &InstanceId, updates: &[CaseUpdate<PartDigest>]) {
         let now = self.case_time();
-        let fresh: Vec<CaseUpdate<PartDigest>> = {
+        let fresh: Vec<PartDigest> = {
             let table = &mut self.quarantine.borrow_mut().table;
-            updates.iter().filter(|case| table.merge(now, case)).cloned().collect()
+            let fresh = updates.iter().filter(|case| table.merge(now, case));
+            fresh.map(|case| case.digest).collect()
         };
-        if !fresh.is_empty() {
-            self.send_part_cases(self.forward_targets(from), &fresh);
-            self.review_soon(Some(from));
+        if fresh.is_empty() {
+            return;
+        }
+        if let Some(source) = self.forwarded_source(from) {
+            self.queue_part_cases(&source, fresh.into_iter());
         }
+        self.review_soon(Some(from));
     }
 
     /// Handles the hash of another daemon's cases of parts, like that of its cases of requests.
@@ -125,19 +130,13 @@
     /// Sends cases of parts to all daemons.
     pub(crate) fn broadcast_part_cases(&self, updates: &[CaseUpdate<PartDigest>]) {
         if !updates.is_empty() {
-            self.send_part_cases(self.broadcast_targets(), updates);
+            self.queue_part_cases(&FactSource::Own, updates.iter().map(|case| case.digest));
             self.review_soon(None);
         }
     }
 
-    fn send_part_cases(&self, mut to: Vec<InstanceId>, updates: &[CaseUpdate<PartDigest>]) {
-        {
-            let roster = self.roster.borrow();
-            to.retain(|instance| roster.understands(instance, ProtocolLevel::PARTS));
-        }
-        for message in part_messages(updates) {
-            self.mesh.send_all(&to, &message);
-        }
+    fn queue_part_cases(&self, source: &FactSource, digests: impl Iterator<Item = PartDigest>) {
+        self.queue_facts(|queue| digests.for_each(|digest| queue.add_part(source, digest)));
     }
 
     fn part_case_hash(&self) -> u64 {
@@ -151,6 +150,6 @@
     }
 }
 
-fn part_messages(cases: &[CaseUpdate<PartDigest>]) -> impl Iterator<Item = PeerMessage> {
+pub(crate) fn part_messages(cases: &[CaseUpdate<PartDigest>]) -> impl Iterator<Item = PeerMessage> {
     cases.chunks(MAX_CASES_PER_MESSAGE).map(|cases| PeerMessage::PartCases(cases.to_vec()))
 }
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -6,7 +6,7 @@
 //! had not started yet, receives it on the next link. As a second safeguard, each daemon whose
 //! table is not empty exchanges the hash of its table with one random other daemon each second.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::hash::{Hash, Hasher};
 use std::rc::Rc;
 use std::time::Duration;
@@ -20,6 +20,7 @@
 use tokio::time::sleep;
 
 use crate::events::{EventKind, EventLine};
+use crate::fact_queue::FactSource;
 use crate::gateway::Gateway;
 use crate::gossip::{is_sponsor, rank};
 use crate::hubs::Tier;
@@ -54,6 +55,9 @@
     pub(crate) parts: Rc<[PartDigest]>,
 }
 
+/// Cases to send to other daemons, each with its source.
+pub(crate) type QueuedCases<D> = Vec<(FactSource, CaseUpdate<D>)>;
+
 /// The quarantine table of this daemon, and what has been logged and stored of it.
 pub(crate) struct QuarantineState {
     pub(crate) table: QuarantineTable,
@@ -176,17 +180,18 @@
     pub(crate) fn on_case_updates(&self, from: &InstanceId, updates: &[CaseUpdate]) {
         self.resolve_broken_runs(updates);
         let now = self.case_time();
-        let fresh: Vec<CaseUpdate> = {
+        let fresh: Vec<RequestDigest> = {
             let table = &mut self.quarantine.borrow_mut().table;
-            updates.iter().filter(|case| table.merge(now, case)).cloned().collect()
+            let fresh = updates.iter().filter(|case| table.merge(now, case));
+            fresh.map(|case| case.digest).collect()
         };
-        let to = self.forward_targets(from);
-        for message in case_messages(&fresh) {
-            self.mesh.send_all(&to, &message);
+        if fresh.is_empty() {
+            return;
         }
-        if !fresh.is_empty() {
-            self.review_soon(Some(from));
+        if let Some(source) = self.forwarded_source(from) {
+            self.queue_cases(&source, fresh.into_iter());
         }
+        self.review_soon(Some(from));
     }
 
     /// Handles the hash of another daemon's table. If the tables differ, sends all cases of this
@@ -257,7 +262,7 @@
         if let Ok(StoredCases { requests, parts }) = loaded.await {
             let own = self.own.clone();
             self.on_case_updates(&own, &requests);
-            self.broadcast_cases(&requests);
+            self.queue_cases(&FactSource::Own, requests.iter().map(|case| case.digest));
             self.on_part_updates(&own, &parts);
             self.broadcast_part_cases(&parts);
         }
@@ -265,7 +270,7 @@
 
     fn on_quarantine_change(&self, update: Option<CaseUpdate>) {
         if let Some(update) = update {
-            self.broadcast_cases(&[update]);
+            self.queue_cases(&FactSource::Own, std::iter::once(update.digest));
             self.review_soon(None);
         }
     }
@@ -354,11 +359,20 @@
         }
     }
 
-    fn broadcast_cases(&self, updates: &[CaseUpdate]) {
-        let to = self.broadcast_targets();
-        for message in case_messages(updates) {
-            self.mesh.send_all(&to, &message);
-        }
+    fn queue_cases(&self, source: &FactSource, digests: impl Iterator<Item = RequestDigest>) {
+        self.queue_facts(|queue| digests.for_each(|digest| queue.add_case(source, digest)));
+    }
+
+    /// Returns the cases of queued requests and parts with all their facts. Cases that have been
+    /// evicted since are left out, as every daemon evicts them.
+    pub(crate) fn queued_cases(
+        &self,
+        requests: BTreeMap<RequestDigest, FactSource>,
+        parts: BTreeMap<PartDigest, FactSource>,
+    ) -> (QueuedCases<RequestDigest>, QueuedCases<PartDigest>) {
+        let now = self.case_time();
+        let table = &self.quarantine.borrow().table;
+        (table_updates(table, now, requests), table_updates(table, now, parts))
     }
 
     pub(crate) fn all_cases(&self) -> Vec<PeerMessage> {
@@ -388,6 +402,15 @@
     cases.iter().map(|case| (case.digest.into(), case.ends.len(), case.cleared.len()))
 }
 
-fn case_messages(updates: &[CaseUpdate]) -> Vec<PeerMessage> {
+fn table_updates<D: Into<SuspectId> + Copy>(
+    table: &QuarantineTable,
+    now: MonotonicTime,
+    cases: BTreeMap<D, FactSource>,
+) -> QueuedCases<D> {
+    let update = |(digest, source)| Some((source, table.update_of(now, digest)?));
+    cases.into_iter().filter_map(update).collect()
+}
+
+pub(crate) fn case_messages(updates: &[CaseUpdate]) -> Vec<PeerMessage> {
     updates.chunks(MAX_CASES_PER_MESSAGE).map(|cases| PeerMessage::Cases(cases.to_vec())).collect()
 }
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -103,6 +103,7 @@
     spawn_local(Rc::clone(&gateway).forward_heartbeats_periodically());
     spawn_local(Rc::clone(&gateway).maintain_quarantine());
     spawn_local(Rc::clone(&gateway).review_quarantine());
+    spawn_local(Rc::clone(&gateway).send_queued_facts());
     spawn_local(Rc::clone(&gateway).check_lost_paths());
     spawn_local(Rc::clone(&gateway).measure_loop_delay());
     spawn_local(serve_callers(Rc::clone(&gateway), callers));
--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -330,6 +330,15 @@
         self.parts().map(|(digest, case)| case.update(now, digest)).collect()
     }
 
+    /// Returns an update with the full state of one case, if the table holds it.
+    pub fn update_of<D: Into<SuspectId> + Copy>(
+        &self,
+        now: MonotonicTime,
+        digest: D,
+    ) -> Option<CaseUpdate<D>> {
+        self.cases.get(&digest.into()).map(|case| case.update(now, digest))
+    }
+
     /// Returns updates with the cases of parts that are to be stored durably.
     pub fn durable_part_updates(&self, now: MonotonicTime) -> Vec<CaseUpdate<PartDigest>> {
         let cases = self.parts().filter(|(_, case)| case.is_durable());
