Quarantine: a release takes effect at once, and a request is judged by what arrived meanwhile

A request or a part that is released or cleared stayed quarantined until the next review, with a trial in ten minutes. The 40 ms for which a request waits for the reports of others brought nothing, as these facts wait for a review too. And a part that ends its endpoints was found up to 1 s late.

--- a/crates/gateway/src/front/tries.rs
+++ b/crates/gateway/src/front/tries.rs
@@ -443,6 +443,7 @@
         }
         let age = gateway.since_last_end(request.digest()).unwrap_or(Duration::MAX);
         sleep(END_REPORT_GRACE.saturating_sub(age)).await;
+        gateway.judge_facts();
         let Standing::Quarantined { trial_in } = standing() else { return Ok(()) };
         if trial_in.is_zero() && gateway.try_begin_trial(request.digest()) {
             self.is_trial = true;
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -39,10 +39,10 @@
 /// of the event loop's time is spent on reviews.
 const REVIEW_PAUSE_RATIO: u32 = 9;
 
-/// The bounds of the pause after a review. The longer one is half of the time after which a quarantine
-/// takes effect whose odds are not conclusive.
+/// The bounds of the pause after a review. A part of prompts that ends its endpoints is found by a
+/// review only, so the pause is short against the time between two prompts of a caller.
 const MIN_REVIEW_PAUSE: Duration = Duration::from_millis(20);
-const MAX_REVIEW_PAUSE: Duration = Duration::from_millis(1_000);
+const MAX_REVIEW_PAUSE: Duration = Duration::from_millis(300);
 
 /// The offset of the table's times from the times of the process, which begin near zero. The offset
 /// is longer than any case is kept, so that ends before the start of this process keep their ages.
@@ -171,6 +171,11 @@
         self.quarantine.borrow().table.cause_log_odds(digest)
     }
 
+    /// Judges all facts that have arrived.
+    pub(crate) fn judge_facts(&self) {
+        self.quarantine.borrow_mut().table.judge();
+    }
+
     /// Returns the time since the last endpoint ended under a request.
     pub(crate) fn since_last_end(&self, digest: RequestDigest) -> Option<Duration> {
         let last_end = self.quarantine.borrow().table.last_end(digest)?;
--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -113,14 +113,18 @@
         self.revision
     }
 
-    /// Records that the attribution lacks a change of a case.
+    /// Records that the attribution lacks a change of a case. It is dropped at once if the change may
+    /// begin or end a quarantine.
     fn outdate(&mut self, changed: SuspectId) {
         let may_be_fatal = |case: &RequestCase| case.open_ends().count() >= MIN_QUARANTINE_ENDS;
-        let is_urgent = matches!(changed, SuspectId::Request(_))
+        // Many prompts share a part, so a part with enough ends is no exception while many endpoints end.
+        let may_begin = matches!(changed, SuspectId::Request(_))
             && self.cases.get(&changed).is_some_and(may_be_fatal);
+        let judged = self.attribution.get().and_then(|judged| judged.odds.get(&changed));
+        let may_end = judged.is_some_and(|odds| odds.is_sufficient());
         self.is_outdated = true;
         self.revision += 1;
-        if is_urgent || !self.is_deferred {
+        if may_begin || may_end || !self.is_deferred {
             self.judge();
         }
     }
--- a/crates/quarantine/tests/table.rs
+++ b/crates/quarantine/tests/table.rs
@@ -289,3 +289,33 @@
     }
     assert!(is_quarantined(table.standing(now, digest(0))));
 }
+
+// Guards against a released request that is refused until the facts are judged together.
+#[test]
+fn a_released_request_is_clear_at_once() {
+    let now = at(60);
+    let mut table = QuarantineTable::with_deferred_judgement();
+    table.merge(now, &lost(0, &[10, 20, 30]));
+    assert!(is_quarantined(table.standing(now, digest(0))));
+    assert!(table.release(now, digest(0)).is_some());
+    assert_eq!(table.standing(now, digest(0)), Standing::Clear);
+}
+
+// Guards against a request that stays quarantined although facts about others explain its ends.
+#[test]
+fn a_judgement_on_demand_counts_the_facts_that_arrived_meanwhile() {
+    let now = at(60);
+    let mut deferred = QuarantineTable::with_deferred_judgement();
+    let mut table = QuarantineTable::default();
+    for number in 0..12 {
+        let update = lost(number, &[10, 20, 30]);
+        table.merge(now, &update);
+        deferred.merge(now, &update);
+        if number == 0 {
+            assert!(is_quarantined(deferred.standing(now, digest(0))));
+        }
+    }
+    deferred.judge();
+    assert_eq!(deferred.standing(now, digest(0)), table.standing(now, digest(0)));
+    assert!(!is_quarantined(table.standing(now, digest(0))));
+}
