--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -35,8 +35,8 @@
 /// The maximum number of intervals in a row without a comparison.
 const MAX_SKIPPED_COMPARISONS: u32 = 5;
 
-/// The pause after a review of the table, as a multiple of the time that the review took: at most a tenth
-/// of the event loop's time is spent on reviews.
+/// The pause after a review of the table, as a multiple of the time that the review took. Reviews take a
+/// tenth of the event loop's time, unless they are so long that the longest pause applies.
 const REVIEW_PAUSE_RATIO: u32 = 9;
 
 /// The bounds of the pause after a review. A part of prompts that ends its endpoints is found by a
--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -90,8 +90,8 @@
     /// Creates a table whose owner decides when new facts are judged, with [`Self::judge`].
     ///
     /// A judgement looks at all facts. If each fact led to one, an end of many endpoints would cost the
-    /// square of the number of their requests, at every instance. A request that has lost enough endpoints
-    /// to be quarantined is judged anew whenever that is asked for.
+    /// square of the number of their requests, at every instance. A change that may begin or end the
+    /// quarantine of a request is an exception: the next question about any case judges all facts.
     pub fn with_deferred_judgement() -> Self {
         Self { is_deferred: true, ..Self::default() }
     }
