Ends: log lines tell whether the head had arrived and how long the endpoint was silent

Cause: endpoint-end lines cannot tell whether a crash was not seen, not charged to the parts of a prompt, or seen too late. Change: fields answer_ms and silent_ms.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -298,6 +298,15 @@
         self
     }
 
+    /// Adds a duration in milliseconds if there is one.
+    #[must_use]
+    pub fn maybe_millis(self, key: &str, value: Option<Duration>) -> Self {
+        match value {
+            Some(value) => self.millis(key, value),
+            None => self,
+        }
+    }
+
     /// Adds a text field if there is a value.
     pub fn maybe(self, key: &str, value: Option<impl Display>) -> Self {
         match value {
--- a/crates/gateway/src/front/ends.rs
+++ b/crates/gateway/src/front/ends.rs
@@ -427,7 +427,9 @@
         .maybe("parts", part_list(&run.suspects))
         .text("endpoint", endpoint)
         .millis("run_ms", run.duration)
+        .maybe_millis("answer_ms", run.answer_time)
         .millis("broken_ms", gateway.now().since(run.ended_at))
+        .maybe_millis("silent_ms", gateway.endpoints.borrow().silence(gateway.now(), endpoint))
         .maybe("log_odds", gateway.cause_log_odds(run.suspects.request))
         .text("outcome", result.name());
 }
