Ends: an end is presumed while no process serves and the heartbeats have stopped

Callers saw: prompts with a fatal part, or one fatal request again and again, crash engines long after the fifth crash, if the address is silent after a crash, if the connections fall silent too, or if a supervisor keeps the listener and the engine is slow to return. Cause: a crash was believed in one shape, a refused connection. A probe that timed out dropped the run for good, a request that was given up before its connection broke left no run, and a kept listener was decided by the next start only. Change: nothing but proof or a heartbeat drops a run. It is presumed to have ended its endpoint once no process serves there (unreachable by any way, each connection closed, an engine that answers no call), the heartbeats are overdue, and those of another endpoint of its data centre arrive. A presumed end counts like a proved one and is withdrawn by a later heartbeat. Requests on silent connections are followed from the time on when heartbeats are overdue, also when they are given up. An endpoint that leaves is followed until its farewell. Own links are checked with the endpoints heard from last. The search is a module of its own. Why it works: a cut or suspended endpoint sends a heartbeat again, a crashed start never does.

--- a/crates/gateway/src/announce.rs
+++ b/crates/gateway/src/announce.rs
@@ -18,7 +18,7 @@
 use crate::peers::PeerMessage;
 
 /// The interval at which heartbeats are forwarded in one batch. Changes are forwarded at once.
-const HEARTBEAT_FORWARD_INTERVAL: Duration = Duration::from_millis(500);
+pub(crate) const HEARTBEAT_FORWARD_INTERVAL: Duration = Duration::from_millis(500);
 
 /// The number of heartbeat intervals without a heartbeat after which an endpoint is removed.
 const EXPIRY_HEARTBEATS: u32 = 12;
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -414,6 +414,35 @@
         self.entries.get(endpoint).map(|entry| now.since(entry.last_heard))
     }
 
+    /// Returns the addresses of up to `count` serving endpoints other than `endpoint`, those heard from
+    /// last first.
+    pub fn last_heard_serving(&self, endpoint: &EndpointStart, count: usize) -> Vec<SocketAddr> {
+        let is_other = |entry: &&EndpointEntry| {
+            entry.beat.endpoint != *endpoint && entry.beat.phase == EndpointPhase::Serving
+        };
+        let mut others: Vec<&EndpointEntry> = self.entries.values().filter(is_other).collect();
+        others.sort_unstable_by_key(|entry| std::cmp::Reverse(entry.last_heard));
+        others.into_iter().take(count).map(|entry| entry.beat.address).collect()
+    }
+
+    /// Returns whether an endpoint has been silent for longer than `overdue`, and another endpoint of
+    /// its data centre has not; of any data centre if there is no other one in its own.
+    pub fn is_lone_silence(
+        &self,
+        now: MonotonicTime,
+        endpoint: &EndpointStart,
+        overdue: Duration,
+    ) -> bool {
+        let Some(entry) = self.entries.get(endpoint) else { return false };
+        let is_silent = |entry: &EndpointEntry| now.since(entry.last_heard) > overdue;
+        let centre = &entry.beat.data_centre;
+        let others = || self.entries.values().filter(|other| other.beat.endpoint != *endpoint);
+        let in_centre = |other: &&EndpointEntry| other.beat.data_centre == *centre;
+        let is_alone = !others().any(|other| in_centre(&other));
+        let mut neighbours = others().filter(|other| is_alone || in_centre(other));
+        is_silent(entry) && neighbours.any(|other| !is_silent(other))
+    }
+
     /// Returns a number that grows with each change to which endpoints take work, and at which
     /// addresses.
     pub fn generation(&self) -> u64 {
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -101,7 +101,7 @@
     EndpointPath = "endpoint-path";
     /// A request goes to its endpoint by way of another instance.
     Tunnel = "tunnel";
-    /// An endpoint lost a request's answer `broken_ms` ago; `outcome` says whether it has ended, `digest` names the request across its attempts, `parts` the parts that other prompts may share, `answer_ms` is the time from the head of the answer to the loss (absent if no head had arrived), `silent_ms` the time since the endpoint's last heartbeat (absent if the start is not known any more), `log_odds` is the natural logarithm of the odds that it is fatal (from three ends on).
+    /// An endpoint lost a request's answer `broken_ms` ago; `outcome` says whether it has ended, `digest` names the request across its attempts, `parts` the parts that other prompts may share, `answer_ms` is the time from the head of the answer to the loss (absent if no head had arrived), `silent_ms` the time since the endpoint's last heartbeat (absent if the start is not known any more), `evidence` why a presumed end is presumed, `log_odds` is the natural logarithm of the odds that it is fatal (from three ends on).
     EndpointEnd = "endpoint-end";
     /// A request, or a part of prompts, that ends its endpoints was quarantined or released; `digest` or `part` names it. With `request`, a prompt was refused because of a part.
     Quarantine = "quarantine";
--- a/crates/gateway/src/front/ends.rs
+++ b/crates/gateway/src/front/ends.rs
@@ -5,18 +5,25 @@
 //! the path may have closed it. The gateway therefore opens a new connection to the same address.
 //! A refusal shows that the machine is up and that no process listens, so the endpoint's process has
 //! ended. It counts only if another instance is refused as well, since the instance's own links may be
-//! at fault. A connection that times out proves nothing, since a network partition looks
-//! the same.
+//! at fault.
 //!
-//! An accepted connection proves nothing either. The listener may outlive its process, for some
-//! milliseconds while the process ends, or for good if a supervisor passes it to the next start. The
-//! end is then pending until one of these is observed:
+//! Anything else proves nothing. A network partition looks like a machine that is lost with its
+//! process. The listener may outlive its process, for some milliseconds while the process ends, or for
+//! good if a supervisor passes it to the next start. The end is then pending until one of these is
+//! observed:
 //!
-//! * The accepted connection closes, and a further one is refused: the process has ended.
+//! * A further connection is refused: the process has ended.
 //! * A later start of the endpoint, or another endpoint at its address, announces itself: the
 //!   process has ended.
 //! * The endpoint sends a heartbeat, or announces that it leaves: it was alive.
 //!
+//! The next start may come long after the crash, so an end is presumed meanwhile if no process
+//! serves at the address and the heartbeats of the endpoint, but not of its neighbours, have stopped
+//! ([`EndpointAbsence`]). A presumed end counts like a proved one until a heartbeat refutes it.
+//!
+//! A connection may also fall silent. Its request is followed in the same way from the time on when
+//! the endpoint's heartbeats are overdue, and even after the request has been given up.
+//!
 //! Requests do not wait for pending ends; `broken_runs` tells what is done meanwhile.
 //!
 //! An answer that ends with its connection is ambiguous as well, since a crash may look like its
@@ -33,24 +40,18 @@
 
 use oriolepass_units::{EndpointStart, MonotonicTime};
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep, timeout, timeout_at};
+use tokio::time::{sleep, timeout};
 
 use super::caller::CallerRequest;
+use super::end_probes::{EndpointAbsence, watch_fate, watch_listener};
 use super::evidence::{self, EndCase, EndEvidence, EvidenceStep};
-use super::placement::Placement;
-use crate::dial::{SHORT_LIFE, dial};
-use crate::endpoints::EndpointFate;
-use crate::events::EventKind;
+use super::placement::{Placement, RunClock};
+use crate::events::{EventKind, EventLine};
 use crate::gateway::Gateway;
-use crate::hubs::{MISSED_HEARTBEATS, Tier};
-use crate::net;
 use crate::quarantine::RequestSuspects;
 use crate::task_guard::TaskGuard;
 use crate::upstream::{EndpointTarget, StartAnswer, ask_start};
 
-/// The time-out of the probe connection, which may go by way of another instance.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
-
 /// How long a request waits for the probe connection. A reachable machine accepts or refuses within a
 /// few network hops, and the request could continue at another endpoint meanwhile.
 const PROBE_WAIT: Duration = Duration::from_millis(60);
@@ -61,7 +62,7 @@
 
 /// How long the end of an answer waits for what its endpoint says of itself. An engine answers at
 /// once, even if it is busy; other endpoints may need a free slot.
-const START_WAIT: Duration = Duration::from_millis(400);
+pub(super) const START_WAIT: Duration = Duration::from_millis(400);
 
 /// How long the end of an answer waits for a heartbeat of its endpoint.
 const HEARTBEAT_WAIT: Duration = Duration::from_secs(2);
@@ -69,29 +70,21 @@
 /// The part of a request's time that is kept to deliver its answer.
 const DELIVERY_TIME: Duration = Duration::from_millis(100);
 
-/// How long an accepted connection is kept open to see whether it closes. It takes up a connection
-/// of the endpoint.
-const LISTENER_WATCH_TIME: Duration = Duration::from_millis(1_000);
-
-/// The minimum interval between two probe connections to an endpoint that closes them.
-const PROBE_INTERVAL: Duration = Duration::from_millis(5);
-
 /// The interval at which the registry is searched for evidence about a pending end.
-const FATE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
-
-/// The maximum transit time of a heartbeat that an endpoint sent before its connections broke.
-const HEARTBEAT_TRANSIT_TIME: Duration = Duration::from_millis(250);
+pub(super) const FATE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// The result of probing an endpoint whose connection was lost.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum ProbeResult {
+pub(super) enum ProbeResult {
     /// The endpoint's process has ended.
     Ended,
+    /// The endpoint's process has ended, as far as can be told before its next start.
+    Presumed,
     /// The endpoint had announced that it leaves.
     Left,
     /// The endpoint has sent a heartbeat since.
     Alive,
-    /// The connection was neither accepted nor refused, or the endpoint was not heard from again.
+    /// The endpoint was not heard from again.
     Unknown,
 }
 
@@ -99,6 +92,7 @@
     fn name(self) -> &'static str {
         match self {
             Self::Ended => "ended",
+            Self::Presumed => "presumed",
             Self::Left => "left",
             Self::Alive => "lives",
             Self::Unknown => "unknown",
@@ -108,7 +102,7 @@
 
 /// The progress of a probe, as seen by the requests that wait for it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum ProbeProgress {
+pub(super) enum ProbeProgress {
     /// No connection is open, and none has been refused.
     Connecting,
     /// A connection is open, so the end is pending.
@@ -118,20 +112,28 @@
 
 /// How a connection to an endpoint ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum ConnectionEnd {
+pub(super) enum ConnectionEnd {
     /// In the middle of an answer, or before it.
     Broken,
     /// After a part of an answer whose end nothing else marks, so that the answer may be complete.
     Closed,
+    /// Not at all, but the endpoint's heartbeats are overdue.
+    Silent,
 }
 
-/// A request whose connection to an endpoint ended.
-#[derive(Debug)]
-struct EndedRun {
+/// A request whose connection to an endpoint ended or fell silent.
+#[derive(Debug, Clone)]
+pub(super) struct EndedRun {
     request: String,
     suspects: RequestSuspects,
+    is_at_engine: bool,
     end: ConnectionEnd,
+    /// When the connection ended, or when the endpoint was last known to be alive.
     ended_at: MonotonicTime,
+    /// When that was noticed. A heartbeat that was sent later shows that the endpoint is alive.
+    pub(super) noticed_at: MonotonicTime,
+    /// Whether the end has been recorded as presumed.
+    is_presumed: bool,
     /// The time from sending the request to the end of the connection.
     duration: Duration,
     /// The time from the head of the answer to the end of the connection, if the head had arrived.
@@ -144,16 +146,70 @@
     /// In the order in which the connections ended.
     runs: Vec<EndedRun>,
     progress: watch::Sender<ProbeProgress>,
+    /// What the last probe found, if it found no process.
+    absence: Option<EndpointAbsence>,
     /// Searches the registry for the endpoint's fate.
     _fate_watch: TaskGuard,
     /// Watches the endpoint's listener, until its connections stay open.
     listener_watch: Option<TaskGuard>,
 }
 
+impl PendingEnd {
+    /// Adds a run. The connection of one that fell silent may have ended in the meantime.
+    fn add(&mut self, run: EndedRun) {
+        match self.runs.iter_mut().find(|other| other.request == run.request) {
+            Some(known) if known.end == ConnectionEnd::Silent => known.end = run.end,
+            _ => self.runs.push(run),
+        }
+    }
+}
+
 /// The endpoints that are being probed.
 #[derive(Debug, Default)]
 pub(crate) struct PendingEnds(BTreeMap<EndpointStart, PendingEnd>);
 
+impl PendingEnds {
+    pub(super) fn set_progress(&self, endpoint: &EndpointStart, progress: ProbeProgress) {
+        if let Some(end) = self.0.get(endpoint) {
+            end.progress.send_replace(progress);
+        }
+    }
+
+    /// Records what the probe of an endpoint's listener found when it finished.
+    pub(super) fn finish_probe(
+        &mut self,
+        endpoint: &EndpointStart,
+        absence: Option<EndpointAbsence>,
+    ) {
+        if let Some(end) = self.0.get_mut(endpoint) {
+            end.listener_watch = None;
+            end.absence = absence;
+        }
+    }
+
+    /// Returns what the last probe of an endpoint found, if it found no process.
+    pub(super) fn absence(&self, endpoint: &EndpointStart) -> Option<EndpointAbsence> {
+        self.0.get(endpoint)?.absence
+    }
+
+    /// Marks the runs that the absence of an endpoint explains as ended by a presumed end, and returns
+    /// those that were not marked.
+    pub(super) fn presume(
+        &mut self,
+        endpoint: &EndpointStart,
+        absence: EndpointAbsence,
+    ) -> Vec<EndedRun> {
+        let Some(end) = self.0.get_mut(endpoint) else { return Vec::new() };
+        let open = end.runs.iter_mut().filter(|run| !run.is_presumed);
+        let explained = open.filter(|run| absence.explains(run.end));
+        let mark = |run: &mut EndedRun| {
+            run.is_presumed = true;
+            run.clone()
+        };
+        explained.map(mark).collect()
+    }
+}
+
 /// Probes an endpoint whose connection broke during a request. Once it is known whether the
 /// endpoint's process ended, logs the result with the request, and records an end for the
 /// quarantine.
@@ -164,8 +220,10 @@
     request: &CallerRequest,
     placement: &Placement,
 ) {
-    let run = EndedRun::new(gateway, request, placement, ConnectionEnd::Broken);
-    let broke_at = run.ended_at;
+    let endpoint = &placement.endpoint;
+    let end = ConnectionEnd::Broken;
+    let run = EndedRun::new(gateway, request, endpoint, &placement.clock, end);
+    let broke_at = run.noticed_at;
     let mut progress = join_probe(gateway, run, placement.target());
     if !is_resolved(&wait_for_result(&mut progress).await) {
         gateway.record_broken_run(request.digest(), &placement.endpoint, broke_at);
@@ -182,9 +240,10 @@
     placement: &Placement,
 ) -> bool {
     let target = placement.target();
-    let run = EndedRun::new(gateway, request, placement, ConnectionEnd::Closed);
+    let end = ConnectionEnd::Closed;
+    let run = EndedRun::new(gateway, request, &target.endpoint, &placement.clock, end);
     let evidence = if placement.connection.is_relay_alive(gateway, &target).await {
-        find_evidence(gateway, request, &target, run.ended_at).await
+        find_evidence(gateway, request, &target, run.noticed_at).await
     } else {
         EndEvidence::RelayLost
     };
@@ -262,18 +321,46 @@
     fn new(
         gateway: &Gateway,
         request: &CallerRequest,
-        placement: &Placement,
+        endpoint: &EndpointStart,
+        clock: &RunClock,
         end: ConnectionEnd,
     ) -> Self {
+        let now = gateway.now();
+        // A connection to a lost machine may break long after the process has ended.
+        let silence = gateway.endpoints.borrow().silence(now, endpoint);
+        let silence = silence.filter(|silence| *silence >= gateway.overdue_silence());
+        let ended_at = silence.map_or(now, |silence| clock.last_progress().max(now - silence));
         Self {
             request: request.id.clone(),
             suspects: request.suspects(),
+            is_at_engine: request.service.engine.is_some(),
             end,
-            ended_at: gateway.now(),
-            duration: placement.run_time(),
-            answer_time: placement.answer_time(),
+            ended_at,
+            noticed_at: now,
+            is_presumed: false,
+            duration: clock.run_time(ended_at),
+            answer_time: clock.answer_time(ended_at),
         }
     }
+
+    /// Returns the time for which the parts of the prompt had an effect: since the head of the
+    /// answer, or since the prompt was sent if the head did not arrive. The engine may have written
+    /// a head that was lost with its process.
+    fn part_duration(&self) -> Duration {
+        self.answer_time.unwrap_or(self.duration)
+    }
+}
+
+/// Follows a request whose connection is silent while the heartbeats of its endpoint are overdue.
+/// Records an end for the quarantine if the endpoint's process has ended.
+pub(super) fn watch_silent_run(
+    gateway: &Rc<Gateway>,
+    request: &CallerRequest,
+    target: &EndpointTarget,
+    clock: &RunClock,
+) {
+    let run = EndedRun::new(gateway, request, &target.endpoint, clock, ConnectionEnd::Silent);
+    join_probe(gateway, run, target.clone());
 }
 
 /// Adds a run to the probe of its endpoint, and starts the probe if there is none.
@@ -282,105 +369,36 @@
     run: EndedRun,
     target: EndpointTarget,
 ) -> watch::Receiver<ProbeProgress> {
+    let is_engine = run.is_at_engine;
     let mut pending = gateway.pending_ends.borrow_mut();
     if let Some(end) = pending.0.get_mut(&target.endpoint) {
-        end.runs.push(run);
+        end.add(run);
         if end.listener_watch.is_none() {
             end.progress.send_replace(ProbeProgress::Connecting);
-            end.listener_watch = Some(TaskGuard::spawn(watch_listener(gateway, target)));
+            let watch = watch_listener(gateway, target, is_engine);
+            end.listener_watch = Some(TaskGuard::spawn(watch));
         }
         return end.progress.subscribe();
     }
     let (progress, watched) = watch::channel(ProbeProgress::Connecting);
-    let is_serving = gateway.endpoints.borrow().is_serving(&target.endpoint);
+    let has_left = !gateway.endpoints.borrow().is_known(&target.endpoint);
     let listener_watch =
-        is_serving.then(|| TaskGuard::spawn(watch_listener(gateway, target.clone())));
-    let fate_watch = TaskGuard::spawn(watch_fate(gateway, target.clone(), is_serving));
-    let end = PendingEnd { runs: vec![run], progress, _fate_watch: fate_watch, listener_watch };
+        (!has_left).then(|| TaskGuard::spawn(watch_listener(gateway, target.clone(), is_engine)));
+    let fate_watch = TaskGuard::spawn(watch_fate(gateway, target.clone(), has_left));
+    let end = PendingEnd {
+        runs: vec![run],
+        progress,
+        absence: None,
+        _fate_watch: fate_watch,
+        listener_watch,
+    };
     pending.0.insert(target.endpoint, end);
     watched
 }
 
-/// Probes an endpoint's listener and records the result, unless the connections stay open.
-fn watch_listener(
-    gateway: &Rc<Gateway>,
-    target: EndpointTarget,
-) -> impl Future<Output = ()> + 'static {
-    let gateway = Rc::clone(gateway);
-    async move {
-        let result = probe_listener(&gateway, &target).await;
-        if let Some(end) = gateway.pending_ends.borrow_mut().0.get_mut(&target.endpoint) {
-            end.listener_watch = None;
-        }
-        if let Some(result) = result {
-            record_result(&gateway, &target.endpoint, result, |_| true);
-        }
-    }
-}
-
-/// Probes an endpoint's listener until a connection is refused. Returns `None` if its connections
-/// stay open.
-async fn probe_listener(gateway: &Rc<Gateway>, target: &EndpointTarget) -> Option<ProbeResult> {
-    let endpoint = &target.endpoint;
-    let watched_until = Instant::now() + LISTENER_WATCH_TIME;
-    while Instant::now() < watched_until {
-        let plan = gateway.dial_plan(endpoint, SHORT_LIFE, false);
-        let stream = match timeout(PROBE_TIMEOUT, dial(gateway, target, plan)).await {
-            Ok(Ok(connection)) => connection.stream,
-            Ok(Err(failure)) if failure.is_refusal() => return Some(ProbeResult::Ended),
-            Ok(Err(_)) | Err(_) => return Some(ProbeResult::Unknown),
-        };
-        gateway.set_probe_progress(endpoint, ProbeProgress::Accepted);
-        if timeout_at(watched_until, net::wait_until_closed(&stream)).await.is_err() {
-            return None;
-        }
-        gateway.set_probe_progress(endpoint, ProbeProgress::Connecting);
-        sleep(PROBE_INTERVAL).await;
-    }
-    None
-}
-
-/// Searches the registry for evidence whether an endpoint was alive after its connections ended,
-/// and records it. An endpoint that was not serving has announced that it leaves, unless it was
-/// replaced.
-fn watch_fate(
-    gateway: &Rc<Gateway>,
-    target: EndpointTarget,
-    was_serving: bool,
-) -> impl Future<Output = ()> + 'static {
-    let gateway = Rc::clone(gateway);
-    async move {
-        let EndpointTarget { endpoint, address } = target;
-        if !was_serving {
-            let fate = gateway.endpoints.borrow().fate(&endpoint, address);
-            let is_replaced = fate == EndpointFate::Replaced;
-            // The next start may have run the request behind a listener that was kept open.
-            let result = if is_replaced { ProbeResult::Unknown } else { ProbeResult::Left };
-            record_result(&gateway, &endpoint, result, |_| true);
-            return;
-        }
-        loop {
-            sleep(FATE_CHECK_INTERVAL).await;
-            let fate = gateway.endpoints.borrow().fate(&endpoint, address);
-            let result = match fate {
-                EndpointFate::Heard(at) => {
-                    let margin = gateway.heard_margin();
-                    let is_refuted = |run: &EndedRun| at >= run.ended_at + margin;
-                    record_result(&gateway, &endpoint, ProbeResult::Alive, is_refuted);
-                    continue;
-                }
-                EndpointFate::Replaced => ProbeResult::Ended,
-                EndpointFate::Left => ProbeResult::Left,
-                EndpointFate::Expired => ProbeResult::Unknown,
-            };
-            record_result(&gateway, &endpoint, result, |_| true);
-        }
-    }
-}
-
 /// Records the result of an endpoint's probe for the runs that it resolves. The probe ends with its
 /// last run.
-fn record_result(
+pub(super) fn record_result(
     gateway: &Gateway,
     endpoint: &EndpointStart,
     result: ProbeResult,
@@ -405,21 +423,48 @@
 
 fn record_run(gateway: &Gateway, endpoint: &EndpointStart, result: ProbeResult, run: &EndedRun) {
     gateway.metrics.end_probes.with_label_values(&[result.name()]).inc();
-    match (result, run.end) {
-        (ProbeResult::Ended, _) => {
-            let digest = run.suspects.request;
-            gateway.record_endpoint_end(digest, endpoint, run.ended_at, run.duration);
-            // The engine may have written a head that was lost with its process.
-            let duration = run.answer_time.unwrap_or(run.duration);
-            gateway.record_end_under_parts(&run.suspects, endpoint, run.ended_at, duration);
-        }
-        (ProbeResult::Alive, ConnectionEnd::Closed) => {
-            // The answer was complete, which is the usual case and needs no line.
-            gateway.record_complete_answer(|| run.suspects.clone(), run.duration);
-            return;
+    match result {
+        ProbeResult::Ended => record_end(gateway, endpoint, run),
+        ProbeResult::Alive | ProbeResult::Left if run.is_presumed => {
+            gateway.refute_end(&run.suspects, endpoint);
         }
         _ => {}
     }
+    if (result, run.end) == (ProbeResult::Alive, ConnectionEnd::Closed) {
+        gateway.record_complete_answer(|| run.suspects.clone(), run.duration);
+    }
+    // A request whose endpoint is alive is the usual case unless its connection broke.
+    let is_usual = result == ProbeResult::Alive && run.end != ConnectionEnd::Broken;
+    if !is_usual || run.is_presumed {
+        end_line(gateway, endpoint, result, run);
+    }
+}
+
+/// Records and logs that an endpoint's process is presumed to have ended under a run.
+pub(super) fn record_presumed_end(
+    gateway: &Gateway,
+    endpoint: &EndpointStart,
+    run: &EndedRun,
+    absence: EndpointAbsence,
+) {
+    gateway.metrics.end_probes.with_label_values(&[ProbeResult::Presumed.name()]).inc();
+    record_end(gateway, endpoint, run);
+    end_line(gateway, endpoint, ProbeResult::Presumed, run).text("evidence", absence.name());
+}
+
+/// Records that an endpoint's process ended under a run.
+fn record_end(gateway: &Gateway, endpoint: &EndpointStart, run: &EndedRun) {
+    gateway.record_endpoint_end(run.suspects.request, endpoint, run.ended_at, run.duration);
+    gateway.record_end_under_parts(&run.suspects, endpoint, run.ended_at, run.part_duration());
+}
+
+/// Begins the log line about the result of a probe for one run.
+fn end_line<'a>(
+    gateway: &'a Gateway,
+    endpoint: &EndpointStart,
+    result: ProbeResult,
+    run: &EndedRun,
+) -> EventLine<'a> {
     gateway
         .line(EventKind::EndpointEnd)
         .text("request", &run.request)
@@ -431,7 +476,7 @@
         .millis("broken_ms", gateway.now().since(run.ended_at))
         .maybe_millis("silent_ms", gateway.endpoints.borrow().silence(gateway.now(), endpoint))
         .maybe("log_odds", gateway.cause_log_odds(run.suspects.request))
-        .text("outcome", result.name());
+        .text("outcome", result.name())
 }
 
 /// Lists the digests of the parts of a prompt. Returns `None` if it shares none.
@@ -439,21 +484,3 @@
     let digests: Vec<String> = suspects.parts.iter().map(ToString::to_string).collect();
     (!digests.is_empty()).then(|| digests.join(","))
 }
-
-impl Gateway {
-    fn set_probe_progress(&self, endpoint: &EndpointStart, progress: ProbeProgress) {
-        if let Some(end) = self.pending_ends.borrow().0.get(endpoint) {
-            end.progress.send_replace(progress);
-        }
-    }
-
-    /// Returns how long after the end of a connection a heartbeat must arrive to have been sent
-    /// later.
-    fn heard_margin(&self) -> Duration {
-        // A leaf learns only which endpoints have been silent for longer than a threshold.
-        match self.tier() {
-            Tier::Mesh | Tier::Hub => HEARTBEAT_TRANSIT_TIME,
-            Tier::Leaf => self.settings().bounds.endpoint_heartbeat * MISSED_HEARTBEATS,
-        }
-    }
-}
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -6,6 +6,7 @@
 #[cfg(test)]
 mod body_tests;
 mod caller;
+mod end_probes;
 pub(crate) mod ends;
 mod events;
 mod evidence;
--- a/crates/gateway/src/front/placement.rs
+++ b/crates/gateway/src/front/placement.rs
@@ -142,6 +142,61 @@
     }
 }
 
+/// The times of a run of a request at its endpoint.
+#[derive(Debug, Clone)]
+pub(super) struct RunClock {
+    /// When the send began.
+    sent_at: MonotonicTime,
+    connection: SendConnection,
+    /// When the head of the answer arrived.
+    answer_began: Rc<Cell<Option<MonotonicTime>>>,
+    /// When the request was sent, or a part of its answer arrived last.
+    last_progress: Rc<Cell<MonotonicTime>>,
+}
+
+impl RunClock {
+    fn new(gateway: &Gateway, connection: &SendConnection) -> Self {
+        let now = gateway.now();
+        Self {
+            sent_at: now,
+            connection: connection.clone(),
+            answer_began: Rc::default(),
+            last_progress: Rc::new(Cell::new(now)),
+        }
+    }
+
+    /// Returns whether the request may have reached its endpoint: its connection was opened.
+    pub(super) fn is_delivered(&self) -> bool {
+        self.connection.get().is_some()
+    }
+
+    /// Returns the time from sending the request until `until`.
+    pub(super) fn run_time(&self, until: MonotonicTime) -> Duration {
+        until.since(self.sent_at)
+    }
+
+    /// Returns the time from the head of the answer until `until`, if the head has arrived.
+    pub(super) fn answer_time(&self, until: MonotonicTime) -> Option<Duration> {
+        self.answer_began.get().map(|began| until.since(began))
+    }
+
+    /// Records that the head of the answer has arrived.
+    fn record_answer_began(&self, now: MonotonicTime) {
+        self.answer_began.set(Some(now));
+        self.record_progress(now);
+    }
+
+    /// Records that a part of the answer has arrived.
+    pub(super) fn record_progress(&self, now: MonotonicTime) {
+        self.last_progress.set(now);
+    }
+
+    /// Returns when the request was sent, or a part of its answer arrived last.
+    pub(super) fn last_progress(&self) -> MonotonicTime {
+        self.last_progress.get()
+    }
+}
+
 /// The endpoint selected for a send. Dropping it reports the end of the send to the prompt's home
 /// or to the balancer, and releases reserved engine memory.
 pub(super) struct Placement {
@@ -156,10 +211,7 @@
     /// Identifies the prompt across its caller's attempts, if appointments are kept.
     pub(super) appointment: Option<AppointmentId>,
     pub(super) connection: SendConnection,
-    /// When the request was sent.
-    sent_at: MonotonicTime,
-    /// When the head of the answer arrived.
-    answer_began: Cell<Option<MonotonicTime>>,
+    pub(super) clock: RunClock,
     key: Option<PromptKey>,
     /// The expected pause between events, if the speeds of engines are learned.
     expected_pause: Option<Duration>,
@@ -216,6 +268,7 @@
     /// Creates the placement of a request at an endpoint that is not an engine.
     fn at_plain(gateway: &Rc<Gateway>, beat: EndpointBeat) -> Self {
         gateway.balancer.borrow_mut().begin(&beat.endpoint);
+        let connection = SendConnection::default();
         Self {
             gateway: Rc::clone(gateway),
             endpoint: beat.endpoint,
@@ -225,9 +278,8 @@
             placed_by: "balancer",
             may_fail: false,
             appointment: None,
-            connection: SendConnection::default(),
-            sent_at: gateway.now(),
-            answer_began: Cell::new(None),
+            clock: RunClock::new(gateway, &connection),
+            connection,
             key: None,
             expected_pause: None,
             has_begun: Cell::new(false),
@@ -305,6 +357,7 @@
         plan: &PromptPlan,
         placed_by: &'static str,
     ) -> Self {
+        let connection = SendConnection::default();
         Self {
             gateway: Rc::clone(gateway),
             endpoint: plan.main.clone(),
@@ -313,9 +366,8 @@
             helpers: Vec::new(),
             placed_by,
             may_fail: false,
-            connection: SendConnection::default(),
-            sent_at: gateway.now(),
-            answer_began: Cell::new(None),
+            clock: RunClock::new(gateway, &connection),
+            connection,
             key: Some(ask.key),
             appointment: ask.appointment,
             expected_pause: expected_pause(gateway, request, ask, plan),
@@ -366,22 +418,17 @@
 
     /// Records that the request is sent now.
     pub(super) fn record_sent(&mut self) {
-        self.sent_at = self.gateway.now();
+        self.clock = RunClock::new(&self.gateway, &self.connection);
     }
 
     /// Returns the time since the request was sent.
     pub(super) fn run_time(&self) -> Duration {
-        self.gateway.now().since(self.sent_at)
+        self.clock.run_time(self.gateway.now())
     }
 
     /// Records that the head of the answer has arrived.
     pub(super) fn record_answer_began(&self) {
-        self.answer_began.set(Some(self.gateway.now()));
-    }
-
-    /// Returns the time since the head of the answer arrived, if it has.
-    pub(super) fn answer_time(&self) -> Option<Duration> {
-        self.answer_began.get().map(|began| self.gateway.now().since(began))
+        self.clock.record_answer_began(self.gateway.now());
     }
 
     /// Records that the first event or the answer has arrived.
--- a/crates/gateway/src/front/presence.rs
+++ b/crates/gateway/src/front/presence.rs
@@ -4,6 +4,9 @@
 //! endpoint is gone if its heartbeats have stopped as well and it accepts no new connection,
 //! regardless of the predicted time of its answer. Until this is detected, a request waits in vain
 //! and holds engine memory that other requests need.
+//!
+//! Once the heartbeats are overdue, the request is also followed as one that may have ended its
+//! endpoint.
 
 use std::future::Future;
 use std::rc::Rc;
@@ -11,6 +14,9 @@
 
 use tokio::time::sleep;
 
+use super::caller::CallerRequest;
+use super::ends::watch_silent_run;
+use super::placement::RunClock;
 use crate::dial::{FailureKind, SHORT_LIFE, dial};
 use crate::events::EventKind;
 use crate::gateway::Gateway;
@@ -30,18 +36,19 @@
 /// Waits for an answer while its endpoint is alive. Returns `None` once the endpoint is gone.
 pub(super) async fn while_alive<T>(
     gateway: &Rc<Gateway>,
-    request: &str,
+    request: &CallerRequest,
     target: &EndpointTarget,
+    clock: &RunClock,
     answer: impl Future<Output = T>,
 ) -> Option<T> {
     tokio::select! {
         biased;
         answer = answer => Some(answer),
-        reason = wait_until_gone(gateway, target) => {
+        reason = wait_until_gone(gateway, request, target, clock) => {
             gateway
                 .line(EventKind::Endpoint)
                 .text("endpoint", &target.endpoint)
-                .text("request", request)
+                .text("request", &request.id)
                 .text("reason", reason)
                 .text("outcome", "gone");
             None
@@ -50,9 +57,15 @@
 }
 
 /// Waits until an endpoint is gone. Returns the evidence as a text for the log.
-async fn wait_until_gone(gateway: &Rc<Gateway>, target: &EndpointTarget) -> String {
+async fn wait_until_gone(
+    gateway: &Rc<Gateway>,
+    request: &CallerRequest,
+    target: &EndpointTarget,
+    clock: &RunClock,
+) -> String {
     let EndpointTarget { endpoint, address } = target;
     let mut check_delay = MIN_CHECK_INTERVAL;
+    let mut is_watched = false;
     loop {
         sleep(check_delay).await;
         let max_silence =
@@ -61,8 +74,16 @@
             let registry = gateway.endpoints.borrow();
             (registry.silence(gateway.now(), endpoint), registry.at(*address))
         };
+        let overdue = gateway.overdue_silence();
+        // A request that has not been delivered cannot have ended the endpoint.
+        let is_overdue = silence.is_some_and(|silence| silence >= overdue);
+        if !is_watched && is_overdue && clock.is_delivered() {
+            is_watched = true;
+            watch_silent_run(gateway, request, target, clock);
+        }
         if let Some(silence) = silence.filter(|silence| *silence < max_silence) {
-            check_delay = (max_silence - silence).max(MIN_CHECK_INTERVAL);
+            let next = if is_watched { max_silence } else { overdue.min(max_silence) };
+            check_delay = next.saturating_sub(silence).max(MIN_CHECK_INTERVAL);
             continue;
         }
         if let Some(other) = occupant.filter(|other| other != endpoint) {
--- a/crates/gateway/src/front/sends.rs
+++ b/crates/gateway/src/front/sends.rs
@@ -88,10 +88,10 @@
     if !request.route.repeat.may_repeat() {
         return exchange(gateway, request, placement, last_event).await;
     }
-    let target = placement.target();
+    let (target, clock) = (placement.target(), placement.clock.clone());
     // The home must learn of the failure before the exchange is dropped, which reports its end.
     let mut exchange = std::pin::pin!(exchange(gateway, request, placement, last_event));
-    let end = while_alive(gateway, &request.id, &target, exchange.as_mut()).await;
+    let end = while_alive(gateway, request, &target, &clock, exchange.as_mut()).await;
     end.unwrap_or_else(|| {
         let endpoint = target.endpoint;
         endpoint_failed(gateway, request, &endpoint, FaultKind::Unreachable);
--- a/crates/gateway/src/front/stream.rs
+++ b/crates/gateway/src/front/stream.rs
@@ -232,6 +232,7 @@
             let events_before = open.source.returned_events();
             match timeout(silence_timeout, self.next_piece(&mut open)).await {
                 Ok(NextEvents::Events(piece)) => {
+                    open.placement.clock.record_progress(self.gateway.now());
                     if let Some(meter) = &mut meter {
                         let events = open.source.returned_events().wrapping_sub(events_before);
                         self.measure_pace(meter, &open.placement, events);
@@ -279,9 +280,9 @@
         if !self.can_resume() {
             return open.source.next().await;
         }
-        let target = open.placement.target();
+        let (target, clock) = (open.placement.target(), &open.placement.clock);
         let next = open.source.next();
-        let piece = while_alive(&self.gateway, &self.request.id, &target, next).await;
+        let piece = while_alive(&self.gateway, &self.request, &target, clock, next).await;
         piece.unwrap_or_else(|| NextEvents::Broken("the endpoint is gone".to_owned()))
     }
 
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -131,6 +131,21 @@
         self.on_quarantine_change(update);
     }
 
+    /// Records that an endpoint whose end was presumed was alive, so that the end counts neither
+    /// against the request nor against the parts of its prompt.
+    pub(crate) fn refute_end(&self, suspects: &RequestSuspects, endpoint: &EndpointStart) {
+        let now = self.case_time();
+        let (request, parts) = {
+            let table = &mut self.quarantine.borrow_mut().table;
+            let parts = suspects.parts.iter();
+            let parts: Vec<_> =
+                parts.filter_map(|part| table.refute_end(now, *part, endpoint)).collect();
+            (table.refute_end(now, suspects.request, endpoint), parts)
+        };
+        self.on_quarantine_change(request);
+        self.broadcast_part_cases(&parts);
+    }
+
     /// Records that a request was answered completely, `duration` after it was sent, so that
     /// neither it nor the parts of its prompt caused the earlier ends of endpoints.
     pub(crate) fn record_complete_answer(
@@ -371,8 +386,11 @@
             }
         }
         for id in state.logged.difference(&present) {
-            let line = self.quarantine_line(id);
-            line.maybe("told_by", from).text("outcome", "released");
+            self.quarantine_line(id)
+                .number("ends", state.table.open_end_count(*id))
+                .maybe("log_odds", state.table.cause_log_odds(*id))
+                .maybe("told_by", from)
+                .text("outcome", "released");
         }
         state.logged = present;
     }
--- a/crates/gateway/src/tunnel.rs
+++ b/crates/gateway/src/tunnel.rs
@@ -45,6 +45,9 @@
 /// The time-out of an instance's connection to an endpoint.
 const ENDPOINT_CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// The maximum number of other endpoints that are tried to check this instance's own links.
+const MAX_REACH_CHECKS: usize = 2;
+
 /// How long an instance that gave no tunnel is asked after all others.
 const PEER_RETRY_DELAY: Duration = Duration::from_secs(3);
 
@@ -387,20 +390,20 @@
         failures.insert(peer.clone(), now);
     }
 
-    /// Returns whether this instance connects to an endpoint other than `endpoint`.
+    /// Returns whether this instance connects to an endpoint other than `endpoint`. Those heard from
+    /// last are tried, since others may have ended too.
     pub(crate) async fn reaches_another_endpoint(&self, endpoint: &EndpointStart) -> bool {
-        let other = {
-            let registry = self.endpoints.borrow();
-            let others: Vec<SocketAddr> = registry
-                .all()
-                .filter(|beat| beat.endpoint != *endpoint && registry.is_serving(&beat.endpoint))
-                .map(|beat| beat.address)
-                .collect();
-            others.choose(&mut rand::rng()).copied()
-        };
-        let Some(other) = other else { return true };
+        let others = self.endpoints.borrow().last_heard_serving(endpoint, MAX_REACH_CHECKS);
+        if others.is_empty() {
+            return true;
+        }
         let from = self.settings().listen.endpoints_from;
-        let connected = timeout(ENDPOINT_CONNECT_TIMEOUT, net::connect(other, from)).await;
-        connected.is_ok_and(|result| result.is_ok())
+        for other in others {
+            let connected = timeout(ENDPOINT_CONNECT_TIMEOUT, net::connect(other, from)).await;
+            if connected.is_ok_and(|result| result.is_ok()) {
+                return true;
+            }
+        }
+        false
     }
 }
--- a/crates/quarantine/src/case.rs
+++ b/crates/quarantine/src/case.rs
@@ -196,6 +196,11 @@
         self.ends.iter().map(|(endpoint, end)| (endpoint, end.seen))
     }
 
+    /// Returns whether the end of an endpoint is recorded.
+    pub(crate) fn has_end(&self, endpoint: &EndpointStart) -> bool {
+        self.ends.contains_key(endpoint)
+    }
+
     /// Returns the endpoints of all interrupted runs, with the durations that are known.
     pub(crate) fn interrupted_runs(
         &self,
--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -193,6 +193,23 @@
         self.clear(now, digest, Some(duration))
     }
 
+    /// Clears a request or a part of the end of one endpoint, which was alive afterwards. Returns the
+    /// update for the other instances if the case changed.
+    pub fn refute_end<D: Into<SuspectId> + Copy>(
+        &mut self,
+        now: MonotonicTime,
+        digest: D,
+        endpoint: &EndpointStart,
+    ) -> Option<CaseUpdate<D>> {
+        let case = self.cases.get_mut(&digest.into())?;
+        if !case.has_end(endpoint) || case.clear_end(endpoint, None) != EndChange::New {
+            return None;
+        }
+        let update = case.update(now, digest);
+        self.outdate(digest.into());
+        Some(update)
+    }
+
     fn clear<D: Into<SuspectId> + Copy>(
         &mut self,
         now: MonotonicTime,
@@ -311,6 +328,11 @@
         }
     }
 
+    /// Returns the number of ends that count against a request or a part.
+    pub fn open_end_count(&self, digest: impl Into<SuspectId>) -> usize {
+        self.cases.get(&digest.into()).map_or(0, |case| case.open_ends().count())
+    }
+
     /// Returns the time of the last open end of a request or a part.
     pub fn last_end(&self, digest: impl Into<SuspectId>) -> Option<MonotonicTime> {
         self.cases.get(&digest.into())?.last_open_end()
