Answers without a length: the end of a connection amid the upload proves nothing

Callers saw: an endpoint answered a long upload at once with a 200 without a length, wrote a part and closed in order; the part reached the caller as a complete answer. Cause: such an answer is believed if the start that wrote it is alive afterwards, and this one is. Nothing asked whether the request had been taken. Change: the answer is cut if the request's body was not written in whole, or if the connection is reset within 0.1 s of its end. The connection stays half open until then, since the system reports no reset after an orderly end. Tunnels pass the end on and keep the connection for the reset. Evidence and why it works: the operating system resets a connection that a process closes with unread bytes; a body that is longer than the buffers stays unwritten.

--- a/crates/gateway/src/front/sends.rs
+++ b/crates/gateway/src/front/sends.rs
@@ -160,7 +160,7 @@
     let mut message = Request::builder()
         .method(request.method.clone())
         .uri(request.path.as_str())
-        .body(request.body.clone())
+        .body(request.body.for_send())
         .ok()?;
     *message.headers_mut() = headers;
     Some(message)
@@ -203,7 +203,9 @@
         Ok(body) => {
             if framing != BodyFraming::Connection {
                 gateway.record_complete_answer(|| request.suspects(), placement.run_time());
-            } else if !is_answer_complete(gateway, request, &placement).await {
+            } else if !upstream.upload.is_taken().await
+                || !is_answer_complete(gateway, request, &placement).await
+            {
                 placement.connection.record_break(gateway, &placement.endpoint);
                 let reason = "the connection closed, and the answer may be incomplete".to_owned();
                 return answer_lost(gateway, request, &placement, reason);
--- a/crates/gateway/src/net.rs
+++ b/crates/gateway/src/net.rs
@@ -50,6 +50,14 @@
     let _ = stream.readable().await;
 }
 
+/// Returns whether a connection was reset. The operating system reports that once.
+pub(crate) fn is_reset(stream: &TcpStream) -> bool {
+    !matches!(stream.take_error(), Ok(None))
+}
+
+/// The interval at which a connection is checked for a reset.
+pub(crate) const RESET_CHECK_INTERVAL: Duration = Duration::from_millis(5);
+
 /// Listens with a backlog that is long enough for a burst of new connections.
 pub(crate) fn listen(address: SocketAddr) -> io::Result<tokio::net::TcpListener> {
     let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
--- a/crates/gateway/src/request_body.rs
+++ b/crates/gateway/src/request_body.rs
@@ -3,6 +3,7 @@
 //! A buffer that grows as a whole is in memory twice while it is moved, and leaves gaps of all sizes
 //! behind that longer bodies cannot use.
 
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -22,9 +23,27 @@
     pieces: Rc<[Bytes]>,
     /// The number of pieces that this copy has passed on.
     passed_on: usize,
+    /// Set once the last piece has been passed on.
+    is_passed_on: Rc<Cell<bool>>,
 }
 
 impl RequestBody {
+    /// Creates a body from its pieces.
+    fn new(pieces: Rc<[Bytes]>) -> Self {
+        let is_passed_on = Rc::new(Cell::new(pieces.is_empty()));
+        Self { pieces, passed_on: 0, is_passed_on }
+    }
+
+    /// Returns a copy for one send, which passes on all pieces.
+    pub(crate) fn for_send(&self) -> Self {
+        Self::new(Rc::clone(&self.pieces))
+    }
+
+    /// Returns whether the last piece has been passed on, as it becomes known.
+    pub(crate) fn passed_on(&self) -> Rc<Cell<bool>> {
+        Rc::clone(&self.is_passed_on)
+    }
+
     pub(crate) fn pieces(&self) -> impl Iterator<Item = &[u8]> {
         self.pieces.iter().map(|piece| &**piece)
     }
@@ -37,7 +56,7 @@
 impl From<Bytes> for RequestBody {
     fn from(bytes: Bytes) -> Self {
         let piece = Some(bytes).filter(|bytes| !bytes.is_empty());
-        Self { pieces: piece.into_iter().collect(), passed_on: 0 }
+        Self::new(piece.into_iter().collect())
     }
 }
 
@@ -51,6 +70,7 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
         let piece = self.rest().first().cloned();
         self.passed_on += usize::from(piece.is_some());
+        self.is_passed_on.set(self.rest().is_empty());
         Poll::Ready(piece.map(|piece| Ok(Frame::data(piece))))
     }
 
@@ -117,6 +137,6 @@
         if !self.last.is_empty() {
             self.full.push(self.last.freeze());
         }
-        RequestBody { pieces: self.full.into(), passed_on: 0 }
+        RequestBody::new(self.full.into())
     }
 }
--- a/crates/gateway/src/tunnel.rs
+++ b/crates/gateway/src/tunnel.rs
@@ -299,14 +299,30 @@
     }
 }
 
-/// Passes bytes on until one side closes. Returns whether it closed its connection properly.
+/// Passes bytes on until the asking instance closes its connection or the endpoint breaks its own. Returns
+/// whether the connections were closed properly.
 async fn pass_on(caller: &mut TcpStream, mut endpoint: TcpStream) -> bool {
     let (mut from_caller, mut to_caller) = caller.split();
     let (mut from_endpoint, mut to_endpoint) = endpoint.split();
-    tokio::select! {
+    let mut sending = std::pin::pin!(copy(&mut from_caller, &mut to_endpoint));
+    let received = tokio::select! {
         // The caller closes its connection once it needs no answer any more.
-        sent = copy(&mut from_caller, &mut to_endpoint) => sent.is_ok(),
-        received = copy(&mut from_endpoint, &mut to_caller) => received.is_ok(),
+        sent = &mut sending => return sent.is_ok(),
+        received = copy(&mut from_endpoint, &mut to_caller) => received,
+    };
+    if received.is_err() || to_caller.shutdown().await.is_err() {
+        return false;
+    }
+    // The end of the answer is passed on at once. The endpoint may still reset the connection because of
+    // bytes that it has not read, which shows that it had not taken the request.
+    let was_reset = async {
+        while !net::is_reset(from_endpoint.as_ref()) {
+            sleep(net::RESET_CHECK_INTERVAL).await;
+        }
+    };
+    tokio::select! {
+        sent = &mut sending => sent.is_ok(),
+        () = was_reset => false,
     }
 }
 
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -5,14 +5,14 @@
 //! written, so that the sender cannot know whether the request ran; a late answer to an earlier
 //! request; and bytes that remain from an earlier answer.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1;
 use hyper::header::{CONTENT_TYPE, HOST};
 use hyper::{HeaderMap, Request, Response, StatusCode};
@@ -20,12 +20,13 @@
 use oriolepass_units::EndpointStart;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use crate::dial::{DialPlan, EndpointConnection, FailureKind, SHORT_LIFE, dial};
 use crate::dialect::{EndpointCall, StartQuestion};
 use crate::framing::BodyFraming;
 use crate::gateway::Gateway;
+use crate::net;
 use crate::request_body::RequestBody;
 use crate::task_guard::TaskGuard;
 
@@ -40,6 +41,10 @@
 /// interim answers, the head, and what the HTTP library reads ahead.
 const MAX_HEAD_BYTES: usize = 256 * 1024;
 
+/// How long the end of an answer waits for a reset of its connection, which shows that the endpoint has
+/// not read the request. A process that ends its answer closes the connection within milliseconds.
+const RESET_WAIT: Duration = Duration::from_millis(100);
+
 /// A start of an endpoint and its address.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct EndpointTarget {
@@ -62,6 +67,8 @@
 pub(crate) struct Upstream {
     pub(crate) response: Response<Incoming>,
     pub(crate) framing: BodyFraming,
+    /// Whether the endpoint has taken the request.
+    pub(crate) upload: UploadWatch,
     /// Closes the connection when it is dropped, so that the endpoint notices that the answer is
     /// not needed.
     pub(crate) guard: TaskGuard,
@@ -98,9 +105,12 @@
 ) -> Result<Upstream, SendFailure> {
     let head_bytes = Rc::new(Cell::new(Some(0)));
     let limited = Rc::clone(&head_bytes);
+    let upload = UploadWatch::new(request.body());
+    let stream =
+        WatchedStream { stream: Some(connection.stream), head_bytes, upload: upload.clone() };
     let (mut sender, connection) = http1::Builder::new()
         .max_buf_size(ENDPOINT_BUFFER_BYTES)
-        .handshake(TokioIo::new(HeadLimitedStream { stream: connection.stream, head_bytes }))
+        .handshake(TokioIo::new(stream))
         .await
         .map_err(|error| SendFailure::NotSent(error.to_string()))?;
     let guard = TaskGuard::spawn(async move {
@@ -111,7 +121,7 @@
         Ok(response) => {
             limited.set(None);
             let framing = BodyFraming::of(&response);
-            Ok(Upstream { response, framing, guard })
+            Ok(Upstream { response, framing, upload, guard })
         }
         Err(mut failed) => {
             // hyper returns the request if none of it was written to the connection.
@@ -126,15 +136,78 @@
     }
 }
 
-/// A connection that breaks if the head of the answer takes too many bytes. The HTTP library bounds the
-/// length of a head, but not the number of interim answers before it.
-struct HeadLimitedStream {
-    stream: TcpStream,
+/// Tells whether an endpoint has taken a request, as far as the connection shows.
+///
+/// An endpoint may answer before it has read the request, and close the connection. The bytes that it
+/// has not read then remain unsent, or the operating system resets the connection because of them.
+#[derive(Debug, Clone)]
+pub(crate) struct UploadWatch(Rc<UploadState>);
+
+#[derive(Debug)]
+struct UploadState {
+    /// Whether the request has no body.
+    is_empty: bool,
+    /// Whether the whole request has been passed to the HTTP library.
+    is_passed_on: Rc<Cell<bool>>,
+    /// Whether the whole request has been written to the connection.
+    is_written: Cell<bool>,
+    /// The connection, once the HTTP library has read its end.
+    ended: RefCell<Option<TcpStream>>,
+}
+
+impl UploadWatch {
+    fn new(body: &RequestBody) -> Self {
+        Self(Rc::new(UploadState {
+            is_empty: body.is_end_stream(),
+            is_passed_on: body.passed_on(),
+            is_written: Cell::new(false),
+            ended: RefCell::new(None),
+        }))
+    }
+
+    /// Returns whether the endpoint has taken the request, after an answer that ended with its
+    /// connection. Waits for a reset if the request has a body.
+    pub(crate) async fn is_taken(&self) -> bool {
+        let UploadState { is_written, is_empty, ended, .. } = &*self.0;
+        if *is_empty {
+            return true;
+        }
+        if !is_written.get() {
+            return false;
+        }
+        let was_reset = async {
+            while !ended.borrow().as_ref().is_some_and(net::is_reset) {
+                sleep(net::RESET_CHECK_INTERVAL).await;
+            }
+        };
+        timeout(RESET_WAIT, was_reset).await.is_err()
+    }
+}
+
+/// A connection that breaks if the head of the answer takes too many bytes, and tells whether the
+/// request has been written. The HTTP library bounds the length of a head, but not the number of interim
+/// answers before it.
+struct WatchedStream {
+    /// The connection, until it is dropped.
+    stream: Option<TcpStream>,
     /// The number of bytes received, until the head is complete.
     head_bytes: Rc<Cell<Option<usize>>>,
+    upload: UploadWatch,
+}
+
+impl WatchedStream {
+    fn stream(&mut self) -> Pin<&mut TcpStream> {
+        Pin::new(self.stream.as_mut().expect("the connection is there until it is dropped"))
+    }
 }
 
-impl AsyncRead for HeadLimitedStream {
+impl Drop for WatchedStream {
+    fn drop(&mut self) {
+        *self.upload.0.ended.borrow_mut() = self.stream.take();
+    }
+}
+
+impl AsyncRead for WatchedStream {
     fn poll_read(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -142,7 +215,7 @@
     ) -> Poll<std::io::Result<()>> {
         let this = self.get_mut();
         let before = buf.filled().len();
-        let polled = Pin::new(&mut this.stream).poll_read(cx, buf);
+        let polled = this.stream().poll_read(cx, buf);
         if let Some(received) = this.head_bytes.get() {
             let received = received + buf.filled().len() - before;
             this.head_bytes.set(Some(received));
@@ -155,21 +228,27 @@
     }
 }
 
-impl AsyncWrite for HeadLimitedStream {
+impl AsyncWrite for WatchedStream {
     fn poll_write(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut self.get_mut().stream).poll_write(cx, buf)
+        self.get_mut().stream().poll_write(cx, buf)
     }
 
+    /// Flushes the connection. The HTTP library does so once it has written all that it holds.
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_flush(cx)
+        let this = self.get_mut();
+        let UploadState { is_passed_on, is_written, .. } = &*this.upload.0;
+        is_written.set(is_written.get() || is_passed_on.get());
+        this.stream().poll_flush(cx)
     }
 
-    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_shutdown(cx)
+    /// Leaves the connection open. After an orderly end of both directions, the operating system would
+    /// not report a reset any more.
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Poll::Ready(Ok(()))
     }
 
     fn poll_write_vectored(
@@ -177,11 +256,11 @@
         cx: &mut Context<'_>,
         bufs: &[std::io::IoSlice<'_>],
     ) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut self.get_mut().stream).poll_write_vectored(cx, bufs)
+        self.get_mut().stream().poll_write_vectored(cx, bufs)
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        self.stream.as_ref().is_some_and(AsyncWrite::is_write_vectored)
     }
 }
 
