Answers: a status outside 100 to 599 is no answer

Callers saw: answers with status 600 and 999 of a server in trouble, as they were. 000, 099 and malformed ones were no answers before (502 or 503). Cause: the HTTP library lets all statuses of three digits from 100 on pass. Change: the answer counts as lost, as one without proof that it is for the request: repeated where that is allowed, else 502.

--- a/crates/gateway/src/front/sends.rs
+++ b/crates/gateway/src/front/sends.rs
@@ -1,5 +1,6 @@
 //! Sends a request to one endpoint and classifies the result.
 
+use std::ops::RangeInclusive;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -41,6 +42,9 @@
 /// The interval between attempts to get memory for an answer.
 const MEMORY_RETRY_DELAY: Duration = Duration::from_millis(20);
 
+/// The statuses of answers. The HTTP library also lets others of three digits pass.
+const STATUSES: RangeInclusive<u16> = 100..=599;
+
 /// An answer with its complete body.
 pub(super) type BufferedAnswer = Response<HeldBody>;
 
@@ -182,6 +186,10 @@
     if facts.was_not_run || status == StatusCode::MISDIRECTED_REQUEST {
         return handle_not_run(gateway, request, &placement, status, &facts);
     }
+    if !STATUSES.contains(&status.as_u16()) {
+        let reason = format!("status {status}, which no answer has");
+        return answer_lost(gateway, request, &placement, reason);
+    }
     let is_for_request = facts.request_id.as_deref() == Some(request.id.as_str());
     if !is_for_request || !facts.is_signed {
         if status == StatusCode::SERVICE_UNAVAILABLE && wish.wants_nothing() {
