--- a/crates/gateway/src/front/end_probes.rs
+++ b/crates/gateway/src/front/end_probes.rs
@@ -50,7 +50,7 @@
     Unreachable,
     /// Each new connection is closed.
     Closing,
-    /// The engine accepts connections and answers no call, which a busy engine does.
+    /// The engine accepts connections and answers no call. A busy engine answers calls.
     Mute,
     /// Connections are refused, and the endpoint had announced that it leaves. It may have ended by
     /// itself.
