--- a/crates/gateway/src/request_body.rs
+++ b/crates/gateway/src/request_body.rs
@@ -39,8 +39,8 @@
         Self::new(Rc::clone(&self.pieces))
     }
 
-    /// Returns whether the last piece has been passed on, as it becomes known.
-    pub(crate) fn passed_on(&self) -> Rc<Cell<bool>> {
+    /// Returns the flag that is set once the last piece has been passed on.
+    pub(crate) fn passed_on_flag(&self) -> Rc<Cell<bool>> {
         Rc::clone(&self.is_passed_on)
     }
 
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -159,7 +159,7 @@
     fn new(body: &RequestBody) -> Self {
         Self(Rc::new(UploadState {
             is_empty: body.is_end_stream(),
-            is_passed_on: body.passed_on(),
+            is_passed_on: body.passed_on_flag(),
             is_written: Cell::new(false),
             ended: RefCell::new(None),
         }))
