Ends: a stalled answer ended with its last piece, also where heartbeats tell nothing

Callers saw: fatal prompts reach engines after the bound, once in a while, where connections stay silent and some instances are leaves. Cause: a leaf learns of the silence about when the engine returns, so the reset by the next start was taken for the time of the end, and the whole outage for the run. The longest run counts, so the part seemed to act slowly. Change: if an engine's answer has begun and no piece came for as long as makes a heartbeat overdue, the end is at the last piece.

--- a/crates/gateway/src/front/ends.rs
+++ b/crates/gateway/src/front/ends.rs
@@ -326,14 +326,23 @@
         end: ConnectionEnd,
     ) -> Self {
         let now = gateway.now();
-        // A connection to a lost machine may break long after the process has ended.
+        let is_at_engine = request.service.engine.is_some();
+        // A connection to a lost machine may break long after the process has ended, and a leaf may
+        // not know yet that the endpoint is silent. An engine writes its answer piece by piece.
+        let overdue = gateway.overdue_silence();
+        let progress_at = clock.last_progress();
+        let is_stalled =
+            is_at_engine && clock.has_answer_begun() && now.since(progress_at) >= overdue;
         let silence = gateway.endpoints.borrow().silence(now, endpoint);
-        let silence = silence.filter(|silence| *silence >= gateway.overdue_silence());
-        let ended_at = silence.map_or(now, |silence| clock.last_progress().max(now - silence));
+        let ended_at = match silence {
+            Some(silence) if silence >= overdue => progress_at.max(now - silence),
+            _ if is_stalled => progress_at,
+            _ => now,
+        };
         Self {
             request: request.id.clone(),
             suspects: request.suspects(),
-            is_at_engine: request.service.engine.is_some(),
+            is_at_engine,
             end,
             ended_at,
             noticed_at: now,
--- a/crates/gateway/src/front/placement.rs
+++ b/crates/gateway/src/front/placement.rs
@@ -180,6 +180,11 @@
         self.answer_began.get().map(|began| until.since(began))
     }
 
+    /// Returns whether the head of the answer has arrived.
+    pub(super) fn has_answer_begun(&self) -> bool {
+        self.answer_began.get().is_some()
+    }
+
     /// Records that the head of the answer has arrived.
     fn record_answer_began(&self, now: MonotonicTime) {
         self.answer_began.set(Some(now));
