Ends: an end is recorded at its first observation by any instance

Callers saw: fatal prompts reach engines after the bound, in some runs, where connections stay silent before the head and some instances are leaves. Cause: a leaf notices a silent connection when the next start resets it, and recorded the run with the whole outage as its duration. Without a piece of the answer it cannot tell by itself when the process ended. Change: a process ends once, so a run ends at the first observation of the end that the table knows and that still counts.

--- a/crates/gateway/src/front/ends.rs
+++ b/crates/gateway/src/front/ends.rs
@@ -462,9 +462,17 @@
 }
 
 /// Records that an endpoint's process ended under a run.
+///
+/// A process ends once, so an earlier observation of its end also holds for this run. Its connection
+/// may have fallen silent then.
 fn record_end(gateway: &Gateway, endpoint: &EndpointStart, run: &EndedRun) {
-    gateway.record_endpoint_end(run.suspects.request, endpoint, run.ended_at, run.duration);
-    gateway.record_end_under_parts(&run.suspects, endpoint, run.ended_at, run.part_duration());
+    let observed_at = gateway.first_observed_end(endpoint).unwrap_or(run.ended_at);
+    let ended_at = run.ended_at.min(observed_at);
+    let delay = run.ended_at.since(ended_at);
+    let duration = run.duration.saturating_sub(delay);
+    let part_duration = run.part_duration().saturating_sub(delay);
+    gateway.record_endpoint_end(run.suspects.request, endpoint, ended_at, duration);
+    gateway.record_end_under_parts(&run.suspects, endpoint, ended_at, part_duration);
 }
 
 /// Begins the log line about the result of a probe for one run.
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -131,6 +131,12 @@
         self.on_quarantine_change(update);
     }
 
+    /// Returns when any daemon first observed the end of an endpoint, as far as the table tells.
+    pub(crate) fn first_observed_end(&self, endpoint: &EndpointStart) -> Option<MonotonicTime> {
+        let seen = self.quarantine.borrow().table.first_observation(endpoint)?;
+        Some(MonotonicTime::ZERO + seen.since(MonotonicTime::ZERO + TABLE_TIME_OFFSET))
+    }
+
     /// Records that an endpoint whose end was presumed was alive, so that the end counts neither
     /// against the request nor against the parts of its prompt.
     pub(crate) fn refute_end(&self, suspects: &RequestSuspects, endpoint: &EndpointStart) {
--- a/crates/quarantine/src/case.rs
+++ b/crates/quarantine/src/case.rs
@@ -196,6 +196,12 @@
         self.ends.iter().map(|(endpoint, end)| (endpoint, end.seen))
     }
 
+    /// Returns when the end of an endpoint was first observed, if the request has not been cleared of it.
+    pub(crate) fn open_end(&self, endpoint: &EndpointStart) -> Option<MonotonicTime> {
+        let is_open = !self.cleared.contains_key(endpoint);
+        self.ends.get(endpoint).filter(|_| is_open).map(|end| end.seen)
+    }
+
     /// Returns whether the end of an endpoint is recorded.
     pub(crate) fn has_end(&self, endpoint: &EndpointStart) -> bool {
         self.ends.contains_key(endpoint)
--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -328,6 +328,13 @@
         }
     }
 
+    /// Returns when the end of an endpoint was first observed, under any request or part that it still
+    /// counts against.
+    pub fn first_observation(&self, endpoint: &EndpointStart) -> Option<MonotonicTime> {
+        let seen = self.cases.values().filter_map(|case| case.open_end(endpoint));
+        seen.min()
+    }
+
     /// Returns the number of ends that count against a request or a part.
     pub fn open_end_count(&self, digest: impl Into<SuspectId>) -> usize {
         self.cases.get(&digest.into()).map_or(0, |case| case.open_ends().count())
--- a/crates/quarantine/tests/table.rs
+++ b/crates/quarantine/tests/table.rs
@@ -47,6 +47,32 @@
     from.updates(now).iter().filter(|case| to.merge(now, case)).count() > 0
 }
 
+/// Guards against an end whose time is taken from the run that noticed it last, or from one that was refuted.
+#[test]
+fn the_first_open_observation_of_an_end_counts() {
+    let mut table = QuarantineTable::default();
+    table.record_end(at(4), digest(1), &endpoint(0));
+    table.record_end(at(2), digest(2), &endpoint(0));
+    assert_eq!(table.first_observation(&endpoint(0)), Some(at(2)));
+    assert!(table.refute_end(at(5), digest(2), &endpoint(0)).is_some());
+    assert_eq!(table.first_observation(&endpoint(0)), Some(at(4)));
+    assert_eq!(table.first_observation(&endpoint(1)), None);
+}
+
+/// Guards against a presumed end that still counts after the endpoint was heard from, or against other ends that
+/// are cleared with it.
+#[test]
+fn a_refuted_end_does_not_count_and_others_do() {
+    let mut table = with_ends(digest(1), &[0, 1]);
+    assert!(table.refute_end(at(2), digest(1), &endpoint(0)).is_some());
+    assert!(table.refute_end(at(2), digest(1), &endpoint(0)).is_none(), "already refuted");
+    assert!(table.refute_end(at(2), digest(1), &endpoint(5)).is_none(), "no such end");
+    assert_eq!(table.open_end_count(digest(1)), 1);
+    let mut other = with_ends(digest(1), &[0, 1]);
+    send_all(&table, &mut other, at(3));
+    assert_eq!(other.open_end_count(digest(1)), 1);
+}
+
 #[test]
 fn a_complete_response_clears_earlier_ends_but_not_later_ones() {
     let mut table = with_ends(digest(1), &[0, 1]);
