Ends: a run that is given up before heartbeats are overdue is followed

Callers with little patience got prompts with a fatal part sent to engine after engine: a request on a silent connection was followed only from the time on when the engine's heartbeats were overdue, and whoever left before then, or whose deadline passed, took the run along. A run that must not be repeated, or a stream that cannot be resumed, was not followed at all.

Now each delivered run is followed until its answer ends: while it waits, and after it was given up until the endpoint is heard from or its heartbeats are overdue. It counts if the endpoint had more likely ended before it was given up than after, since an endpoint ends between two heartbeats.

--- a/crates/gateway/src/front/ends.rs
+++ b/crates/gateway/src/front/ends.rs
@@ -22,7 +22,9 @@
 //! ([`EndpointAbsence`]). A presumed end counts like a proved one until a heartbeat refutes it.
 //!
 //! A connection may also fall silent. Its request is followed in the same way from the time on when
-//! the endpoint's heartbeats are overdue, and even after the request has been given up.
+//! the endpoint's heartbeats are overdue. A request that is given up before then, by its caller or at
+//! its deadline, is followed as well. It counts if no heartbeat arrives any more and the endpoint is
+//! more likely to have ended before that time than after it.
 //!
 //! Requests do not wait for pending ends; `broken_runs` tells what is done meanwhile.
 //!
@@ -40,6 +42,7 @@
 
 use oriolepass_units::{EndpointStart, MonotonicTime};
 use tokio::sync::watch;
+use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
 use super::caller::CallerRequest;
@@ -339,7 +342,7 @@
             _ if is_stalled => progress_at,
             _ => now,
         };
-        Self {
+        let run = Self {
             request: request.id.clone(),
             suspects: request.suspects(),
             is_at_engine,
@@ -347,9 +350,16 @@
             ended_at,
             noticed_at: now,
             is_presumed: false,
-            duration: clock.run_time(ended_at),
-            answer_time: clock.answer_time(ended_at),
-        }
+            duration: Duration::ZERO,
+            answer_time: None,
+        };
+        run.with_end_at(ended_at, clock)
+    }
+
+    /// Returns the run with another time of its end.
+    fn with_end_at(self, ended_at: MonotonicTime, clock: &RunClock) -> Self {
+        let (duration, answer_time) = (clock.run_time(ended_at), clock.answer_time(ended_at));
+        Self { ended_at, duration, answer_time, ..self }
     }
 
     /// Returns the time for which the parts of the prompt had an effect: since the head of the
@@ -372,6 +382,58 @@
     join_probe(gateway, run, target.clone());
 }
 
+/// Follows a run that was given up before its answer ended. Records an end for the quarantine if the
+/// endpoint's process has ended and had probably done so before.
+pub(super) fn follow_given_up(
+    gateway: &Rc<Gateway>,
+    request: &CallerRequest,
+    target: &EndpointTarget,
+    clock: &RunClock,
+) {
+    let silence = gateway.endpoints.borrow().silence(gateway.now(), &target.endpoint);
+    let may_have_ended = silence.is_some_and(|silence| gateway.may_have_ended(silence));
+    if clock.is_over() || !clock.is_delivered() || !may_have_ended {
+        return;
+    }
+    let run = EndedRun::new(gateway, request, &target.endpoint, clock, ConnectionEnd::Silent);
+    let (gateway, target, clock) = (Rc::clone(gateway), target.clone(), clock.clone());
+    spawn_local(async move {
+        let Some(heard_at) = wait_until_overdue(&gateway, &target).await else { return };
+        let given_up_at = run.noticed_at;
+        if given_up_at > heard_at && gateway.may_have_ended(given_up_at.since(heard_at)) {
+            let ended_at = clock.last_progress().max(heard_at);
+            join_probe(&gateway, run.with_end_at(ended_at, &clock), target);
+        }
+    });
+}
+
+/// Waits until the heartbeats of an endpoint are overdue. Returns when the last one arrived, or `None`
+/// if the endpoint is not known any more or was heard from in the meantime.
+async fn wait_until_overdue(gateway: &Gateway, target: &EndpointTarget) -> Option<MonotonicTime> {
+    let given_up_at = gateway.now();
+    loop {
+        let now = gateway.now();
+        let silence = gateway.endpoints.borrow().silence(now, &target.endpoint)?;
+        let heard_at = now - silence;
+        if heard_at > given_up_at {
+            return None;
+        }
+        let overdue = gateway.overdue_silence();
+        if silence >= overdue {
+            return Some(heard_at);
+        }
+        sleep((overdue - silence).max(FATE_CHECK_INTERVAL)).await;
+    }
+}
+
+impl Gateway {
+    /// Returns whether an endpoint that is not heard from again is more likely to have ended within
+    /// `silence` after its last heartbeat than later.
+    fn may_have_ended(&self, silence: Duration) -> bool {
+        silence * 2 >= self.settings().bounds.endpoint_heartbeat
+    }
+}
+
 /// Adds a run to the probe of its endpoint, and starts the probe if there is none.
 fn join_probe(
     gateway: &Rc<Gateway>,
--- a/crates/gateway/src/front/placement.rs
+++ b/crates/gateway/src/front/placement.rs
@@ -152,6 +152,8 @@
     answer_began: Rc<Cell<Option<MonotonicTime>>>,
     /// When the request was sent, or a part of its answer arrived last.
     last_progress: Rc<Cell<MonotonicTime>>,
+    /// Whether the answer has ended, or its connection has broken.
+    is_over: Rc<Cell<bool>>,
 }
 
 impl RunClock {
@@ -162,9 +164,20 @@
             connection: connection.clone(),
             answer_began: Rc::default(),
             last_progress: Rc::new(Cell::new(now)),
+            is_over: Rc::default(),
         }
     }
 
+    /// Returns whether the answer has ended, or its connection has broken.
+    pub(super) fn is_over(&self) -> bool {
+        self.is_over.get()
+    }
+
+    /// Records that the answer has ended, or that its connection has broken.
+    pub(super) fn record_over(&self) {
+        self.is_over.set(true);
+    }
+
     /// Returns whether the request may have reached its endpoint: its connection was opened.
     pub(super) fn is_delivered(&self) -> bool {
         self.connection.get().is_some()
--- a/crates/gateway/src/front/presence.rs
+++ b/crates/gateway/src/front/presence.rs
@@ -6,9 +6,10 @@
 //! and holds engine memory that other requests need.
 //!
 //! Once the heartbeats are overdue, the request is also followed as one that may have ended its
-//! endpoint.
+//! endpoint. This holds for every request, also for one whose answer is awaited in any case.
 
-use std::future::Future;
+use std::convert::Infallible;
+use std::future::{Future, pending};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -43,8 +44,8 @@
 ) -> Option<T> {
     tokio::select! {
         biased;
-        answer = answer => Some(answer),
-        reason = wait_until_gone(gateway, request, target, clock) => {
+        answer = with_silence_watch(gateway, request, target, clock, answer) => Some(answer),
+        reason = wait_until_gone(gateway, target) => {
             gateway
                 .line(EventKind::Endpoint)
                 .text("endpoint", &target.endpoint)
@@ -56,16 +57,46 @@
     }
 }
 
-/// Waits until an endpoint is gone. Returns the evidence as a text for the log.
-async fn wait_until_gone(
+/// Waits for an answer. Follows the request as one that may have ended its endpoint once the
+/// heartbeats of the endpoint are overdue.
+pub(super) async fn with_silence_watch<T>(
+    gateway: &Rc<Gateway>,
+    request: &CallerRequest,
+    target: &EndpointTarget,
+    clock: &RunClock,
+    answer: impl Future<Output = T>,
+) -> T {
+    tokio::select! {
+        biased;
+        answer = answer => answer,
+        never = watch_silence(gateway, request, target, clock) => match never {},
+    }
+}
+
+/// Waits until the heartbeats of an endpoint are overdue, and follows the request from then on.
+async fn watch_silence(
     gateway: &Rc<Gateway>,
     request: &CallerRequest,
     target: &EndpointTarget,
     clock: &RunClock,
-) -> String {
+) -> Infallible {
+    loop {
+        let overdue = gateway.overdue_silence();
+        let silence = gateway.endpoints.borrow().silence(gateway.now(), &target.endpoint);
+        // A request that has not been delivered cannot have ended the endpoint.
+        if silence.is_some_and(|silence| silence >= overdue) && clock.is_delivered() {
+            watch_silent_run(gateway, request, target, clock);
+            return pending().await;
+        }
+        let rest = silence.map_or(overdue, |silence| overdue.saturating_sub(silence));
+        sleep(rest.max(MIN_CHECK_INTERVAL)).await;
+    }
+}
+
+/// Waits until an endpoint is gone. Returns the evidence as a text for the log.
+async fn wait_until_gone(gateway: &Rc<Gateway>, target: &EndpointTarget) -> String {
     let EndpointTarget { endpoint, address } = target;
     let mut check_delay = MIN_CHECK_INTERVAL;
-    let mut is_watched = false;
     loop {
         sleep(check_delay).await;
         let max_silence =
@@ -74,16 +105,8 @@
             let registry = gateway.endpoints.borrow();
             (registry.silence(gateway.now(), endpoint), registry.at(*address))
         };
-        let overdue = gateway.overdue_silence();
-        // A request that has not been delivered cannot have ended the endpoint.
-        let is_overdue = silence.is_some_and(|silence| silence >= overdue);
-        if !is_watched && is_overdue && clock.is_delivered() {
-            is_watched = true;
-            watch_silent_run(gateway, request, target, clock);
-        }
         if let Some(silence) = silence.filter(|silence| *silence < max_silence) {
-            let next = if is_watched { max_silence } else { overdue.min(max_silence) };
-            check_delay = next.saturating_sub(silence).max(MIN_CHECK_INTERVAL);
+            check_delay = (max_silence - silence).max(MIN_CHECK_INTERVAL);
             continue;
         }
         if let Some(other) = occupant.filter(|other| other != endpoint) {
--- a/crates/gateway/src/front/sends.rs
+++ b/crates/gateway/src/front/sends.rs
@@ -13,11 +13,11 @@
 
 use super::body::{BodyCollector, HeldBody};
 use super::caller::CallerRequest;
-use super::ends::{is_answer_complete, probe_for_end};
+use super::ends::{follow_given_up, is_answer_complete, probe_for_end};
 use super::headers::strip_hop_by_hop_headers;
 use super::helpers::check_helper;
-use super::placement::{NoPlacement, Placement, endpoint_failed};
-use super::presence::while_alive;
+use super::placement::{NoPlacement, Placement, RunClock, endpoint_failed};
+use super::presence::{while_alive, with_silence_watch};
 use super::stream::{EventSource, NextEvents, OpenStream};
 use crate::balancer::FaultKind;
 use crate::dial::EndpointConnection;
@@ -89,20 +89,48 @@
     placement: Placement,
     last_event: Option<u64>,
 ) -> SendOutcome {
-    if !request.route.repeat.may_repeat() {
-        return exchange(gateway, request, placement, last_event).await;
-    }
     let (target, clock) = (placement.target(), placement.clock.clone());
+    let follower = RunFollower { gateway, request, target: &target, clock: &clock };
     // The home must learn of the failure before the exchange is dropped, which reports its end.
     let mut exchange = std::pin::pin!(exchange(gateway, request, placement, last_event));
-    let end = while_alive(gateway, request, &target, &clock, exchange.as_mut()).await;
+    let end = if request.route.repeat.may_repeat() {
+        while_alive(gateway, request, &target, &clock, exchange.as_mut()).await
+    } else {
+        Some(with_silence_watch(gateway, request, &target, &clock, exchange.as_mut()).await)
+    };
+    match end {
+        // The stream's forwarder follows the run from now on.
+        Some(SendOutcome::Stream(_)) => follower.release(),
+        Some(_) => clock.record_over(),
+        None => endpoint_failed(gateway, request, &target.endpoint, FaultKind::Unreachable),
+    }
     end.unwrap_or_else(|| {
-        let endpoint = target.endpoint;
-        endpoint_failed(gateway, request, &endpoint, FaultKind::Unreachable);
+        let endpoint = target.endpoint.clone();
         SendOutcome::MayHaveRun { reason: "the endpoint is gone".to_owned(), endpoint }
     })
 }
 
+/// Follows a run that is given up before its answer has ended, by dropping its send.
+struct RunFollower<'a> {
+    gateway: &'a Rc<Gateway>,
+    request: &'a CallerRequest,
+    target: &'a EndpointTarget,
+    clock: &'a RunClock,
+}
+
+impl RunFollower<'_> {
+    /// Leaves the run to another follower.
+    fn release(self) {
+        std::mem::forget(self);
+    }
+}
+
+impl Drop for RunFollower<'_> {
+    fn drop(&mut self) {
+        follow_given_up(self.gateway, self.request, self.target, self.clock);
+    }
+}
+
 async fn exchange(
     gateway: &Rc<Gateway>,
     request: &CallerRequest,
@@ -311,7 +339,8 @@
 ) -> SendOutcome {
     let framing = upstream.framing;
     let (parts, body) = upstream.response.into_parts();
-    let mut source = EventSource::new(gateway, body, framing, upstream.guard, last_event);
+    let mut source =
+        EventSource::new(gateway, body, framing, upstream.guard, last_event, &placement.clock);
     let first = match source.next().await {
         NextEvents::Events(first) => Some(first),
         NextEvents::Ended => None,
--- a/crates/gateway/src/front/stream.rs
+++ b/crates/gateway/src/front/stream.rs
@@ -14,11 +14,11 @@
 
 use super::body::{NotQueued, PieceSender, ResponseBody, streamed_body};
 use super::caller::{CallerRequest, EndGuard};
-use super::ends::{is_answer_complete, probe_for_end};
+use super::ends::{follow_given_up, is_answer_complete, probe_for_end};
 use super::events::EventSplitter;
 use super::pace::PaceMeter;
-use super::placement::{Placement, endpoint_failed};
-use super::presence::while_alive;
+use super::placement::{Placement, RunClock, endpoint_failed};
+use super::presence::{while_alive, with_silence_watch};
 use super::tries::{RequestOutcome, SendHistory, may_resume};
 use crate::balancer::FaultKind;
 use crate::events::EventKind;
@@ -26,7 +26,7 @@
 use crate::gateway::Gateway;
 use crate::held_bytes::{ByteHold, HeldKind};
 use crate::task_guard::TaskGuard;
-use crate::upstream::describe;
+use crate::upstream::{EndpointTarget, describe};
 
 /// The maximum number of pieces queued for a slow caller. When the queue is full, the gateway stops
 /// reading from the endpoint.
@@ -68,6 +68,7 @@
     splitter: EventSplitter,
     /// Counts the bytes that are not returned yet.
     hold: ByteHold,
+    clock: RunClock,
     _guard: TaskGuard,
 }
 
@@ -78,9 +79,11 @@
         framing: BodyFraming,
         guard: TaskGuard,
         last_event: Option<u64>,
+        clock: &RunClock,
     ) -> Self {
         let hold = ByteHold::new(gateway, HeldKind::Stream);
-        Self { body, framing, splitter: EventSplitter::new(last_event), hold, _guard: guard }
+        let (splitter, clock) = (EventSplitter::new(last_event), clock.clone());
+        Self { body, framing, splitter, hold, clock, _guard: guard }
     }
 
     /// Returns the id of the last event returned.
@@ -96,6 +99,15 @@
     /// Waits for the next complete events. Bytes that contain no event beyond the last one are waited
     /// out like silence. Cancel-safe: no data is lost if the future is dropped.
     pub(super) async fn next(&mut self) -> NextEvents {
+        let next = self.read_events().await;
+        match &next {
+            NextEvents::Events(_) => self.clock.record_progress(self.hold.gateway().now()),
+            _ => self.clock.record_over(),
+        }
+        next
+    }
+
+    async fn read_events(&mut self) -> NextEvents {
         loop {
             match self.body.frame().await {
                 Some(Ok(frame)) => {
@@ -151,7 +163,7 @@
     let (pieces, body) = streamed_body(MAX_QUEUED_PIECES, Some(hold));
     let head = open.head.clone();
     let forwarder =
-        StreamForwarder { gateway: Rc::clone(gateway), request, history, pieces, guard };
+        StreamForwarder { gateway: Rc::clone(gateway), request, run: None, history, pieces, guard };
     spawn_local(forwarder.run(open));
     Response::from_parts(head, body)
 }
@@ -162,6 +174,8 @@
 struct StreamForwarder {
     gateway: Rc<Gateway>,
     request: CallerRequest,
+    /// The run whose answer is forwarded.
+    run: Option<(EndpointTarget, RunClock)>,
     history: SendHistory,
     pieces: PieceSender,
     guard: EndGuard,
@@ -187,6 +201,7 @@
                 () = sleep_until(deadline) => ForwardEnd::TimeOver,
             }
         };
+        self.follow_run(None);
         self.guard.record_answer(self.history.sends());
         let (status, reason) = match &end {
             ForwardEnd::Complete(run_time) => {
@@ -225,6 +240,7 @@
         mut open: Box<OpenStream>,
     ) -> Result<Box<OpenStream>, ForwardEnd> {
         self.guard.record_framing(open.source.framing);
+        self.follow_run(Some(&open.placement));
         let pause = self.request.route.pause_objective.unwrap_or(DEFAULT_PAUSE_OBJECTIVE);
         let mut silence_timeout = (pause * SILENCE_PAUSE_RATIO).max(MIN_SILENCE_TIMEOUT);
         let mut meter = open.placement.pace_meter();
@@ -232,7 +248,6 @@
             let events_before = open.source.returned_events();
             match timeout(silence_timeout, self.next_piece(&mut open)).await {
                 Ok(NextEvents::Events(piece)) => {
-                    open.placement.clock.record_progress(self.gateway.now());
                     if let Some(meter) = &mut meter {
                         let events = open.source.returned_events().wrapping_sub(events_before);
                         self.measure_pace(meter, &open.placement, events);
@@ -274,14 +289,22 @@
         }
     }
 
+    /// Begins to forward the answer of the next run. The run before may have been given up.
+    fn follow_run(&mut self, next: Option<&Placement>) {
+        let next = next.map(|placement| (placement.target(), placement.clock.clone()));
+        if let Some((target, clock)) = std::mem::replace(&mut self.run, next) {
+            follow_given_up(&self.gateway, &self.request, &target, &clock);
+        }
+    }
+
     /// Waits for an endpoint's next events. A stream that can be resumed elsewhere counts as broken
     /// once its endpoint is gone.
     async fn next_piece(&self, open: &mut OpenStream) -> NextEvents {
-        if !self.can_resume() {
-            return open.source.next().await;
-        }
         let (target, clock) = (open.placement.target(), &open.placement.clock);
         let next = open.source.next();
+        if !self.can_resume() {
+            return with_silence_watch(&self.gateway, &self.request, &target, clock, next).await;
+        }
         let piece = while_alive(&self.gateway, &self.request, &target, clock, next).await;
         piece.unwrap_or_else(|| NextEvents::Broken("the endpoint is gone".to_owned()))
     }
