Heartbeats: what a late loop reads may be as old as its delay

The logs had ends with the outcome 'lives' of engines that had crashed 1.7 s before: an instance that woke up read a notice of another one, or a heartbeat, that had waited in its socket, and took it for a sign of life after the crash. It cleared the parts and told the others.

A heartbeat or notice of a known start now counts as sent before the delay of the loop that reads it.

--- a/crates/gateway/src/announce.rs
+++ b/crates/gateway/src/announce.rs
@@ -47,11 +47,14 @@
     pub fn endpoint_beat(&self, beat: EndpointBeat) {
         let now = self.now();
         let endpoint = beat.endpoint.clone();
-        let change = self.endpoints.borrow_mut().apply_heartbeat(now, beat.clone(), Duration::ZERO);
+        // A first heartbeat is no sign of life of a start that is known to have run.
+        let is_known = self.endpoints.borrow().is_known(&endpoint);
+        let age = if is_known { self.max_reading_delay() } else { Duration::ZERO };
+        let change = self.endpoints.borrow_mut().apply_heartbeat(now, beat.clone(), age);
         match change {
             BeatChange::Met | BeatChange::Changed => {
                 self.log_endpoint(&beat, change, None);
-                let notice = EndpointNotice { beat, age: Duration::ZERO };
+                let notice = EndpointNotice { beat, age };
                 self.publish_endpoint_changes(vec![notice], Vec::new());
                 self.endpoints_changed();
             }
@@ -89,7 +92,11 @@
         let tier = self.tier();
         let is_from_leaf = tier == Tier::Hub && !self.roster.borrow().is_hub(from);
         let mut changed = Vec::new();
-        for notice in notices {
+        let reading_delay = self.max_reading_delay();
+        for mut notice in notices {
+            if self.endpoints.borrow().is_known(&notice.beat.endpoint) {
+                notice.age += reading_delay;
+            }
             let change =
                 self.endpoints.borrow_mut().apply_heartbeat(now, notice.beat.clone(), notice.age);
             if matches!(change, BeatChange::Met | BeatChange::Changed) {
--- a/crates/gateway/src/clock_tests.rs
+++ b/crates/gateway/src/clock_tests.rs
@@ -27,7 +27,7 @@
     };
 }
 
-fn run_for(span: Duration) {
+pub(crate) fn run_for(span: Duration) {
     let ClockReading { steady, with_suspensions } = READING.get();
     READING.set(ClockReading { steady: steady + span, with_suspensions: with_suspensions + span });
 }
--- a/crates/gateway/src/loop_delay.rs
+++ b/crates/gateway/src/loop_delay.rs
@@ -13,7 +13,7 @@
 use crate::gateway::Gateway;
 
 /// The interval at which the delay is measured. Each measurement wakes the process.
-const MEASURE_INTERVAL: Duration = Duration::from_millis(500);
+pub(crate) const MEASURE_INTERVAL: Duration = Duration::from_millis(500);
 
 /// The shortest delay that is logged: half of what an endpoint's time may be too long by.
 const MIN_REPORTED_DELAY: Duration = Duration::from_millis(250);
@@ -92,6 +92,14 @@
         self.loop_delays.longest(Instant::now())
     }
 
+    /// Returns how long before now something that is read now may have arrived. What an endpoint sent
+    /// before it crashed must not count as sent when a loop that was late reads it.
+    pub(crate) fn max_reading_delay(&self) -> Duration {
+        let delay = self.recent_loop_delay();
+        // The loop may have stopped at any time since the measurement began.
+        if delay < MIN_REPORTED_DELAY { delay } else { delay + MEASURE_INTERVAL }
+    }
+
     /// Measures the delay of the event loop until the process stops.
     pub(crate) async fn measure_loop_delay(self: Rc<Self>) {
         let mut reporter = DelayReporter::default();
