Ends: an engine that rests is not asked whether it serves

An engine that had asked an instance for rest, whose connection broke and whose heartbeats were overdue was probed with calls of its interface. The probe used up the few calls that an engine at rest takes, and then took the call that was not made for one that nobody answered: the engine counted as ended until its next heartbeat. Found by reading; the unit test was red before.

--- a/crates/gateway/src/front/end_probes.rs
+++ b/crates/gateway/src/front/end_probes.rs
@@ -145,9 +145,12 @@
     ListenerState::Closing
 }
 
-/// Returns whether an engine answers no call.
-async fn is_mute(gateway: &Rc<Gateway>, target: &EndpointTarget) -> bool {
+/// Returns whether an engine answers no call. One that rests is not asked.
+pub(super) async fn is_mute(gateway: &Rc<Gateway>, target: &EndpointTarget) -> bool {
     for _ in 0..MAX_QUESTIONS {
+        if gateway.is_resting(&target.endpoint) {
+            return false;
+        }
         let question = (gateway.dialect.ask_engine_start)(&target.endpoint);
         let asked = timeout(START_WAIT, ask_start(gateway, target, question)).await;
         if asked.is_ok_and(|answer| answer != StartAnswer::Unclear) {
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -7,6 +7,8 @@
 mod body_tests;
 mod caller;
 mod end_probes;
+#[cfg(test)]
+mod end_probes_tests;
 pub(crate) mod ends;
 mod events;
 mod evidence;
