--- a/crates/gateway/src/front/ends.rs
+++ b/crates/gateway/src/front/ends.rs
@@ -224,6 +224,7 @@
     placement: &Placement,
 ) {
     let endpoint = &placement.endpoint;
+    placement.clock.record_over();
     let end = ConnectionEnd::Broken;
     let run = EndedRun::new(gateway, request, endpoint, &placement.clock, end);
     let broke_at = run.noticed_at;
@@ -391,9 +392,11 @@
     target: &EndpointTarget,
     clock: &RunClock,
 ) {
+    if clock.is_over() || !clock.is_delivered() {
+        return;
+    }
     let silence = gateway.endpoints.borrow().silence(gateway.now(), &target.endpoint);
-    let may_have_ended = silence.is_some_and(|silence| gateway.may_have_ended(silence));
-    if clock.is_over() || !clock.is_delivered() || !may_have_ended {
+    if !silence.is_some_and(|silence| gateway.may_have_ended(silence)) {
         return;
     }
     let run = EndedRun::new(gateway, request, &target.endpoint, clock, ConnectionEnd::Silent);
--- a/crates/gateway/src/front/presence.rs
+++ b/crates/gateway/src/front/presence.rs
@@ -80,7 +80,9 @@
     target: &EndpointTarget,
     clock: &RunClock,
 ) -> Infallible {
+    let mut check_delay = MIN_CHECK_INTERVAL;
     loop {
+        sleep(check_delay).await;
         let overdue = gateway.overdue_silence();
         let silence = gateway.endpoints.borrow().silence(gateway.now(), &target.endpoint);
         // A request that has not been delivered cannot have ended the endpoint.
@@ -89,7 +91,7 @@
             return pending().await;
         }
         let rest = silence.map_or(overdue, |silence| overdue.saturating_sub(silence));
-        sleep(rest.max(MIN_CHECK_INTERVAL)).await;
+        check_delay = rest.max(MIN_CHECK_INTERVAL);
     }
 }
 
