Quarantine: one way to change a case and to clear its open ends

Three methods of the table looked up a case, changed it, and built and returned its update in the same steps, and two methods of the case cleared open ends alike; the third of each came with the clearance by recent runs.

QuarantineTable::change_case and RequestCase::clear_open serve all of them; what is cleared, and when an update is returned, is as before.

No behaviour changes; a fourth kind of change needs one closure.

--- a/crates/quarantine/src/case.rs
+++ b/crates/quarantine/src/case.rs
@@ -179,18 +179,24 @@
     /// Clears the request of all open ends, after a complete run of the given duration. Returns whether the
     /// case changed.
     pub(crate) fn clear_all(&mut self, run: Option<Duration>) -> bool {
-        let open: Vec<EndpointStart> =
-            self.open_ends().map(|(endpoint, _)| endpoint.clone()).collect();
-        let cleared = open.iter().filter(|end| self.clear_end(end, run) == EndChange::New);
-        cleared.count() > 0
+        self.clear_open(run, |_| true)
     }
 
     /// Clears the request of the open ends that were observed before a time at which a complete run ended.
     /// Returns whether the case changed.
     pub(crate) fn clear_before(&mut self, ended: MonotonicTime, run: Duration) -> bool {
-        let earlier = self.open_ends().filter(|(_, seen)| *seen < ended);
-        let earlier: Vec<EndpointStart> = earlier.map(|(endpoint, _)| endpoint.clone()).collect();
-        let cleared = earlier.iter().filter(|end| self.clear_end(end, Some(run)) == EndChange::New);
+        self.clear_open(Some(run), |seen| seen < ended)
+    }
+
+    /// Clears the request of the open ends that were observed at times which `is_cleared` accepts.
+    fn clear_open(
+        &mut self,
+        run: Option<Duration>,
+        is_cleared: impl Fn(MonotonicTime) -> bool,
+    ) -> bool {
+        let open = self.open_ends().filter(|(_, seen)| is_cleared(*seen));
+        let open: Vec<EndpointStart> = open.map(|(endpoint, _)| endpoint.clone()).collect();
+        let cleared = open.iter().filter(|end| self.clear_end(end, run) == EndChange::New);
         cleared.count() > 0
     }
 
--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -215,13 +215,7 @@
         part: PartDigest,
     ) -> Option<CaseUpdate<PartDigest>> {
         let run = self.recent_runs.last(&part)?;
-        let case = self.cases.get_mut(&part.into())?;
-        if !case.clear_before(run.ended, run.duration) {
-            return None;
-        }
-        let update = case.update(now, part);
-        self.outdate(part.into());
-        Some(update)
+        self.change_case(now, part, |case| case.clear_before(run.ended, run.duration))
     }
 
     /// Clears a request or a part of the end of one endpoint, which was alive afterwards. Returns the
@@ -232,13 +226,9 @@
         digest: D,
         endpoint: &EndpointStart,
     ) -> Option<CaseUpdate<D>> {
-        let case = self.cases.get_mut(&digest.into())?;
-        if !case.has_end(endpoint) || case.clear_end(endpoint, None) != EndChange::New {
-            return None;
-        }
-        let update = case.update(now, digest);
-        self.outdate(digest.into());
-        Some(update)
+        self.change_case(now, digest, |case| {
+            case.has_end(endpoint) && case.clear_end(endpoint, None) == EndChange::New
+        })
     }
 
     fn clear<D: Into<SuspectId> + Copy>(
@@ -246,12 +236,28 @@
         now: MonotonicTime,
         digest: D,
         run: Option<Duration>,
+    ) -> Option<CaseUpdate<D>> {
+        self.change_case(now, digest, |case| {
+            let is_changed = case.clear_all(run);
+            if is_changed {
+                case.last_trial = None;
+            }
+            is_changed
+        })
+    }
+
+    /// Changes a case that exists. Returns the update for the other instances if `change` returns that
+    /// the case changed.
+    fn change_case<D: Into<SuspectId> + Copy>(
+        &mut self,
+        now: MonotonicTime,
+        digest: D,
+        change: impl FnOnce(&mut RequestCase) -> bool,
     ) -> Option<CaseUpdate<D>> {
         let case = self.cases.get_mut(&digest.into())?;
-        if !case.clear_all(run) {
+        if !change(case) {
             return None;
         }
-        case.last_trial = None;
         let update = case.update(now, digest);
         self.outdate(digest.into());
         Some(update)
