Heartbeats: one place decides how old a heartbeat may be when it is read

Direct heartbeats and notices of other instances corrected their age each in its own way: one replaced it, the other added to it, and only one said why the first heartbeat of a start is left out.

Gateway::max_beat_age takes the stated age, zero for a direct heartbeat, and serves both.

No behaviour changes.

--- a/crates/gateway/src/announce.rs
+++ b/crates/gateway/src/announce.rs
@@ -47,9 +47,7 @@
     pub fn endpoint_beat(&self, beat: EndpointBeat) {
         let now = self.now();
         let endpoint = beat.endpoint.clone();
-        // A first heartbeat is no sign of life of a start that is known to have run.
-        let is_known = self.endpoints.borrow().is_known(&endpoint);
-        let age = if is_known { self.max_reading_delay() } else { Duration::ZERO };
+        let age = self.max_beat_age(&endpoint, Duration::ZERO);
         let change = self.endpoints.borrow_mut().apply_heartbeat(now, beat.clone(), age);
         match change {
             BeatChange::Met | BeatChange::Changed => {
@@ -65,6 +63,14 @@
         }
     }
 
+    /// Returns the greatest age of a heartbeat that is read now and was `stated` old when it was sent on.
+    ///
+    /// The first heartbeat of a start is no sign of life after a crash, so it has the stated age.
+    fn max_beat_age(&self, endpoint: &EndpointStart, stated: Duration) -> Duration {
+        let is_known = self.endpoints.borrow().is_known(endpoint);
+        if is_known { stated + self.max_reading_delay() } else { stated }
+    }
+
     /// Removes an endpoint that announced its departure.
     ///
     /// Without a start time in `endpoint`, the known start is removed.
@@ -92,11 +98,8 @@
         let tier = self.tier();
         let is_from_leaf = tier == Tier::Hub && !self.roster.borrow().is_hub(from);
         let mut changed = Vec::new();
-        let reading_delay = self.max_reading_delay();
         for mut notice in notices {
-            if self.endpoints.borrow().is_known(&notice.beat.endpoint) {
-                notice.age += reading_delay;
-            }
+            notice.age = self.max_beat_age(&notice.beat.endpoint, notice.age);
             let change =
                 self.endpoints.borrow_mut().apply_heartbeat(now, notice.beat.clone(), notice.age);
             if matches!(change, BeatChange::Met | BeatChange::Changed) {
