Quarantine: sound prompts are not refused while reports of an end are on their way

What callers saw: a sound prompt was refused for one of its parts, once, while engines crashed under other prompts (503, for 20 ms).

Cause: the facts on one end arrive one after the other, since each instance reports the requests that it had sent to the endpoint. A sound part that ran on each of the first four ended engines was their only explanation until the reports of the fatal part arrived, and its prompts were refused at once. A request is judged again 40 ms after its last end before it is refused; a prompt was not judged again for its parts. For requests the 40 ms counted from the end itself, which has passed when an end is presumed or proved late.

Change: a prompt that is to be refused for a part waits, like a request, until 40 ms have passed since this instance learnt of the part's last end, and is judged again; up to four times while further ends become known. Nothing is sent meanwhile, so that no further engine crashes for it.

--- a/crates/gateway/src/front/tries.rs
+++ b/crates/gateway/src/front/tries.rs
@@ -65,11 +65,6 @@
 /// refusals without a delay of their own.
 const FULL_RETRY_AFTER: Duration = Duration::from_millis(250);
 
-/// The delay after the end of an endpoint before a request that ran there is judged by the
-/// quarantine. Other requests that ran at the endpoint may belong to other instances, whose reports
-/// arrive within a few hops.
-const END_REPORT_GRACE: Duration = Duration::from_millis(40);
-
 /// The reason for refusing a quarantined request.
 const QUARANTINED: &str = "the request ends its endpoints";
 
@@ -428,7 +423,7 @@
             return Ok(());
         }
         if let (Standing::Quarantined { trial_in }, Some(part)) =
-            gateway.prompt_standing(|| request.parts())
+            gateway.reported_prompt_standing(|| request.parts()).await
         {
             if trial_in.is_zero() && gateway.try_begin_trial(part) {
                 self.is_trial = true;
@@ -441,8 +436,7 @@
         if !matches!(standing(), Standing::Quarantined { .. }) {
             return Ok(());
         }
-        let age = gateway.since_last_end(request.digest()).unwrap_or(Duration::MAX);
-        sleep(END_REPORT_GRACE.saturating_sub(age)).await;
+        gateway.wait_for_reports(request.digest()).await;
         gateway.judge_facts();
         let Standing::Quarantined { trial_in } = standing() else { return Ok(()) };
         if trial_in.is_zero() && gateway.try_begin_trial(request.digest()) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -79,6 +79,8 @@
 mod net;
 mod operators;
 mod part_quarantine;
+#[cfg(test)]
+mod part_quarantine_tests;
 mod paths;
 #[cfg(test)]
 mod paths_tests;
--- a/crates/gateway/src/part_quarantine.rs
+++ b/crates/gateway/src/part_quarantine.rs
@@ -16,6 +16,10 @@
 use crate::peers::{PeerMessage, ProtocolLevel};
 use crate::quarantine::{MAX_CASES_PER_MESSAGE, RequestSuspects, TABLE_TIME_OFFSET};
 
+/// The maximum number of times that a prompt waits for reports before it is refused. Endpoints may go on
+/// ending under a fatal part.
+const MAX_REPORT_WAITS: u32 = 4;
+
 impl Gateway {
     /// Records that an endpoint ended at `seen` under a prompt whose parts had an effect for
     /// `duration`. The end of the request is recorded before.
@@ -73,6 +77,25 @@
         state.table.prompt_standing(self.case_time(), &parts())
     }
 
+    /// Returns the standing of a prompt by its parts, and the part that determines it, like
+    /// [`Self::prompt_standing`]. If the prompt is to be refused for a part whose last end became known just
+    /// now, the daemons first get the time to report what else ran on the endpoint.
+    pub(crate) async fn reported_prompt_standing(
+        &self,
+        parts: impl Fn() -> Rc<[PartDigest]>,
+    ) -> (Standing, Option<PartDigest>) {
+        let mut judged = self.prompt_standing(&parts);
+        for _ in 0..MAX_REPORT_WAITS {
+            let (Standing::Quarantined { .. }, Some(part)) = judged else { break };
+            if !self.wait_for_reports(part).await {
+                break;
+            }
+            self.judge_facts();
+            judged = self.prompt_standing(&parts);
+        }
+        judged
+    }
+
     /// Logs that a prompt is refused because of one of its parts.
     pub(crate) fn log_refused_part(&self, request: &str, part: PartDigest) {
         self.line(EventKind::Quarantine)
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -44,6 +44,10 @@
 const MIN_REVIEW_PAUSE: Duration = Duration::from_millis(20);
 const MAX_REVIEW_PAUSE: Duration = Duration::from_millis(300);
 
+/// The delay after the report of an endpoint's end before what ran there is refused. Other requests
+/// that ran at the endpoint may belong to other daemons, whose reports arrive within a few hops.
+const END_REPORT_GRACE: Duration = Duration::from_millis(40);
+
 /// The offset of the table's times from the times of the process, which begin near zero. The offset
 /// is longer than any case is kept, so that ends before the start of this process keep their ages.
 pub(crate) const TABLE_TIME_OFFSET: Duration = Duration::from_secs(7 * 24 * 3_600);
@@ -198,10 +202,14 @@
         self.quarantine.borrow_mut().table.judge();
     }
 
-    /// Returns the time since the last endpoint ended under a request.
-    pub(crate) fn since_last_end(&self, digest: RequestDigest) -> Option<Duration> {
-        let last_end = self.quarantine.borrow().table.last_end(digest)?;
-        Some(self.case_time().since(last_end))
+    /// Waits until the daemons have had the time to report the last end that this daemon learnt of under
+    /// a request or a part. Returns whether it waited.
+    pub(crate) async fn wait_for_reports(&self, digest: impl Into<SuspectId>) -> bool {
+        let last_report = self.quarantine.borrow().table.last_report(digest);
+        let age = last_report.map_or(Duration::MAX, |at| self.case_time().since(at));
+        let wait = END_REPORT_GRACE.saturating_sub(age);
+        sleep(wait).await;
+        !wait.is_zero()
     }
 
     /// Returns whether a request is clear, suspect or quarantined.
--- a/crates/quarantine/src/case.rs
+++ b/crates/quarantine/src/case.rs
@@ -137,6 +137,8 @@
     cleared: BTreeMap<EndpointStart, Option<Duration>>,
     /// The time of the last trial while quarantined.
     pub(crate) last_trial: Option<MonotonicTime>,
+    /// When this instance learnt of the last end that it learnt of.
+    pub(crate) last_report: Option<MonotonicTime>,
 }
 
 impl RequestCase {
--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -160,6 +160,7 @@
         if case.record_end(run) != EndChange::New {
             return None;
         }
+        case.last_report = Some(now);
         let update = case.update(now, digest);
         self.outdate(digest.into());
         self.evict_if_full(digest.into());
@@ -280,6 +281,9 @@
         };
         let ends = update.ends.iter().map(|end| case.record_end(&interrupted(end)));
         let mut changes: Vec<EndChange> = ends.collect();
+        if changes.contains(&EndChange::New) {
+            case.last_report = Some(now);
+        }
         let cleared = update.cleared.iter();
         changes.extend(cleared.map(|clear| case.clear_end(&clear.endpoint, clear.run)));
         if known.is_none() && case.is_expired(now) {
@@ -377,9 +381,12 @@
         self.cases.get(&digest.into()).map_or(0, |case| case.open_ends().count())
     }
 
-    /// Returns the time of the last open end of a request or a part.
-    pub fn last_end(&self, digest: impl Into<SuspectId>) -> Option<MonotonicTime> {
-        self.cases.get(&digest.into())?.last_open_end()
+    /// Returns when this instance learnt of the last end of a request or a part that it learnt of.
+    ///
+    /// Other requests and parts that ran on the endpoint may belong to other instances, whose reports
+    /// arrive later. Until then too few suspects share the end.
+    pub fn last_report(&self, digest: impl Into<SuspectId>) -> Option<MonotonicTime> {
+        self.cases.get(&digest.into())?.last_report
     }
 
     fn requests(&self) -> impl Iterator<Item = (RequestDigest, &RequestCase)> {
--- a/crates/quarantine/tests/world/mod.rs
+++ b/crates/quarantine/tests/world/mod.rs
@@ -296,7 +296,7 @@
                 !trial_in.is_zero(),
                 "the simulation is shorter than the interval to the first trial"
             );
-            let last = self.instances[instance].table.last_end(self.requests[request].digest);
+            let last = self.instances[instance].table.last_report(self.requests[request].digest);
             let age = last.map_or(Duration::MAX, |at| self.time().since(at));
             if age < Duration::from_millis(UPDATE_WAIT_MS) {
                 return self.schedule(UPDATE_WAIT_MS, Event::Retry(request));
