Gateway: tests create a gateway in one place

Cause: part_quarantine_tests wrote again the settings and the creation of a gateway that repeats_tests had. Change: create_gateway in repeats_tests serves both; no assertion, bound or product code changes.

--- a/crates/gateway/src/part_quarantine_tests.rs
+++ b/crates/gateway/src/part_quarantine_tests.rs
@@ -1,32 +1,20 @@
 //! Tests of the refusal of prompts for their parts while reports of ends are on their way.
 
-use std::rc::Rc;
 use std::time::Duration;
 
 use oriolepass_quarantine::{
     CaseUpdate, InterruptedRun, PartDigest, PartIdentity, QuarantineTable, RequestDigest,
     RequestIdentity, Standing,
 };
-use oriolepass_settings::GatewaySettings;
 use oriolepass_units::{InstanceId, MonotonicTime};
 use tokio::time::sleep;
 
-use crate::clock_tests::no_dialect;
-use crate::events::EventLog;
 use crate::gateway::Gateway;
+use crate::repeats_tests::create_gateway;
 
 /// The time between the ends, which is long enough for each of them to count.
 const END_INTERVAL: Duration = Duration::from_millis(300);
 
-fn create_gateway() -> Rc<Gateway> {
-    let text = "[instance]\nname = g\ndata_centre = z\n[listen]\ncallers = 127.0.0.1:1\n\
-                readiness = 127.0.0.1:2\ncontrol = 127.0.0.1:3\ndirectory = 127.0.0.1:4\n\
-                peers = 127.0.0.1:5\nmetrics = 127.0.0.1:6\n[cluster]\nseeds = 127.0.0.1:3\n\
-                may_found = true\nlost_instances = 0\nlost_data_centres = 0\n";
-    let settings = GatewaySettings::parse("test", text).expect("good settings");
-    Gateway::new(settings, no_dialect(), EventLog::start("g", |_| Ok(())).expect("a thread"))
-}
-
 fn part(name: &str) -> PartDigest {
     let service = "writers".parse().expect("a service");
     let part = name.parse().expect("a part");
--- a/crates/gateway/src/repeats_tests.rs
+++ b/crates/gateway/src/repeats_tests.rs
@@ -16,16 +16,21 @@
 
 const MAX_ELECTION_TIME: Duration = Duration::from_secs(20);
 
-/// Creates a gateway that is the only seed, and runs nothing but its replica: it neither greets nor is
-/// greeted.
-fn start_replica_alone(folder: &Path) -> Rc<Gateway> {
+/// Creates a gateway that is the only seed, and runs nothing.
+pub(crate) fn create_gateway() -> Rc<Gateway> {
     let text = "[instance]\nname = g\ndata_centre = z\n[listen]\ncallers = 127.0.0.1:1\n\
                 readiness = 127.0.0.1:2\ncontrol = 127.0.0.1:3\ndirectory = 127.0.0.1:4\n\
                 peers = 127.0.0.1:5\nmetrics = 127.0.0.1:6\n[cluster]\nseeds = 127.0.0.1:3\n\
                 may_found = true\nlost_instances = 0\nlost_data_centres = 0\n";
     let settings = GatewaySettings::parse("test", text).expect("good settings");
     let log = EventLog::start("g", |_| Ok(())).expect("a thread");
-    let gateway = Gateway::new(settings, no_dialect(), log);
+    Gateway::new(settings, no_dialect(), log)
+}
+
+/// Creates a gateway that is the only seed, and runs nothing but its replica: it neither greets nor is
+/// greeted.
+fn start_replica_alone(folder: &Path) -> Rc<Gateway> {
+    let gateway = create_gateway();
     let (reports, to_loop) = tokio::sync::mpsc::unbounded_channel();
     let replica = ReplicaDriver::new(gateway.own.clone(), folder, reports);
     *gateway.replica.borrow_mut() = Some(replica);
