Logs: the relay of a tunnel, and the judgement of an answer that ends with its connection

The lines could not tell an answer that was judged by its endpoint from one that reached the caller because somebody else answered at the address of the instance that passed it on: `tunnel` did not name the relay, and only a counter said what an unframed answer was judged by.

`tunnel` names the relay. `answer-end` gives the evidence, the relay, the outcome and the time of the judgement.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -99,8 +99,10 @@
     Rest = "rest";
     /// An endpoint that others reach is not reached by this instance itself, or is again; `cut off` means that it reaches none, `reconnected` that it does again.
     EndpointPath = "endpoint-path";
-    /// A request goes to its endpoint by way of another instance.
+    /// A request goes to its endpoint by way of another instance, `relay`.
     Tunnel = "tunnel";
+    /// An answer without a length ended with its connection; `evidence` says what showed whether it is complete, `outcome` how it was judged, `relay` which instance passed it on, if one did, `judged_ms` how long the judgement took.
+    AnswerEnd = "answer-end";
     /// An endpoint lost a request's answer `broken_ms` ago; `outcome` says whether it has ended, `digest` names the request across its attempts, `parts` the parts that other prompts may share, `answer_ms` is the time from the head of the answer to the loss (absent if no head had arrived), `silent_ms` the time since the endpoint's last heartbeat (absent if the start is not known any more), `evidence` why a presumed end is presumed, `log_odds` is the natural logarithm of the odds that it is fatal (from three ends on).
     EndpointEnd = "endpoint-end";
     /// A request, or a part of prompts, that ends its endpoints was quarantined or released; `digest` or `part` names it. With `request`, a prompt was refused because of a part.
--- a/crates/gateway/src/front/ends.rs
+++ b/crates/gateway/src/front/ends.rs
@@ -252,6 +252,14 @@
         EndEvidence::RelayLost
     };
     gateway.metrics.unframed_ends.with_label_values(&[evidence.name()]).inc();
+    gateway
+        .line(EventKind::AnswerEnd)
+        .text("request", &request.id)
+        .text("endpoint", &target.endpoint)
+        .maybe("relay", placement.connection.relay())
+        .text("evidence", evidence.name())
+        .millis("judged_ms", gateway.now().since(run.noticed_at))
+        .text("outcome", if evidence.proves_complete() { "complete" } else { "cut" });
     if evidence == EndEvidence::Answered {
         let RequestSuspects { request, parts } = &run.suspects;
         gateway.record_complete_answer(parts, || *request, run.duration);
--- a/crates/gateway/src/front/sends.rs
+++ b/crates/gateway/src/front/sends.rs
@@ -150,7 +150,7 @@
         placement.connection.record(connection);
         if connection.way == EndpointWay::Tunnel {
             let line = gateway.line(EventKind::Tunnel).text("request", &request.id);
-            line.text("endpoint", &target.endpoint);
+            line.text("endpoint", &target.endpoint).maybe("relay", connection.relay.as_ref());
         }
         true
     };
