Tunnels: the process that passes an answer on states its end

Cause: the end of that process closes a tunnel like the end of the answer. The caller's instance asked afterwards whether the instance in between was alive, and its next process said so.

Change: the bytes of a tunnel come in pieces, and the process that passes them on states the end that it saw. A tunnel that closes without a stated end is broken, and one that closes after it counts as reset while the caller's instance waits for a reset by the endpoint. The question is gone. It works for any order of ends, since only the process that saw the end can state it. An instance of the version before states none, so an answer that ends with its connection counts as cut by way of it.

--- a/crates/gateway/src/dial.rs
+++ b/crates/gateway/src/dial.rs
@@ -7,9 +7,9 @@
 use std::time::Duration;
 
 use oriolepass_units::{EndpointStart, InstanceId, MonotonicTime};
-use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
+use crate::endpoint_stream::EndpointStream;
 use crate::events::EventKind;
 use crate::gateway::Gateway;
 use crate::net;
@@ -43,7 +43,7 @@
 
 /// A connection to an endpoint.
 pub(crate) struct EndpointConnection {
-    pub(crate) stream: TcpStream,
+    pub(crate) stream: EndpointStream,
     pub(crate) way: EndpointWay,
     /// The instance that passes the bytes on, if the connection is a tunnel.
     pub(crate) relay: Option<InstanceId>,
@@ -184,7 +184,7 @@
         let opened = gateway.now();
         match timeout(CONNECT_TIMEOUT, net::connect(target.address, from)).await {
             Ok(Ok(stream)) => {
-                let way = EndpointWay::Direct;
+                let (stream, way) = (EndpointStream::direct(stream), EndpointWay::Direct);
                 return Ok(EndpointConnection { stream, way, relay: None, opened });
             }
             Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
@@ -293,7 +293,7 @@
         let Some(address) = self.endpoints.borrow().address(endpoint) else { return };
         let target = EndpointTarget { endpoint: endpoint.clone(), address };
         let Ok(connection) = connect_directly(self, &target).await else { return };
-        let stays_open = timeout(CLOSE_TIMEOUT, net::wait_until_closed(&connection.stream)).await;
+        let stays_open = timeout(CLOSE_TIMEOUT, connection.stream.wait_until_closed()).await;
         if stays_open.is_err() {
             let change = self.paths.borrow_mut().record_connected(connection.opened, endpoint);
             self.log_path_change(endpoint, change);
--- a/crates/gateway/src/front/end_probes.rs
+++ b/crates/gateway/src/front/end_probes.rs
@@ -17,7 +17,6 @@
 use crate::endpoints::EndpointFate;
 use crate::gateway::Gateway;
 use crate::hubs::{MISSED_HEARTBEATS, Tier};
-use crate::net;
 use crate::upstream::{EndpointTarget, StartAnswer, ask_start};
 
 /// The time-out of the probe connection, which may go by way of another instance.
@@ -136,7 +135,7 @@
             Err(_) => return ListenerState::Unreachable,
         };
         set_progress(gateway, endpoint, ProbeProgress::Accepted);
-        if timeout_at(watched_until, net::wait_until_closed(&stream)).await.is_err() {
+        if timeout_at(watched_until, stream.wait_until_closed()).await.is_err() {
             return ListenerState::Open;
         }
         set_progress(gateway, endpoint, ProbeProgress::Connecting);
--- a/crates/gateway/src/front/ends.rs
+++ b/crates/gateway/src/front/ends.rs
@@ -246,11 +246,7 @@
     let target = placement.target();
     let end = ConnectionEnd::Closed;
     let run = EndedRun::new(gateway, request, &target.endpoint, &placement.clock, end);
-    let evidence = if placement.connection.is_relay_alive(gateway, &target).await {
-        find_evidence(gateway, request, &target, run.noticed_at).await
-    } else {
-        EndEvidence::RelayLost
-    };
+    let evidence = find_evidence(gateway, request, &target, run.noticed_at).await;
     gateway.metrics.unframed_ends.with_label_values(&[evidence.name()]).inc();
     gateway
         .line(EventKind::AnswerEnd)
@@ -265,9 +261,7 @@
         gateway.record_complete_answer(parts, || *request, run.duration);
         return true;
     }
-    if evidence != EndEvidence::RelayLost {
-        join_probe(gateway, run, target);
-    }
+    join_probe(gateway, run, target);
     evidence.proves_complete()
 }
 
--- a/crates/gateway/src/front/evidence.rs
+++ b/crates/gateway/src/front/evidence.rs
@@ -24,8 +24,6 @@
     OtherStart,
     /// No process listens at the address.
     Refused,
-    /// The instance that passed the answer on is gone.
-    RelayLost,
     /// Nothing was learned in time.
     None,
 }
@@ -39,7 +37,6 @@
             Self::Unnamed => "unnamed",
             Self::OtherStart => "another start",
             Self::Refused => "refused",
-            Self::RelayLost => "relay lost",
             Self::None => "none",
         }
     }
@@ -48,7 +45,7 @@
     pub(super) fn proves_complete(self) -> bool {
         match self {
             Self::Answered | Self::Heard | Self::Unnamed => true,
-            Self::OtherStart | Self::Refused | Self::RelayLost | Self::None => false,
+            Self::OtherStart | Self::Refused | Self::None => false,
         }
     }
 }
--- a/crates/gateway/src/front/placement.rs
+++ b/crates/gateway/src/front/placement.rs
@@ -25,7 +25,6 @@
 use crate::gateway::Gateway;
 use crate::paths::EndpointWay;
 use crate::peers::ProgressNote;
-use crate::tunnel::is_relay_alive;
 use crate::upstream::EndpointTarget;
 
 /// The maximum length of an answer if the request does not state it.
@@ -110,15 +109,6 @@
         self.0.get()?.relay.as_ref()
     }
 
-    /// Returns whether the end of the connection came from the endpoint: it was direct, or the
-    /// instance that passed its bytes on is still alive.
-    pub(super) async fn is_relay_alive(&self, gateway: &Gateway, target: &EndpointTarget) -> bool {
-        match self.relay() {
-            Some(relay) => is_relay_alive(gateway, relay, target).await,
-            None => true,
-        }
-    }
-
     /// Records that the connection broke.
     pub(super) fn record_break(&self, gateway: &Gateway, endpoint: &EndpointStart) {
         if let Some((way, _)) = self.get() {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,7 +15,7 @@
 //! | `balancer`, `budget` | load balancing over endpoints that are not engines; the retry budget |
 //! | `limits` | the limits on their request rates that endpoints name in their answers |
 //! | `second_sends` | the limit on second sends of slow requests, and the answer times by which requests count as slow |
-//! | `upstream`, `dial`, `paths`, `tunnel` | connections to endpoints: sends and calls; the two ways, directly and through other daemons; which endpoints this daemon reaches; tunnels for others |
+//! | `upstream`, `dial`, `paths`, `tunnel`, `endpoint_stream` | connections to endpoints: sends and calls; the two ways, directly and through other daemons; which endpoints this daemon reaches; tunnels for others; the bytes of a tunnel and their stated end |
 //! | `held_bytes`, `request_body` | the memory for bodies, answers, streams and tunnels, by kind; the bodies of requests in pieces |
 //! | `quarantine`, `part_quarantine`, `quarantine_disk`, `broken_runs` | quarantine of requests and of parts of prompts that end their endpoints: replication to other daemons, storage on disk; care with requests whose connections broke |
 //! | `fact_queue` | facts about endpoints and requests that are sent to other daemons together |
@@ -49,6 +49,9 @@
 mod directory;
 mod documents;
 mod drains;
+mod endpoint_stream;
+#[cfg(test)]
+mod endpoint_stream_tests;
 mod endpoints;
 mod events;
 mod fact_queue;
--- a/crates/gateway/src/tunnel.rs
+++ b/crates/gateway/src/tunnel.rs
@@ -9,7 +9,8 @@
 //!
 //! A tunnel begins like a link between daemons, at the same address, with a length of 0 where a
 //! link carries the length of the sender's id. A daemon of an earlier version closes the
-//! connection, which the asking instance takes for a refusal.
+//! connection, which the asking instance takes for a refusal. `endpoint_stream` describes the bytes
+//! that follow the answer.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -24,6 +25,7 @@
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
+use crate::endpoint_stream::{EndpointStream, pass_pieces};
 use crate::gateway::Gateway;
 use crate::held_bytes::{ByteHold, HeldKind};
 use crate::hubs::Tier;
@@ -74,20 +76,26 @@
     /// How long the endpoint rests, according to its answer to a request that the receiver passed on. No
     /// tunnel is needed then.
     rest: TrailingField<Option<Duration>>,
+    /// Whether the asking instance reads the end that the receiver states.
+    reads_stated_end: TrailingField<bool>,
 }
 
 impl TunnelOpen {
     fn new(target: &EndpointTarget, life: Duration) -> Self {
         let EndpointTarget { endpoint, address } = target.clone();
-        Self { endpoint, address, life, rest: TrailingField(None) }
+        let (rest, reads_stated_end) = (TrailingField(None), TrailingField(true));
+        Self { endpoint, address, life, rest, reads_stated_end }
     }
 }
 
 /// The answer to a request for a tunnel: one byte.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum TunnelAnswer {
-    /// The endpoint accepted the connection. From here on bytes are passed on.
+    /// The endpoint accepted the connection. From here on its bare bytes are passed on.
     Open,
+    /// The endpoint accepted the connection. From here on its bytes are passed on in pieces, and their
+    /// end is stated.
+    OpenWithStatedEnd,
     /// No process listens at the endpoint's address.
     Refused,
     /// The instance does not reach the endpoint or does not know it.
@@ -107,6 +115,7 @@
             Self::Unreachable => 3,
             Self::Busy => 4,
             Self::Resting => 5,
+            Self::OpenWithStatedEnd => 6,
         }
     }
 
@@ -116,6 +125,7 @@
             2 => Self::Refused,
             4 => Self::Busy,
             5 => Self::Resting,
+            6 => Self::OpenWithStatedEnd,
             _ => Self::Unreachable,
         }
     }
@@ -123,7 +133,7 @@
 
 /// A tunnel to an endpoint.
 pub(crate) struct OpenedTunnel {
-    pub(crate) stream: TcpStream,
+    pub(crate) stream: EndpointStream,
     /// The instance that passes the bytes on.
     pub(crate) relay: InstanceId,
 }
@@ -196,8 +206,11 @@
             () = sleep(NEXT_PEER_DELAY), if peers.len() > 0 => continue,
         };
         match next {
+            Some(Ok((relay, Some((TunnelAnswer::OpenWithStatedEnd, stream))))) => {
+                return Ok(OpenedTunnel { stream: EndpointStream::stated(stream), relay });
+            }
             Some(Ok((relay, Some((TunnelAnswer::Open, stream))))) => {
-                return Ok(OpenedTunnel { stream, relay });
+                return Ok(OpenedTunnel { stream: EndpointStream::unstated(stream), relay });
             }
             Some(Ok((_, Some((TunnelAnswer::Refused, _))))) => return Err(TunnelFailure::Refused),
             Some(Ok((_, Some((TunnelAnswer::Resting, _))))) => failure = TunnelFailure::Resting,
@@ -207,17 +220,6 @@
     }
 }
 
-/// Returns whether the instance that passed on a tunnel's bytes is still alive. It resets a tunnel
-/// that breaks, but its own end closes the tunnel like the end of an answer.
-pub(crate) async fn is_relay_alive(
-    gateway: &Gateway,
-    relay: &InstanceId,
-    target: &EndpointTarget,
-) -> bool {
-    let open = TunnelOpen::new(target, Duration::ZERO);
-    matches!(timeout(PEER_TIMEOUT, ask_peer(gateway, relay, &open)).await, Ok(Some(_)))
-}
-
 /// Tells an instance that the endpoint of a request that it passed on asked for rest.
 pub(crate) async fn report_rest_to_relay(
     gateway: &Gateway,
@@ -250,7 +252,9 @@
 /// Serves a request for a tunnel.
 pub(crate) async fn serve_tunnel(gateway: Rc<Gateway>, open: TunnelOpen, mut caller: TcpStream) {
     net::set_stream_options(&caller);
+    let states_end = open.reads_stated_end.0;
     let (answer, endpoint) = match connect_for(&gateway, &open).await {
+        Ok(endpoint) if states_end => (TunnelAnswer::OpenWithStatedEnd, Some(endpoint)),
         Ok(endpoint) => (TunnelAnswer::Open, Some(endpoint)),
         Err(answer) => (answer, None),
     };
@@ -261,7 +265,7 @@
     let _count = TunnelCount::begin(&gateway);
     let life = open.life.min(MAX_LIFE) + LIFE_MARGIN;
     let is_complete = tokio::select! {
-        is_complete = pass_on(&mut caller, endpoint) => is_complete,
+        is_complete = pass_on(&mut caller, endpoint, states_end) => is_complete,
         () = sleep(life) => false,
     };
     // A connection that the endpoint breaks is broken towards the caller too, so that an incomplete
@@ -301,16 +305,23 @@
 
 /// Passes bytes on until the asking instance closes its connection or the endpoint breaks its own. Returns
 /// whether the connections were closed properly.
-async fn pass_on(caller: &mut TcpStream, mut endpoint: TcpStream) -> bool {
+async fn pass_on(caller: &mut TcpStream, mut endpoint: TcpStream, states_end: bool) -> bool {
     let (mut from_caller, mut to_caller) = caller.split();
     let (mut from_endpoint, mut to_endpoint) = endpoint.split();
     let mut sending = std::pin::pin!(copy(&mut from_caller, &mut to_endpoint));
+    let receiving = async {
+        if states_end {
+            return pass_pieces(&mut from_endpoint, &mut to_caller).await;
+        }
+        copy(&mut from_endpoint, &mut to_caller).await?;
+        to_caller.shutdown().await
+    };
     let received = tokio::select! {
         // The caller closes its connection once it needs no answer any more.
         sent = &mut sending => return sent.is_ok(),
-        received = copy(&mut from_endpoint, &mut to_caller) => received,
+        received = receiving => received,
     };
-    if received.is_err() || to_caller.shutdown().await.is_err() {
+    if received.is_err() {
         return false;
     }
     // The end of the answer is passed on at once. The endpoint may still reset the connection because of
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -19,11 +19,11 @@
 use hyper_util::rt::TokioIo;
 use oriolepass_units::EndpointStart;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
 use crate::dial::{DialPlan, EndpointConnection, FailureKind, SHORT_LIFE, dial};
 use crate::dialect::{EndpointCall, StartQuestion};
+use crate::endpoint_stream::EndpointStream;
 use crate::framing::BodyFraming;
 use crate::gateway::Gateway;
 use crate::net;
@@ -152,7 +152,7 @@
     /// Whether the whole request has been written to the connection.
     is_written: Cell<bool>,
     /// The connection, once the HTTP library has read its end.
-    ended: RefCell<Option<TcpStream>>,
+    ended: RefCell<Option<EndpointStream>>,
 }
 
 impl UploadWatch {
@@ -176,7 +176,7 @@
             return false;
         }
         let was_reset = async {
-            while !ended.borrow().as_ref().is_some_and(net::is_reset) {
+            while !ended.borrow().as_ref().is_some_and(EndpointStream::is_reset) {
                 sleep(net::RESET_CHECK_INTERVAL).await;
             }
         };
@@ -189,14 +189,14 @@
 /// answers before it.
 struct WatchedStream {
     /// The connection, until it is dropped.
-    stream: Option<TcpStream>,
+    stream: Option<EndpointStream>,
     /// The number of bytes received, until the head is complete.
     head_bytes: Rc<Cell<Option<usize>>>,
     upload: UploadWatch,
 }
 
 impl WatchedStream {
-    fn stream(&mut self) -> Pin<&mut TcpStream> {
+    fn stream(&mut self) -> Pin<&mut EndpointStream> {
         Pin::new(self.stream.as_mut().expect("the connection is there until it is dropped"))
     }
 }
