Calls: the answer to a question of the process before answers no call of the next one

What callers could see: a document acknowledged that was not accepted, a repeat granted to nobody, or a proof dated to a later question than the one that it answers. Read in the review and here, not seen on real processes.

Cause: answers between instances are sent to an address and matched by a number that starts at 1 in each process, so the next process at the address may wait for the same number.

Change: the numbers of calls begin with the boot number of their process, 52 random bits. It works since two processes then share a number only by chance.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -56,6 +56,10 @@
     SecondSend(bool),
 }
 
+/// The number of bits after the boot number in a call's token. A process with more calls goes on into
+/// the tokens of the next boot number, which hardly any other process has.
+const BOOT_SHIFT: u32 = 12;
+
 /// The state that the tasks of the event loop share. Each part is borrowed only for the duration of
 /// a function call, never across an await.
 pub struct Gateway {
@@ -133,6 +137,7 @@
     link_counts: RefCell<HashMap<InstanceId, u64>>,
     link_up: Notify,
     next_number: Cell<u64>,
+    next_call_token: Cell<u64>,
 }
 
 /// Removes a call from the pending ones when it ends or its caller no longer waits for it.
@@ -168,13 +173,14 @@
         let is_start_judged = Cell::new(!settings.seeds.may_found);
         // The start counts as a later one until there is evidence of the contrary.
         let budget = RetryBudget::new(clock.now(), ProcessStart::Later);
+        let boot = rand::random::<u64>() >> BOOT_SHIFT;
         Rc::new(Self {
             settings: RefCell::new(Rc::new(settings)),
             dialect,
             clock,
             log,
             metrics: GatewayMetrics::new(),
-            boot: rand::random::<u64>() >> 12,
+            boot,
             mesh: PeerMesh::new(own.clone(), peers.ip()),
             own,
             roster: RefCell::default(),
@@ -224,6 +230,7 @@
             link_counts: RefCell::default(),
             link_up: Notify::new(),
             next_number: Cell::new(1),
+            next_call_token: Cell::new(boot << BOOT_SHIFT),
         })
     }
 
@@ -260,6 +267,14 @@
         }
     }
 
+    /// Returns the token of a new call. The answer may arrive at the next process of this daemon, so
+    /// the tokens of a process begin with its boot number.
+    fn next_call_token(&self) -> u64 {
+        let token = self.next_call_token.get();
+        self.next_call_token.set(token.wrapping_add(1));
+        token
+    }
+
     /// Sends a request to another daemon and waits for its answer, for at most `max_wait`.
     ///
     /// `request` builds the message from the token that the answer repeats.
@@ -269,7 +284,7 @@
         max_wait: Duration,
         request: impl FnOnce(u64) -> PeerMessage,
     ) -> Option<PeerReply> {
-        let token = self.next_number();
+        let token = self.next_call_token();
         let (reply, answer) = oneshot::channel();
         self.pending_calls.borrow_mut().insert(token, reply);
         let _pending = PendingCall { gateway: self, token };
