Answers: a heartbeat that may have been sent before a crash proves nothing

Cause: a heartbeat that arrived 250 ms after the end counted as one that was sent later, though heartbeats may be seconds late; and the question to the endpoint ended after 400 ms, before it was known that the connection is refused.

Change: a heartbeat counts 4 s after the end, the delay that the registry allows for. What cannot go on elsewhere is asked on, for 2 s if it may be repeated, else until such a heartbeat, within the caller's time. It works for any heartbeat that is late by up to 4 s, whatever is known of the process.

--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -20,11 +20,15 @@
 /// a departed endpoint again.
 const MAX_REMEMBERED_DEPARTURES: usize = 4_096;
 
+/// How late a heartbeat arrives at most. It may arrive seconds late, also after its sender has ended and
+/// another start has taken the address.
+pub(crate) const MAX_HEARTBEAT_DELAY: Duration = Duration::from_secs(4);
+
 /// How long after its last heartbeat an endpoint keeps its address against another endpoint that it
-/// has replaced or whose start time is earlier. A heartbeat may arrive seconds late, after another
-/// start has taken the address. After this time the order of the starts may be wrong, because their
-/// clocks differ or one was not known, and the endpoint that sends heartbeats gets the address.
-const ADDRESS_HOLD_TIME: Duration = Duration::from_secs(4);
+/// has replaced or whose start time is earlier. After this time the order of the starts may be wrong,
+/// because their clocks differ or one was not known, and the endpoint that sends heartbeats gets the
+/// address.
+const ADDRESS_HOLD_TIME: Duration = MAX_HEARTBEAT_DELAY;
 
 /// The heartbeat number recorded for a start that has stated in an answer that it leaves. It is above
 /// that of any heartbeat, so no heartbeat undoes the statement, also on daemons of earlier versions.
--- a/crates/gateway/src/front/end_probes.rs
+++ b/crates/gateway/src/front/end_probes.rs
@@ -14,7 +14,7 @@
 };
 use crate::announce::HEARTBEAT_FORWARD_INTERVAL;
 use crate::dial::{FailureKind, SHORT_LIFE, dial};
-use crate::endpoints::EndpointFate;
+use crate::endpoints::{EndpointFate, MAX_HEARTBEAT_DELAY};
 use crate::gateway::Gateway;
 use crate::hubs::{MISSED_HEARTBEATS, Tier};
 use crate::upstream::{EndpointTarget, StartAnswer, ask_start};
@@ -38,7 +38,8 @@
 /// The longest regular interval between two heartbeats, in nominal intervals.
 const MAX_HEARTBEAT_INTERVALS: f64 = 1.1;
 
-/// The maximum transit time of a heartbeat that an endpoint sent before its connections broke.
+/// The usual maximum transit time of a heartbeat that an endpoint sent before its connections broke. A
+/// later one makes an end look refuted, which costs evidence only.
 const HEARTBEAT_TRANSIT_TIME: Duration = Duration::from_millis(250);
 
 /// What shows that no process serves at an endpoint's address, short of a refusal.
@@ -233,8 +234,21 @@
         self.endpoints.borrow().is_lone_silence(self.now(), endpoint, overdue)
     }
 
+    /// Returns how long after the end of a connection a heartbeat must arrive to prove that it was sent
+    /// later, however late it is.
+    pub(super) fn heard_proof_margin(&self) -> Duration {
+        self.heard_margin().max(MAX_HEARTBEAT_DELAY)
+    }
+
+    /// Returns how long the end of an answer waits for evidence: until the next heartbeat arrives that
+    /// proves something.
+    pub(super) fn evidence_wait(&self) -> Duration {
+        let heartbeat = self.settings().bounds.endpoint_heartbeat;
+        self.heard_proof_margin() + heartbeat.mul_f64(MAX_HEARTBEAT_INTERVALS)
+    }
+
     /// Returns how long after the end of a connection a heartbeat must arrive to have been sent
-    /// later.
+    /// later, unless it was late.
     pub(super) fn heard_margin(&self) -> Duration {
         // A leaf learns only which endpoints have been silent for longer than a threshold.
         match self.tier() {
--- a/crates/gateway/src/front/ends.rs
+++ b/crates/gateway/src/front/ends.rs
@@ -30,7 +30,8 @@
 //!
 //! An answer that ends with its connection is ambiguous as well, since a crash may look like its
 //! end. It counts as complete only if the start that wrote it was alive afterwards: the process at
-//! its address says that it is that start, or a heartbeat of the start arrives that was sent later.
+//! its address says that it is that start, or a heartbeat of the start arrives that was sent later. A
+//! heartbeat may arrive seconds late, so only one that arrives long after the end was surely sent later.
 //! What another process answers, an open connection and an earlier notice that the endpoint leaves
 //! show nothing of that. Only an endpoint whose own calls name nobody is believed as long as it
 //! answers them. The endpoint is probed as well. Until an end is proved or refuted, the answer
@@ -53,7 +54,7 @@
 use crate::gateway::Gateway;
 use crate::quarantine::RequestSuspects;
 use crate::task_guard::TaskGuard;
-use crate::upstream::{EndpointTarget, StartAnswer, ask_start};
+use crate::upstream::{EndpointTarget, ask_start};
 
 /// How long a request waits for the probe connection. A reachable machine accepts or refuses within a
 /// few network hops, and the request could continue at another endpoint meanwhile.
@@ -63,12 +64,17 @@
 /// listener and its streams within milliseconds of each other.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(10);
 
-/// How long the end of an answer waits for what its endpoint says of itself. An engine answers at
-/// once, even if it is busy; other endpoints may need a free slot.
+/// How long the end of an answer waits for what its endpoint says of itself, if the rest of the answer
+/// can be had elsewhere. An engine answers at once, even if it is busy; other endpoints may need a free
+/// slot.
 pub(super) const START_WAIT: Duration = Duration::from_millis(400);
 
-/// How long the end of an answer waits for a heartbeat of its endpoint.
-const HEARTBEAT_WAIT: Duration = Duration::from_secs(2);
+/// How long the end of an answer waits for evidence if its request may be sent again. A busy endpoint
+/// answers within this time, and a second send would make it busier.
+const REPEATABLE_WAIT: Duration = Duration::from_secs(2);
+
+/// The delay after a question to an endpoint that told nothing.
+const QUESTION_DELAY: Duration = Duration::from_millis(100);
 
 /// The part of a request's time that is kept to deliver its answer.
 const DELIVERY_TIME: Duration = Duration::from_millis(100);
@@ -265,32 +271,50 @@
     evidence.proves_complete()
 }
 
-/// Asks the endpoint, and waits for one of its heartbeats where the answer is better delivered late
-/// than not at all.
+/// Asks the endpoint. Where the answer is better delivered late than not at all, goes on asking, and
+/// waits for a heartbeat that was sent after the end.
 async fn find_evidence(
     gateway: &Rc<Gateway>,
     request: &CallerRequest,
     target: &EndpointTarget,
     ended_at: MonotonicTime,
 ) -> EndEvidence {
-    let is_engine = request.service.engine.is_some();
-    let question = if is_engine {
-        (gateway.dialect.ask_engine_start)(&target.endpoint)
-    } else {
-        (gateway.dialect.ask_endpoint_start)(&target.endpoint, &request.service.health_path)
-    };
-    let asked = timeout(START_WAIT, ask_start(gateway, target, question)).await;
-    let case = EndCase {
-        is_known: gateway.endpoints.borrow().is_known(&target.endpoint),
-        may_go_on_elsewhere: is_engine && request.route.repeat.may_repeat(),
-    };
-    match case.judge_answer(asked.unwrap_or(StartAnswer::Unclear)) {
-        EvidenceStep::Found(evidence) => evidence,
-        EvidenceStep::AwaitHeartbeat => {
-            let time_left = request.time_left().saturating_sub(DELIVERY_TIME);
-            let heartbeat = wait_for_heartbeat(gateway, target, ended_at);
-            let found = timeout(time_left.min(HEARTBEAT_WAIT), heartbeat).await;
-            found.unwrap_or(EndEvidence::None)
+    let may_go_on_elsewhere = request.service.engine.is_some() && request.route.repeat.may_repeat();
+    let mut asking = std::pin::pin!(ask_until_known(gateway, request, target, may_go_on_elsewhere));
+    if let Ok(evidence) = timeout(START_WAIT, &mut asking).await {
+        return evidence;
+    }
+    if may_go_on_elsewhere {
+        return EndEvidence::None;
+    }
+    let time_left = request.time_left().saturating_sub(DELIVERY_TIME);
+    let may_repeat = request.route.repeat.may_repeat();
+    let wait = if may_repeat { REPEATABLE_WAIT } else { gateway.evidence_wait() };
+    tokio::select! {
+        evidence = asking => evidence,
+        evidence = wait_for_heartbeat(gateway, target, ended_at) => evidence,
+        () = sleep(wait.min(time_left)) => EndEvidence::None,
+    }
+}
+
+/// Asks the process at an endpoint's address until its answer tells whether the start is alive.
+async fn ask_until_known(
+    gateway: &Rc<Gateway>,
+    request: &CallerRequest,
+    target: &EndpointTarget,
+    may_go_on_elsewhere: bool,
+) -> EndEvidence {
+    loop {
+        let question = if request.service.engine.is_some() {
+            (gateway.dialect.ask_engine_start)(&target.endpoint)
+        } else {
+            (gateway.dialect.ask_endpoint_start)(&target.endpoint, &request.service.health_path)
+        };
+        let answer = ask_start(gateway, target, question).await;
+        let is_known = gateway.endpoints.borrow().is_known(&target.endpoint);
+        match (EndCase { is_known, may_go_on_elsewhere }).judge_answer(answer) {
+            EvidenceStep::Found(evidence) => return evidence,
+            EvidenceStep::AwaitHeartbeat => sleep(QUESTION_DELAY).await,
         }
     }
 }
@@ -302,7 +326,7 @@
 ) -> EndEvidence {
     loop {
         let fate = gateway.endpoints.borrow().fate(&target.endpoint, target.address);
-        match evidence::judge_fate(fate, ended_at, gateway.heard_margin()) {
+        match evidence::judge_fate(fate, ended_at, gateway.heard_proof_margin()) {
             EvidenceStep::Found(evidence) => return evidence,
             EvidenceStep::AwaitHeartbeat => sleep(FATE_CHECK_INTERVAL).await,
         }
--- a/crates/gateway/src/front/evidence.rs
+++ b/crates/gateway/src/front/evidence.rs
@@ -54,6 +54,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum EvidenceStep {
     Found(EndEvidence),
+    /// Neither is known. A later question or a heartbeat may tell.
     AwaitHeartbeat,
 }
 
