--- a/crates/gateway/src/clock_tests.rs
+++ b/crates/gateway/src/clock_tests.rs
@@ -94,7 +94,6 @@
         is_essential: |_| false,
         reserve: |_, _, _| no_call(),
         release: |_| no_call(),
-        ask_state: no_call,
         ask_engine_start: |_| no_question(),
         ask_endpoint_start: |_, _| no_question(),
         read_reservation: |_| ReservationAnswer::Refused,
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -166,10 +166,8 @@
     pub release: fn(&str) -> EndpointCall,
     /// Interprets the status of the answer to a reservation.
     pub read_reservation: fn(u16) -> ReservationAnswer,
-    /// Builds the call that asks an engine for its state. An engine without a free slot answers it
-    /// as well.
-    pub ask_state: fn() -> EndpointCall,
-    /// Builds the call that asks an engine whether it is a certain start. It changes nothing there.
+    /// Builds the call that asks an engine whether it is a certain start. It changes nothing there, and an
+    /// engine without a free slot answers it as well.
     pub ask_engine_start: fn(&EndpointStart) -> StartQuestion,
     /// Builds the same call for an endpoint that is no engine, from the path of its health check.
     pub ask_endpoint_start: fn(&EndpointStart, health_path: &str) -> StartQuestion,
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -125,7 +125,7 @@
     NoPlace = "no-place";
     /// The home of the engines, or the deputy for it, did not answer a prompt in time.
     HomeLost = "home-lost";
-    /// A helper that failed a prompt was asked whether it is alive; `outcome` says whether it answered.
+    /// A helper that failed a prompt was asked whether it is alive; `outcome` says whether that start answered.
     HelperCheck = "helper-check";
     /// Memory of an engine was reserved or released, or that failed.
     Reservation = "reservation";
