Homes: a process that has just started does not answer for the home before it

What callers saw: 503, `no engine takes work`, after some 460 ms and with all engines idle, for half a second after the home was killed and its next process started at once.

Cause: other instances ask the leader that they know until a new term begins. Its next process answered, without a document and so without an engine, and a refusal by the home is final.

Change: a process answers questions on placement, permits and expected silence once it has been ready. Without an answer the asking instance turns to a deputy. It works since a process becomes ready with a proof of its document, which needs a leader that others then know, too.

--- a/crates/gateway/src/cluster.rs
+++ b/crates/gateway/src/cluster.rs
@@ -516,8 +516,7 @@
                 gateway.answer_call(token, PeerReply::Placed(verdict));
             }
             PeerMessage::SilenceAsk { token, endpoint, silence } => {
-                let is_expected = gateway.explains_silence(&endpoint, silence);
-                gateway.mesh.send(from, &PeerMessage::SilenceAnswer { token, is_expected });
+                gateway.on_silence_ask(from, token, &endpoint, silence);
             }
             PeerMessage::SilenceAnswer { token, is_expected } => {
                 gateway.answer_call(token, PeerReply::SilenceExpected(is_expected));
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -125,6 +125,8 @@
     /// When this daemon was asked to shut down.
     pub(crate) draining_since: Cell<Option<MonotonicTime>>,
     pub(crate) was_ready: Cell<bool>,
+    /// Whether this process has been ready since its start.
+    pub(crate) has_been_ready: Cell<bool>,
     /// The total time of suspension that has been recorded.
     pub(crate) suspended: Cell<Duration>,
     pub(crate) loop_delays: RecentDelays,
@@ -221,6 +223,7 @@
             lifecycle: watch::Sender::new(Lifecycle::Serving),
             draining_since: Cell::new(None),
             was_ready: Cell::new(false),
+            has_been_ready: Cell::new(false),
             suspended: Cell::new(Duration::ZERO),
             loop_delays: RecentDelays::default(),
             active_requests: Cell::new(0),
--- a/crates/gateway/src/home.rs
+++ b/crates/gateway/src/home.rs
@@ -331,6 +331,15 @@
         self.home.borrow_mut().fleet.place_second(now, ask, second, is_allowed)
     }
 
+    /// Returns whether this process knows enough to answer as the home or as a deputy.
+    ///
+    /// A process that has just started may be asked because the one before it at its address was the
+    /// home. It knows neither the engines nor the prompts on them, and would refuse prompts that others
+    /// can place. Without an answer, the asking daemon turns to a deputy.
+    pub(crate) fn knows_engines(&self) -> bool {
+        self.has_been_ready.get()
+    }
+
     pub(crate) fn on_place_ask(
         &self,
         from: &InstanceId,
@@ -338,6 +347,9 @@
         ask: &PromptAsk,
         cell: Option<EngineCell>,
     ) {
+        if !self.knows_engines() {
+            return;
+        }
         let verdict = self.place_here(ask, cell.map_or(EngineScope::All, EngineScope::Cell));
         let verdict = verdict.map_err(|refusal| self.refusal_for(from, refusal));
         let turn =
@@ -351,6 +363,20 @@
         PlacementRefusal { reason: reason_for(level, refusal.reason), ..refusal }
     }
 
+    /// Answers whether an engine is expected to be silent. An unanswered question counts as that.
+    pub(crate) fn on_silence_ask(
+        &self,
+        from: &InstanceId,
+        token: u64,
+        endpoint: &EndpointStart,
+        silence: Duration,
+    ) {
+        if self.knows_engines() {
+            let is_expected = self.explains_silence(endpoint, silence);
+            self.mesh.send(from, &PeerMessage::SilenceAnswer { token, is_expected });
+        }
+    }
+
     pub(crate) fn explains_silence(&self, endpoint: &EndpointStart, silence: Duration) -> bool {
         self.home.borrow_mut().fleet.explains_silence(self.now(), endpoint, silence)
     }
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -138,6 +138,7 @@
         if self.was_ready.replace(is_ready) == is_ready {
             return;
         }
+        self.has_been_ready.set(self.has_been_ready.get() || is_ready);
         let document = self.active_document();
         self.line(EventKind::Readiness)
             .maybe("revision", document.map(|document| document.text.revision))
--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -303,6 +303,9 @@
         limits: &[LimitNotice],
     ) {
         self.on_limits(from, limits);
+        if !self.knows_engines() {
+            return;
+        }
         let role = if self.is_leader() { IssuerRole::Home } else { IssuerRole::Deputy };
         let verdict = self.issue_permit(ask, role);
         self.mesh.send(from, &PeerMessage::PermitAnswer { token, verdict });
