Deputies: the next process at a deputy's address is told of the running prompts

What callers could see: prompts that begin late while the home is away, if a deputy's process is replaced meanwhile.

Cause: an entry kept the deputies that it had told of its running prompts by their addresses, so it did not tell the next process.

Change: a greeting with another boot number takes the deputy from that list, and the next time-out of the home notifies it. It works since a process greets before others choose it as a deputy.

Evidence: the new test of the gateway is red before (the next process counts as notified) and green after, with all 131 of the library. Not measured on real processes.

--- a/crates/gateway/src/cluster.rs
+++ b/crates/gateway/src/cluster.rs
@@ -282,6 +282,7 @@
             (change, list, is_new)
         };
         if change == RosterChange::Met {
+            self.home.borrow_mut().watch.record_start(from);
             if !self.is_counted(PeerChange::Met, from) {
                 self.line(EventKind::Peer)
                     .text("peer", from)
--- a/crates/gateway/src/deputies.rs
+++ b/crates/gateway/src/deputies.rs
@@ -105,6 +105,13 @@
         added
     }
 
+    /// Records that a daemon has started again, so that it knows of no running prompts.
+    pub(crate) fn record_start(&mut self, daemon: &InstanceId) {
+        if let Some((_, notified)) = &mut self.notified {
+            notified.retain(|deputy| deputy != daemon);
+        }
+    }
+
     /// Records that the home answered; returns whether it was away before.
     pub(crate) fn record_answer(&mut self) -> bool {
         std::mem::take(&mut self.is_away)
--- a/crates/gateway/src/deputies_tests.rs
+++ b/crates/gateway/src/deputies_tests.rs
@@ -2,13 +2,17 @@
 //! loss of all daemons with a disk.
 
 use std::collections::BTreeSet;
+use std::rc::Rc;
 use std::time::Duration;
 
 use oriolepass_placement::PromptKey;
 use oriolepass_units::{InstanceId, MonotonicTime};
+use tokio::task::LocalSet;
 
+use crate::clock_tests::gateway;
+use crate::cluster::GatewayMesh;
 use crate::deputies::{HomeWatch, deputies, deputy_for};
-use crate::peers::TrailingField;
+use crate::peers::{MeshEvents, PeerMessage, TrailingField};
 use crate::roster::{DaemonNote, DaemonPhase};
 
 fn note(number: usize, has_disk: bool) -> DaemonNote {
@@ -101,3 +105,30 @@
     assert_eq!(notified, names(&[1, 2, 3]).into_iter().collect());
     assert!(watch.notified_deputies(at(31_000)).is_empty());
 }
+
+/// Guards against prompts that are placed as if engines were idle, since the next process at a deputy's address was
+/// told of none of the running prompts.
+#[tokio::test]
+async fn the_next_process_of_a_deputy_is_notified_like_a_new_deputy() {
+    let links = LocalSet::new();
+    let _guard = links.enter();
+    let gateway = gateway();
+    let (mesh, deputy) = (GatewayMesh(Rc::clone(&gateway)), note(2, false));
+    let greet = |boot| {
+        let note = DaemonNote { boot, ..deputy.clone() };
+        mesh.on_message(&deputy.instance, PeerMessage::Greeting(note));
+    };
+    let is_notified = || {
+        let home = gateway.home.borrow();
+        home.watch.notified_deputies(gateway.now()).contains(&deputy.instance)
+    };
+    greet(7);
+    gateway.on_home_timeout();
+    assert!(is_notified());
+    greet(7);
+    assert!(is_notified(), "the same process");
+    greet(8);
+    assert!(!is_notified(), "the next process");
+    gateway.on_home_timeout();
+    assert!(is_notified());
+}
