Answers: a leaf's heartbeats prove nothing while they may have been sent before

What callers could see: half of an answer without a length, framed as complete, at an instance that hears of endpoints by a hub only (a leaf), with a heartbeat that was late. Found on reading this work again.

Cause: a leaf learns only which endpoints have been silent for two intervals, so it dates a heartbeat by up to that too late.

Change: the margin is the sum of both. It works since neither error can hide in the other.

Not played on real processes with tiers.

--- a/crates/gateway/src/deputies_tests.rs
+++ b/crates/gateway/src/deputies_tests.rs
@@ -15,7 +15,7 @@
 use crate::peers::{MeshEvents, PeerMessage, TrailingField};
 use crate::roster::{DaemonNote, DaemonPhase};
 
-fn note(number: usize, has_disk: bool) -> DaemonNote {
+pub(crate) fn note(number: usize, has_disk: bool) -> DaemonNote {
     DaemonNote {
         instance: format!("10.1.0.{number}:7000").parse().unwrap(),
         name: format!("front-{number}").parse().unwrap(),
--- a/crates/gateway/src/front/end_probes.rs
+++ b/crates/gateway/src/front/end_probes.rs
@@ -235,9 +235,9 @@
     }
 
     /// Returns how long after the end of a connection a heartbeat must arrive to prove that it was sent
-    /// later, however late it is.
-    pub(super) fn heard_proof_margin(&self) -> Duration {
-        self.heard_margin().max(MAX_HEARTBEAT_DELAY)
+    /// later, however late it is. On a leaf, it may also have arrived earlier than it is dated.
+    pub(crate) fn heard_proof_margin(&self) -> Duration {
+        self.heard_margin() + MAX_HEARTBEAT_DELAY
     }
 
     /// Returns how long the end of an answer waits for evidence: until the next heartbeat arrives that
--- a/crates/gateway/src/hubs_tests.rs
+++ b/crates/gateway/src/hubs_tests.rs
@@ -5,7 +5,11 @@
 use oriolepass_units::{DataCentreId, InstanceId};
 
 use crate::clock_tests::gateway;
+use crate::deputies_tests::note;
+use crate::endpoints::MAX_HEARTBEAT_DELAY;
+use crate::hubs::{MISSED_HEARTBEATS, Tier};
 use crate::peers::{HubStatus, MemberLists};
+use crate::roster::DaemonNote;
 
 fn hub(number: usize) -> (InstanceId, DataCentreId) {
     let name = format!("10.200.0.{number}:7340");
@@ -55,3 +59,18 @@
     gateway.apply_hub_status(gateway.now(), status(&[hub(0)], Some(Duration::ZERO)));
     assert!(may_repeat());
 }
+
+/// Guards against a cut answer that a heartbeat from before its end proves to be whole: a leaf dates a heartbeat up to
+/// some intervals too late, and the heartbeat may have been late itself.
+#[test]
+fn a_heartbeat_proves_nothing_on_a_leaf_while_it_may_have_been_sent_before() {
+    let gateway = gateway();
+    let heartbeat = gateway.settings().bounds.endpoint_heartbeat;
+    assert_eq!(gateway.tier(), Tier::Mesh);
+    assert!(gateway.heard_proof_margin() >= MAX_HEARTBEAT_DELAY);
+    let hub = DaemonNote { is_tiered: true, ..note(1, true) };
+    gateway.roster.borrow_mut().update(gateway.now(), hub);
+    assert_eq!(gateway.tier(), Tier::Leaf);
+    let margin = gateway.heard_proof_margin();
+    assert!(margin >= heartbeat * MISSED_HEARTBEATS + MAX_HEARTBEAT_DELAY, "{margin:?}");
+}
