Quarantine: what is fatal explains all ends that coincide

What callers saw: with a part of prompts that ends its engines, sound prompts were refused for a part that they share with it, and prompts with the fatal part were sent again after it had been quarantined.

Cause: ends within 50 ms count as one against a suspect, since they may have one cause outside of it. The others were left out of what the suspect explains, too. They seemed to be due to chance or to any sound part that came with them, so the odds of the fatal part fell with each burst of ends, and those of the sound part rose.

Evidence: the table of an instance that had just released a fatal part with twelve ends (real processes, debug, load about 100) gives it log odds of 8.9, two sound parts with four ends each 9.4 and 8.9, and the fatal request beside them 3.4.

Change: an end that coincides with an earlier one of the suspect adds nothing to the evidence against it, but the suspect's rate counts among the causes of that end.

Test: ends_that_coincide_accuse_no_part_beside_the_fatal_one fails without the change.

--- a/crates/quarantine/src/attribution.rs
+++ b/crates/quarantine/src/attribution.rs
@@ -95,7 +95,7 @@
     let evidence = EndEvidence::new(cases);
     let beliefs = CHANCE_RATES_PER_S.map(|rate| propagate(&evidence, rate));
     for (number, suspect) in evidence.suspects.iter().enumerate() {
-        if suspect.runs.len() < MIN_QUARANTINE_ENDS {
+        if suspect.evident_ends() < MIN_QUARANTINE_ENDS {
             continue;
         }
         let odds = CauseLogOdds(mean_log_odds(&evidence, &beliefs, number));
--- a/crates/quarantine/src/case.rs
+++ b/crates/quarantine/src/case.rs
@@ -231,12 +231,16 @@
         self.ends.iter().map(|(endpoint, end)| (endpoint, end.run))
     }
 
-    /// Returns the open ends in chronological order, without those that coincide with an earlier one.
-    pub(crate) fn distinct_open_ends(&self) -> Vec<(&EndpointStart, EndRecord)> {
+    /// Returns the open ends with what is recorded of each.
+    pub(crate) fn open_records(&self) -> impl Iterator<Item = (&EndpointStart, EndRecord)> {
         let is_open =
             |(endpoint, _): &(&EndpointStart, EndRecord)| !self.cleared.contains_key(*endpoint);
-        let records = self.ends.iter().map(|(endpoint, end)| (endpoint, *end));
-        let mut open: Vec<(&EndpointStart, EndRecord)> = records.filter(is_open).collect();
+        self.ends.iter().map(|(endpoint, end)| (endpoint, *end)).filter(is_open)
+    }
+
+    /// Returns the open ends in chronological order, without those that coincide with an earlier one.
+    pub(crate) fn distinct_open_ends(&self) -> Vec<(&EndpointStart, EndRecord)> {
+        let mut open: Vec<(&EndpointStart, EndRecord)> = self.open_records().collect();
         open.sort_unstable_by_key(|(endpoint, end)| (end.seen, *endpoint));
         let mut last: Option<MonotonicTime> = None;
         open.retain(|(_, end)| {
--- a/crates/quarantine/src/evidence.rs
+++ b/crates/quarantine/src/evidence.rs
@@ -24,6 +24,9 @@
 pub(crate) struct SuspectRun {
     pub(crate) end: EndIndex,
     pub(crate) likelihood: RunLikelihood,
+    /// Whether the end is evidence against the suspect. An end that coincides with an earlier one of
+    /// the suspect is none, but if the suspect is fatal, it explains that end as well.
+    pub(crate) is_evidence: bool,
 }
 
 /// Parts of prompts that came together in all their runs that were interrupted, so that nothing
@@ -42,10 +45,17 @@
 #[derive(Debug)]
 pub(crate) struct SuspectRuns {
     pub(crate) suspect: Suspect,
-    /// The runs in chronological order, without those whose ends coincide with an earlier one.
+    /// The runs in chronological order.
     pub(crate) runs: Vec<SuspectRun>,
 }
 
+impl SuspectRuns {
+    /// Returns the number of ends that are evidence against the suspect.
+    pub(crate) fn evident_ends(&self) -> usize {
+        self.runs.iter().filter(|run| run.is_evidence).count()
+    }
+}
+
 /// What is known about one end.
 #[derive(Debug, Default, Clone)]
 pub(crate) struct EndFacts {
@@ -113,17 +123,18 @@
         let mut suspects = Vec::new();
         for (digest, case) in &requests {
             record_exposure(&mut ends, case, &index);
-            let runs = distinct_open_runs(case, &index);
-            if runs.len() >= MIN_SUSPECT_ENDS {
-                suspects.push(SuspectRuns { suspect: Suspect::Request(*digest), runs });
+            let runs = open_runs(case, &index);
+            let suspect = SuspectRuns { suspect: Suspect::Request(*digest), runs };
+            if suspect.evident_ends() >= MIN_SUSPECT_ENDS {
+                suspects.push(suspect);
             } else {
-                for run in &runs {
+                for run in &suspect.runs {
                     ends[run.end].other_density += run.likelihood.prior_density();
                 }
             }
         }
         for (group, case) in groups {
-            let runs = distinct_open_runs(case, &index);
+            let runs = open_runs(case, &index);
             suspects.push(SuspectRuns { suspect: Suspect::Parts(group), runs });
         }
         let exposure = Exposure::new(&ends);
@@ -230,16 +241,17 @@
     }
 }
 
-/// Returns the interrupted runs of a request's distinct open ends.
-fn distinct_open_runs(
-    case: &RequestCase,
-    index: &BTreeMap<&EndpointStart, EndIndex>,
-) -> Vec<SuspectRun> {
+/// Returns the interrupted runs of a request's open ends.
+fn open_runs(case: &RequestCase, index: &BTreeMap<&EndpointStart, EndIndex>) -> Vec<SuspectRun> {
+    let distinct = case.distinct_open_ends();
+    let distinct: BTreeSet<&EndpointStart> =
+        distinct.into_iter().map(|(endpoint, _)| endpoint).collect();
     let run = |(endpoint, end): (&EndpointStart, EndRecord)| SuspectRun {
         end: index[endpoint],
         likelihood: RunLikelihood::new(end.run.map(|duration| duration.as_secs_f64())),
+        is_evidence: distinct.contains(endpoint),
     };
-    let mut runs: Vec<SuspectRun> = case.distinct_open_ends().into_iter().map(run).collect();
+    let mut runs: Vec<SuspectRun> = case.open_records().map(run).collect();
     // Other requests may have observed an end earlier.
     runs.sort_unstable_by_key(|run| run.end);
     runs
--- a/crates/quarantine/src/propagation.rs
+++ b/crates/quarantine/src/propagation.rs
@@ -5,7 +5,7 @@
 //! to an end. It leaves out what that end itself shows, so that suspects with the same ends do not
 //! confirm each other.
 
-use crate::evidence::{EndEvidence, EndIndex, SuspectRuns, prefix_sums};
+use crate::evidence::{EndEvidence, EndIndex, SuspectRun, SuspectRuns, prefix_sums};
 use crate::likelihood::{MEAN_DELAYS_S, PerDelay, log_sum_exp, probability, softplus};
 
 /// Maximum number of rounds of messages.
@@ -96,6 +96,15 @@
         (self.total_rates[end] - message).max(self.base_rates[end])
     }
 
+    /// Returns what an end shows about the suspect that sent `message`.
+    fn log_ratios(&self, run: &SuspectRun, message: f64) -> PerDelay {
+        if run.is_evidence {
+            run.likelihood.log_ratios(self.other_rate(run.end, message))
+        } else {
+            PerDelay::default()
+        }
+    }
+
     /// Computes the odds and the messages of all suspects from the rates.
     fn update_suspects(&mut self, is_first_round: bool) {
         let evidence = self.evidence;
@@ -104,7 +113,7 @@
                 .runs
                 .iter()
                 .zip(&self.messages[number])
-                .map(|(run, message)| run.likelihood.log_ratios(self.other_rate(run.end, *message)))
+                .map(|(run, message)| self.log_ratios(run, *message))
                 .collect();
             let sums = sum_per_delay(&ratios);
             self.log_odds[number] = mean_log_ratio(&sums) - self.log_odds_against;
@@ -138,8 +147,10 @@
         let mut selection_rates = self.base_rates.clone();
         for (number, suspect) in self.evidence.suspects.iter().enumerate() {
             for (run, message) in suspect.runs.iter().zip(&self.messages[number]) {
-                let other_rate = self.other_rate(run.end, *message);
-                by_end[run.end] -= (self.total_rates[run.end] / other_rate).ln();
+                if run.is_evidence {
+                    let other_rate = self.other_rate(run.end, *message);
+                    by_end[run.end] -= (self.total_rates[run.end] / other_rate).ln();
+                }
                 selection_rates[run.end] += prior * run.likelihood.prior_density();
             }
             by_end[last_end(suspect)] += softplus(self.log_odds[number]);
--- a/crates/quarantine/tests/parts.rs
+++ b/crates/quarantine/tests/parts.rs
@@ -118,6 +118,20 @@
     }
 }
 
+/// Guards against a sound part that is refused for ends which count as one against the fatal part that caused
+/// them, since they come within milliseconds of each other.
+#[test]
+fn ends_that_coincide_accuse_no_part_beside_the_fatal_one() {
+    let (shared, fatal) = (part(None, "shared"), part(None, "fatal"));
+    let mut table = QuarantineTable::default();
+    for number in 0..5 {
+        end(&mut table, number * 400, request(10 + number), &[fatal]);
+        end(&mut table, number * 400 + 30, request(20 + number), &[shared, fatal]);
+    }
+    assert!(is_refused(&table, 5_000, &[fatal]));
+    assert!(!is_refused(&table, 5_000, &[shared]));
+}
+
 /// Guards against a quarantine that another account can bring about.
 #[test]
 fn parts_of_another_account_or_service_are_not_affected() {
