Quarantine: the open ends of a case are collected once

The attribution looked up each open end in a set of the distinct ones. The case now returns its ends in order, each marked as distinct or not.

--- a/crates/quarantine/src/attribution.rs
+++ b/crates/quarantine/src/attribution.rs
@@ -87,7 +87,7 @@
     // Fast path: usually no request or part has lost that many endpoints.
     let may_be_cause = |(id, case): (&SuspectId, &RequestCase)| {
         let min_ends = min_ends(id);
-        case.open_ends().count() >= min_ends && case.distinct_open_ends().len() >= min_ends
+        case.open_ends().count() >= min_ends && case.distinct_open_ends() >= min_ends
     };
     if !cases.iter().any(may_be_cause) {
         return attribution;
--- a/crates/quarantine/src/case.rs
+++ b/crates/quarantine/src/case.rs
@@ -231,26 +231,26 @@
         self.ends.iter().map(|(endpoint, end)| (endpoint, end.run))
     }
 
-    /// Returns the open ends with what is recorded of each.
-    pub(crate) fn open_records(&self) -> impl Iterator<Item = (&EndpointStart, EndRecord)> {
-        let is_open =
-            |(endpoint, _): &(&EndpointStart, EndRecord)| !self.cleared.contains_key(*endpoint);
-        self.ends.iter().map(|(endpoint, end)| (endpoint, *end)).filter(is_open)
-    }
-
-    /// Returns the open ends in chronological order, without those that coincide with an earlier one.
-    pub(crate) fn distinct_open_ends(&self) -> Vec<(&EndpointStart, EndRecord)> {
-        let mut open: Vec<(&EndpointStart, EndRecord)> = self.open_records().collect();
-        open.sort_unstable_by_key(|(endpoint, end)| (end.seen, *endpoint));
+    /// Returns the open ends in chronological order, each with whether it is distinct: whether it does not
+    /// coincide with an earlier one.
+    pub(crate) fn ordered_open_ends(&self) -> Vec<(&EndpointStart, EndRecord, bool)> {
+        let open = self.ends.iter().filter(|(endpoint, _)| !self.cleared.contains_key(*endpoint));
+        let mut ends: Vec<(&EndpointStart, EndRecord, bool)> =
+            open.map(|(endpoint, end)| (endpoint, *end, false)).collect();
+        ends.sort_unstable_by_key(|(endpoint, end, _)| (end.seen, *endpoint));
         let mut last: Option<MonotonicTime> = None;
-        open.retain(|(_, end)| {
-            let is_distinct = last.is_none_or(|last| !end.coincides_with(last));
-            if is_distinct {
+        for (_, end, is_distinct) in &mut ends {
+            *is_distinct = last.is_none_or(|last| !end.coincides_with(last));
+            if *is_distinct {
                 last = Some(end.seen);
             }
-            is_distinct
-        });
-        open
+        }
+        ends
+    }
+
+    /// Returns the number of open ends that do not coincide with an earlier one.
+    pub(crate) fn distinct_open_ends(&self) -> usize {
+        self.ordered_open_ends().iter().filter(|(_, _, is_distinct)| *is_distinct).count()
     }
 
     /// Returns the number of open ends that came long after the previous one, as after a trial.
--- a/crates/quarantine/src/evidence.rs
+++ b/crates/quarantine/src/evidence.rs
@@ -201,9 +201,7 @@
         BTreeMap::new();
     for (id, case) in cases {
         let SuspectId::Part(part) = id else { continue };
-        if case.open_ends().count() >= MIN_PART_ENDS
-            && case.distinct_open_ends().len() >= MIN_PART_ENDS
-        {
+        if case.open_ends().count() >= MIN_PART_ENDS && case.distinct_open_ends() >= MIN_PART_ENDS {
             let key = (id.account(), open_ends(case));
             groups.entry(key).or_insert_with(|| (PartGroup::new(), case)).0.insert(*part);
         }
@@ -243,15 +241,12 @@
 
 /// Returns the interrupted runs of a request's open ends.
 fn open_runs(case: &RequestCase, index: &BTreeMap<&EndpointStart, EndIndex>) -> Vec<SuspectRun> {
-    let distinct = case.distinct_open_ends();
-    let distinct: BTreeSet<&EndpointStart> =
-        distinct.into_iter().map(|(endpoint, _)| endpoint).collect();
-    let run = |(endpoint, end): (&EndpointStart, EndRecord)| SuspectRun {
+    let run = |(endpoint, end, is_evidence): (&EndpointStart, EndRecord, bool)| SuspectRun {
         end: index[endpoint],
         likelihood: RunLikelihood::new(end.run.map(|duration| duration.as_secs_f64())),
-        is_evidence: distinct.contains(endpoint),
+        is_evidence,
     };
-    let mut runs: Vec<SuspectRun> = case.open_records().map(run).collect();
+    let mut runs: Vec<SuspectRun> = case.ordered_open_ends().into_iter().map(run).collect();
     // Other requests may have observed an end earlier.
     runs.sort_unstable_by_key(|run| run.end);
     runs
