Endpoints: a start that is turned away is not taken for one that has left

What callers saw: 503 "no endpoint takes work" for all further requests of a service, with all of its endpoints alive.

Cause: an answer that a request was meant for another server was taken for the statement that the expected server has left. All instances were told, and no heartbeat added it again. It also withdrew ends that quarantine a fatal part: a start that is replaced has ended. The same answer about a server that is not known any more, by way of its address in the answer, removed the endpoint that passed it on.

Change: the start counts as replaced at the instance that was turned away, until a later heartbeat of the start arrives; its earlier runs count as ended. The other instances are not told and find out by themselves. An answer that names another server says nothing of the endpoint.

--- a/crates/gateway/src/announce.rs
+++ b/crates/gateway/src/announce.rs
@@ -178,11 +178,16 @@
             .text("outcome", "skipped");
     }
 
-    /// Removes an endpoint whose address is answered by another endpoint.
-    pub(crate) fn endpoint_displaced(&self, endpoint: &EndpointStart) {
-        let line = self.line(EventKind::Endpoint).text("endpoint", endpoint);
-        line.text("outcome", "displaced");
-        self.remove_endpoint(endpoint);
+    /// Removes an endpoint at whose address another process answers, until a later heartbeat.
+    ///
+    /// The other daemons are not told: it is no departure that the endpoint has announced, and they
+    /// find out by themselves.
+    pub(crate) fn endpoint_replaced(&self, endpoint: &EndpointStart) {
+        if self.endpoints.borrow_mut().record_replaced(endpoint) {
+            let line = self.line(EventKind::Endpoint).text("endpoint", endpoint);
+            line.text("outcome", "replaced");
+            self.endpoints_changed();
+        }
     }
 
     fn log_endpoint(&self, beat: &EndpointBeat, change: BeatChange, from: Option<&InstanceId>) {
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -91,7 +91,7 @@
 pub enum EndpointFate {
     /// The start is known. Holds the time of its last heartbeat.
     Heard(MonotonicTime),
-    /// A later start of the endpoint is known, or another endpoint at its address.
+    /// A later start of the endpoint is known, or another endpoint or process at its address.
     Replaced,
     /// The start has left.
     Left,
@@ -107,6 +107,9 @@
     /// Another endpoint held its address. Holds the number of its last heartbeat; a later one adds
     /// it again once the other endpoint is silent.
     Displaced(u64),
+    /// Another process answered at its address. Holds the number of its last heartbeat; a later one
+    /// adds it again.
+    Replaced(u64),
 }
 
 #[derive(Debug, Clone)]
@@ -225,7 +228,7 @@
         let later = |other: &EndpointStart| other.id() == start.id() && other.time() > start.time();
         let has_departed = match self.left.get(start) {
             Some(Departure::Left) => true,
-            Some(Departure::Displaced(sequence)) => {
+            Some(Departure::Displaced(sequence) | Departure::Replaced(sequence)) => {
                 beat.sequence <= *sequence || self.holds_address(last_heard, beat, |_| true)
             }
             None => false,
@@ -288,6 +291,15 @@
         Some(departed_start)
     }
 
+    /// Records that another process answers at the address of a start. Returns whether the start was
+    /// known.
+    pub fn record_replaced(&mut self, start: &EndpointStart) -> bool {
+        let Some(entry) = self.entries.get(start) else { return false };
+        let sequence = entry.beat.sequence;
+        self.record_departure(start, Departure::Replaced(sequence));
+        true
+    }
+
     fn forget_departure(&mut self, start: &EndpointStart) {
         if self.left.remove(start).is_some() {
             self.left_order.retain(|(_, other)| other != start);
@@ -409,6 +421,7 @@
         }
         match self.left.get(endpoint) {
             Some(Departure::Left) => EndpointFate::Left,
+            Some(Departure::Replaced(_)) => EndpointFate::Replaced,
             Some(Departure::Displaced(_)) | None => EndpointFate::Expired,
         }
     }
--- a/crates/gateway/src/front/sends.rs
+++ b/crates/gateway/src/front/sends.rs
@@ -409,17 +409,20 @@
     if status != StatusCode::MISDIRECTED_REQUEST {
         gateway.record_named_limit(&placement.endpoint, facts.limit);
     }
-    let culprit = facts.culprit.and_then(|address| {
+    let other = facts.culprit.filter(|address| *address != placement.target().address);
+    let helper = other.and_then(|address| {
         let endpoint = gateway.endpoints.borrow().at(address);
         endpoint.map(|endpoint| EndpointTarget { endpoint, address })
     });
-    if let Some(helper) = culprit.clone().filter(|c| c.endpoint != placement.endpoint) {
+    if let Some(helper) = helper.clone() {
         check_helper(gateway, &request.id, helper);
     }
-    let endpoint = culprit.map_or_else(|| placement.endpoint.clone(), |culprit| culprit.endpoint);
-    if status == StatusCode::MISDIRECTED_REQUEST && endpoint == placement.endpoint {
-        gateway.endpoint_displaced(&endpoint);
-    } else if gateway.may_send_to(&endpoint) {
+    let is_misdirected = status == StatusCode::MISDIRECTED_REQUEST;
+    let is_unknown_helper = other.is_some() && helper.is_none();
+    let endpoint = helper.map_or_else(|| placement.endpoint.clone(), |helper| helper.endpoint);
+    if is_misdirected && other.is_none() {
+        gateway.endpoint_replaced(&endpoint);
+    } else if !(is_misdirected && is_unknown_helper) && gateway.may_send_to(&endpoint) {
         endpoint_failed(gateway, request, &endpoint, FaultKind::Full);
     }
     SendOutcome::NotRun { reason: format!("status {status}: not run"), endpoint: Some(endpoint) }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -135,7 +135,9 @@
 pub use directory::AddressAnswer;
 pub use documents::{PutError, ReadError};
 pub use drains::DrainError;
-pub use endpoints::{BeatChange, EndpointBeat, EndpointNotice, EndpointPhase, EndpointRegistry};
+pub use endpoints::{
+    BeatChange, EndpointBeat, EndpointFate, EndpointNotice, EndpointPhase, EndpointRegistry,
+};
 pub use events::{EventKind, EventLine, EventLog};
 pub use front::{AttemptCount, EventSplitter};
 pub use gateway::Gateway;
--- a/crates/gateway/tests/parts.rs
+++ b/crates/gateway/tests/parts.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use oriolepass_gateway::{
-    BeatChange, BudgetRule, EndpointBalancer, EndpointBeat, EndpointPhase, EndpointRegistry,
-    EventKind, EventLog, EventSplitter, FaultKind, ProcessStart, RetryBudget,
+    BeatChange, BudgetRule, EndpointBalancer, EndpointBeat, EndpointFate, EndpointPhase,
+    EndpointRegistry, EventKind, EventLog, EventSplitter, FaultKind, ProcessStart, RetryBudget,
 };
 use oriolepass_units::{MonotonicTime, ServiceName};
 
@@ -161,6 +161,28 @@
     assert!(other.takes_work(&"i-1@6".parse().unwrap()).is_some(), "the next start takes work");
 }
 
+// Guards against the loss of an endpoint for good because another process answered at its address once, and
+// against its ends that are taken for departures.
+#[test]
+fn a_replaced_start_has_ended_unless_a_later_heartbeat_arrives() {
+    let mut registry = EndpointRegistry::default();
+    let serving = |sequence| beat("i-1", 1, sequence, EndpointPhase::Serving);
+    let start = "i-1".parse().unwrap();
+    assert!(!registry.record_replaced(&start), "an unknown endpoint");
+    registry.apply_heartbeat(at(10), serving(5), Duration::ZERO);
+    assert!(registry.record_replaced(&start));
+    assert!(registry.takes_work(&start).is_none());
+    assert_eq!(registry.fate(&start, serving(5).address), EndpointFate::Replaced);
+    assert_eq!(registry.apply_heartbeat(at(20), serving(5), Duration::ZERO), BeatChange::Stale);
+    assert_eq!(registry.apply_heartbeat(at(300), serving(6), Duration::ZERO), BeatChange::Met);
+    assert!(registry.takes_work(&start).is_some());
+
+    // A start that announced that it leaves does not return.
+    registry.record_leaving(at(400), &start);
+    assert!(registry.record_replaced(&start));
+    assert_eq!(registry.apply_heartbeat(at(500), serving(7), Duration::ZERO), BeatChange::Stale);
+}
+
 #[test]
 fn a_new_endpoint_replaces_the_one_that_had_its_address() {
     let mut registry = EndpointRegistry::default();
