Ends: a run whose next start is known ended with the last sign of life

What callers saw: prompts with a fatal part were sent for up to a second longer than allowed.

Cause: a connection that falls silent with its endpoint breaks when the next start is there. If that start was known already, the end was dated by the break, as for an endpoint that is alive until then.

Change: an endpoint that has been replaced had ended by its last heartbeat or the last part of its answer, whichever was later, like one whose heartbeats are overdue. The registry keeps the time of the last heartbeat of departed starts for that.

Test: an_end_before_it_was_noticed_is_dated_by_the_last_sign_of_life, on the rule that was a part of the constructor before and dated such an end by the break.

--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -112,6 +112,14 @@
     Replaced(u64),
 }
 
+/// A start that is not known any more.
+#[derive(Debug, Clone, Copy)]
+struct DepartedStart {
+    departure: Departure,
+    /// The time of its last heartbeat, if the start was known.
+    last_heard: Option<MonotonicTime>,
+}
+
 #[derive(Debug, Clone)]
 struct EndpointEntry {
     beat: EndpointBeat,
@@ -135,7 +143,7 @@
 #[derive(Debug, Default)]
 pub struct EndpointRegistry {
     entries: BTreeMap<EndpointStart, EndpointEntry>,
-    left: BTreeMap<EndpointStart, Departure>,
+    left: BTreeMap<EndpointStart, DepartedStart>,
     left_order: VecDeque<(MonotonicTime, EndpointStart)>,
     /// Data centres whose endpoints get no new requests.
     drained: BTreeSet<DataCentreId>,
@@ -226,10 +234,10 @@
     fn has_ended(&self, last_heard: MonotonicTime, beat: &EndpointBeat) -> bool {
         let start = &beat.endpoint;
         let later = |other: &EndpointStart| other.id() == start.id() && other.time() > start.time();
-        let has_departed = match self.left.get(start) {
+        let has_departed = match self.departure(start) {
             Some(Departure::Left) => true,
             Some(Departure::Displaced(sequence) | Departure::Replaced(sequence)) => {
-                beat.sequence <= *sequence || self.holds_address(last_heard, beat, |_| true)
+                beat.sequence <= sequence || self.holds_address(last_heard, beat, |_| true)
             }
             None => false,
         };
@@ -284,7 +292,7 @@
         let is_without_time = endpoint.time() == StartTime::ZERO;
         let known = is_without_time.then(|| self.current(endpoint.id()).cloned()).flatten();
         let departed_start = known.unwrap_or_else(|| endpoint.clone());
-        if self.left.get(&departed_start) == Some(&Departure::Left) {
+        if self.departure(&departed_start) == Some(Departure::Left) {
             return None;
         }
         self.record_departure(&departed_start, Departure::Left);
@@ -300,6 +308,10 @@
         true
     }
 
+    fn departure(&self, start: &EndpointStart) -> Option<Departure> {
+        self.left.get(start).map(|start| start.departure)
+    }
+
     fn forget_departure(&mut self, start: &EndpointStart) {
         if self.left.remove(start).is_some() {
             self.left_order.retain(|(_, other)| other != start);
@@ -307,15 +319,16 @@
     }
 
     fn record_departure(&mut self, start: &EndpointStart, departure: Departure) {
+        let known = self.entries.remove(start).map(|entry| entry.last_heard);
+        let last_heard = known.or_else(|| self.left.get(start).and_then(|start| start.last_heard));
         self.forget_departure(start);
-        self.left.insert(start.clone(), departure);
+        self.left.insert(start.clone(), DepartedStart { departure, last_heard });
         self.left_order.push_back((self.last_heartbeat_at, start.clone()));
         if self.left_order.len() > MAX_REMEMBERED_DEPARTURES
             && let Some((_, oldest)) = self.left_order.pop_front()
         {
             self.left.remove(&oldest);
         }
-        self.entries.remove(start);
         self.generation += 1;
     }
 
@@ -419,13 +432,19 @@
         if self.at(address).is_some() || self.current(endpoint.id()).is_some_and(is_later) {
             return EndpointFate::Replaced;
         }
-        match self.left.get(endpoint) {
+        match self.departure(endpoint) {
             Some(Departure::Left) => EndpointFate::Left,
             Some(Departure::Replaced(_)) => EndpointFate::Replaced,
             Some(Departure::Displaced(_)) | None => EndpointFate::Expired,
         }
     }
 
+    /// Returns when a start was last heard from, also if it has been replaced or has left since.
+    pub fn last_heard(&self, endpoint: &EndpointStart) -> Option<MonotonicTime> {
+        let known = self.entries.get(endpoint).map(|entry| entry.last_heard);
+        known.or_else(|| self.left.get(endpoint)?.last_heard)
+    }
+
     /// Returns how long an endpoint has been silent.
     pub fn silence(&self, now: MonotonicTime, endpoint: &EndpointStart) -> Option<Duration> {
         self.entries.get(endpoint).map(|entry| now.since(entry.last_heard))
@@ -559,7 +578,7 @@
     /// Lists up to `count` starts that have left since `since`, newest first.
     pub fn departed(&self, count: usize, since: MonotonicTime) -> Vec<EndpointStart> {
         let newest = self.left_order.iter().rev().take_while(|(at, _)| *at >= since);
-        let has_left = |start: &&EndpointStart| self.left.get(*start) == Some(&Departure::Left);
+        let has_left = |start: &&EndpointStart| self.departure(start) == Some(Departure::Left);
         newest.map(|(_, start)| start).filter(has_left).take(count).cloned().collect()
     }
 }
--- a/crates/gateway/src/front/ends.rs
+++ b/crates/gateway/src/front/ends.rs
@@ -48,8 +48,9 @@
 
 use super::caller::CallerRequest;
 use super::end_probes::{EndpointAbsence, watch_fate, watch_listener};
-use super::evidence::{self, EndCase, EndEvidence, EvidenceStep};
+use super::evidence::{self, EndCase, EndEvidence, EvidenceStep, RunTimes};
 use super::placement::{Placement, RunClock};
+use crate::endpoints::EndpointFate;
 use crate::events::{EventKind, EventLine};
 use crate::gateway::Gateway;
 use crate::quarantine::RequestSuspects;
@@ -229,12 +230,12 @@
     request: &CallerRequest,
     placement: &Placement,
 ) {
-    let endpoint = &placement.endpoint;
+    let target = placement.target();
     placement.clock.record_over();
     let end = ConnectionEnd::Broken;
-    let run = EndedRun::new(gateway, request, endpoint, &placement.clock, end);
+    let run = EndedRun::new(gateway, request, &target, &placement.clock, end);
     let broke_at = run.noticed_at;
-    let mut progress = join_probe(gateway, run, placement.target());
+    let mut progress = join_probe(gateway, run, target);
     if !is_resolved(&wait_for_result(&mut progress).await) {
         gateway.record_broken_run(request.digest(), &placement.endpoint, broke_at);
     }
@@ -251,7 +252,7 @@
 ) -> bool {
     let target = placement.target();
     let end = ConnectionEnd::Closed;
-    let run = EndedRun::new(gateway, request, &target.endpoint, &placement.clock, end);
+    let run = EndedRun::new(gateway, request, &target, &placement.clock, end);
     let evidence = find_evidence(gateway, request, &target, run.noticed_at).await;
     gateway.metrics.unframed_ends.with_label_values(&[evidence.name()]).inc();
     gateway
@@ -352,24 +353,26 @@
     fn new(
         gateway: &Gateway,
         request: &CallerRequest,
-        endpoint: &EndpointStart,
+        target: &EndpointTarget,
         clock: &RunClock,
         end: ConnectionEnd,
     ) -> Self {
         let now = gateway.now();
         let is_at_engine = request.service.engine.is_some();
-        // A connection to a lost machine may break long after the process has ended, and a leaf may
-        // not know yet that the endpoint is silent. An engine writes its answer piece by piece.
+        // An engine writes its answer piece by piece.
         let overdue = gateway.overdue_silence();
         let progress_at = clock.last_progress();
         let is_stalled =
             is_at_engine && clock.has_answer_begun() && now.since(progress_at) >= overdue;
-        let silence = gateway.endpoints.borrow().silence(now, endpoint);
-        let ended_at = match silence {
-            Some(silence) if silence >= overdue => progress_at.max(now - silence),
-            _ if is_stalled => progress_at,
-            _ => now,
+        let times = {
+            let endpoints = gateway.endpoints.borrow();
+            let fate = endpoints.fate(&target.endpoint, target.address);
+            let heard_at = endpoints.last_heard(&target.endpoint);
+            let is_silent = heard_at.is_some_and(|heard_at| now.since(heard_at) >= overdue);
+            let is_over = fate == EndpointFate::Replaced || is_silent;
+            RunTimes { noticed_at: now, progress_at, heard_at, is_over, is_stalled }
         };
+        let ended_at = times.ended_at();
         let run = Self {
             request: request.id.clone(),
             suspects: request.suspects(),
@@ -406,7 +409,7 @@
     target: &EndpointTarget,
     clock: &RunClock,
 ) {
-    let run = EndedRun::new(gateway, request, &target.endpoint, clock, ConnectionEnd::Silent);
+    let run = EndedRun::new(gateway, request, target, clock, ConnectionEnd::Silent);
     join_probe(gateway, run, target.clone());
 }
 
@@ -425,7 +428,7 @@
     if !silence.is_some_and(|silence| gateway.may_have_ended(silence)) {
         return;
     }
-    let run = EndedRun::new(gateway, request, &target.endpoint, clock, ConnectionEnd::Silent);
+    let run = EndedRun::new(gateway, request, target, clock, ConnectionEnd::Silent);
     let (gateway, target, clock) = (Rc::clone(gateway), target.clone(), clock.clone());
     spawn_local(async move {
         let Some(heard_at) = wait_until_overdue(&gateway, &target).await else { return };
--- a/crates/gateway/src/front/evidence.rs
+++ b/crates/gateway/src/front/evidence.rs
@@ -100,3 +100,30 @@
         }
     }
 }
+
+/// What tells when a run ended whose connection ended or fell silent.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct RunTimes {
+    pub(super) noticed_at: MonotonicTime,
+    /// When the request was sent, or a part of its answer arrived last.
+    pub(super) progress_at: MonotonicTime,
+    /// When the endpoint was last heard from.
+    pub(super) heard_at: Option<MonotonicTime>,
+    /// Whether the endpoint had probably ended before its connection did: its heartbeats are overdue, or
+    /// the next start is known.
+    pub(super) is_over: bool,
+    /// Whether the answer of an engine had stopped before.
+    pub(super) is_stalled: bool,
+}
+
+impl RunTimes {
+    /// Returns the time of the last sign of life if the endpoint had ended before that was noticed. A
+    /// connection to a lost machine may break long afterwards.
+    pub(super) fn ended_at(self) -> MonotonicTime {
+        match self.heard_at {
+            Some(heard_at) if self.is_over => self.progress_at.max(heard_at),
+            _ if self.is_stalled => self.progress_at,
+            _ => self.noticed_at,
+        }
+    }
+}
--- a/crates/gateway/src/front/evidence_tests.rs
+++ b/crates/gateway/src/front/evidence_tests.rs
@@ -5,7 +5,7 @@
 
 use oriolepass_units::MonotonicTime;
 
-use super::evidence::{EndCase, EndEvidence, EvidenceStep, judge_fate};
+use super::evidence::{EndCase, EndEvidence, EvidenceStep, RunTimes, judge_fate};
 use crate::endpoints::EndpointFate;
 use crate::upstream::StartAnswer;
 
@@ -195,3 +195,24 @@
         assert_eq!(scenario.evidence(), expected, "{scenario:?}");
     }
 }
+
+/// Guards against ends that are dated when the next start resets their connections: the runs seem to be as
+/// long as the start takes, and ends at different times seem to be one.
+#[test]
+fn an_end_before_it_was_noticed_is_dated_by_the_last_sign_of_life() {
+    let (sent_at, heard_at) = (MonotonicTime(1_000_000), MonotonicTime(1_300_000));
+    let times = RunTimes {
+        noticed_at: ENDED_AT,
+        progress_at: sent_at,
+        heard_at: Some(heard_at),
+        is_over: true,
+        is_stalled: false,
+    };
+    assert_eq!(times.ended_at(), heard_at);
+    let progress_at = MonotonicTime(2_000_000);
+    assert_eq!(RunTimes { progress_at, ..times }.ended_at(), progress_at);
+    assert_eq!(RunTimes { is_over: false, ..times }.ended_at(), ENDED_AT);
+    assert_eq!(RunTimes { heard_at: None, ..times }.ended_at(), ENDED_AT);
+    let stalled = RunTimes { is_over: false, is_stalled: true, ..times };
+    assert_eq!(stalled.ended_at(), sent_at);
+}
--- a/crates/gateway/tests/parts.rs
+++ b/crates/gateway/tests/parts.rs
@@ -173,6 +173,7 @@
     assert!(registry.record_replaced(&start));
     assert!(registry.takes_work(&start).is_none());
     assert_eq!(registry.fate(&start, serving(5).address), EndpointFate::Replaced);
+    assert_eq!(registry.last_heard(&start), Some(at(10)));
     assert_eq!(registry.apply_heartbeat(at(20), serving(5), Duration::ZERO), BeatChange::Stale);
     assert_eq!(registry.apply_heartbeat(at(300), serving(6), Duration::ZERO), BeatChange::Met);
     assert!(registry.takes_work(&start).is_some());
