Leaves: a reported silence replaces what was inferred from earlier reports

Cause: a hub reports to its leaves which endpoints have been silent for two intervals. All others count as heard from one interval before the report. When an endpoint was listed at last, this guess was kept, as it was newer than the time that the hub stated. So a leaf took a silence for up to an interval shorter than it was: it presumed no end before the next start proved it, and dated the end by that.

Change: the registry keeps the time of the last heartbeat that it was told of apart from what it inferred. A stated silence counts against what was inferred, not against a heartbeat.

--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -123,7 +123,10 @@
 #[derive(Debug, Clone)]
 struct EndpointEntry {
     beat: EndpointBeat,
+    /// When a heartbeat was received last, as far as this daemon knows or has inferred.
     last_heard: MonotonicTime,
+    /// When the last heartbeat was received that this daemon has been told of.
+    beat_received: MonotonicTime,
     /// When the state that other daemons must learn last changed here.
     changed: MonotonicTime,
 }
@@ -134,6 +137,11 @@
         self.beat.sequence == LEAVING_SEQUENCE
     }
 
+    fn record_beat(&mut self, received: MonotonicTime) {
+        self.beat_received = self.beat_received.max(received);
+        self.last_heard = self.last_heard.max(received);
+    }
+
     fn notice(&self, now: MonotonicTime) -> EndpointNotice {
         EndpointNotice { beat: self.beat.clone(), age: now.since(self.last_heard) }
     }
@@ -171,7 +179,7 @@
         };
         if entry.is_leaving() {
             // Streams may still run there, and its heartbeats show that it is alive.
-            entry.last_heard = entry.last_heard.max(last_heard);
+            entry.record_beat(last_heard);
             return BeatChange::Refreshed;
         }
         if entry.beat.sequence >= beat.sequence {
@@ -181,7 +189,7 @@
             || entry.beat.address != beat.address
             || entry.beat.service != beat.service
             || entry.beat.cold_remaining.is_zero() != beat.cold_remaining.is_zero();
-        entry.last_heard = entry.last_heard.max(last_heard);
+        entry.record_beat(last_heard);
         entry.beat = beat;
         if changed {
             entry.changed = now;
@@ -223,7 +231,12 @@
         self.remove_older_at_address(last_heard, &beat);
         self.entries.insert(
             beat.endpoint.clone(),
-            EndpointEntry { beat, last_heard, changed: self.last_heartbeat_at },
+            EndpointEntry {
+                beat,
+                last_heard,
+                beat_received: last_heard,
+                changed: self.last_heartbeat_at,
+            },
         );
         self.generation += 1;
         BeatChange::Met
@@ -509,8 +522,11 @@
         let silent: BTreeMap<&EndpointStart, Duration> =
             silent.iter().map(|(endpoint, silence)| (endpoint, *silence)).collect();
         for (endpoint, entry) in &mut self.entries {
-            let silence = silent.get(endpoint).copied();
-            entry.last_heard = entry.last_heard.max(now - silence.unwrap_or(heartbeat));
+            entry.last_heard = match silent.get(endpoint) {
+                // What was inferred from earlier reports does not hold against this statement.
+                Some(silence) => entry.beat_received.max(now - *silence),
+                None => entry.last_heard.max(now - heartbeat),
+            };
         }
     }
 
--- a/crates/gateway/tests/parts.rs
+++ b/crates/gateway/tests/parts.rs
@@ -184,6 +184,24 @@
     assert_eq!(registry.apply_heartbeat(at(500), serving(7), Duration::ZERO), BeatChange::Stale);
 }
 
+// Guards against a leaf that takes an endpoint for alive after its end, since an earlier report of a hub did
+// not list it as silent yet.
+#[test]
+fn a_reported_silence_replaces_what_was_inferred_from_earlier_reports() {
+    let mut registry = EndpointRegistry::default();
+    let (start, heartbeat) = ("i-1".parse().unwrap(), Duration::from_secs(1));
+    registry.apply_heartbeat(at(10), beat("i-1", 1, 1, EndpointPhase::Serving), Duration::ZERO);
+    registry.update_last_heard(at(1_900), &[], heartbeat);
+    assert_eq!(registry.last_heard(&start), Some(at(900)));
+    let silence = Duration::from_millis(2_300);
+    registry.update_last_heard(at(2_400), &[(start.clone(), silence)], heartbeat);
+    assert_eq!(registry.last_heard(&start), Some(at(100)));
+    // A heartbeat that this daemon has been told of is newer than the report.
+    registry.apply_heartbeat(at(2_500), beat("i-1", 1, 2, EndpointPhase::Serving), Duration::ZERO);
+    registry.update_last_heard(at(2_600), &[(start.clone(), silence)], heartbeat);
+    assert_eq!(registry.last_heard(&start), Some(at(2_500)));
+}
+
 #[test]
 fn a_new_endpoint_replaces_the_one_that_had_its_address() {
     let mut registry = EndpointRegistry::default();
